--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,383 @@
+package standin
+
+import (
+	"context"
+	"maps"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill"
+	"golang.org/x/time/rate"
+)
+
+// StoreOptions are the limits of a stand-in store. A zero field takes the
+// default.
+type StoreOptions struct {
+	Now           func() time.Time // time.Now
+	MaxValueBytes int              // 1 MB, the platform's limit
+	MaxBytes      int              // of all values: 256 MiB
+	PageBytes     int              // of a page of a list: 4 MiB
+	LogChanges    int              // changes held for watches: 4096
+	LogBytes      int              // values of these changes: 64 MiB
+	WritesPerS    float64          // 400; negative is no limit
+	ReadsPerS     float64          // 2000; negative is no limit
+	MaxWait       time.Duration    // of a watch: 30 s
+	MaxTTL        time.Duration    // of a lease: 24 h
+}
+
+// StoreFaults are the faults of a stand-in store, switched at run time.
+type StoreFaults struct {
+	Outage        bool          // every call fails at once without effect
+	Delay         time.Duration // before the effect of a call
+	AnswerDelay   time.Duration // after the effect of a call
+	LoseNext      int           // number of next writes whose answers are lost
+	LoseEvery     int           // every n-th write loses its answer; 0 is none
+	SilentWatches bool          // watches report nothing
+}
+
+// StoreCounters count the calls of each kind, and the failures among them by
+// kind of failure.
+type StoreCounters struct {
+	Calls    map[string]int
+	Refusals map[string]int
+	Lost     int // answers lost after the effect
+}
+
+// Kinds of calls in StoreCounters.
+const (
+	StoreGet    = "Get"
+	StoreList   = "List"
+	StoreWatch  = "Watch"
+	StoreSwap   = "Swap"
+	StoreDelete = "Delete"
+	StoreGrant  = "Grant"
+	StoreRenew  = "Renew"
+	StoreRevoke = "Revoke"
+)
+
+type storedItem struct {
+	rosemarysill.Item
+	lease rosemarysill.LeaseID
+}
+
+type storeLease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]bool
+}
+
+// Store is a stand-in of the platform's store. It implements
+// rosemarysill.Store for use in-process and http.Handler for use over a socket.
+type Store struct {
+	opts  StoreOptions
+	clock *clock
+
+	mu        sync.Mutex
+	items     map[string]storedItem
+	bytes     int
+	leases    map[rosemarysill.LeaseID]*storeLease
+	nextLease rosemarysill.LeaseID
+	revision  uint64
+	log       []rosemarysill.Change
+	logBytes  int
+	compacted uint64 // highest revision that is no longer in the log
+	faults    StoreFaults
+	writes    int // for LoseEvery
+	counters  StoreCounters
+	writeRate *rate.Limiter
+	readRate  *rate.Limiter
+}
+
+var _ rosemarysill.Store = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore(o StoreOptions) *Store {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	setDefault(&o.MaxValueBytes, 1_000_000)
+	setDefault(&o.MaxBytes, 256<<20)
+	setDefault(&o.PageBytes, 4<<20)
+	setDefault(&o.LogChanges, 4096)
+	setDefault(&o.LogBytes, 64<<20)
+	setDefault(&o.WritesPerS, 400)
+	setDefault(&o.ReadsPerS, 2000)
+	setDefault(&o.MaxWait, 30*time.Second)
+	setDefault(&o.MaxTTL, 24*time.Hour)
+	return &Store{
+		opts:      o,
+		clock:     newClock(o.Now),
+		items:     map[string]storedItem{},
+		leases:    map[rosemarysill.LeaseID]*storeLease{},
+		counters:  StoreCounters{Calls: map[string]int{}, Refusals: map[string]int{}},
+		writeRate: newLimiter(o.WritesPerS),
+		readRate:  newLimiter(o.ReadsPerS),
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// newLimiter allows bursts of a quarter of a second's calls.
+func newLimiter(perS float64) *rate.Limiter {
+	if perS < 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perS), max(1, int(perS/4)))
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	s.clock.wake()
+}
+
+// Counters returns a copy of the counters.
+func (s *Store) Counters() StoreCounters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCounters{maps.Clone(s.counters.Calls), maps.Clone(s.counters.Refusals), s.counters.Lost}
+}
+
+// Revision returns the store's revision.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Tick lets leases lapse that are due by the injected clock. Each call does
+// the same; a test calls Tick after it has advanced the clock.
+func (s *Store) Tick() {
+	s.mu.Lock()
+	s.expire()
+	s.mu.Unlock()
+	s.clock.wake()
+}
+
+// Compact drops all changes held for watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log, s.logBytes, s.compacted = nil, 0, s.revision
+}
+
+// expire ends the leases that have lapsed. The caller holds mu.
+func (s *Store) expire() {
+	now := s.opts.Now()
+	var due []rosemarysill.LeaseID
+	for id, l := range s.leases {
+		if !now.Before(l.expires) {
+			due = append(due, id)
+		}
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
+	for _, id := range due {
+		s.endLease(id)
+	}
+}
+
+// endLease deletes a lease with its keys. The caller holds mu.
+func (s *Store) endLease(id rosemarysill.LeaseID) {
+	l := s.leases[id]
+	delete(s.leases, id)
+	keys := make([]string, 0, len(l.keys))
+	for key := range l.keys {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		s.remove(key)
+	}
+}
+
+// nextExpiry returns the time at which the next lease lapses, at most limit.
+// The caller holds mu.
+func (s *Store) nextExpiry(limit time.Time) time.Time {
+	for _, l := range s.leases {
+		if l.expires.Before(limit) {
+			limit = l.expires
+		}
+	}
+	return limit
+}
+
+// record appends a change to the log and wakes the watches. The caller holds mu.
+func (s *Store) record(c rosemarysill.Change) {
+	s.log = append(s.log, c)
+	s.logBytes += len(c.Item.Value)
+	for len(s.log) > s.opts.LogChanges || s.logBytes > s.opts.LogBytes {
+		s.compacted = s.log[0].Revision
+		s.logBytes -= len(s.log[0].Item.Value)
+		s.log = s.log[1:]
+	}
+	s.clock.wake()
+}
+
+// remove deletes a key that exists. The caller holds mu.
+func (s *Store) remove(key string) {
+	it := s.items[key]
+	delete(s.items, key)
+	s.bytes -= len(it.Value)
+	if l := s.leases[it.lease]; l != nil {
+		delete(l.keys, key)
+	}
+	s.revision++
+	s.record(rosemarysill.Change{Item: rosemarysill.Item{Key: key, Version: it.Version}, Deleted: true, Revision: s.revision})
+}
+
+func (s *Store) get(key string) (rosemarysill.Item, error) {
+	it, ok := s.items[key]
+	if !ok {
+		return rosemarysill.Item{Key: key}, rosemarysill.ErrNotFound
+	}
+	return it.Item, nil
+}
+
+// page returns the items under prefix from a key on, up to PageBytes, and the
+// first key of the next page.
+func (s *Store) page(prefix, from string) (listReply, error) {
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key >= from {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	reply := listReply{Revision: s.revision}
+	size := 0
+	for _, key := range keys {
+		it := s.items[key].Item
+		size += len(it.Key) + len(it.Value)
+		if len(reply.Items) > 0 && size > s.opts.PageBytes {
+			reply.Next = key
+			break
+		}
+		reply.Items = append(reply.Items, it)
+	}
+	return reply, nil
+}
+
+func (s *Store) swap(r swapRequest) (uint64, error) {
+	it := s.items[r.Key]
+	switch {
+	case r.Key == "":
+		return 0, errInvalid
+	case len(r.Value) > s.opts.MaxValueBytes || s.bytes+len(r.Value)-len(it.Value) > s.opts.MaxBytes:
+		return 0, errTooLarge
+	case it.Version != r.Version:
+		return 0, rosemarysill.ErrVersion
+	case r.Lease != 0 && s.leases[r.Lease] == nil:
+		return 0, rosemarysill.ErrLeaseLapsed
+	}
+	if l := s.leases[it.lease]; l != nil {
+		delete(l.keys, r.Key)
+	}
+	if l := s.leases[r.Lease]; l != nil {
+		l.keys[r.Key] = true
+	}
+	s.bytes += len(r.Value) - len(it.Value)
+	s.revision++
+	it = storedItem{rosemarysill.Item{Key: r.Key, Value: r.Value, Version: s.revision}, r.Lease}
+	s.items[r.Key] = it
+	s.record(rosemarysill.Change{Item: it.Item, Revision: s.revision})
+	return it.Version, nil
+}
+
+func (s *Store) delete(r deleteRequest) error {
+	it, ok := s.items[r.Key]
+	switch {
+	case !ok:
+		return rosemarysill.ErrNotFound
+	case it.Version != r.Version:
+		return rosemarysill.ErrVersion
+	}
+	s.remove(r.Key)
+	return nil
+}
+
+func (s *Store) grant(ttl time.Duration) (rosemarysill.LeaseID, error) {
+	if ttl <= 0 || ttl > s.opts.MaxTTL {
+		return 0, errInvalid
+	}
+	s.nextLease++
+	s.leases[s.nextLease] = &storeLease{ttl: ttl, expires: s.opts.Now().Add(ttl), keys: map[string]bool{}}
+	return s.nextLease, nil
+}
+
+func (s *Store) renew(id rosemarysill.LeaseID) error {
+	l := s.leases[id]
+	if l == nil {
+		return rosemarysill.ErrLeaseLapsed
+	}
+	l.expires = s.opts.Now().Add(l.ttl)
+	return nil
+}
+
+func (s *Store) revoke(id rosemarysill.LeaseID) error {
+	if s.leases[id] == nil {
+		return rosemarysill.ErrLeaseLapsed
+	}
+	s.endLease(id)
+	return nil
+}
+
+// changes returns the changes under prefix after a revision. The caller holds mu.
+func (s *Store) changes(prefix string, after uint64) ([]rosemarysill.Change, error) {
+	if after < s.compacted || after > s.revision {
+		return nil, rosemarysill.ErrCompacted
+	}
+	var found []rosemarysill.Change
+	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Revision > after })
+	for _, c := range s.log[first:] {
+		if strings.HasPrefix(c.Item.Key, prefix) {
+			found = append(found, c)
+		}
+	}
+	return found, nil
+}
+
+// watch waits for changes until the time limit or the end of ctx.
+func (s *Store) watch(ctx context.Context, prefix string, after uint64, limit time.Time) (watchReply, error) {
+	for {
+		// Taken before the look at the log, so that no change is missed.
+		ticked := s.clock.ticked()
+		s.mu.Lock()
+		s.expire()
+		outage, silent, revision := s.faults.Outage, s.faults.SilentWatches, s.revision
+		found, err := s.changes(prefix, after)
+		wake := s.nextExpiry(limit)
+		s.mu.Unlock()
+		now := s.opts.Now()
+		switch {
+		case outage:
+			return watchReply{}, rosemarysill.ErrStoreUnavailable
+		case silent:
+			revision = after
+		case err != nil:
+			return watchReply{}, err
+		case len(found) > 0:
+			return watchReply{Changes: found, Revision: revision}, nil
+		}
+		if !now.Before(limit) {
+			return watchReply{Revision: revision}, nil
+		}
+		timer := time.NewTimer(wake.Sub(now))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return watchReply{Revision: revision}, nil
+		case <-timer.C:
+		case <-ticked:
+		}
+		timer.Stop()
+	}
+}
