--- a/standin/doc.go
+++ b/standin/doc.go
@@ -7,7 +7,8 @@
 //
 // Bodies are JSON with Pascal case keys; values are base64, durations are
 // nanoseconds. Version is the key's version, which rises with each write, also
-// across a deletion. Revision is the store's, which rises with each change.
+// across a deletion; the change of a deletion carries the version that was
+// deleted. Revision is the store's, which rises with each change.
 //
 //	GET  /v1/item?key=K                       Item
 //	GET  /v1/list?prefix=P&from=K             {Items, Revision, Next}; Next is the first key of the next page
