--- a/standin/server.go
+++ b/standin/server.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +36,47 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "standin: listen")
 	}
+	if limited, ok := h.(interface{ MaxConns() int }); ok {
+		l := &connListener{TCPListener: ln, limit: limited.MaxConns()}
+		return serve(l, h), nil
+	}
+	return serve(ln, h), nil
+}
+
+// connListener closes connections over its limit at once.
+type connListener struct {
+	*net.TCPListener
+	limit int
+	open  atomic.Int64
+}
+
+type limitedConn struct {
+	net.Conn
+	closed sync.Once
+	open   *atomic.Int64
+}
+
+func (c *limitedConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// Accept implements net.Listener.
+func (l *connListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.TCPListener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= int64(l.limit) {
+			return &limitedConn{Conn: c, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		_ = c.Close()
+	}
+}
+
+func serve(ln net.Listener, h http.Handler) *Server {
 	base, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		address: ln.Addr().(*net.TCPAddr).AddrPort(),
@@ -51,7 +94,7 @@
 		defer close(s.done)
 		_ = s.http.Serve(ln)
 	}()
-	return s, nil
+	return s
 }
 
 // Address returns the address at which the stand-in listens.
--- a/standin/store.go
+++ b/standin/store.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"maps"
 	"sort"
 	"strings"
@@ -170,58 +169,6 @@
 	s.log, s.logBytes, s.compacted = nil, 0, s.revision
 }
 
-// expire ends the leases that have lapsed. The caller holds mu.
-func (s *Store) expire() {
-	now := s.opts.Now()
-	var due []rosemarysill.LeaseID
-	for id, l := range s.leases {
-		if !now.Before(l.expires) {
-			due = append(due, id)
-		}
-	}
-	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
-	for _, id := range due {
-		s.endLease(id)
-	}
-}
-
-// endLease deletes a lease with its keys. The caller holds mu.
-func (s *Store) endLease(id rosemarysill.LeaseID) {
-	l := s.leases[id]
-	delete(s.leases, id)
-	keys := make([]string, 0, len(l.keys))
-	for key := range l.keys {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	for _, key := range keys {
-		s.remove(key)
-	}
-}
-
-// nextExpiry returns the time at which the next lease lapses, at most limit.
-// The caller holds mu.
-func (s *Store) nextExpiry(limit time.Time) time.Time {
-	for _, l := range s.leases {
-		if l.expires.Before(limit) {
-			limit = l.expires
-		}
-	}
-	return limit
-}
-
-// record appends a change to the log and wakes the watches. The caller holds mu.
-func (s *Store) record(c rosemarysill.Change) {
-	s.log = append(s.log, c)
-	s.logBytes += len(c.Item.Value)
-	for len(s.log) > s.opts.LogChanges || s.logBytes > s.opts.LogBytes {
-		s.compacted = s.log[0].Revision
-		s.logBytes -= len(s.log[0].Item.Value)
-		s.log = s.log[1:]
-	}
-	s.clock.wake()
-}
-
 // remove deletes a key that exists. The caller holds mu.
 func (s *Store) remove(key string) {
 	it := s.items[key]
@@ -303,81 +250,3 @@
 	s.remove(r.Key)
 	return nil
 }
-
-func (s *Store) grant(ttl time.Duration) (rosemarysill.LeaseID, error) {
-	if ttl <= 0 || ttl > s.opts.MaxTTL {
-		return 0, errInvalid
-	}
-	s.nextLease++
-	s.leases[s.nextLease] = &storeLease{ttl: ttl, expires: s.opts.Now().Add(ttl), keys: map[string]bool{}}
-	return s.nextLease, nil
-}
-
-func (s *Store) renew(id rosemarysill.LeaseID) error {
-	l := s.leases[id]
-	if l == nil {
-		return rosemarysill.ErrLeaseLapsed
-	}
-	l.expires = s.opts.Now().Add(l.ttl)
-	return nil
-}
-
-func (s *Store) revoke(id rosemarysill.LeaseID) error {
-	if s.leases[id] == nil {
-		return rosemarysill.ErrLeaseLapsed
-	}
-	s.endLease(id)
-	return nil
-}
-
-// changes returns the changes under prefix after a revision. The caller holds mu.
-func (s *Store) changes(prefix string, after uint64) ([]rosemarysill.Change, error) {
-	if after < s.compacted || after > s.revision {
-		return nil, rosemarysill.ErrCompacted
-	}
-	var found []rosemarysill.Change
-	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Revision > after })
-	for _, c := range s.log[first:] {
-		if strings.HasPrefix(c.Item.Key, prefix) {
-			found = append(found, c)
-		}
-	}
-	return found, nil
-}
-
-// watch waits for changes until the time limit or the end of ctx.
-func (s *Store) watch(ctx context.Context, prefix string, after uint64, limit time.Time) (watchReply, error) {
-	for {
-		// Taken before the look at the log, so that no change is missed.
-		ticked := s.clock.ticked()
-		s.mu.Lock()
-		s.expire()
-		outage, silent, revision := s.faults.Outage, s.faults.SilentWatches, s.revision
-		found, err := s.changes(prefix, after)
-		wake := s.nextExpiry(limit)
-		s.mu.Unlock()
-		now := s.opts.Now()
-		switch {
-		case outage:
-			return watchReply{}, rosemarysill.ErrStoreUnavailable
-		case silent:
-			revision = after
-		case err != nil:
-			return watchReply{}, err
-		case len(found) > 0:
-			return watchReply{Changes: found, Revision: revision}, nil
-		}
-		if !now.Before(limit) {
-			return watchReply{Revision: revision}, nil
-		}
-		timer := time.NewTimer(wake.Sub(now))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return watchReply{Revision: revision}, nil
-		case <-timer.C:
-		case <-ticked:
-		}
-		timer.Stop()
-	}
-}
