--- /dev/null
+++ b/cmd/standin/main_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/standin"
+	"github.com/rosemarysill/rosemarysill/upstream"
+	"github.com/rosemarysill/rosemarysill/worker"
+	"github.com/stretchr/testify/require"
+)
+
+// TestMain runs the program itself when a test has started this binary again.
+func TestMain(m *testing.M) {
+	if os.Getenv("STANDIN_MAIN") != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// start runs the program as a process of its own until the test ends.
+func start(t *testing.T, args ...string) netip.AddrPort {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], append(args, "--with-stdin")...)
+	cmd.Env = append(os.Environ(), "STANDIN_MAIN=1")
+	stdin, err := cmd.StdinPipe()
+	require.NoError(t, err)
+	stdout, err := cmd.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() {
+		require.NoError(t, stdin.Close())
+		require.NoError(t, cmd.Wait(), "the process ends with its standard input")
+	})
+	line, err := bufio.NewReader(stdout).ReadBytes('\n')
+	require.NoError(t, err)
+	var ready struct{ Address netip.AddrPort }
+	require.NoError(t, json.Unmarshal(line, &ready))
+	return ready.Address
+}
+
+// TestStandinsAsProcesses guards against faults and journals that work only
+// in-process.
+func TestStandinsAsProcesses(t *testing.T) {
+	t.Run("store", func(t *testing.T) {
+		address := start(t, "--kind", "store")
+		c, control := platform.NewClient(address, platform.Options{}), standin.NewControl(address)
+		defer c.Close()
+		_, err := c.Swap(t.Context(), "k", []byte("v"), 0, 0)
+		require.NoError(t, err)
+		require.NoError(t, control.SetFaults(t.Context(), standin.StoreFaults{Outage: true}))
+		_, err = c.Get(t.Context(), "k")
+		require.ErrorIs(t, err, rosemarysill.ErrStoreUnavailable)
+		require.NoError(t, control.SetFaults(t.Context(), standin.StoreFaults{}))
+		it, err := c.Get(t.Context(), "k")
+		require.NoError(t, err)
+		require.Equal(t, "v", string(it.Value))
+		counters, err := control.StoreCounters(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, map[string]int{standin.StoreSwap: 1, standin.StoreGet: 2}, counters.Calls)
+	})
+	t.Run("runtime", func(t *testing.T) {
+		address := start(t, "--kind", "runtime", "--name", "w1")
+		c, control := worker.NewRuntime(address, worker.RuntimeOptions{}), standin.NewControl(address)
+		defer c.Close()
+		id := rosemarysill.RuntimeTask{Job: uuid.Must(uuid.NewV7()), Attempt: 1}
+		require.NoError(t, c.Start(t.Context(), rosemarysill.TaskStart{Task: id, Body: []byte(`{"RunSeconds":3600}`), LeaseUntil: time.Now().Add(time.Hour)}))
+		require.NoError(t, c.Stop(t.Context(), id))
+		events, err := control.TaskEvents(t.Context())
+		require.NoError(t, err)
+		j := standin.NewTaskJournal()
+		j.Add(events...)
+		require.Len(t, j.Spans(), 1)
+		require.Equal(t, "w1", j.Spans()[0].Worker)
+		require.Equal(t, rosemarysill.TaskStopped, j.Spans()[0].State)
+	})
+	t.Run("upstream", func(t *testing.T) {
+		address := start(t, "--kind", "upstream", "--slots", "1")
+		c, control := upstream.NewClient(address, upstream.ClientOptions{}), standin.NewControl(address)
+		defer c.Close()
+		require.NoError(t, control.SetFaults(t.Context(), standin.UpstreamFaults{Fail: true}))
+		call := rosemarysill.Call{ID: uuid.Must(uuid.NewV7())}
+		_, err := c.Serve(t.Context(), call)
+		require.Equal(t, rosemarysill.UpstreamFailed, rosemarysill.CodeOf(err))
+		runs, err := control.CallRuns(t.Context())
+		require.NoError(t, err)
+		require.Len(t, runs, 1)
+		require.Equal(t, call.ID, runs[0].ID)
+	})
+}
+
+// TestRunRefusesArguments guards against a stand-in that listens outside
+// loopback or starts with arguments it does not know.
+func TestRunRefusesArguments(t *testing.T) {
+	cases := map[string]struct {
+		args []string
+		want rosemarysill.Code
+	}{
+		"no kind":          {nil, rosemarysill.InvalidArguments},
+		"unknown argument": {[]string{"--kind", "store", "--colour", "red"}, rosemarysill.InvalidArguments},
+		"bad address":      {[]string{"--kind", "store", "--listen", "localhost"}, rosemarysill.InvalidArguments},
+		"not loopback":     {[]string{"--kind", "store", "--listen", "0.0.0.0:0"}, rosemarysill.InternalError},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.want, run(tc.args, nil, io.Discard, io.Discard))
+		})
+	}
+}
