settings: read entry, agent and operators' files, reporting all faults

Cause: processes need settings whose faults are found at once, with their place. Ruled out: the library's own decoder, which ends at the first fault; its parser is used and its nodes are decoded here.

--- /dev/null
+++ b/settings/agent.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"net/netip"
+	"strconv"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rs/zerolog"
+)
+
+// Capacity is what an agent's back end can hold. Slots is for an upstream, the
+// others are for a worker.
+type Capacity struct {
+	Slots        int `settings:"min=1,max=1024"`
+	Accelerators int `settings:"min=1,max=64"`
+	Processors   int `settings:"min=1,max=4096"`
+	MemoryMB     int `settings:"min=1,max=67108864"`
+}
+
+// AgentLimits are the bounds of an agent.
+type AgentLimits struct {
+	MaxBodyBytes   int `settings:"min=1,max=16777216"` // of a call or task: 1 MiB
+	MaxAnswerBytes int `settings:"min=1,max=16777216"` // 16 MiB
+	MaxEntries     int `settings:"min=1,max=64"`       // that get heartbeats: 16
+}
+
+// DefaultAgentLimits returns the bounds of an agent.
+func DefaultAgentLimits() AgentLimits {
+	return AgentLimits{MaxBodyBytes: 1 << 20, MaxAnswerBytes: 16 << 20, MaxEntries: 16}
+}
+
+// Agent are the settings of an agent.
+type Agent struct {
+	Name     string                 `settings:"required,name"`
+	Kind     rosemarysill.AgentKind `settings:"required"`
+	Domain   string                 `settings:"required,name"` // failure domain of its VM
+	Rack     string                 `settings:"name"`          // required for a worker
+	Listen   netip.AddrPort         `settings:"required"`      // gRPC; announced to entries
+	Entries  []netip.AddrPort       `settings:"required,min=1,max=64"`
+	BackEnd  netip.AddrPort         `settings:"required"` // the upstream or the worker's runtime
+	Capacity Capacity               `settings:"required"`
+	Limits   AgentLimits
+	Timings  rosemarysill.Timings
+	Log      Log
+}
+
+// ReadAgent reads the settings of an agent from a file.
+func ReadAgent(file string) (Agent, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return Agent{}, err
+	}
+	return ParseAgent(file, data)
+}
+
+// ParseAgent decodes the settings of an agent. The file's name is for faults.
+func ParseAgent(file string, data []byte) (Agent, error) {
+	a := Agent{Limits: DefaultAgentLimits(), Timings: rosemarysill.DefaultTimings(), Log: Log{Level: zerolog.InfoLevel}}
+	d := newDecoder(file)
+	d.decode(data, &a)
+	if len(d.at) > 0 {
+		d.checkTimings(a.Timings)
+		d.checkAgent(a)
+	}
+	if err := newError(d.faults); err != nil {
+		return Agent{}, err
+	}
+	return a, nil
+}
+
+// checkAgent reports settings of an agent that contradict each other.
+func (d *decoder) checkAgent(a Agent) {
+	d.checkAnnounced("Listen", a.Listen)
+	if a.Listen.IsValid() && a.Listen == a.BackEnd {
+		d.fault("BackEnd", "is the same address as Listen")
+	}
+	d.checkAddresses("Entries", a.Entries)
+	if len(a.Entries) > a.Limits.MaxEntries {
+		d.fault("Entries", "has %d addresses, more than Limits.MaxEntries (%d)", len(a.Entries), a.Limits.MaxEntries)
+	}
+	needed := map[rosemarysill.AgentKind]map[string]bool{
+		rosemarysill.UpstreamAgent: {"Capacity.Slots": true, "Capacity.Accelerators": false, "Capacity.Processors": false, "Capacity.MemoryMB": false},
+		rosemarysill.WorkerAgent:   {"Rack": true, "Capacity.Slots": false, "Capacity.Accelerators": true, "Capacity.Processors": true, "Capacity.MemoryMB": true},
+	}
+	for _, key := range []string{"Rack", "Capacity.Slots", "Capacity.Accelerators", "Capacity.Processors", "Capacity.MemoryMB"} {
+		switch need, about := needed[a.Kind][key]; {
+		case !about:
+		case need && !d.has(key) && (key == "Rack" || d.has("Capacity")):
+			d.fault(key, "key is missing; an agent of the kind %s needs it", a.Kind)
+		case !need && d.has(key):
+			d.fault(key, "contradicts the kind %s", a.Kind)
+		}
+	}
+}
+
+func itemKey(key string, i int) string { return key + "[" + strconv.Itoa(i) + "]" }
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,8 @@
+// Package settings reads the YAML settings of entries and agents and the
+// operators' documents. All faults of a file are reported at once, each with
+// file, line and key; a file with a fault yields nothing.
+//
+// Keys are in Pascal case and stand for the fields of the types of this
+// package. Durations are written as 250ms, 2s or 1h, addresses as IP:port.
+// Anchors, aliases, tags and merge keys are not accepted.
+package settings
--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,162 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rs/zerolog"
+)
+
+// Listen are the addresses at which an entry listens. Other processes reach it
+// at GRPC, which it announces to them.
+type Listen struct {
+	HTTP netip.AddrPort `settings:"required"` // callers and operators
+	GRPC netip.AddrPort `settings:"required"` // entries and agents
+}
+
+// Log is how a process logs.
+type Log struct {
+	Level zerolog.Level // info
+}
+
+// EntryLimits are the bounds of an entry.
+type EntryLimits struct {
+	MaxBodyBytes        int           `settings:"min=1,max=16777216"`   // of a call: 1 MiB
+	MaxJobBodyBytes     int           `settings:"min=1,max=614400"`     // of a job: 512 KiB; its record must fit into 1 MB
+	MaxAnswerBytes      int           `settings:"min=1,max=16777216"`   // of a call: 16 MiB
+	MaxStoredBytes      int           `settings:"min=0,max=65536"`      // of an answer kept in a record: 64 KiB
+	MaxHeldBytes        int64         `settings:"min=1,max=8589934592"` // of all bodies held at a time: 256 MiB
+	MaxRequests         int           `settings:"min=1,max=100000"`     // HTTP requests in progress: 1,024
+	MaxQueuedCalls      int           `settings:"min=1,max=1000000"`    // 4,096
+	MaxQueuedPerAccount int           `settings:"min=1,max=1000000"`    // of one class: 256
+	MaxCalls            int           `settings:"min=1,max=1000000"`    // waiting or in progress: 8,192
+	MaxAttempts         int           `settings:"min=1,max=16"`         // forwards of one call: 4
+	MaxJobs             int           `settings:"min=1,max=100000"`     // not finished: 10,000
+	MaxAgents           int           `settings:"min=1,max=100000"`     // 2,500
+	RetryBudget         float64       `settings:"min=0,max=1"`          // retries for each call: 0.1
+	RetryReserve        int           `settings:"min=0,max=1000"`       // retries always allowed: 3
+	StoreWritesPerS     float64       `settings:"min=1,max=400"`        // 100
+	StoreReadsPerS      float64       `settings:"min=1,max=2000"`       // 500
+	StoreTimeout        time.Duration `settings:"min=10ms,max=10s"`     // of a call to the store: 1 s
+	ReadTimeout         time.Duration `settings:"min=100ms,max=5m"`     // for a request to arrive: 10 s
+	WriteTimeout        time.Duration `settings:"min=100ms,max=10m"`    // for an answer to be taken: 30 s
+}
+
+// DefaultEntryLimits returns the bounds of an entry VM with a few GB of memory
+// at the target scale: 1,100 workers, 91 accounts, four entries at one store.
+func DefaultEntryLimits() EntryLimits {
+	return EntryLimits{
+		MaxBodyBytes:        1 << 20,
+		MaxJobBodyBytes:     512 << 10,
+		MaxAnswerBytes:      16 << 20,
+		MaxStoredBytes:      64 << 10,
+		MaxHeldBytes:        256 << 20,
+		MaxRequests:         1024,
+		MaxQueuedCalls:      4096,
+		MaxQueuedPerAccount: 256,
+		MaxCalls:            8192,
+		MaxAttempts:         4,
+		MaxJobs:             10_000,
+		MaxAgents:           2500,
+		RetryBudget:         0.1,
+		RetryReserve:        3,
+		StoreWritesPerS:     100,
+		StoreReadsPerS:      500,
+		StoreTimeout:        time.Second,
+		ReadTimeout:         10 * time.Second,
+		WriteTimeout:        30 * time.Second,
+	}
+}
+
+// Entry are the settings of an entry.
+type Entry struct {
+	Name    string           `settings:"required,name"`
+	Domain  string           `settings:"required,name"` // failure domain of its VM
+	Listen  Listen           `settings:"required"`
+	Store   netip.AddrPort   `settings:"required"`
+	Peers   []netip.AddrPort `settings:"max=64"` // GRPC addresses of other entries; may be out of date
+	Limits  EntryLimits
+	Timings rosemarysill.Timings
+	Log     Log
+}
+
+// ReadEntry reads the settings of an entry from a file.
+func ReadEntry(file string) (Entry, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return Entry{}, err
+	}
+	return ParseEntry(file, data)
+}
+
+// ParseEntry decodes the settings of an entry. The file's name is for faults.
+func ParseEntry(file string, data []byte) (Entry, error) {
+	e := Entry{Limits: DefaultEntryLimits(), Timings: rosemarysill.DefaultTimings(), Log: Log{Level: zerolog.InfoLevel}}
+	d := newDecoder(file)
+	d.decode(data, &e)
+	if len(d.at) > 0 {
+		d.checkTimings(e.Timings)
+		d.checkEntry(e)
+	}
+	if err := newError(d.faults); err != nil {
+		return Entry{}, err
+	}
+	return e, nil
+}
+
+// checkEntry reports settings of an entry that contradict each other.
+func (d *decoder) checkEntry(e Entry) {
+	d.checkAnnounced("Listen.GRPC", e.Listen.GRPC)
+	if e.Listen.HTTP.IsValid() && e.Listen.HTTP == e.Listen.GRPC {
+		d.fault("Listen.GRPC", "is the same address as Listen.HTTP")
+	}
+	if e.Store.IsValid() && (e.Store == e.Listen.GRPC || e.Store == e.Listen.HTTP) {
+		d.fault("Store", "is an address of the entry itself")
+	}
+	d.checkAddresses("Peers", e.Peers)
+	l := e.Limits
+	d.atMost("Limits.MaxQueuedPerAccount", l.MaxQueuedPerAccount, "Limits.MaxQueuedCalls", l.MaxQueuedCalls)
+	d.atMost("Limits.MaxQueuedCalls", l.MaxQueuedCalls, "Limits.MaxCalls", l.MaxCalls)
+	d.atMost("Limits.MaxStoredBytes", l.MaxStoredBytes, "Limits.MaxAnswerBytes", l.MaxAnswerBytes)
+	d.atMost("Limits.MaxBodyBytes", l.MaxBodyBytes, "Limits.MaxHeldBytes", int(l.MaxHeldBytes))
+	if l.StoreTimeout >= e.Timings.StoreFresh && !d.bad["Limits.StoreTimeout"] && !d.anyBad("StoreFresh") {
+		key := "Limits.StoreTimeout"
+		if !d.has(key) {
+			key = "Timings.StoreFresh"
+		}
+		d.fault(key, "Limits.StoreTimeout (%s) must be shorter than Timings.StoreFresh (%s): one slow call ends the store contact otherwise", l.StoreTimeout, e.Timings.StoreFresh)
+	}
+}
+
+// atMost reports a number that exceeds another one.
+func (d *decoder) atMost(key string, a int, than string, b int) {
+	if a <= b || d.bad[key] || d.bad[than] {
+		return
+	}
+	at := key
+	if !d.has(key) {
+		at = than
+	}
+	d.fault(at, "%s (%d) must not exceed %s (%d)", key, a, than, b)
+}
+
+// checkAnnounced reports an address at which others cannot reach the process.
+func (d *decoder) checkAnnounced(key string, a netip.AddrPort) {
+	if a.IsValid() && (a.Addr().IsUnspecified() || a.Addr().IsMulticast()) {
+		d.fault(key, "is announced to other processes and must be an address of this host, not %s", a.Addr())
+	}
+}
+
+// checkAddresses reports addresses that a list holds twice.
+func (d *decoder) checkAddresses(key string, list []netip.AddrPort) {
+	seen := map[netip.AddrPort]int{}
+	for i, a := range list {
+		if first, ok := seen[a]; ok && a.IsValid() {
+			d.fault(itemKey(key, i), "is the same address as %s", itemKey(key, first))
+			continue
+		}
+		seen[a] = i
+		d.checkAnnounced(itemKey(key, i), a)
+	}
+}
