--- a/standin/server.go
+++ b/standin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,7 +19,12 @@
 	address netip.AddrPort
 	http    *http.Server
 	cancel  context.CancelFunc
+	idle    chan struct{} // signalled at the end of a request
 	done    chan struct{}
+
+	mu       sync.Mutex
+	stopped  bool
+	requests int
 }
 
 type baseKey struct{}
@@ -81,32 +87,69 @@
 	s := &Server{
 		address: ln.Addr().(*net.TCPAddr).AddrPort(),
 		http: &http.Server{
-			Handler:           h,
+			// No ReadTimeout: it would end the context of calls that run longer.
+			// readBody sets the deadline of a body.
 			ReadHeaderTimeout: 10 * time.Second,
-			ReadTimeout:       time.Minute,
 			MaxHeaderBytes:    64 << 10,
 			BaseContext:       func(net.Listener) context.Context { return context.WithValue(base, baseKey{}, base) },
 		},
 		cancel: cancel,
+		idle:   make(chan struct{}, 1),
 		done:   make(chan struct{}),
 	}
+	s.http.Handler = s.track(h)
 	go func() {
 		defer close(s.done)
 		_ = s.http.Serve(ln)
+		for s.busy() {
+			<-s.idle
+		}
 	}()
 	return s
 }
 
+// track counts the requests in progress and refuses those that come after Stop.
+func (s *Server) track(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		if s.stopped {
+			s.mu.Unlock()
+			dropConnection()
+		}
+		s.requests++
+		s.mu.Unlock()
+		defer func() {
+			s.mu.Lock()
+			s.requests--
+			s.mu.Unlock()
+			select {
+			case s.idle <- struct{}{}:
+			default:
+			}
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests > 0
+}
+
 // Address returns the address at which the stand-in listens.
 func (s *Server) Address() netip.AddrPort { return s.address }
 
 // Stop closes the listener and all connections. It does not wait; see Done.
 func (s *Server) Stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
 	s.cancel()
 	_ = s.http.Close()
 }
 
-// Done is closed when the stand-in accepts no more connections.
+// Done is closed when the stand-in has stopped and no request is in progress.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
 // serverContext returns the context that ends with the server of the request
@@ -120,7 +163,20 @@
 
 // readJSON decodes a request body of at most limit bytes.
 func readJSON(w http.ResponseWriter, r *http.Request, limit int64, into any) error {
-	return json.NewDecoder(http.MaxBytesReader(w, r.Body, limit)).Decode(into)
+	body, err := readBody(w, r, limit)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, into)
+}
+
+// readBody reads a request body of at most limit bytes within a minute.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	// A recorder of tests has no deadlines; the error is of no consequence.
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(time.Now().Add(time.Minute))
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -216,7 +215,7 @@
 		return
 	}
 	c.ID = id
-	if c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, u.opts.MaxBodyBytes)); err != nil {
+	if c.Body, err = readBody(w, r, u.opts.MaxBodyBytes); err != nil {
 		writeJSON(w, http.StatusRequestEntityTooLarge, refusal{Error: "TooLarge", Detail: err.Error()})
 		return
 	}
