--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -129,3 +133,86 @@
 	require.Len(t, runs, 256)
 	require.Zero(t, dropped)
 }
+
+// TestServeMalformedAnswers guards against an answer that another server has
+// made: only a refusal that the upstream has named proves that a call did not
+// run.
+func TestServeMalformedAnswers(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+	}{
+		"without identifier":      {200, "ok"},
+		"gateway's error":         {503, "no capacity"},
+		"refusal without a name":  {503, `{}`},
+		"unknown refusal":         {503, `{"Error":"Busy"}`},
+		"refusal that is cut off": {503, `{"Error":"NoCapacity"`},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			calls := 0
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				calls++
+				w.WriteHeader(tc.status)
+				_, _ = w.Write([]byte(tc.body))
+			}))
+			defer srv.Close()
+			c := upstream.NewClient(netip.MustParseAddrPort(srv.Listener.Addr().String()), upstream.ClientOptions{})
+			defer c.Close()
+			_, err := c.Serve(t.Context(), rosemarysill.Call{ID: uuid.Must(uuid.NewV7())})
+			require.Equal(t, rosemarysill.OutcomeUnknown, rosemarysill.CodeOf(err), "%v", err)
+			require.Equal(t, 1, calls, "a call is sent once")
+		})
+	}
+}
+
+// TestServeStaleConnection guards against a second run of a call when the
+// upstream has closed a connection that the client holds for reuse.
+func TestServeStaleConnection(t *testing.T) {
+	u, c, srv := newUpstream(t, standin.UpstreamOptions{}, upstream.ClientOptions{})
+	_, err := c.Serve(t.Context(), rosemarysill.Call{ID: uuid.Must(uuid.NewV7())})
+	require.NoError(t, err)
+	srv.Stop()
+	<-srv.Done()
+	again, err := standin.Serve(srv.Address(), u)
+	require.NoError(t, err)
+	defer func() {
+		again.Stop()
+		<-again.Done()
+	}()
+	for range 20 {
+		call := rosemarysill.Call{ID: uuid.Must(uuid.NewV7())}
+		_, err := c.Serve(t.Context(), call)
+		if err != nil {
+			require.Equal(t, rosemarysill.OutcomeUnknown, rosemarysill.CodeOf(err), "%v", err)
+		}
+		require.LessOrEqual(t, u.Journal().RunsOf(call.ID), 1)
+	}
+}
+
+// TestServeConnectionLimit guards against a stand-in that takes more
+// connections than an upstream does.
+func TestServeConnectionLimit(t *testing.T) {
+	u, c, srv := newUpstream(t, standin.UpstreamOptions{Slots: 8, Conns: 2}, upstream.ClientOptions{})
+	var held []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", srv.Address().String())
+		require.NoError(t, err)
+		defer conn.Close()
+		held = append(held, conn)
+	}
+	refused, err := net.Dial("tcp", srv.Address().String())
+	require.NoError(t, err)
+	defer refused.Close()
+	require.NoError(t, refused.SetReadDeadline(time.Now().Add(10*time.Second)))
+	_, err = refused.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the third connection is closed")
+	require.NoError(t, held[0].Close())
+	call := rosemarysill.Call{ID: uuid.Must(uuid.NewV7())}
+	require.Eventually(t, func() bool {
+		_, err := c.Serve(t.Context(), call)
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+	require.Equal(t, 1, u.Journal().RunsOf(call.ID))
+}
