standin: look at leases only when one can have lapsed

Cause: each call to the store looked at all leases, and recorded calls keep a lease for an hour. Change: the store keeps the earliest possible expiry.

--- a/standin/store.go
+++ b/standin/store.go
@@ -78,6 +78,7 @@
 	bytes     int
 	leases    map[rosemarysill.LeaseID]*storeLease
 	nextLease rosemarysill.LeaseID
+	nextDue   time.Time // no lease lapses earlier
 	revision  uint64
 	log       []rosemarysill.Change
 	logBytes  int
--- a/standin/storelease.go
+++ b/standin/storelease.go
@@ -7,13 +7,21 @@
 	"github.com/rosemarysill/rosemarysill"
 )
 
-// expire ends the leases that have lapsed. The caller holds mu.
+// expire ends the leases that have lapsed. It looks at the leases only when one
+// can have lapsed, because there is one for each few recorded calls. The caller
+// holds mu.
 func (s *Store) expire() {
 	now := s.opts.Now()
+	if now.Before(s.nextDue) {
+		return
+	}
+	s.nextDue = now.Add(s.opts.MaxTTL)
 	var due []rosemarysill.LeaseID
 	for id, l := range s.leases {
 		if !now.Before(l.expires) {
 			due = append(due, id)
+		} else if l.expires.Before(s.nextDue) {
+			s.nextDue = l.expires
 		}
 	}
 	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
@@ -36,23 +44,16 @@
 	}
 }
 
-// nextExpiry returns the time at which the next lease lapses, at most limit.
-// The caller holds mu.
-func (s *Store) nextExpiry(limit time.Time) time.Time {
-	for _, l := range s.leases {
-		if l.expires.Before(limit) {
-			limit = l.expires
-		}
-	}
-	return limit
-}
-
 func (s *Store) grant(ttl time.Duration) (rosemarysill.LeaseID, error) {
 	if ttl <= 0 || ttl > s.opts.MaxTTL {
 		return 0, errInvalid
 	}
 	s.nextLease++
-	s.leases[s.nextLease] = &storeLease{ttl: ttl, expires: s.opts.Now().Add(ttl), keys: map[string]bool{}}
+	expires := s.opts.Now().Add(ttl)
+	s.leases[s.nextLease] = &storeLease{ttl: ttl, expires: expires, keys: map[string]bool{}}
+	if expires.Before(s.nextDue) {
+		s.nextDue = expires
+	}
 	return s.nextLease, nil
 }
 
--- a/standin/storewatch.go
+++ b/standin/storewatch.go
@@ -45,7 +45,10 @@
 		s.expire()
 		outage, silent, revision := s.faults.Outage, s.faults.SilentWatches, s.revision
 		found, err := s.changes(prefix, after)
-		wake := s.nextExpiry(limit)
+		wake := limit
+		if s.nextDue.Before(wake) {
+			wake = s.nextDue
+		}
 		s.mu.Unlock()
 		now := s.opts.Now()
 		switch {
