--- a/settings/scalar.go
+++ b/form/scalar.go
@@ -1,4 +1,4 @@
-package settings
+package form
 
 import (
 	"fmt"
@@ -11,8 +11,6 @@
 	"unicode"
 
 	"github.com/goccy/go-yaml/ast"
-	"github.com/rosemarysill/rosemarysill"
-	"github.com/rs/zerolog"
 )
 
 // rule is what the tag `settings` of a field asks for: "required", "min=…" and
@@ -56,8 +54,10 @@
 // describe names a node for a fault.
 func describe(n ast.Node) string {
 	switch n := n.(type) {
-	case *ast.StringNode, *ast.LiteralNode:
-		return "a text"
+	case *ast.StringNode:
+		return fmt.Sprintf("the text %q", clip(n.Value))
+	case *ast.LiteralNode:
+		return "a text of several lines"
 	case *ast.IntegerNode, *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
 		return "the number " + n.String()
 	case *ast.BoolNode:
@@ -73,19 +73,25 @@
 	}
 }
 
-// scalars are the types that a file writes as one text, with their parsers and
-// an example.
-var scalars = map[reflect.Type]struct {
+// Scalar is a type that a file writes as one text.
+type Scalar struct {
+	of      reflect.Type
 	parse   func(string) (any, error)
 	example string
-}{
-	reflect.TypeFor[time.Duration]():          {func(s string) (any, error) { return time.ParseDuration(s) }, "a duration such as 250ms, 2s or 1h"},
-	reflect.TypeFor[netip.AddrPort]():         {parseAddress, "an address such as 10.0.0.1:7070"},
-	reflect.TypeFor[zerolog.Level]():          {parseLevel, "one of trace, debug, info, warn, error"},
-	reflect.TypeFor[rosemarysill.AgentKind](): {parseKind, "Upstream or Worker"},
 }
 
-func parseAddress(s string) (any, error) {
+// NewScalar returns the type with its parser. The example completes the
+// sentence "the key must be …".
+func NewScalar[T any](parse func(string) (T, error), example string) Scalar {
+	return Scalar{of: reflect.TypeFor[T](), parse: func(s string) (any, error) { return parse(s) }, example: example}
+}
+
+var (
+	durations = NewScalar(time.ParseDuration, "a duration such as 250ms, 2s or 1h")
+	addresses = NewScalar(parseAddress, "an address such as 10.0.0.1:7070")
+)
+
+func parseAddress(s string) (netip.AddrPort, error) {
 	a, err := netip.ParseAddrPort(s)
 	if err == nil && a.Port() == 0 {
 		err = fmt.Errorf("port 0")
@@ -93,34 +99,17 @@
 	return a, err
 }
 
-func parseLevel(s string) (any, error) {
-	l, err := zerolog.ParseLevel(s)
-	if err == nil && (l < zerolog.TraceLevel || l > zerolog.ErrorLevel || s != l.String()) {
-		err = fmt.Errorf("unknown level")
-	}
-	return l, err
-}
-
-func parseKind(s string) (any, error) {
-	switch k := rosemarysill.AgentKind(s); k {
-	case rosemarysill.UpstreamAgent, rosemarysill.WorkerAgent:
-		return k, nil
-	default:
-		return k, fmt.Errorf("unknown kind")
-	}
-}
-
 // scalar fills v from a node that is one text, number or truth value.
-func (d *decoder) scalar(key string, n ast.Node, v reflect.Value, r rule) {
-	if s, ok := scalars[v.Type()]; ok {
+func (d *Decoder) scalar(key string, n ast.Node, v reflect.Value, r rule) {
+	if s, ok := d.scalars[v.Type()]; ok {
 		text, isText := textOf(n)
 		if !isText {
-			d.fault(key, "must be %s, not %s", s.example, describe(n))
+			d.Fault(key, "must be %s, not %s", s.example, describe(n))
 			return
 		}
 		parsed, err := s.parse(text)
 		if err != nil {
-			d.fault(key, "must be %s, not %q", s.example, clip(text))
+			d.Fault(key, "must be %s, not %q", s.example, clip(text))
 			return
 		}
 		v.Set(reflect.ValueOf(parsed))
@@ -135,7 +124,7 @@
 	case reflect.Bool:
 		b, ok := n.(*ast.BoolNode)
 		if !ok {
-			d.fault(key, "must be true or false, not %s", describe(n))
+			d.Fault(key, "must be true or false, not %s", describe(n))
 			return
 		}
 		v.SetBool(b.Value)
@@ -143,6 +132,8 @@
 		d.integer(key, n, v, r)
 	case reflect.Float64:
 		d.float(key, n, v, r)
+	default:
+		d.Fault(key, "a value of the type %s cannot be written in a file", v.Type())
 	}
 }
 
@@ -165,14 +156,14 @@
 	return s
 }
 
-func (d *decoder) text(key string, n ast.Node, v reflect.Value, r rule) {
+func (d *Decoder) text(key string, n ast.Node, v reflect.Value, r rule) {
 	s, ok := textOf(n)
 	if !ok {
-		d.fault(key, "must be a text, not %s", describe(n))
+		d.Fault(key, "must be a text, not %s", describe(n))
 		return
 	}
 	if r.name && !validName(s) {
-		d.fault(key, "%q is not a name: letters, digits, '-', '_' and '.', from 1 to 64 characters", clip(s))
+		d.Fault(key, "%q is not a name: letters, digits, '-', '_' and '.', from 1 to 64 characters", clip(s))
 		return
 	}
 	v.SetString(s)
@@ -191,10 +182,10 @@
 	return n >= 1 && n <= 64
 }
 
-func (d *decoder) integer(key string, n ast.Node, v reflect.Value, r rule) {
+func (d *Decoder) integer(key string, n ast.Node, v reflect.Value, r rule) {
 	i, ok := n.(*ast.IntegerNode)
 	if !ok {
-		d.fault(key, "must be a whole number, not %s", describe(n))
+		d.Fault(key, "must be a whole number, not %s", describe(n))
 		return
 	}
 	var value int64
@@ -204,19 +195,19 @@
 	case uint64:
 		value = int64(min(x, math.MaxInt64))
 	default:
-		d.fault(key, "must be a whole number, not %s", describe(n))
+		d.Fault(key, "must be a whole number, not %s", describe(n))
 		return
 	}
 	low, errLow := strconv.ParseInt(r.min, 10, 64)
 	high, errHigh := strconv.ParseInt(r.max, 10, 64)
 	if errLow == nil && value < low || errHigh == nil && value > high {
-		d.fault(key, "is %d; it must be %s", value, r.bounds())
+		d.Fault(key, "is %d; it must be %s", value, r.bounds())
 		return
 	}
 	v.SetInt(value)
 }
 
-func (d *decoder) float(key string, n ast.Node, v reflect.Value, r rule) {
+func (d *Decoder) float(key string, n ast.Node, v reflect.Value, r rule) {
 	var value float64
 	switch n := n.(type) {
 	case *ast.FloatNode:
@@ -224,24 +215,24 @@
 	case *ast.IntegerNode:
 		f, err := strconv.ParseFloat(fmt.Sprint(n.Value), 64)
 		if err != nil {
-			d.fault(key, "must be a number, not %s", describe(n))
+			d.Fault(key, "must be a number, not %s", describe(n))
 			return
 		}
 		value = f
 	default:
-		d.fault(key, "must be a number, not %s", describe(n))
+		d.Fault(key, "must be a number, not %s", describe(n))
 		return
 	}
 	low, errLow := strconv.ParseFloat(r.min, 64)
 	high, errHigh := strconv.ParseFloat(r.max, 64)
 	if errLow == nil && !(value >= low) || errHigh == nil && !(value <= high) {
-		d.fault(key, "is %g; it must be %s", value, r.bounds())
+		d.Fault(key, "is %g; it must be %s", value, r.bounds())
 		return
 	}
 	v.SetFloat(value)
 }
 
-func (d *decoder) checkDuration(key string, span time.Duration, r rule) {
+func (d *Decoder) checkDuration(key string, span time.Duration, r rule) {
 	low, high := time.Millisecond, 24*time.Hour
 	if p, err := time.ParseDuration(r.min); err == nil {
 		low = p
@@ -250,6 +241,6 @@
 		high = p
 	}
 	if span < low || span > high {
-		d.fault(key, "is %s; it must be from %s to %s", span, low, high)
+		d.Fault(key, "is %s; it must be from %s to %s", span, low, high)
 	}
 }
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/netip"
-	"strconv"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/form"
 	"github.com/rs/zerolog"
 )
 
@@ -46,7 +46,7 @@
 
 // ReadAgent reads the settings of an agent from a file.
 func ReadAgent(file string) (Agent, error) {
-	data, err := readFile(file)
+	data, err := form.Read(file)
 	if err != nil {
 		return Agent{}, err
 	}
@@ -57,12 +57,12 @@
 func ParseAgent(file string, data []byte) (Agent, error) {
 	a := Agent{Limits: DefaultAgentLimits(), Timings: rosemarysill.DefaultTimings(), Log: Log{Level: zerolog.InfoLevel}}
 	d := newDecoder(file)
-	d.decode(data, &a)
-	if len(d.at) > 0 {
+	d.Decode(data, &a)
+	if !d.Empty() {
 		d.checkTimings(a.Timings)
 		d.checkAgent(a)
 	}
-	if err := newError(d.faults); err != nil {
+	if err := d.Faults(); err != nil {
 		return Agent{}, err
 	}
 	return a, nil
@@ -72,11 +72,11 @@
 func (d *decoder) checkAgent(a Agent) {
 	d.checkAnnounced("Listen", a.Listen)
 	if a.Listen.IsValid() && a.Listen == a.BackEnd {
-		d.fault("BackEnd", "is the same address as Listen")
+		d.Fault("BackEnd", "is the same address as Listen")
 	}
 	d.checkAddresses("Entries", a.Entries)
 	if len(a.Entries) > a.Limits.MaxEntries {
-		d.fault("Entries", "has %d addresses, more than Limits.MaxEntries (%d)", len(a.Entries), a.Limits.MaxEntries)
+		d.Fault("Entries", "has %d addresses, more than Limits.MaxEntries (%d)", len(a.Entries), a.Limits.MaxEntries)
 	}
 	needed := map[rosemarysill.AgentKind]map[string]bool{
 		rosemarysill.UpstreamAgent: {"Capacity.Slots": true, "Capacity.Accelerators": false, "Capacity.Processors": false, "Capacity.MemoryMB": false},
@@ -85,12 +85,10 @@
 	for _, key := range []string{"Rack", "Capacity.Slots", "Capacity.Accelerators", "Capacity.Processors", "Capacity.MemoryMB"} {
 		switch need, about := needed[a.Kind][key]; {
 		case !about:
-		case need && !d.has(key) && (key == "Rack" || d.has("Capacity")):
-			d.fault(key, "key is missing; an agent of the kind %s needs it", a.Kind)
-		case !need && d.has(key):
-			d.fault(key, "contradicts the kind %s", a.Kind)
+		case need && !d.Has(key) && (key == "Rack" || d.Has("Capacity")):
+			d.Fault(key, "key is missing; an agent of the kind %s needs it", a.Kind)
+		case !need && d.Has(key):
+			d.Fault(key, "contradicts the kind %s", a.Kind)
 		}
 	}
 }
-
-func itemKey(key string, i int) string { return key + "[" + strconv.Itoa(i) + "]" }
--- a/settings/decoder.go
+++ b/settings/decoder.go
@@ -1,244 +1,71 @@
 package settings
 
 import (
-	"bytes"
 	"errors"
-	"fmt"
-	"io"
-	"os"
-	"reflect"
+	"net/netip"
 	"strconv"
-	"strings"
 
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
-	"github.com/goccy/go-yaml/token"
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/form"
+	"github.com/rs/zerolog"
 )
 
-// Limits of a file. The parser's time grows with the square of the number of
-// keys and of the nesting: 20,000 keys took 1 s, 20,000 nested lists 0.4 s.
-const (
-	maxFileBytes = 256 << 10
-	maxLines     = 8192
-	maxLineBytes = 4096
-	maxBrackets  = 4096
-	maxFaults    = 100
-)
-
-// decoder fills a value from a file and collects the faults. The library's own
-// decoder ends at the first fault, so only its parser is used.
-type decoder struct {
-	file     string
-	faults   []Fault
-	at       map[string]*token.Position // of the keys in the file
-	bad      map[string]bool            // keys that could not be decoded; relations to them are not checked
-	decoding bool
-}
+// decoder decodes a file and checks relations between its keys.
+type decoder struct{ *form.Decoder }
 
 func newDecoder(file string) *decoder {
-	return &decoder{file: file, at: map[string]*token.Position{}, bad: map[string]bool{}}
-}
-
-// has reports whether the file holds the key.
-func (d *decoder) has(key string) bool { return d.at[key] != nil }
-
-// fault notes a fault at a key, or at the nearest enclosing key that the file
-// holds.
-func (d *decoder) fault(key, format string, args ...any) {
-	if d.decoding {
-		d.bad[key] = true
-	}
-	if len(d.faults) >= maxFaults {
-		return
-	}
-	f := Fault{File: d.file, Line: 1, Column: 1, Key: key, Detail: fmt.Sprintf(format, args...)}
-	for at := key; at != ""; at = parentKey(at) {
-		if p := d.at[at]; p != nil {
-			f.Line, f.Column = p.Line, p.Column
-			break
-		}
-	}
-	d.faults = append(d.faults, f)
-}
-
-// parentKey returns the key that encloses a key.
-func parentKey(key string) string {
-	return key[:max(0, strings.LastIndexAny(key, ".["))]
-}
-
-func childKey(key, name string) string {
-	if key == "" {
-		return name
-	}
-	return key + "." + name
-}
-
-// readFile reads a file of at most maxFileBytes.
-func readFile(file string) ([]byte, error) {
-	f, err := os.Open(file)
-	if err != nil {
-		return nil, newError([]Fault{{File: file, Line: 1, Column: 1, Detail: err.Error()}})
-	}
-	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
-	if err != nil {
-		return nil, newError([]Fault{{File: file, Line: 1, Column: 1, Detail: err.Error()}})
-	}
-	return data, nil
-}
-
-// checkSize reports a file that would cost the parser too much.
-func (d *decoder) checkSize(data []byte) bool {
-	brackets := bytes.Count(data, []byte("[")) + bytes.Count(data, []byte("{"))
-	lines := bytes.Count(data, []byte("\n"))
-	longest := 0
-	for line := range bytes.Lines(data) {
-		longest = max(longest, len(line))
-	}
-	if len(data) <= maxFileBytes && lines <= maxLines && longest <= maxLineBytes && brackets <= maxBrackets {
-		return true
-	}
-	d.fault("", "file is too large: the limits are %d bytes, %d lines, %d bytes in a line, and %d opening brackets", maxFileBytes, maxLines, maxLineBytes, maxBrackets)
-	return false
+	return &decoder{form.NewDecoder(file,
+		form.NewScalar(parseLevel, "one of trace, debug, info, warn, error"),
+		form.NewScalar(parseKind, "Upstream or Worker"))}
 }
 
-// parse returns the file's only document. A panic of the parser on a file that
-// it does not understand becomes a fault.
-func (d *decoder) parse(data []byte) (body ast.Node) {
-	defer func() {
-		if r := recover(); r != nil {
-			d.fault("", "file cannot be parsed: %v", r)
-			body = nil
-		}
-	}()
-	f, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
-	if err != nil {
-		fault := Fault{File: d.file, Line: 1, Column: 1, Detail: err.Error()}
-		var located yaml.Error
-		if errors.As(err, &located) {
-			fault.Detail = located.GetMessage()
-			if t := located.GetToken(); t != nil && t.Position != nil {
-				fault.Line, fault.Column = t.Position.Line, t.Position.Column
-			}
-		}
-		d.faults = append(d.faults, fault)
-		return nil
-	}
-	if len(f.Docs) != 1 || f.Docs[0].Body == nil {
-		d.fault("", "file must hold one document, not %d", len(f.Docs))
-		return nil
-	}
-	return f.Docs[0].Body
-}
-
-// decode fills the struct that v points to.
-func (d *decoder) decode(data []byte, v any) {
-	if !d.checkSize(data) {
-		return
-	}
-	body := d.parse(data)
-	if body == nil {
-		return
+func parseLevel(s string) (zerolog.Level, error) {
+	l, err := zerolog.ParseLevel(s)
+	if err == nil && (l < zerolog.TraceLevel || l > zerolog.ErrorLevel || s != l.String()) {
+		err = errors.New("unknown level")
 	}
-	d.decoding = true
-	d.value("", body, reflect.ValueOf(v).Elem(), rule{})
-	d.decoding = false
+	return l, err
 }
 
-// value fills v from a node.
-func (d *decoder) value(key string, n ast.Node, v reflect.Value, r rule) {
-	if _, ok := scalars[v.Type()]; ok {
-		d.scalar(key, n, v, r)
-		return
-	}
-	switch v.Kind() {
-	case reflect.Struct:
-		d.mapping(key, n, v)
-	case reflect.Slice:
-		d.sequence(key, n, v, r)
+func parseKind(s string) (rosemarysill.AgentKind, error) {
+	switch k := rosemarysill.AgentKind(s); k {
+	case rosemarysill.UpstreamAgent, rosemarysill.WorkerAgent:
+		return k, nil
 	default:
-		d.scalar(key, n, v, r)
+		return k, errors.New("unknown kind")
 	}
 }
 
-// mapping fills a struct. An empty value counts as an empty mapping, so that
-// a section of which all keys are commented out stays valid.
-func (d *decoder) mapping(key string, n ast.Node, v reflect.Value) {
-	given := map[string]bool{}
-	switch n := n.(type) {
-	case *ast.NullNode:
-	case ast.MapNode:
-		for iter := n.MapRange(); iter.Next(); {
-			name, ok := iter.Key().(*ast.StringNode)
-			if !ok {
-				d.at[childKey(key, iter.Key().String())] = iter.Key().GetToken().Position
-				d.fault(childKey(key, iter.Key().String()), "not a key of this file")
-				continue
-			}
-			child := childKey(key, name.Value)
-			twice := given[name.Value]
-			if !twice {
-				d.at[child] = name.GetToken().Position
-			}
-			given[name.Value] = true
-			field, ok := v.Type().FieldByName(name.Value)
-			switch {
-			case twice:
-				d.faults = append(d.faults, Fault{d.file, name.GetToken().Position.Line, name.GetToken().Position.Column, child, "key is given twice"})
-			case !ok:
-				d.fault(child, "unknown key; the keys here are %s", strings.Join(fieldNames(v.Type()), ", "))
-			default:
-				d.value(child, iter.Value(), v.FieldByIndex(field.Index), ruleOf(field))
-			}
-		}
-	default:
-		d.fault(key, "must be a mapping of keys, not %s", describe(n))
+// atMost reports a number that exceeds another one.
+func (d *decoder) atMost(key string, a int, than string, b int) {
+	if a <= b || d.Bad(key, than) {
 		return
 	}
-	for i := range v.NumField() {
-		field := v.Type().Field(i)
-		if ruleOf(field).required && !given[field.Name] {
-			d.fault(childKey(key, field.Name), "key is missing")
-		}
+	at := key
+	if !d.Has(key) {
+		at = than
 	}
+	d.Fault(at, "%s (%d) must not exceed %s (%d)", key, a, than, b)
 }
 
-func fieldNames(t reflect.Type) []string {
-	names := make([]string, t.NumField())
-	for i := range names {
-		names[i] = t.Field(i).Name
+// checkAnnounced reports an address at which others cannot reach the process.
+func (d *decoder) checkAnnounced(key string, a netip.AddrPort) {
+	if a.IsValid() && (a.Addr().IsUnspecified() || a.Addr().IsMulticast()) {
+		d.Fault(key, "is announced to other processes and must be an address of this host, not %s", a.Addr())
 	}
-	return names
 }
 
-// sequence fills a slice. The rule's bounds are those of its length.
-func (d *decoder) sequence(key string, n ast.Node, v reflect.Value, r rule) {
-	var nodes []ast.Node
-	switch n := n.(type) {
-	case *ast.NullNode:
-	case *ast.SequenceNode:
-		nodes = n.Values
-	default:
-		d.fault(key, "must be a list, not %s", describe(n))
-		return
-	}
-	if r.max != "" && len(nodes) > atoi(r.max) || r.min != "" && len(nodes) < atoi(r.min) {
-		d.fault(key, "list has %d items; it must have %s", len(nodes), r.bounds())
-		return
-	}
-	v.Set(reflect.MakeSlice(v.Type(), len(nodes), len(nodes)))
-	for i, item := range nodes {
-		child := key + "[" + strconv.Itoa(i) + "]"
-		d.at[child] = item.GetToken().Position
-		if m, ok := item.(*ast.MappingNode); ok && len(m.Values) > 0 {
-			d.at[child] = m.Values[0].Key.GetToken().Position
+// checkAddresses reports addresses that a list holds twice.
+func (d *decoder) checkAddresses(key string, list []netip.AddrPort) {
+	seen := map[netip.AddrPort]int{}
+	for i, a := range list {
+		if first, ok := seen[a]; ok && a.IsValid() {
+			d.Fault(itemKey(key, i), "is the same address as %s", itemKey(key, first))
+			continue
 		}
-		d.value(child, item, v.Index(i), rule{})
+		seen[a] = i
+		d.checkAnnounced(itemKey(key, i), a)
 	}
 }
 
-func atoi(s string) int {
-	n, _ := strconv.Atoi(s)
-	return n
-}
+func itemKey(key string, i int) string { return key + "[" + strconv.Itoa(i) + "]" }
--- a/settings/doc.go
+++ b/settings/doc.go
@@ -3,6 +3,6 @@
 // file, line and key; a file with a fault yields nothing.
 //
 // Keys are in Pascal case and stand for the fields of the types of this
-// package. Durations are written as 250ms, 2s or 1h, addresses as IP:port.
-// Anchors, aliases, tags and merge keys are not accepted.
+// package; package form decodes them. Durations are written as 250ms, 2s or 1h,
+// addresses as IP:port.
 package settings
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/form"
 	"github.com/rs/zerolog"
 )
 
@@ -83,7 +84,7 @@
 
 // ReadEntry reads the settings of an entry from a file.
 func ReadEntry(file string) (Entry, error) {
-	data, err := readFile(file)
+	data, err := form.Read(file)
 	if err != nil {
 		return Entry{}, err
 	}
@@ -94,12 +95,12 @@
 func ParseEntry(file string, data []byte) (Entry, error) {
 	e := Entry{Limits: DefaultEntryLimits(), Timings: rosemarysill.DefaultTimings(), Log: Log{Level: zerolog.InfoLevel}}
 	d := newDecoder(file)
-	d.decode(data, &e)
-	if len(d.at) > 0 {
+	d.Decode(data, &e)
+	if !d.Empty() {
 		d.checkTimings(e.Timings)
 		d.checkEntry(e)
 	}
-	if err := newError(d.faults); err != nil {
+	if err := d.Faults(); err != nil {
 		return Entry{}, err
 	}
 	return e, nil
@@ -109,10 +110,10 @@
 func (d *decoder) checkEntry(e Entry) {
 	d.checkAnnounced("Listen.GRPC", e.Listen.GRPC)
 	if e.Listen.HTTP.IsValid() && e.Listen.HTTP == e.Listen.GRPC {
-		d.fault("Listen.GRPC", "is the same address as Listen.HTTP")
+		d.Fault("Listen.GRPC", "is the same address as Listen.HTTP")
 	}
 	if e.Store.IsValid() && (e.Store == e.Listen.GRPC || e.Store == e.Listen.HTTP) {
-		d.fault("Store", "is an address of the entry itself")
+		d.Fault("Store", "is an address of the entry itself")
 	}
 	d.checkAddresses("Peers", e.Peers)
 	l := e.Limits
@@ -120,43 +121,11 @@
 	d.atMost("Limits.MaxQueuedCalls", l.MaxQueuedCalls, "Limits.MaxCalls", l.MaxCalls)
 	d.atMost("Limits.MaxStoredBytes", l.MaxStoredBytes, "Limits.MaxAnswerBytes", l.MaxAnswerBytes)
 	d.atMost("Limits.MaxBodyBytes", l.MaxBodyBytes, "Limits.MaxHeldBytes", int(l.MaxHeldBytes))
-	if l.StoreTimeout >= e.Timings.StoreFresh && !d.bad["Limits.StoreTimeout"] && !d.anyBad("StoreFresh") {
+	if l.StoreTimeout >= e.Timings.StoreFresh && !d.Bad("Limits.StoreTimeout") && !d.anyBad("StoreFresh") {
 		key := "Limits.StoreTimeout"
-		if !d.has(key) {
+		if !d.Has(key) {
 			key = "Timings.StoreFresh"
 		}
-		d.fault(key, "Limits.StoreTimeout (%s) must be shorter than Timings.StoreFresh (%s): one slow call ends the store contact otherwise", l.StoreTimeout, e.Timings.StoreFresh)
-	}
-}
-
-// atMost reports a number that exceeds another one.
-func (d *decoder) atMost(key string, a int, than string, b int) {
-	if a <= b || d.bad[key] || d.bad[than] {
-		return
-	}
-	at := key
-	if !d.has(key) {
-		at = than
-	}
-	d.fault(at, "%s (%d) must not exceed %s (%d)", key, a, than, b)
-}
-
-// checkAnnounced reports an address at which others cannot reach the process.
-func (d *decoder) checkAnnounced(key string, a netip.AddrPort) {
-	if a.IsValid() && (a.Addr().IsUnspecified() || a.Addr().IsMulticast()) {
-		d.fault(key, "is announced to other processes and must be an address of this host, not %s", a.Addr())
-	}
-}
-
-// checkAddresses reports addresses that a list holds twice.
-func (d *decoder) checkAddresses(key string, list []netip.AddrPort) {
-	seen := map[netip.AddrPort]int{}
-	for i, a := range list {
-		if first, ok := seen[a]; ok && a.IsValid() {
-			d.fault(itemKey(key, i), "is the same address as %s", itemKey(key, first))
-			continue
-		}
-		seen[a] = i
-		d.checkAnnounced(itemKey(key, i), a)
+		d.Fault(key, "Limits.StoreTimeout (%s) must be shorter than Timings.StoreFresh (%s): one slow call ends the store contact otherwise", l.StoreTimeout, e.Timings.StoreFresh)
 	}
 }
--- a/settings/fault.go
+++ b/settings/fault.go
@@ -2,67 +2,17 @@
 
 import (
 	"errors"
-	"fmt"
-	"sort"
-	"strings"
 
-	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/form"
 	"github.com/rs/zerolog"
 )
 
-// Fault is one fault of a file. Key is the path of the key, for example
-// "Timings.BeatEvery" or "Accounts[2].Name"; it is empty for a fault of the
-// whole file.
-type Fault struct {
-	File   string
-	Line   int
-	Column int
-	Key    string
-	Detail string
-}
-
-// String returns the fault as "file:line:column: key: detail".
-func (f Fault) String() string {
-	if f.Key == "" {
-		return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Detail)
-	}
-	return fmt.Sprintf("%s:%d:%d: %s: %s", f.File, f.Line, f.Column, f.Key, f.Detail)
-}
-
-// Error holds all faults of a file, in order of their lines. Its code is
-// InvalidSettings.
-type Error struct {
-	Faults []Fault
-}
-
-// Error returns the faults, one a line.
-func (e *Error) Error() string {
-	lines := make([]string, len(e.Faults))
-	for i, f := range e.Faults {
-		lines[i] = f.String()
-	}
-	return strings.Join(lines, "\n")
-}
-
-// Unwrap returns the numbered error.
-func (e *Error) Unwrap() error {
-	return &rosemarysill.Error{Code: rosemarysill.InvalidSettings, Detail: e.Error()}
-}
+// Fault is one fault of a file.
+type Fault = form.Fault
 
-// newError returns the faults as an error, or nil when there are none.
-func newError(faults []Fault) error {
-	if len(faults) == 0 {
-		return nil
-	}
-	sort.SliceStable(faults, func(i, j int) bool {
-		if faults[i].Line != faults[j].Line {
-			return faults[i].Line < faults[j].Line
-		}
-		return faults[i].Column < faults[j].Column
-	})
-	return &Error{Faults: faults}
-}
+// Error holds all faults of a file.
+type Error = form.Error
 
 // LogResult logs that a file is in force, or each of its faults.
 func LogResult(log zerolog.Logger, file string, err error) {
--- a/settings/operators.go
+++ b/settings/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/form"
 )
 
 type shapeDocument struct {
@@ -42,7 +43,7 @@
 
 // ReadOperators reads an operators' document from a file.
 func ReadOperators(file string) (Operators, error) {
-	data, err := readFile(file)
+	data, err := form.Read(file)
 	if err != nil {
 		return Operators{}, err
 	}
@@ -53,11 +54,11 @@
 func ParseOperators(file string, data []byte) (Operators, error) {
 	var doc operatorsDocument
 	d := newDecoder(file)
-	d.decode(data, &doc)
-	if len(d.at) > 0 {
+	d.Decode(data, &doc)
+	if !d.Empty() {
 		d.checkOperators(doc)
 	}
-	if err := newError(d.faults); err != nil {
+	if err := d.Faults(); err != nil {
 		return Operators{}, err
 	}
 	return doc.operators(), nil
@@ -65,8 +66,8 @@
 
 // checkOperators reports names given twice and quotas below guarantees.
 func (d *decoder) checkOperators(doc operatorsDocument) {
-	if !d.has("Accounts") && !d.has("Domains") {
-		d.fault("", "document declares neither Accounts nor Domains")
+	if !d.Has("Accounts") && !d.Has("Domains") {
+		d.Fault("", "document declares neither Accounts nor Domains")
 	}
 	domains, accounts := map[string]int{}, map[string]int{}
 	for i, dom := range doc.Domains {
@@ -79,7 +80,7 @@
 			total += g.Count * g.Shape.Members * g.Shape.Accelerators
 		}
 		if a.QuotaAccelerators > 0 && total > a.QuotaAccelerators {
-			d.fault(itemKey("Accounts", i)+".QuotaAccelerators", "is %d, but the guarantees add up to %d accelerators", a.QuotaAccelerators, total)
+			d.Fault(itemKey("Accounts", i)+".QuotaAccelerators", "is %d, but the guarantees add up to %d accelerators", a.QuotaAccelerators, total)
 		}
 	}
 }
@@ -90,7 +91,7 @@
 		return
 	}
 	if first, ok := seen[name]; ok {
-		d.fault(itemKey(key, i)+".Name", "%q is declared by %s already", name, itemKey(key, first))
+		d.Fault(itemKey(key, i)+".Name", "%q is declared by %s already", name, itemKey(key, first))
 		return
 	}
 	seen[name] = i
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -76,8 +76,8 @@
 			`f:4:3: Listen.HTTP: must be an address such as 10.0.0.1:7070, not "localhost:80"`,
 			`f:5:3: Listen.GRPC: is announced to other processes and must be an address of this host, not 0.0.0.0`,
 			`f:6:1: Store: must be an address such as 10.0.0.1:7070, not "10.0.0.2"`,
-			`f:7:1: Peers: must be a list, not a text`,
-			`f:9:3: Limits.MaxBodyBytes: must be a whole number, not a text`,
+			`f:7:1: Peers: must be a list, not the text "10.0.0.3:1"`,
+			`f:9:3: Limits.MaxBodyBytes: must be a whole number, not the text "much"`,
 			`f:10:3: Limits.MaxAnswerBytes: is 16777217; it must be from 1 to 16777216`,
 			`f:11:3: Limits.RetryBudget: must be a number, not the number .nan`,
 			`f:13:3: Timings.BeatEvery: must be a duration such as 250ms, 2s or 1h, not the number 5`,
@@ -104,7 +104,7 @@
 		"two documents":   {"entry.yaml", "Name: a\n---\nName: b\n", []string{`f:1:1: file must hold one document, not 2`}},
 		"empty":           {"operators.yaml", "", []string{`f:1:1: file must hold one document, not 1`}},
 		"list at the top": {"operators.yaml", "- a\n", []string{`f:1:1: must be a mapping of keys, not a list`}},
-		"too many lines":  {"operators.yaml", strings.Repeat("\n", maxLines+1), []string{`f:1:1: file is too large: the limits are 262144 bytes, 8192 lines, 4096 bytes in a line, and 4096 opening brackets`}},
+		"too many lines":  {"operators.yaml", strings.Repeat("\n", 8193), []string{`f:1:1: file is too large: the limits are 262144 bytes, 8192 lines, 4096 bytes in a line, and 4096 opening brackets`}},
 		"worker without capacity": {"worker-agent.yaml", agentHead + "Kind: Worker\nCapacity: {Slots: 8}\n", []string{
 			`f:1:1: Rack: key is missing; an agent of the kind Worker needs it`,
 			`f:7:1: Capacity.Accelerators: key is missing; an agent of the kind Worker needs it`,
@@ -158,7 +158,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := newDecoder("f")
 			d.checkTimings(rosemarysill.DefaultTimings().Scaled(scale))
-			require.Empty(t, d.faults)
+			require.NoError(t, d.Faults())
 		})
 	}
 }
--- a/settings/timings.go
+++ b/settings/timings.go
@@ -38,20 +38,20 @@
 			continue
 		}
 		key := "Timings." + r.name
-		if !d.has(key) {
+		if !d.Has(key) {
 			key = "Timings." + r.than
 		}
-		d.fault(key, "%s must be shorter than %s: %s", r.name, r.than, r.reason)
+		d.Fault(key, "%s must be shorter than %s: %s", r.name, r.than, r.reason)
 	}
 	if sum := t.StoreFresh + t.ReserveFor + t.BeatEvery; sum > MaxStartDelay && !d.anyBad("StoreFresh", "ReserveFor", "BeatEvery") {
-		d.fault(d.firstGiven("StoreFresh", "ReserveFor", "BeatEvery"),
+		d.Fault(d.firstGiven("StoreFresh", "ReserveFor", "BeatEvery"),
 			"StoreFresh, ReserveFor and BeatEvery add up to %s; a task would start that long after its domain was taken out, and the limit is %s", sum, MaxStartDelay)
 	}
 	if t.FreshFor > MaxStartDelay && !d.anyBad("FreshFor") {
-		d.fault("Timings.FreshFor", "FreshFor is %s; an agent would work that long on an old configuration, and the limit is %s", t.FreshFor, MaxStartDelay)
+		d.Fault("Timings.FreshFor", "FreshFor is %s; an agent would work that long on an old configuration, and the limit is %s", t.FreshFor, MaxStartDelay)
 	}
 	if sum := t.ConfirmFresh + t.FreshFor + t.BeatEvery; sum > MaxChangeDelay && !d.anyBad("ConfirmFresh", "FreshFor", "BeatEvery") {
-		d.fault(d.firstGiven("ConfirmFresh", "FreshFor", "BeatEvery"),
+		d.Fault(d.firstGiven("ConfirmFresh", "FreshFor", "BeatEvery"),
 			"ConfirmFresh, FreshFor and BeatEvery add up to %s; a change would be in force everywhere only after that, and the limit is %s", sum, MaxChangeDelay)
 	}
 }
@@ -59,7 +59,7 @@
 // anyBad reports whether one of the timings has a fault of its own.
 func (d *decoder) anyBad(names ...string) bool {
 	for _, name := range names {
-		if d.bad["Timings."+name] {
+		if d.Bad("Timings." + name) {
 			return true
 		}
 	}
@@ -69,7 +69,7 @@
 // firstGiven returns the first of the timings that the file holds.
 func (d *decoder) firstGiven(names ...string) string {
 	for _, name := range names {
-		if d.has("Timings." + name) {
+		if d.Has("Timings." + name) {
 			return "Timings." + name
 		}
 	}
