--- a/standin/clock.go
+++ b/standin/clock.go
@@ -34,13 +34,13 @@
 
 // until waits for the clock to reach t. It reports false when ctx ends first.
 func (c *clock) until(ctx context.Context, t time.Time) bool {
-	for {
+	for again := false; ; again = true {
 		ticked := c.ticked()
 		left := t.Sub(c.now())
 		if left <= 0 {
 			return true
 		}
-		timer := time.NewTimer(left)
+		timer := newTimer(left, again)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -51,3 +51,13 @@
 		timer.Stop()
 	}
 }
+
+// newTimer returns a timer for the next look at the clock. The second and later
+// looks are at least a millisecond apart, because an injected clock may stand
+// still.
+func newTimer(d time.Duration, again bool) *time.Timer {
+	if again {
+		d = max(d, time.Millisecond)
+	}
+	return time.NewTimer(d)
+}
--- a/standin/store_test.go
+++ b/standin/store_test.go
@@ -72,7 +72,7 @@
 // the store. A waiting watch costs one read.
 func TestStoreRates(t *testing.T) {
 	now := time.Unix(0, 0)
-	s := standin.NewStore(standin.StoreOptions{Now: func() time.Time { return now }, WritesPerS: 40, ReadsPerS: 80, MaxWait: 1})
+	s := standin.NewStore(standin.StoreOptions{Now: func() time.Time { return now }, WritesPerS: 40, ReadsPerS: 80})
 	allowed := func(calls int, call func() error) int {
 		n := 0
 		for range calls {
@@ -96,7 +96,13 @@
 	require.Equal(t, 20, allowed(50, list))
 	now = now.Add(100 * time.Millisecond)
 	require.Equal(t, 4, allowed(50, write))
-	require.Equal(t, 8, allowed(50, list))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	watch := func() error {
+		_, _, err := s.Watch(ended, "x", s.Revision())
+		return err
+	}
+	require.Equal(t, 8, allowed(50, watch))
 	require.Equal(t, map[string]int{"RateLimited": 200 - 42}, s.Counters().Refusals)
 }
 
--- a/standin/storewatch.go
+++ b/standin/storewatch.go
@@ -38,7 +38,7 @@
 
 // watch waits for changes until the time limit or the end of ctx.
 func (s *Store) watch(ctx context.Context, prefix string, after uint64, limit time.Time) (watchReply, error) {
-	for {
+	for again := false; ; again = true {
 		// Taken before the look at the log, so that no change is missed.
 		ticked := s.clock.ticked()
 		s.mu.Lock()
@@ -64,7 +64,7 @@
 		if !now.Before(limit) {
 			return watchReply{Revision: revision}, nil
 		}
-		timer := time.NewTimer(wake.Sub(now))
+		timer := newTimer(wake.Sub(now), again)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
