--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -163,10 +163,24 @@
 	}
 }
 
-// TestMissingFile guards against a missing file that is taken for an empty one.
-func TestMissingFile(t *testing.T) {
-	_, err := ReadEntry(filepath.Join(t.TempDir(), "none.yaml"))
-	require.Equal(t, rosemarysill.InvalidSettings, rosemarysill.CodeOf(err))
+// TestReadFiles guards against a missing file that is taken for an empty one,
+// and against a file of which only the first part is read.
+func TestReadFiles(t *testing.T) {
+	dir := t.TempDir()
+	large := filepath.Join(dir, "large.yaml")
+	require.NoError(t, os.WriteFile(large, []byte(entryHead+strings.Repeat("# comment\n", 30_000)), 0o600))
+	for name, read := range map[string]func(string) error{
+		"entry.yaml":        func(f string) error { _, err := ReadEntry(f); return err },
+		"worker-agent.yaml": func(f string) error { _, err := ReadAgent(f); return err },
+		"operators.yaml":    func(f string) error { _, err := ReadOperators(f); return err },
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.NoError(t, read(filepath.Join("..", "examples", "fjordtork", name)))
+			for _, file := range []string{filepath.Join(dir, "none.yaml"), large} {
+				require.Equal(t, rosemarysill.InvalidSettings, rosemarysill.CodeOf(read(file)))
+			}
+		})
+	}
 }
 
 // FuzzParse guards against files that stop the process, are applied in part, or
