peer: carry the protocol between processes over gRPC

Cause: entries and agents have no way to talk to each other. Ruled out: the configuration as its own message, because the store holds the same JSON document.

--- a/agent.go
+++ b/agent.go
@@ -175,3 +175,9 @@
 type BeatReceiver interface {
 	Beat(ctx context.Context, b Beat) (BeatReply, error)
 }
+
+// Entries is the set of connections to entries that receive heartbeats.
+type Entries interface {
+	// Entry returns the entry at the address. The connection is shared.
+	Entry(address netip.AddrPort) (BeatReceiver, error)
+}
--- /dev/null
+++ b/peer/limits.go
@@ -0,0 +1,26 @@
+package peer
+
+import "time"
+
+// Limits of messages. A whole answer fits into one message with its headers.
+const (
+	MaxBody       = 16 << 20
+	maxHeaders    = 64 << 10
+	maxMessage    = MaxBody + maxHeaders
+	maxHeaderList = 16 << 10
+)
+
+const (
+	// windowSize holds a whole answer of usual size. A fixed window also keeps
+	// gRPC from probing the bandwidth with pings, which would cost more bytes
+	// than a heartbeat.
+	windowSize = 1 << 20
+	// pingAfter is longer than the interval of heartbeats, so that pings are
+	// sent only on connections that are silent.
+	pingAfter = 20 * time.Second
+	// pingWithin is the time after which a connection without an answer to a
+	// ping is closed.
+	pingWithin = 5 * time.Second
+	// minPing is the shortest interval of pings that a server tolerates.
+	minPing = 10 * time.Second
+)
