caller: entries serve callers and operators over HTTP

The entry process and the command line need the two services and their clients first.

Contracts, additive: Call.Resent (the caller does not know the outcome of an earlier sending, so a refusal that did not see the record proves nothing) and OperatorService.LookUp (GET /v1/plans/{id}).

--- /dev/null
+++ b/message/server.go
@@ -0,0 +1,131 @@
+package message
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/rosemarysill/rosemarysill"
+	"golang.org/x/sync/semaphore"
+)
+
+// Limits bound what a server accepts.
+type Limits struct {
+	HeaderBytes  int           // of a request's header
+	BodyBytes    int64         // of a request's body
+	HeldBytes    int64         // of all bodies held at a time
+	Requests     int64         // in progress at a time
+	ReadWithin   time.Duration // a client sends a request's header, and then its body, in this time
+	WriteWithin  time.Duration // a client takes an answer in this time
+	IdleFor      time.Duration // a connection without request is kept this long
+	LingerFor    time.Duration // new requests are answered ShuttingDown this long before the listener closes
+	AnswerWithin time.Duration // the longest time that a request may ask for
+}
+
+// DefaultLimits returns limits for an entry with a few GB of memory. A body of
+// 1 MiB is 1.4 MB in base64.
+func DefaultLimits() Limits {
+	return Limits{
+		HeaderBytes:  16 << 10,
+		BodyBytes:    1500 << 10,
+		HeldBytes:    256 << 20,
+		Requests:     1024,
+		ReadWithin:   10 * time.Second,
+		WriteWithin:  30 * time.Second,
+		IdleFor:      2 * time.Minute,
+		LingerFor:    time.Second,
+		AnswerWithin: 30 * time.Minute,
+	}
+}
+
+// Server serves HTTP requests and ends without cutting one off.
+type Server struct {
+	limits   Limits
+	handler  http.Handler
+	requests *semaphore.Weighted
+	held     *semaphore.Weighted
+	stopping atomic.Bool
+	done     chan struct{}
+}
+
+// NewServer returns a server of the handler.
+func NewServer(handler http.Handler, limits Limits) *Server {
+	return &Server{
+		limits:   limits,
+		handler:  handler,
+		requests: semaphore.NewWeighted(limits.Requests),
+		held:     semaphore.NewWeighted(limits.HeldBytes),
+		done:     make(chan struct{}),
+	}
+}
+
+// Done is closed when Run has returned.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Run serves on the listener until ctx ends. From then on new requests are
+// answered ShuttingDown, and Run returns when those in progress are finished.
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	defer close(s.done)
+	server := &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: s.limits.ReadWithin,
+		IdleTimeout:       s.limits.IdleFor,
+		MaxHeaderBytes:    s.limits.HeaderBytes,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(l) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	s.stopping.Store(true)
+	linger := time.NewTimer(s.limits.LingerFor)
+	defer linger.Stop()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-linger.C:
+	}
+	// No deadline: each request in progress has its own.
+	err := server.Shutdown(context.Background())
+	<-failed
+	return errors.Wrap(err, "shut down")
+}
+
+// ServeHTTP refuses what exceeds the limits or arrives during the shutdown and
+// hands the rest to the handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+		s.refuse(w, rosemarysill.ShuttingDown, "the entry is shutting down")
+		return
+	}
+	if !s.requests.TryAcquire(1) {
+		s.refuse(w, rosemarysill.Overloaded, "too many requests in progress")
+		return
+	}
+	defer s.requests.Release(1)
+	size := r.ContentLength
+	if size > s.limits.BodyBytes {
+		s.refuse(w, rosemarysill.TooLarge, "the request exceeds the limit")
+		return
+	}
+	if size < 0 { // not announced
+		size = s.limits.BodyBytes
+	}
+	if !s.held.TryAcquire(size) {
+		s.refuse(w, rosemarysill.Overloaded, "the requests in progress are too large together")
+		return
+	}
+	defer s.held.Release(size)
+	s.handler.ServeHTTP(w, r)
+}
+
+func (s *Server) refuse(w http.ResponseWriter, code rosemarysill.Code, detail string) {
+	_ = Write(w, code, NewReply(uuid.Nil, code, detail), time.Now().Add(s.limits.WriteWithin))
+}
--- a/request.go
+++ b/request.go
@@ -35,8 +35,12 @@
 	Account    string
 	Class      Class
 	Idempotent bool
-	Deadline   time.Time
-	Body       []byte
+	// Resent tells that the caller sent the identifier before and does not
+	// know the outcome. A refusal then proves nothing unless the call's record
+	// was seen. Only for calls that are not idempotent.
+	Resent   bool
+	Deadline time.Time
+	Body     []byte
 }
 
 // Answer is the result of a call. Body is whole: its length and hash have been
--- a/service.go
+++ b/service.go
@@ -24,6 +24,8 @@
 type OperatorService interface {
 	// Plan answers an intent; nothing changes.
 	Plan(ctx context.Context, in Intent) (Plan, error)
+	// LookUp returns a plan that was made before, or UnknownPlan.
+	LookUp(ctx context.Context, plan uuid.UUID) (Plan, error)
 	// Confirm puts a plan into force. Confirming it again has no further
 	// effect.
 	Confirm(ctx context.Context, plan uuid.UUID) (Confirmation, error)
