entry, cmd: serve a call end to end through separate processes

Cause: no path from caller to upstream. Change: the entry process (table of agents, heartbeats, placement lease, copy of the jobs, call routing), the program with its subcommands, and a test that builds it and starts two entries and two agents over the stand-ins. The JSON decoder takes null for a list, because encoding/json writes absent lists so; before, a Declare intent without guarantees was refused as invalid. Before: no request served; after: one call, one run.

--- /dev/null
+++ b/cmd/rosemarysill/main.go
@@ -0,0 +1,114 @@
+// Command rosemarysill schedules multi-accelerator jobs and calls for client
+// accounts. Its subcommands run the processes of the system and are the tools
+// of callers and operators; `rosemarysill --help` lists them. The exit code is
+// the result code of docs/CODES.md.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	flags "github.com/jessevdk/go-flags"
+
+	"github.com/rosemarysill/rosemarysill"
+)
+
+// version is set by the build with -ldflags "-X main.version=...".
+var version = "development"
+
+// globalOptions are the options of all subcommands.
+type globalOptions struct {
+	Output string `long:"output" choice:"text" choice:"json" default:"text" description:"Format of what is printed"`
+}
+
+var global globalOptions
+
+func main() {
+	os.Exit(int(run(os.Args[1:])))
+}
+
+// run executes the command line and returns the exit code.
+func run(args []string) rosemarysill.Code {
+	parser := flags.NewParser(&global, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "rosemarysill"
+	parser.LongDescription = "Schedules multi-accelerator jobs and calls under client account guarantees. " +
+		"The exit code is the result code of docs/CODES.md: 0 done, 10-39 not run, 40-49 ran and failed, 50-59 unknown, 60-79 commands."
+	for _, c := range commands() {
+		if err := c.add(parser); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return rosemarysill.InternalError
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return report(err)
+}
+
+// report prints an error and returns its code.
+func report(err error) rosemarysill.Code {
+	if err == nil {
+		return rosemarysill.Done
+	}
+	var fe *flags.Error
+	if errors.As(err, &fe) {
+		if fe.Type == flags.ErrHelp {
+			fmt.Println(fe.Message)
+			return rosemarysill.Done
+		}
+		fmt.Fprintln(os.Stderr, fe.Message)
+		return rosemarysill.InvalidArguments
+	}
+	var printed printedError
+	if !errors.As(err, &printed) {
+		printError(err)
+	}
+	return rosemarysill.CodeOf(err)
+}
+
+// command is a subcommand with its help texts.
+type command struct {
+	name  string
+	short string
+	long  string
+	data  any
+	sub   []command
+}
+
+type adder interface {
+	AddCommand(command, shortDescription, longDescription string, data any) (*flags.Command, error)
+}
+
+// add adds the command and its own subcommands to a parser.
+func (c command) add(parent adder) error {
+	cmd, err := parent.AddCommand(c.name, c.short, c.long, c.data)
+	if err != nil {
+		return errors.Wrapf(err, "command %s", c.name)
+	}
+	for _, s := range c.sub {
+		if err := s.add(cmd); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// group is a command that only has subcommands.
+type group struct{}
+
+// commands returns all subcommands.
+func commands() []command {
+	all := []command{
+		{name: "version", short: "Print the version", long: "Prints the version of this program.", data: &versionCommand{}},
+	}
+	all = append(all, callerCommands()...)
+	all = append(all, operatorCommands()...)
+	all = append(all, processCommands()...)
+	return all
+}
+
+type versionCommand struct{}
+
+// Execute prints the version.
+func (*versionCommand) Execute([]string) error {
+	return show(struct{ Version string }{version}, func() { fmt.Println("rosemarysill", version) })
+}
--- /dev/null
+++ b/cmd/rosemarysill/operator.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/operator"
+)
+
+// withOperator runs f with a client for operators.
+func (o entriesOption) withOperator(f func(ctx context.Context, c *operator.Client) error) error {
+	entries, err := o.addresses()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := interruptible()
+	defer cancel()
+	c := operator.NewClient(entries)
+	defer c.Close()
+	return f(ctx, c)
+}
+
+func operatorCommands() []command {
+	target := func(kind rosemarysill.IntentKind) *planCommand { return &planCommand{kind: kind} }
+	return []command{
+		{name: "status", short: "Describe the system", data: &statusCommand{},
+			long: "Prints configuration revision, entries, failure domains, client accounts, workers and upstreams as one entry sees them."},
+		{name: "plan", short: "Ask for a plan; nothing changes before confirm", data: &group{},
+			long: "Prints what an intent would move, stop or leave waiting, which guarantees would be short, and the plan's identifier for confirm.",
+			sub: []command{
+				{name: "take-out", short: "Take a failure domain out", long: "TARGET is the failure domain.", data: target(rosemarysill.TakeOut)},
+				{name: "bring-back", short: "Bring a failure domain back", long: "TARGET is the failure domain.", data: target(rosemarysill.BringBack)},
+				{name: "drain", short: "Give an upstream no new work", long: "TARGET is the upstream.", data: target(rosemarysill.Drain)},
+				{name: "undrain", short: "Give an upstream new work again", long: "TARGET is the upstream.", data: target(rosemarysill.Undrain)},
+				{name: "remove-entries", short: "State that entries are gone", long: "TARGET is a list of entry identities, separated by commas, whose virtual machines no longer exist.", data: target(rosemarysill.RemoveEntries)},
+				{name: "declare", short: "Declare accounts and failure domains from a document", long: "FILE is a YAML document with Accounts and Domains, checked as by the check command.", data: &declareCommand{}},
+				{name: "grant", short: "Change the guarantees of a client account", long: "TARGET is the client account; the guarantees replace those that it has.", data: &grantCommand{}},
+			}},
+		{name: "confirm", short: "Put a plan into force", data: &confirmCommand{},
+			long: "Puts the plan into force if the configuration has not changed since it was made. Confirming a plan again has no further effect."},
+	}
+}
+
+type planCommand struct {
+	entriesOption
+	kind rosemarysill.IntentKind
+	Args struct {
+		Target string `positional-arg-name:"TARGET" required:"true"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute asks for the plan.
+func (c *planCommand) Execute([]string) error {
+	return c.askPlan(rosemarysill.Intent{Kind: c.kind, Target: c.Args.Target})
+}
+
+func (o entriesOption) askPlan(in rosemarysill.Intent) error {
+	return o.withOperator(func(ctx context.Context, client *operator.Client) error {
+		p, err := client.Plan(ctx, in)
+		if err != nil {
+			return err
+		}
+		return show(p, func() { printPlan(p) })
+	})
+}
+
+func printPlan(p rosemarysill.Plan) {
+	fmt.Printf("plan %s on revision %d, expires %s\n", p.ID, p.BaseRevision, p.Expires.Format("15:04:05"))
+	if len(p.Effects) == 0 {
+		fmt.Println("  nothing runs that would be affected")
+	}
+	for _, e := range p.Effects {
+		fmt.Printf("  %-6s %s: %s\n", e.Verb, e.Subject, e.Detail)
+	}
+	fmt.Printf("confirm with: rosemarysill confirm %s\n", p.ID)
+}
+
+type grantCommand struct {
+	entriesOption
+	Count        int  `long:"count" default:"1" description:"Gangs of the shape; 0 takes all guarantees away"`
+	Members      int  `long:"members" default:"1" description:"Tasks in the gang"`
+	Accelerators int  `long:"accelerators" default:"1" description:"Accelerators of each task"`
+	Processors   int  `long:"processors" default:"1" description:"Processors of each task"`
+	MemoryMB     int  `long:"memory-mb" default:"1024" description:"Memory of each task in MB"`
+	Adjacent     bool `long:"adjacent" description:"All tasks in one rack"`
+	Quota        int  `long:"quota" description:"The most accelerators that the account's jobs may hold; 0 is no limit"`
+	Args         struct {
+		Account string `positional-arg-name:"ACCOUNT" required:"true"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute asks for the plan.
+func (c *grantCommand) Execute([]string) error {
+	in := rosemarysill.Intent{Kind: rosemarysill.Grant, Target: c.Args.Account, QuotaAccelerators: c.Quota}
+	if c.Count > 0 {
+		in.Guarantees = []rosemarysill.Guarantee{{Count: c.Count, Shape: rosemarysill.Shape{
+			Members: c.Members, Accelerators: c.Accelerators, Processors: c.Processors,
+			MemoryMB: c.MemoryMB, Adjacent: c.Adjacent,
+		}}}
+	}
+	return c.askPlan(in)
+}
+
+type confirmCommand struct {
+	entriesOption
+	Args struct {
+		Plan string `positional-arg-name:"PLAN" required:"true"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute confirms the plan.
+func (c *confirmCommand) Execute([]string) error {
+	id, err := parseID(c.Args.Plan)
+	if err != nil {
+		return err
+	}
+	return c.withOperator(func(ctx context.Context, client *operator.Client) error {
+		answer, err := client.Confirm(ctx, id)
+		if err != nil {
+			return err
+		}
+		if err := show(answer, func() { printConfirmation(answer) }); err != nil {
+			return err
+		}
+		if answer.Code != rosemarysill.Done {
+			return printedError{rosemarysill.NewError(answer.Code, "%s", answer.Detail)}
+		}
+		return nil
+	})
+}
+
+func printConfirmation(c rosemarysill.Confirmation) {
+	if c.Code == rosemarysill.Done {
+		fmt.Printf("in force with revision %d\n", c.Revision)
+		return
+	}
+	fmt.Printf("%s (%d): %s\n", c.Code, int(c.Code), c.Detail)
+	for _, change := range c.Changes {
+		fmt.Println("  since then:", change)
+	}
+}
+
+type statusCommand struct{ entriesOption }
+
+// Execute prints the status.
+func (c *statusCommand) Execute([]string) error {
+	return c.withOperator(func(ctx context.Context, client *operator.Client) error {
+		s, err := client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		return show(s, func() { printStatus(s) })
+	})
+}
+
+func printStatus(s rosemarysill.Status) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	defer func() { _ = w.Flush() }()
+	fmt.Fprintf(w, "entry\t%s (%s), authoritative %t, store contact %t, places jobs %t, epoch %d\n",
+		s.Entry.Name, s.Entry.State, s.Authoritative, s.StoreContact, s.Places, s.Epoch)
+	fmt.Fprintf(w, "revision\t%d, in force at %d agents", s.Revision, s.AgentsAtRevision)
+	if len(s.AgentsBehind) > 0 {
+		fmt.Fprintf(w, ", not yet at %s", strings.Join(s.AgentsBehind, ", "))
+	}
+	fmt.Fprintln(w)
+	for _, m := range s.Entries {
+		fmt.Fprintf(w, "member\t%s\t%s\t%s\t%s\n", m.Name, m.State, m.Address, m.ID)
+	}
+	for _, d := range s.Domains {
+		state := "in"
+		if d.Out {
+			state = "out"
+		}
+		fmt.Fprintf(w, "domain\t%s\t%s\t%s\n", d.Name, d.Region, state)
+	}
+	for _, a := range s.Accounts {
+		fmt.Fprintf(w, "account\t%s\tguaranteed %d\tused %d\trunning %d\twaiting %d\n",
+			a.Name, a.GuaranteedAccelerators, a.UsedAccelerators, a.RunningJobs, a.WaitingJobs)
+	}
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(w, "upstream\t%s\t%s\tfree %d of %d\tleaving %t\tdrained %t\n",
+			u.Identity.Name, u.Identity.Domain, u.FreeSlots, u.Identity.Slots, u.Leaving, u.Drained)
+	}
+	for _, wk := range s.Workers {
+		fmt.Fprintf(w, "worker\t%s\t%s\track %s\t%d accelerators\tusable %t\n",
+			wk.Identity.Name, wk.Identity.Domain, wk.Identity.Rack, wk.Identity.Accelerators, wk.Usable)
+	}
+	fmt.Fprintf(w, "free\t%d accelerators, largest block in a rack %d\n", s.FreeAccelerators, s.LargestFreeBlock)
+	states := make([]string, 0, len(s.Jobs))
+	for state, n := range s.Jobs {
+		states = append(states, fmt.Sprintf("%s %d", state, n))
+	}
+	sort.Strings(states)
+	fmt.Fprintf(w, "jobs\t%s\n", strings.Join(states, ", "))
+}
--- /dev/null
+++ b/cmd/rosemarysill/process_test.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/caller"
+	"github.com/rosemarysill/rosemarysill/operator"
+	"github.com/rosemarysill/rosemarysill/standin"
+)
+
+// patience bounds the waits for processes; it is no measure of speed.
+const patience = 60 * time.Second
+
+var buildOnce = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "rosemarysill")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "rosemarysill")
+	out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return path, nil
+})
+
+// process is a running rosemarysill program.
+type process struct {
+	cmd    *exec.Cmd
+	log    *bytes.Buffer
+	exited chan error
+}
+
+// start runs the program and ends it with the test.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	path, err := buildOnce()
+	require.NoError(t, err)
+	p := &process{cmd: exec.Command(path, args...), log: &bytes.Buffer{}, exited: make(chan error, 1)}
+	p.cmd.Stderr = p.log
+	require.NoError(t, p.cmd.Start())
+	go func() { p.exited <- p.cmd.Wait() }()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		if t.Failed() {
+			t.Logf("%v:\n%s", args, p.log)
+		}
+	})
+	return p
+}
+
+// freePort returns a loopback address that was free a moment ago.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// deployment is a small deployment of separate processes over stand-ins in the
+// test's process.
+type deployment struct {
+	t         *testing.T
+	store     *standin.Store
+	storeAddr netip.AddrPort
+	http      []netip.AddrPort
+	grpc      []netip.AddrPort
+	entries   []*process
+	agents    map[string]*process
+	upstreams map[string]*standin.Upstream
+	runtimes  map[string]*standin.Runtime
+	calls     *standin.CallJournal
+	tasks     *standin.TaskJournal
+	caller    *caller.Client
+	operator  *operator.Client
+}
+
+// scale shortens the timings of the protocol, so that failures show sooner.
+const scale = "0.25"
+
+var domains = []string{"Bizerte", "Tunis", "Nabeul", "Sousse"}
+
+func newDeployment(t *testing.T, entries, upstreams, workers int) *deployment {
+	t.Helper()
+	d := &deployment{
+		t: t, store: standin.NewStore(standin.StoreOptions{}), agents: map[string]*process{},
+		upstreams: map[string]*standin.Upstream{}, runtimes: map[string]*standin.Runtime{},
+		calls: standin.NewCallJournal(), tasks: standin.NewTaskJournal(),
+	}
+	server, err := standin.Serve(netip.AddrPort{}, d.store)
+	require.NoError(t, err)
+	t.Cleanup(server.Stop)
+	d.storeAddr = server.Address()
+	for range entries {
+		d.http, d.grpc = append(d.http, freePort(t)), append(d.grpc, freePort(t))
+	}
+	for i := range entries {
+		d.entries = append(d.entries, d.startEntry(i))
+	}
+	d.caller, d.operator = caller.NewClient(d.http), operator.NewClient(d.http)
+	t.Cleanup(d.caller.Close)
+	t.Cleanup(d.operator.Close)
+	for i := range upstreams {
+		d.startUpstream(fmt.Sprintf("upstream-%d", i), domains[i%len(domains)])
+	}
+	for i := range workers {
+		d.startWorker(fmt.Sprintf("worker-%d", i), domains[i%len(domains)], fmt.Sprintf("rack-%d", i/12))
+	}
+	return d
+}
+
+func (d *deployment) startEntry(i int) *process {
+	args := []string{
+		"entry", "--name", fmt.Sprintf("entry-%d", i), "--http", d.http[i].String(), "--grpc", d.grpc[i].String(),
+		"--store", d.storeAddr.String(), "--scale", scale,
+	}
+	for j, peer := range d.grpc {
+		if j != i {
+			args = append(args, "--peer", peer.String())
+		}
+	}
+	return start(d.t, args...)
+}
+
+func (d *deployment) startAgent(name, kind, domain, rack string, backend netip.AddrPort) {
+	args := []string{
+		"agent", "--name", name, "--kind", kind, "--listen", freePort(d.t).String(), "--domain", domain,
+		"--rack", rack, "--backend", backend.String(), "--scale", scale,
+	}
+	for _, e := range d.grpc {
+		args = append(args, "--entry", e.String())
+	}
+	d.agents[name] = start(d.t, args...)
+}
+
+func (d *deployment) startUpstream(name, domain string) {
+	u := standin.NewUpstream(standin.UpstreamOptions{Name: name, Journal: d.calls})
+	server, err := standin.Serve(netip.AddrPort{}, u)
+	require.NoError(d.t, err)
+	d.t.Cleanup(server.Stop)
+	d.upstreams[name] = u
+	d.startAgent(name, "Upstream", domain, "", server.Address())
+}
+
+func (d *deployment) startWorker(name, domain, rack string) {
+	r := standin.NewRuntime(standin.RuntimeOptions{Name: name, Journal: d.tasks})
+	server, err := standin.Serve(netip.AddrPort{}, r)
+	require.NoError(d.t, err)
+	d.t.Cleanup(server.Stop)
+	d.runtimes[name] = r
+	d.startAgent(name, "Worker", domain, rack, server.Address())
+}
+
+// eventually asks until f succeeds.
+func (d *deployment) eventually(what string, f func() error) {
+	d.t.Helper()
+	var last error
+	require.Eventually(d.t, func() bool { last = f(); return last == nil }, patience, 50*time.Millisecond,
+		"%s: %v", what, &last)
+}
+
+// declare makes and confirms the plan for the accounts and domains.
+func (d *deployment) declare() {
+	d.t.Helper()
+	in := rosemarysill.Intent{Kind: rosemarysill.Declare, Accounts: []rosemarysill.Account{{Name: "Bizerte Arcades"}, {Name: "Sfax Flippers"}}}
+	for _, name := range domains {
+		in.Domains = append(in.Domains, rosemarysill.Domain{Name: name, Region: "Tunisia"})
+	}
+	d.change(in)
+}
+
+// change plans and confirms an intent.
+func (d *deployment) change(in rosemarysill.Intent) {
+	d.t.Helper()
+	d.eventually("change", func() error {
+		p, err := d.operator.Plan(context.Background(), in)
+		if err != nil {
+			return err
+		}
+		c, err := d.operator.Confirm(context.Background(), p.ID)
+		if err == nil && c.Code != rosemarysill.Done {
+			err = rosemarysill.NewError(c.Code, "%s", c.Detail)
+		}
+		return err
+	})
+}
+
+func newCall(body standin.CallBody) rosemarysill.Call {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return rosemarysill.Call{
+		ID: uuid.Must(uuid.NewV7()), Account: "Bizerte Arcades", Class: rosemarysill.Urgent, Idempotent: true,
+		Deadline: time.Now().Add(20 * time.Second), Body: data,
+	}
+}
+
+// TestCallEndToEnd guards against a break anywhere on the path of a call
+// through separate processes.
+func TestCallEndToEnd(t *testing.T) {
+	d := newDeployment(t, 2, 2, 0)
+	d.declare()
+	d.eventually("call", func() error {
+		call := newCall(standin.CallBody{})
+		answer := d.caller.Call(context.Background(), call)
+		if answer.Code != rosemarysill.Done {
+			return rosemarysill.NewError(answer.Code, "%s", answer.Detail)
+		}
+		require.Equal(t, 1, d.calls.RunsOf(call.ID))
+		return nil
+	})
+}
--- /dev/null
+++ b/entry/beats.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/event"
+)
+
+// maxAgents bounds the table of agents; it is about twice the two-year size of
+// the fleet, upstreams included.
+const maxAgents = 4096
+
+// Beat takes the reports of a heartbeat and answers with orders. It grants
+// freshness and gang leases only while this entry has authority.
+func (e *Entry) Beat(_ context.Context, b rosemarysill.Beat) (rosemarysill.BeatReply, error) {
+	auth := e.members.Authority()
+	reply := rosemarysill.BeatReply{}
+	for _, r := range b.Reports {
+		orders, err := e.answerReport(r, auth)
+		if err != nil {
+			return rosemarysill.BeatReply{}, err
+		}
+		reply.Orders = append(reply.Orders, orders)
+	}
+	for _, m := range auth.Members.Entries {
+		reply.Entries = append(reply.Entries, m.Address)
+	}
+	return reply, nil
+}
+
+func (e *Entry) answerReport(r rosemarysill.AgentReport, auth rosemarysill.Authority) (rosemarysill.AgentOrders, error) {
+	if !e.table.admits(r.Name) {
+		return rosemarysill.AgentOrders{}, rosemarysill.NewError(rosemarysill.Overloaded, "the table of agents is full")
+	}
+	now := e.opts.Now()
+	accepted, appeared := e.table.observe(r, now)
+	if appeared {
+		event.AgentAppeared.Log(e.opts.Log).Str("Agent", r.Name).Str("Boot", r.Boot.String()).Send()
+	}
+	if accepted && (r.HasTasks || appeared) {
+		e.wake()
+	}
+	return e.orders(r, accepted, auth, now), nil
+}
+
+// orders answers one report. A report that was not accepted is old: it is
+// granted nothing, because its sender may have been replaced.
+func (e *Entry) orders(r rosemarysill.AgentReport, accepted bool, auth rosemarysill.Authority, now time.Time) rosemarysill.AgentOrders {
+	known, digest := e.table.acknowledged(r.Name)
+	o := rosemarysill.AgentOrders{
+		Name:         r.Name,
+		SendIdentity: !known,
+		AckedDigest:  digest,
+		Revision:     auth.Config.Revision,
+		Epoch:        e.epochSeen.Load(),
+	}
+	if !accepted || !known || !auth.Valid(now) {
+		return o
+	}
+	v, _ := e.table.view(r.Name, now)
+	o.DomainOut = auth.Config.DomainOut(v.identity.Domain)
+	o.Drained = auth.Config.IsDrained(r.Name)
+	o.FreshFor = min(e.opts.Timings.FreshFor, auth.Until.Sub(now))
+	// Only established entries are asked to honour a fence, so only they may
+	// extend gang leases.
+	if auth.Established {
+		o.Leases = e.table.leases(r.Name, e.members.Fenced, now)
+	}
+	return o
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/caller"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/membership"
+	"github.com/rosemarysill/rosemarysill/message"
+	"github.com/rosemarysill/rosemarysill/operator"
+	"github.com/rosemarysill/rosemarysill/peer"
+	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/upstream"
+)
+
+// Config is what an entry needs besides its options.
+type Config struct {
+	Name     string
+	HTTP     netip.AddrPort // for callers and operators
+	GRPC     netip.AddrPort // for agents and other entries
+	Peers    []netip.AddrPort
+	MaxJobs  int            // jobs that are not final; default 20,000
+	Limits   message.Limits // of HTTP requests
+	StopFor  time.Duration  // longest wait for requests in progress at shutdown; default 30 s
+	KeepJobs time.Duration  // after which a final job is deleted from the store; default 24 h
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxJobs <= 0 {
+		c.MaxJobs = 20000
+	}
+	if c.StopFor <= 0 {
+		c.StopFor = 30 * time.Second
+	}
+	if c.KeepJobs <= 0 {
+		c.KeepJobs = 24 * time.Hour
+	}
+	if c.Limits == (message.Limits{}) {
+		c.Limits = message.DefaultLimits()
+	}
+	return c
+}
+
+// Entry is one entry process. It implements the services for callers and
+// operators, and rosemarysill.BeatReceiver for agents.
+type Entry struct {
+	cfg     Config
+	opts    rosemarysill.Options
+	self    rosemarysill.Member
+	members *membership.Membership
+	table   *table
+	book    *book
+	holder  *holder
+	router  *upstream.Router
+	placer  *placer
+
+	epochSeen atomic.Uint64 // highest placement epoch known
+	started   time.Time
+	stopping  atomic.Bool
+	wakeUp    chan struct{}
+	done      chan struct{}
+}
+
+// New returns an entry process. It needs the options Store, Policy, Agents and
+// Peers.
+func New(cfg Config, opts ...rosemarysill.Option) *Entry {
+	cfg = cfg.withDefaults()
+	o := rosemarysill.NewOptions(opts...)
+	e := &Entry{
+		cfg:    cfg,
+		opts:   o,
+		self:   rosemarysill.Member{ID: uuid.New(), Name: cfg.Name, Address: cfg.GRPC, State: rosemarysill.Joining},
+		table:  newTable(o.Timings),
+		wakeUp: make(chan struct{}, 1),
+		done:   make(chan struct{}),
+	}
+	e.members = membership.New(e.self, cfg.Peers, opts...)
+	e.book = newBook(o.Store, e.wake)
+	e.holder = newHolder(o.Store, e.self.ID, o.Timings.PlacerLease, o.Now)
+	e.router = newRouter(e)
+	e.placer = newPlacer(e)
+	return e
+}
+
+// optionList returns the options for parts of the entry.
+func (e *Entry) optionList() []rosemarysill.Option {
+	return []rosemarysill.Option{func(o *rosemarysill.Options) { *o = e.opts }}
+}
+
+// wake asks for a placement decision soon.
+func (e *Entry) wake() {
+	select {
+	case e.wakeUp <- struct{}{}:
+	default:
+	}
+}
+
+// Done is closed when Run has returned.
+func (e *Entry) Done() <-chan struct{} { return e.done }
+
+// Handler returns the HTTP paths for callers and operators.
+func (e *Entry) Handler() http.Handler {
+	callers := caller.NewHandler(e, e.cfg.Limits, e.optionList()...)
+	operators := operator.NewHandler(e, e.cfg.Limits, e.optionList()...)
+	mux := http.NewServeMux()
+	mux.Handle("/", callers)
+	for _, path := range []string{"/v1/plans", "/v1/plans/", "/v1/status", "/debug/vars"} {
+		mux.Handle(path, operators)
+	}
+	return mux
+}
+
+// Run serves until ctx ends, finishes the requests in progress, gives the
+// placement lease back and leaves the list of entries.
+func (e *Entry) Run(ctx context.Context, httpListener, grpcListener net.Listener) error {
+	defer close(e.done)
+	e.started = e.opts.Now()
+	event.EntryStarted.Log(e.opts.Log).Str("Entry", e.cfg.Name).Str("ID", e.self.ID.String()).Send()
+
+	// The parts outlive ctx: requests in progress need them.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var parts sync.WaitGroup
+	server := peer.NewServer(peer.ServerConfig{}, peer.Handlers{Entry: e, Peer: e.members}, e.optionList()...)
+	watcher := platform.NewWatcher(e.opts.Store, jobPrefix, e.book.update,
+		platform.WatcherOptions{ListEvery: time.Minute, Now: e.opts.Now, Log: e.opts.Log})
+	parts.Go(func() { _ = server.Run(serving, grpcListener) })
+	parts.Go(func() { _ = e.members.Run(serving) })
+	parts.Go(func() { watcher.Run(serving) })
+	parts.Go(func() { _ = e.router.Run(serving) })
+	placing, stopPlacing := context.WithCancel(serving)
+	placed := make(chan struct{})
+	go func() { defer close(placed); e.placer.run(placing) }()
+
+	err := message.NewServer(e.Handler(), e.cfg.Limits).Run(e.untilStop(ctx), httpListener)
+
+	stopPlacing()
+	<-placed
+	leave, cancel := context.WithTimeout(serving, e.opts.Timings.StoreFresh)
+	e.holder.release(leave)
+	_ = e.members.Leave(leave)
+	cancel()
+	stop()
+	parts.Wait()
+	event.EntryStopped.Log(e.opts.Log).Str("Entry", e.cfg.Name).Send()
+	return err
+}
+
+// untilStop marks the entry as stopping when ctx ends.
+func (e *Entry) untilStop(ctx context.Context) context.Context {
+	context.AfterFunc(ctx, func() {
+		e.stopping.Store(true)
+		event.EntryStopping.Log(e.opts.Log).Str("Entry", e.cfg.Name).Send()
+	})
+	return ctx
+}
--- /dev/null
+++ b/entry/router.go
@@ -0,0 +1,17 @@
+package entry
+
+import (
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/upstream"
+)
+
+// newRouter returns the router of calls over the table of agents.
+func newRouter(e *Entry) *upstream.Router {
+	return upstream.NewRouter(upstream.Sources{
+		Authority: e.members.Authority,
+		Upstreams: func() []rosemarysill.UpstreamState {
+			auth := e.members.Authority()
+			return e.table.upstreams(&auth.Config)
+		},
+	}, e.optionList()...)
+}
--- /dev/null
+++ b/entry/table.go
@@ -0,0 +1,304 @@
+package entry
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/rosemarysill/rosemarysill"
+)
+
+// forgetAfter is the silence after which an agent is dropped from the table.
+// It is long, so that a worker of a failure domain that is out for an hour
+// still counts when a shape is judged impossible.
+const forgetAfter = time.Hour
+
+// retiredBoots bounds the remembered former boots of an agent.
+const retiredBoots = 4
+
+// agentState is what the last accepted heartbeat of an agent told.
+type agentState struct {
+	report   rosemarysill.AgentReport
+	identity rosemarysill.AgentIdentity
+	known    bool // identity has arrived
+	tasks    []rosemarysill.TaskReport
+	digest   uint64 // of tasks
+	hasTasks bool
+	lastBeat time.Time
+	retired  []uuid.UUID
+	missing  bool // reported as missing in the log
+}
+
+// gangKey names an attempt of a job.
+type gangKey struct {
+	job     uuid.UUID
+	attempt int
+}
+
+// memberSeen is the last report on one member of a gang.
+type memberSeen struct {
+	agent string
+	task  rosemarysill.TaskReport
+}
+
+// table holds the agents as their heartbeats describe them. It has no clock:
+// callers pass the time.
+type table struct {
+	mu     sync.Mutex
+	t      rosemarysill.Timings
+	agents map[string]*agentState
+	gangs  map[gangKey]map[int]memberSeen
+}
+
+func newTable(t rosemarysill.Timings) *table {
+	return &table{t: t, agents: map[string]*agentState{}, gangs: map[gangKey]map[int]memberSeen{}}
+}
+
+// admits reports whether the table has room for the agent.
+func (tb *table) admits(name string) bool {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	_, ok := tb.agents[name]
+	return ok || len(tb.agents) < maxAgents
+}
+
+// observe takes a report into the table. It returns false for a report that is
+// older than what the table holds; such a report renews nothing.
+func (tb *table) observe(r rosemarysill.AgentReport, now time.Time) (accepted, appeared bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	a, ok := tb.agents[r.Name]
+	if !ok {
+		a = &agentState{}
+		tb.agents[r.Name] = a
+	}
+	if !a.accepts(r) {
+		return false, false
+	}
+	if a.report.Boot != r.Boot {
+		tb.startBoot(a, r.Boot)
+	}
+	if r.Identity != nil {
+		appeared = !a.known
+		a.identity, a.known = *r.Identity, true
+	}
+	a.report, a.lastBeat, a.missing = r, now, false
+	if r.HasTasks {
+		tb.setTasks(r.Name, a, r)
+	}
+	return true, appeared
+}
+
+// accepts reports whether the report is newer than the state. A former boot is
+// never accepted again.
+func (a *agentState) accepts(r rosemarysill.AgentReport) bool {
+	if a.report.Boot == r.Boot {
+		return r.Sequence > a.report.Sequence
+	}
+	for _, boot := range a.retired {
+		if boot == r.Boot {
+			return false
+		}
+	}
+	return true
+}
+
+// startBoot forgets what belonged to the former boot: its tasks are gone.
+func (tb *table) startBoot(a *agentState, boot uuid.UUID) {
+	if a.report.Boot != uuid.Nil {
+		a.retired = append(a.retired, a.report.Boot)
+		if len(a.retired) > retiredBoots {
+			a.retired = a.retired[1:]
+		}
+	}
+	tb.dropTasks(a)
+	a.known, a.hasTasks, a.digest = false, false, 0
+	a.report = rosemarysill.AgentReport{Boot: boot}
+}
+
+func (tb *table) setTasks(name string, a *agentState, r rosemarysill.AgentReport) {
+	tb.dropTasks(a)
+	a.tasks, a.digest, a.hasTasks = r.Tasks, r.TasksDigest, true
+	for _, task := range r.Tasks {
+		k := gangKey{task.Job, task.Attempt}
+		if tb.gangs[k] == nil {
+			tb.gangs[k] = map[int]memberSeen{}
+		}
+		tb.gangs[k][task.Member] = memberSeen{agent: name, task: task}
+	}
+}
+
+func (tb *table) dropTasks(a *agentState) {
+	for _, task := range a.tasks {
+		k := gangKey{task.Job, task.Attempt}
+		if seen, ok := tb.gangs[k][task.Member]; ok && seen.agent == a.report.Name {
+			delete(tb.gangs[k], task.Member)
+		}
+		if len(tb.gangs[k]) == 0 {
+			delete(tb.gangs, k)
+		}
+	}
+	a.tasks = nil
+}
+
+// fresh reports whether the agent was heard within MemberFresh.
+func (tb *table) fresh(a *agentState, now time.Time) bool {
+	return now.Sub(a.lastBeat) < tb.t.MemberFresh
+}
+
+// complete reports whether every member of the gang runs, or has finished
+// well, at an agent that was heard within MemberFresh.
+func (tb *table) complete(k gangKey, members int, now time.Time) bool {
+	seen := tb.gangs[k]
+	for i := range members {
+		m, ok := seen[i]
+		if !ok || (m.task.State != rosemarysill.TaskRunning && m.task.State != rosemarysill.TaskDone) {
+			return false
+		}
+		if !tb.fresh(tb.agents[m.agent], now) {
+			return false
+		}
+	}
+	return members > 0
+}
+
+// leases returns the gang leases that the agent's running members may get.
+func (tb *table) leases(name string, fenced func(uuid.UUID, int) bool, now time.Time) []rosemarysill.LeaseGrant {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	a, ok := tb.agents[name]
+	if !ok {
+		return nil
+	}
+	var grants []rosemarysill.LeaseGrant
+	for _, task := range a.tasks {
+		if task.State != rosemarysill.TaskRunning || fenced(task.Job, task.Attempt) {
+			continue
+		}
+		if tb.complete(gangKey{task.Job, task.Attempt}, task.Members, now) {
+			grants = append(grants, rosemarysill.LeaseGrant{Job: task.Job, Attempt: task.Attempt, For: tb.t.GangLease})
+		}
+	}
+	return grants
+}
+
+// acknowledged returns whether the agent's identity is known and the digest of
+// the tasks that the table holds.
+func (tb *table) acknowledged(name string) (known bool, digest uint64) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	a, ok := tb.agents[name]
+	if !ok {
+		return false, 0
+	}
+	return a.known, a.digest
+}
+
+// sorted returns the states with a known identity of the given kind, by name.
+func (tb *table) sorted(kind rosemarysill.AgentKind) []*agentState {
+	var out []*agentState
+	for _, a := range tb.agents {
+		if a.known && a.identity.Kind == kind {
+			out = append(out, a)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].identity.Name < out[j].identity.Name })
+	return out
+}
+
+// upstreams returns the upstreams as the router needs them.
+func (tb *table) upstreams(cfg *rosemarysill.Configuration) []rosemarysill.UpstreamState {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	var out []rosemarysill.UpstreamState
+	for _, a := range tb.sorted(rosemarysill.UpstreamAgent) {
+		out = append(out, rosemarysill.UpstreamState{
+			Identity:  a.identity,
+			FreeSlots: a.report.FreeSlots,
+			Leaving:   a.report.Leaving,
+			Drained:   cfg.IsDrained(a.identity.Name),
+			DomainOut: cfg.DomainOut(a.identity.Domain),
+			LastBeat:  a.lastBeat,
+		})
+	}
+	return out
+}
+
+// workers returns the workers as a policy needs them, without regard to
+// quarantine.
+func (tb *table) workers(cfg *rosemarysill.Configuration, now time.Time) []rosemarysill.WorkerState {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	var out []rosemarysill.WorkerState
+	for _, a := range tb.sorted(rosemarysill.WorkerAgent) {
+		usable := tb.fresh(a, now) && a.hasTasks && !a.report.Leaving && !cfg.DomainOut(a.identity.Domain)
+		out = append(out, rosemarysill.WorkerState{Identity: a.identity, Usable: usable})
+	}
+	return out
+}
+
+// agentView is an agent as the placing loop needs it.
+type agentView struct {
+	identity rosemarysill.AgentIdentity
+	fresh    bool
+	leaving  bool
+	revision uint64
+	tasks    []rosemarysill.TaskReport
+}
+
+// view returns the agent, or false when no identity is known for it.
+func (tb *table) view(name string, now time.Time) (agentView, bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	a, ok := tb.agents[name]
+	if !ok || !a.known {
+		return agentView{}, false
+	}
+	return agentView{
+		identity: a.identity,
+		fresh:    tb.fresh(a, now),
+		leaving:  a.report.Leaving,
+		revision: a.report.Revision,
+		tasks:    a.tasks,
+	}, true
+}
+
+// views returns all agents with a known identity, by name.
+func (tb *table) views(now time.Time) []agentView {
+	tb.mu.Lock()
+	names := make([]string, 0, len(tb.agents))
+	for name := range tb.agents {
+		names = append(names, name)
+	}
+	tb.mu.Unlock()
+	sort.Strings(names)
+	var out []agentView
+	for _, name := range names {
+		if v, ok := tb.view(name, now); ok {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// sweep drops agents that have been silent for long and returns the names of
+// those that have just gone missing.
+func (tb *table) sweep(now time.Time) (missing []string) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for name, a := range tb.agents {
+		if now.Sub(a.lastBeat) > forgetAfter {
+			tb.dropTasks(a)
+			delete(tb.agents, name)
+			continue
+		}
+		if !a.missing && !tb.fresh(a, now) {
+			a.missing = true
+			missing = append(missing, name)
+		}
+	}
+	sort.Strings(missing)
+	return missing
+}
--- a/message/decode.go
+++ b/message/decode.go
@@ -93,6 +93,9 @@
 	case reflect.Struct:
 		checkStruct(faults, key, raw, t)
 	case reflect.Slice:
+		if string(raw) == "null" { // encoding/json writes an absent list so
+			return
+		}
 		if t.Elem().Kind() == reflect.Uint8 {
 			checkBytes(faults, key, raw)
 			return
