--- a/caller/client.go
+++ b/caller/client.go
@@ -14,6 +14,8 @@
 // maxAnswerBytes is the size of an answer of 16 MiB in base64, with its head.
 const maxAnswerBytes = 16<<20*4/3 + 64<<10
 
+const answerGrace = 2 * time.Second
+
 // Client is a caller's view of the entries. It implements
 // rosemarysill.CallerService and is safe for concurrent use.
 type Client struct {
@@ -35,7 +37,9 @@
 // when it is proved not run; after OutcomeUnknown the caller may ask again with
 // Resent set.
 func (c *Client) Call(ctx context.Context, call rosemarysill.Call) rosemarysill.Answer {
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	// An answer that says what became of the call at its deadline still has
+	// to arrive.
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(answerGrace))
 	defer cancel()
 	var answer CallAnswer
 	err := message.TryEach(ctx, c.entries, call.Idempotent, func(entry netip.AddrPort) error {
