--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -48,8 +48,8 @@
 		b.beat++
 		b.sent, b.finished, b.taken = 0, 0, 0
 	} else {
-		// The same report, or an older one; only what operators set may differ.
-		u.FreeSlots, u.LastBeat, u.Leaving = b.state.FreeSlots, b.state.LastBeat, b.state.Leaving
+		// The same report, or an older one; what operators set may differ.
+		u.FreeSlots, u.LastBeat, u.Leaving = b.state.FreeSlots, b.state.LastBeat, b.state.Leaving || u.Leaving
 	}
 	b.state = u
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/rosemarysill/rosemarysill"
@@ -80,16 +81,19 @@
 	queues  queues
 	fleet   fleet
 	tickets map[Ticket]*ticket
-	budget  float64 // retries that are left
+	budget  int // thousandths of retries that are left
 	service [3]average
 	effects []Effect
 }
 
 // NewState returns a state without calls or upstreams.
 func NewState(l Limits) *State {
-	return &State{limits: l, queues: newQueues(), tickets: map[Ticket]*ticket{}, budget: l.RetryReserve}
+	return &State{limits: l, queues: newQueues(), tickets: map[Ticket]*ticket{}, budget: thousandths(l.RetryReserve)}
 }
 
+// thousandths keeps the budget in whole numbers: sums of 0.1 lose a retry.
+func thousandths(retries float64) int { return int(math.Round(retries * 1000)) }
+
 // Decide applies the event and returns what is to be done. The effects are
 // valid until the next call.
 func (s *State) Decide(e Event, now time.Time) []Effect {
@@ -113,7 +117,7 @@
 func (s *State) InProgress() int { return len(s.tickets) - s.queues.waiting() }
 
 func (e Arrived) apply(s *State, now time.Time) {
-	s.budget = min(s.budget+s.limits.RetryShare, max(s.limits.RetryMost, s.limits.RetryReserve))
+	s.budget = min(s.budget+thousandths(s.limits.RetryShare), thousandths(max(s.limits.RetryMost, s.limits.RetryReserve)))
 	if code, detail := s.Refusal(e.Account, e.Class, e.Deadline, now); code != rosemarysill.Done {
 		s.effects = append(s.effects, End{Ticket: e.Ticket, Code: code, Detail: detail})
 		return
@@ -166,7 +170,8 @@
 	if ahead < free {
 		return own
 	}
-	return own + work/time.Duration(slots)
+	// The last term is the wait for the slot of the call itself.
+	return own + (work+own)/time.Duration(slots)
 }
 
 func (e Reported) apply(s *State, _ time.Time) { s.fleet = s.fleet.update(e.Upstreams) }
@@ -235,10 +240,10 @@
 	if reroutable[e.Code] {
 		return true
 	}
-	if e.Code != rosemarysill.OutcomeUnknown || !t.idempotent || s.budget < 1 {
+	if e.Code != rosemarysill.OutcomeUnknown || !t.idempotent || s.budget < thousandths(1) {
 		return false
 	}
-	s.budget--
+	s.budget -= thousandths(1)
 	return true
 }
 
