--- a/upstream/call.go
+++ b/upstream/call.go
@@ -89,6 +89,9 @@
 	if _, known := auth.Config.Account(c.Account); !known {
 		return rosemarysill.UnknownAccount, "the client account is not declared"
 	}
+	if !now.Before(c.Deadline) {
+		return rosemarysill.DeadlineUnmeetable, "the deadline has passed"
+	}
 	if c.Deadline.Sub(now) > r.opts.Timings.RequestMemory/2 {
 		return rosemarysill.InvalidRequest, "the deadline is later than the identifier is honoured"
 	}
--- a/upstream/fake_test.go
+++ b/upstream/fake_test.go
@@ -255,5 +255,23 @@
 	return rosemarysill.Call{ID: id, Account: "Sfax", Class: rosemarysill.Normal, Deadline: time.Now().Add(10 * time.Second), Body: []byte("coil")}
 }
 
+// start sends n calls at the same time, each changed by edit, to the router and
+// returns a function that waits for the answers and counts their codes.
+func (b *bench) start(r *Router, n int, edit func(i int, c *rosemarysill.Call)) func() map[rosemarysill.Code]int {
+	answers := make(chan rosemarysill.Code, n)
+	for i := range n {
+		call := b.call()
+		edit(i, &call)
+		go func() { answers <- r.Call(context.Background(), call).Code }()
+	}
+	return func() map[rosemarysill.Code]int {
+		codes := map[rosemarysill.Code]int{}
+		for range n {
+			codes[<-answers]++
+		}
+		return codes
+	}
+}
+
 // seeded returns a random source with a fixed seed.
 func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
--- a/upstream/once_test.go
+++ b/upstream/once_test.go
@@ -80,6 +80,20 @@
 	}
 }
 
+// TestUnreadableRecordProvesNothing guards against "not run" for a call that an
+// unmarked duplicate finds recorded but cannot read.
+func TestUnreadableRecordProvesNothing(t *testing.T) {
+	inBubble(t, 2, 1, func(b *bench) {
+		call := b.call()
+		require.Equal(t, rosemarysill.Done, b.entries[0].Call(context.Background(), call).Code)
+		b.change(func() { b.faults["Get"] = []storeFault{loses} })
+		require.Equal(t, rosemarysill.OutcomeUnknown, b.entries[1].Call(context.Background(), call).Code)
+		call.Body = []byte("flipper")
+		require.Equal(t, rosemarysill.IdentifierReused, b.entries[1].Call(context.Background(), call).Code)
+		require.Equal(t, 1, b.fleet.ran(call.ID))
+	})
+}
+
 func mixesUp(_ context.Context, f *fakeFleet, _ int, r rosemarysill.ForwardRequest) (rosemarysill.Answer, error) {
 	a := f.run(r)
 	a.ID = uuid.Max
