cmd, demo: settings files, check, and a demonstration on stand-ins

Cause: processes took their settings from flags and nothing showed the whole system. Change: entry and agent read checked settings; check reports all faults of a file; demo runs entries, agents and stand-ins in one process. Ruled out: starting processes from demo, because a process of the system starts no other.

--- /dev/null
+++ b/cmd/rosemarysill/demo.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/demo"
+)
+
+func demoCommands() []command {
+	return []command{
+		{name: "demo", short: "Run the main job on embedded stand-ins", data: &demoCommand{},
+			long: "Starts entries, agents and stand-ins of the platform in this process, runs calls and gangs of several client accounts, takes a failure domain out and brings it back, and prints what happened with a summary. It takes seconds and needs nothing."},
+	}
+}
+
+type demoCommand struct {
+	Verbose bool `long:"verbose" description:"Log the events of all processes to standard error"`
+}
+
+// Execute runs the demonstration.
+func (c *demoCommand) Execute([]string) error {
+	level := zerolog.Disabled
+	if c.Verbose {
+		level = zerolog.InfoLevel
+	}
+	ctx, cancel := interruptible()
+	defer cancel()
+	return demo.Run(ctx, os.Stdout, rosemarysill.WithLog(newLogger(level)))
+}
--- a/cmd/rosemarysill/intent.go
+++ b/cmd/rosemarysill/intent.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"encoding/json"
-	"os"
-
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/settings"
 )
 
 type declareCommand struct {
@@ -16,14 +14,9 @@
 
 // Execute asks for the plan.
 func (c *declareCommand) Execute([]string) error {
-	data, err := os.ReadFile(c.Args.File)
+	doc, err := settings.ReadOperators(c.Args.File)
 	if err != nil {
-		return rosemarysill.NewError(rosemarysill.InvalidArguments, "%v", err)
-	}
-	in := rosemarysill.Intent{Kind: rosemarysill.Declare}
-	if err := json.Unmarshal(data, &in); err != nil {
-		return rosemarysill.NewError(rosemarysill.InvalidSettings, "%v", err)
+		return err
 	}
-	in.Kind = rosemarysill.Declare
-	return c.askPlan(in)
+	return c.askPlan(rosemarysill.Intent{Kind: rosemarysill.Declare, Accounts: doc.Accounts, Domains: doc.Domains})
 }
--- a/cmd/rosemarysill/process.go
+++ b/cmd/rosemarysill/process.go
@@ -13,9 +13,11 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/agent"
 	"github.com/rosemarysill/rosemarysill/entry"
+	"github.com/rosemarysill/rosemarysill/message"
 	"github.com/rosemarysill/rosemarysill/peer"
 	"github.com/rosemarysill/rosemarysill/placement"
 	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/settings"
 	"github.com/rosemarysill/rosemarysill/upstream"
 	"github.com/rosemarysill/rosemarysill/worker"
 )
@@ -23,12 +25,19 @@
 func processCommands() []command {
 	return []command{
 		{name: "entry", short: "Run an entry process", data: &entryCommand{},
-			long: "Serves callers and operators over HTTP, and agents and other entries over gRPC. SIGTERM begins a graceful shutdown; a second signal ends the process at once."},
+			long: "Serves callers and operators over HTTP, and agents and other entries over gRPC. SIGTERM begins a graceful shutdown: requests in progress are finished. A second signal ends the process at once."},
 		{name: "agent", short: "Run the agent beside an upstream or a worker", data: &agentCommand{},
-			long: "Announces its upstream or worker to the entries and is the last check before any work. SIGTERM begins a graceful shutdown; a second signal ends the process at once."},
+			long: "Announces its upstream or worker to the entries and is the last check before any work. SIGTERM begins a graceful shutdown: no new work is taken and what is in progress is finished. A second signal ends the process at once."},
 	}
 }
 
+// settingsArgument names the settings file of a process.
+type settingsArgument struct {
+	Args struct {
+		File string `positional-arg-name:"SETTINGS" required:"true" description:"Settings file in YAML"`
+	} `positional-args:"true" required:"true"`
+}
+
 // untilSignal returns a context that ends with the first SIGTERM or interrupt.
 // The handler is removed then, so that a second signal ends the process.
 func untilSignal() context.Context {
@@ -37,81 +46,119 @@
 	return ctx
 }
 
-type entryCommand struct {
-	Name  string   `long:"name" required:"true"`
-	HTTP  string   `long:"http" required:"true"`
-	GRPC  string   `long:"grpc" required:"true"`
-	Store string   `long:"store" required:"true"`
-	Peers []string `long:"peer"`
-	Scale float64  `long:"scale" default:"1"`
+// newLogger returns a logger to standard error.
+func newLogger(level zerolog.Level) zerolog.Logger {
+	return zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+}
+
+// listen opens a listener of a process.
+func listen(address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, rosemarysill.NewError(rosemarysill.InvalidSettings, "listen: %v", err)
+	}
+	return l, nil
 }
 
-// Execute runs the entry.
+type entryCommand struct{ settingsArgument }
+
+// Execute runs the entry until a signal arrives.
 func (c *entryCommand) Execute([]string) error {
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	opts := []rosemarysill.Option{rosemarysill.WithLog(log), rosemarysill.WithTimings(rosemarysill.DefaultTimings().Scaled(c.Scale))}
-	clients := peer.NewClients(peer.ClientsConfig{}, opts...)
-	defer clients.Close()
-	store := platform.NewClient(netip.MustParseAddrPort(c.Store), platform.DefaultOptions())
-	defer store.Close()
-	opts = append(opts, rosemarysill.WithStore(store), rosemarysill.WithAgents(clients), rosemarysill.WithPeers(clients), rosemarysill.WithPolicy(placement.New()))
-	cfg := entry.Config{Name: c.Name, HTTP: netip.MustParseAddrPort(c.HTTP), GRPC: netip.MustParseAddrPort(c.GRPC)}
-	for _, p := range c.Peers {
-		cfg.Peers = append(cfg.Peers, netip.MustParseAddrPort(p))
+	s, err := settings.ReadEntry(c.Args.File)
+	log := newLogger(s.Log.Level)
+	settings.LogResult(log, c.Args.File, err)
+	if err != nil {
+		return err
 	}
-	h, err := net.Listen("tcp", c.HTTP)
+	httpListener, err := listen(s.Listen.HTTP)
 	if err != nil {
 		return err
 	}
-	g, err := net.Listen("tcp", c.GRPC)
+	grpcListener, err := listen(s.Listen.GRPC)
 	if err != nil {
 		return err
 	}
-	return entry.New(cfg, opts...).Run(untilSignal(), h, g)
+	opts := []rosemarysill.Option{rosemarysill.WithLog(log), rosemarysill.WithTimings(s.Timings)}
+	clients := peer.NewClients(peer.ClientsConfig{}, opts...)
+	defer clients.Close()
+	store := platform.NewClient(s.Store, storeOptions(s.Limits))
+	defer store.Close()
+	opts = append(opts, rosemarysill.WithStore(store), rosemarysill.WithAgents(clients),
+		rosemarysill.WithPeers(clients), rosemarysill.WithPolicy(placement.New(placement.WithTimings(s.Timings))))
+	return entry.New(entryConfig(s), opts...).Run(untilSignal(), httpListener, grpcListener)
 }
 
-type agentCommand struct {
-	Name         string   `long:"name" required:"true"`
-	Kind         string   `long:"kind" required:"true"`
-	Listen       string   `long:"listen" required:"true"`
-	Domain       string   `long:"domain" required:"true"`
-	Rack         string   `long:"rack"`
-	Backend      string   `long:"backend" required:"true"`
-	Entries      []string `long:"entry" required:"true"`
-	Slots        int      `long:"slots" default:"8"`
-	Accelerators int      `long:"accelerators" default:"8"`
-	Scale        float64  `long:"scale" default:"1"`
+func storeOptions(l settings.EntryLimits) platform.Options {
+	o := platform.DefaultOptions()
+	o.WritesPerS, o.ReadsPerS, o.CallTimeout = l.StoreWritesPerS, l.StoreReadsPerS, l.StoreTimeout
+	return o
 }
 
-// Execute runs the agent.
-func (c *agentCommand) Execute([]string) error {
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	opts := []rosemarysill.Option{rosemarysill.WithLog(log), rosemarysill.WithTimings(rosemarysill.DefaultTimings().Scaled(c.Scale))}
-	clients := peer.NewClients(peer.ClientsConfig{}, opts...)
-	defer clients.Close()
-	cfg := agent.Config{Identity: rosemarysill.AgentIdentity{
-		Name: c.Name, Kind: rosemarysill.AgentKind(c.Kind), Address: netip.MustParseAddrPort(c.Listen), Domain: c.Domain, Rack: c.Rack,
-		Slots: c.Slots, Accelerators: c.Accelerators, Processors: 64, MemoryMB: 128 << 10,
-	}}
-	for _, e := range c.Entries {
-		cfg.Entries = append(cfg.Entries, netip.MustParseAddrPort(e))
+func entryConfig(s settings.Entry) entry.Config {
+	cfg := entry.Config{
+		Name: s.Name, HTTP: s.Listen.HTTP, GRPC: s.Listen.GRPC, Peers: s.Peers,
+		MaxJobs: s.Limits.MaxJobs, MaxAgents: s.Limits.MaxAgents, MaxJobBodyBytes: s.Limits.MaxJobBodyBytes,
+		Limits: message.DefaultLimits(), Calls: upstream.DefaultLimits(),
 	}
-	backend := netip.MustParseAddrPort(c.Backend)
-	var a *agent.Agent
-	if c.Kind == string(rosemarysill.UpstreamAgent) {
-		a = agent.NewUpstream(cfg, clients, upstream.NewClient(backend, upstream.ClientOptions{}), opts...)
-	} else {
-		a = agent.NewWorker(cfg, clients, worker.NewRuntime(backend, worker.RuntimeOptions{}), opts...)
+	cfg.Limits.BodyBytes = int64(s.Limits.MaxBodyBytes)*4/3 + 4096 // base64 and the other fields
+	cfg.Limits.HeldBytes = s.Limits.MaxHeldBytes
+	cfg.Limits.Requests = int64(s.Limits.MaxRequests)
+	cfg.Limits.ReadWithin, cfg.Limits.WriteWithin = s.Limits.ReadTimeout, s.Limits.WriteTimeout
+	d := &cfg.Calls.Dispatch
+	d.Queued, d.QueuePerAccount, d.Attempts = s.Limits.MaxQueuedCalls, s.Limits.MaxQueuedPerAccount, s.Limits.MaxAttempts
+	d.RetryShare, d.RetryReserve = s.Limits.RetryBudget, float64(s.Limits.RetryReserve)
+	cfg.Calls.InProgress, cfg.Calls.AnswerBytes = s.Limits.MaxCalls, s.Limits.MaxAnswerBytes
+	cfg.Calls.Record.StoredBytes = s.Limits.MaxStoredBytes
+	return cfg
+}
+
+type agentCommand struct{ settingsArgument }
+
+// Execute runs the agent until a signal arrives.
+func (c *agentCommand) Execute([]string) error {
+	s, err := settings.ReadAgent(c.Args.File)
+	log := newLogger(s.Log.Level)
+	settings.LogResult(log, c.Args.File, err)
+	if err != nil {
+		return err
 	}
-	l, err := net.Listen("tcp", c.Listen)
+	l, err := listen(s.Listen)
 	if err != nil {
 		return err
 	}
-	ctx := untilSignal()
+	opts := []rosemarysill.Option{rosemarysill.WithLog(log), rosemarysill.WithTimings(s.Timings)}
+	clients := peer.NewClients(peer.ClientsConfig{}, opts...)
+	defer clients.Close()
+	a, closeBackEnd := newAgent(s, clients, opts)
+	defer closeBackEnd()
+	return serveAgent(untilSignal(), a, l, opts)
+}
+
+// newAgent returns the agent and what closes the connections to its back end.
+func newAgent(s settings.Agent, entries rosemarysill.Entries, opts []rosemarysill.Option) (*agent.Agent, func()) {
+	cfg := agent.Config{
+		Identity: rosemarysill.AgentIdentity{
+			Name: s.Name, Kind: s.Kind, Address: s.Listen, Domain: s.Domain, Rack: s.Rack,
+			Slots: s.Capacity.Slots, Accelerators: s.Capacity.Accelerators,
+			Processors: s.Capacity.Processors, MemoryMB: s.Capacity.MemoryMB,
+		},
+		Entries: s.Entries, MaxEntries: s.Limits.MaxEntries, MaxAnswer: s.Limits.MaxAnswerBytes,
+	}
+	if s.Kind == rosemarysill.UpstreamAgent {
+		u := upstream.NewClient(s.BackEnd, upstream.ClientOptions{})
+		return agent.NewUpstream(cfg, entries, u, opts...), u.Close
+	}
+	r := worker.NewRuntime(s.BackEnd, worker.RuntimeOptions{})
+	return agent.NewWorker(cfg, entries, r, opts...), r.Close
+}
+
+// serveAgent runs the agent with its server. The server outlives ctx, because
+// entries still ask for what is in progress while the agent stops.
+func serveAgent(ctx context.Context, a *agent.Agent, l net.Listener, opts []rosemarysill.Option) error {
 	server := peer.NewServer(peer.ServerConfig{}, peer.Handlers{Agent: a}, opts...)
-	serving, stop := context.WithCancel(context.Background())
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	go func() { _ = server.Run(serving, l) }()
-	err = a.Run(ctx)
+	err := a.Run(ctx)
 	stop()
 	<-server.Done()
 	return err
--- a/cmd/rosemarysill/process_test.go
+++ b/cmd/rosemarysill/process_test.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -92,7 +94,7 @@
 }
 
 // scale shortens the timings of the protocol, so that failures show sooner.
-const scale = "0.25"
+const scale = 0.25
 
 var domains = []string{"Bizerte", "Tunis", "Nabeul", "Sousse"}
 
@@ -125,28 +127,49 @@
 	return d
 }
 
-func (d *deployment) startEntry(i int) *process {
-	args := []string{
-		"entry", "--name", fmt.Sprintf("entry-%d", i), "--http", d.http[i].String(), "--grpc", d.grpc[i].String(),
-		"--store", d.storeAddr.String(), "--scale", scale,
+// writeSettings writes a settings file into the test's directory.
+func (d *deployment) writeSettings(name string, lines ...string) string {
+	d.t.Helper()
+	t := rosemarysill.DefaultTimings().Scaled(scale)
+	lines = append(lines, "Log:", "  Level: info", "Timings:")
+	for key, value := range map[string]time.Duration{
+		"BeatEvery": t.BeatEvery, "FreshFor": t.FreshFor, "StoreFresh": t.StoreFresh, "ConfirmEvery": t.ConfirmEvery,
+		"ConfirmFresh": t.ConfirmFresh, "OutageGrace": t.OutageGrace, "Margin": t.Margin, "MemberFresh": t.MemberFresh,
+		"ReserveFor": t.ReserveFor, "GangLease": t.GangLease, "PlacerLease": t.PlacerLease,
+	} {
+		lines = append(lines, fmt.Sprintf("  %s: %s", key, value))
 	}
-	for j, peer := range d.grpc {
-		if j != i {
-			args = append(args, "--peer", peer.String())
-		}
+	path := filepath.Join(d.t.TempDir(), name+".yaml")
+	require.NoError(d.t, os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
+	return path
+}
+
+func list(addresses []netip.AddrPort) string {
+	var out []string
+	for _, a := range addresses {
+		out = append(out, fmt.Sprintf("%q", a))
 	}
-	return start(d.t, args...)
+	return "[" + strings.Join(out, ", ") + "]"
+}
+
+func (d *deployment) startEntry(i int) *process {
+	peers := slices.Delete(slices.Clone(d.grpc), i, i+1)
+	path := d.writeSettings(fmt.Sprintf("entry-%d", i),
+		fmt.Sprintf("Name: entry-%d", i), "Domain: "+domains[i%len(domains)],
+		fmt.Sprintf("Listen: {HTTP: %q, GRPC: %q}", d.http[i], d.grpc[i]),
+		fmt.Sprintf("Store: %q", d.storeAddr), "Peers: "+list(peers), "Limits: {StoreTimeout: 200ms}")
+	return start(d.t, "entry", path)
 }
 
-func (d *deployment) startAgent(name, kind, domain, rack string, backend netip.AddrPort) {
-	args := []string{
-		"agent", "--name", name, "--kind", kind, "--listen", freePort(d.t).String(), "--domain", domain,
-		"--rack", rack, "--backend", backend.String(), "--scale", scale,
+func (d *deployment) startAgent(name, kind, domain, rack, capacity string, backEnd netip.AddrPort) {
+	lines := []string{
+		"Name: " + name, "Kind: " + kind, "Domain: " + domain, fmt.Sprintf("Listen: %q", freePort(d.t)),
+		"Entries: " + list(d.grpc), fmt.Sprintf("BackEnd: %q", backEnd), "Capacity: " + capacity,
 	}
-	for _, e := range d.grpc {
-		args = append(args, "--entry", e.String())
+	if rack != "" {
+		lines = append(lines, "Rack: "+rack)
 	}
-	d.agents[name] = start(d.t, args...)
+	d.agents[name] = start(d.t, "agent", d.writeSettings(name, lines...))
 }
 
 func (d *deployment) startUpstream(name, domain string) {
@@ -155,7 +178,7 @@
 	require.NoError(d.t, err)
 	d.t.Cleanup(server.Stop)
 	d.upstreams[name] = u
-	d.startAgent(name, "Upstream", domain, "", server.Address())
+	d.startAgent(name, "Upstream", domain, "", "{Slots: 8}", server.Address())
 }
 
 func (d *deployment) startWorker(name, domain, rack string) {
@@ -164,7 +187,7 @@
 	require.NoError(d.t, err)
 	d.t.Cleanup(server.Stop)
 	d.runtimes[name] = r
-	d.startAgent(name, "Worker", domain, rack, server.Address())
+	d.startAgent(name, "Worker", domain, rack, "{Accelerators: 8, Processors: 64, MemoryMB: 131072}", server.Address())
 }
 
 // eventually asks until f succeeds.
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -8,10 +8,6 @@
 	"github.com/rosemarysill/rosemarysill/event"
 )
 
-// maxAgents bounds the table of agents; it is about twice the two-year size of
-// the fleet, upstreams included.
-const maxAgents = 4096
-
 // Beat takes the reports of a heartbeat and answers with orders. It grants
 // freshness and gang leases only while this entry has authority.
 func (e *Entry) Beat(_ context.Context, b rosemarysill.Beat) (rosemarysill.BeatReply, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,32 +24,36 @@
 
 // Config is what an entry needs besides its options.
 type Config struct {
-	Name     string
-	HTTP     netip.AddrPort // for callers and operators
-	GRPC     netip.AddrPort // for agents and other entries
-	Peers    []netip.AddrPort
-	MaxJobs  int            // jobs that are not final; default 20,000
-	Limits   message.Limits // of HTTP requests
-	StopFor  time.Duration  // longest wait for requests in progress at shutdown; default 30 s
-	KeepJobs time.Duration  // after which a final job is deleted from the store; default 24 h
+	Name   string
+	HTTP   netip.AddrPort // for callers and operators
+	GRPC   netip.AddrPort // for agents and other entries
+	Peers  []netip.AddrPort
+	Limits message.Limits  // of HTTP requests; default message.DefaultLimits
+	Calls  upstream.Limits // of the router; default upstream.DefaultLimits
+
+	MaxJobs         int           // jobs that are not final; default 10,000
+	MaxAgents       int           // in the table; default 2,500
+	MaxJobBodyBytes int           // of a job's body; default 512 KiB, because its record must fit into 1 MB
+	KeepJobs        time.Duration // after which a final job is deleted from the store; default 24 h
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxJobs <= 0 {
-		c.MaxJobs = 20000
-	}
-	if c.StopFor <= 0 {
-		c.StopFor = 30 * time.Second
-	}
-	if c.KeepJobs <= 0 {
-		c.KeepJobs = 24 * time.Hour
-	}
-	if c.Limits == (message.Limits{}) {
-		c.Limits = message.DefaultLimits()
-	}
+	setDefault(&c.MaxJobs, 10000)
+	setDefault(&c.MaxAgents, 2500)
+	setDefault(&c.MaxJobBodyBytes, 512<<10)
+	setDefault(&c.KeepJobs, 24*time.Hour)
+	setDefault(&c.Limits, message.DefaultLimits())
+	setDefault(&c.Calls, upstream.DefaultLimits())
 	return c
 }
 
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
 // Entry is one entry process. It implements the services for callers and
 // operators, and rosemarysill.BeatReceiver for agents.
 type Entry struct {
@@ -79,7 +83,7 @@
 		cfg:    cfg,
 		opts:   o,
 		self:   rosemarysill.Member{ID: uuid.New(), Name: cfg.Name, Address: cfg.GRPC, State: rosemarysill.Joining},
-		table:  newTable(o.Timings),
+		table:  newTable(o.Timings, cfg.MaxAgents),
 		wakeUp: make(chan struct{}, 1),
 		done:   make(chan struct{}),
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -76,6 +76,9 @@
 	if err := checkAge(spec.ID, e.opts.Timings.RequestMemory/2, now); err != nil {
 		return err
 	}
+	if n := len(spec.Body); n > e.cfg.MaxJobBodyBytes {
+		return rosemarysill.NewError(rosemarysill.TooLarge, "the body has %d bytes, the limit is %d", n, e.cfg.MaxJobBodyBytes)
+	}
 	auth := e.members.Authority()
 	if !auth.ByStore(now) {
 		return rosemarysill.NewError(rosemarysill.StoreUnavailable, "a job is accepted only while the store answers")
--- a/entry/table.go
+++ b/entry/table.go
@@ -48,12 +48,13 @@
 type table struct {
 	mu     sync.Mutex
 	t      rosemarysill.Timings
+	limit  int // agents
 	agents map[string]*agentState
 	gangs  map[gangKey]map[int]memberSeen
 }
 
-func newTable(t rosemarysill.Timings) *table {
-	return &table{t: t, agents: map[string]*agentState{}, gangs: map[gangKey]map[int]memberSeen{}}
+func newTable(t rosemarysill.Timings, limit int) *table {
+	return &table{t: t, limit: limit, agents: map[string]*agentState{}, gangs: map[gangKey]map[int]memberSeen{}}
 }
 
 // admits reports whether the table has room for the agent.
@@ -61,7 +62,7 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	_, ok := tb.agents[name]
-	return ok || len(tb.agents) < maxAgents
+	return ok || len(tb.agents) < tb.limit
 }
 
 // observe takes a report into the table. It returns false for a report that is
