entry: tests of gang leases, old heartbeats and the placement lease

Cause: the table of agents and the placement lease had no failure tests, and an entry without authority sent its revision without the domain and drain state that belong to it, so an agent could have adopted the revision with wrong content. Change: a revision is sent only with its content; tests. Ruled out: sending no revision without authority, because a newer revision is useful to the agent whoever brings it.

--- a/entry/beats.go
+++ b/entry/beats.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
 )
@@ -38,31 +40,29 @@
 	if accepted && (r.HasTasks || appeared) {
 		e.wake()
 	}
-	return e.orders(r, accepted, auth, now), nil
+	return e.orders(r, accepted, auth, e.members.Fenced, now), nil
 }
 
 // orders answers one report. A report that was not accepted is old: it is
 // granted nothing, because its sender may have been replaced.
-func (e *Entry) orders(r rosemarysill.AgentReport, accepted bool, auth rosemarysill.Authority, now time.Time) rosemarysill.AgentOrders {
+func (e *Entry) orders(r rosemarysill.AgentReport, accepted bool, auth rosemarysill.Authority, fenced func(uuid.UUID, int) bool, now time.Time) rosemarysill.AgentOrders {
 	known, digest := e.table.acknowledged(r.Name)
-	o := rosemarysill.AgentOrders{
-		Name:         r.Name,
-		SendIdentity: !known,
-		AckedDigest:  digest,
-		Revision:     auth.Config.Revision,
-		Epoch:        e.epochSeen.Load(),
-	}
-	if !accepted || !known || !auth.Valid(now) {
+	o := rosemarysill.AgentOrders{Name: r.Name, SendIdentity: !known, AckedDigest: digest, Epoch: e.epochSeen.Load()}
+	if !accepted || !known {
 		return o
 	}
 	v, _ := e.table.view(r.Name, now)
+	o.Revision = auth.Config.Revision
 	o.DomainOut = auth.Config.DomainOut(v.identity.Domain)
 	o.Drained = auth.Config.IsDrained(r.Name)
+	if !auth.Valid(now) {
+		return o
+	}
 	o.FreshFor = min(e.opts.Timings.FreshFor, auth.Until.Sub(now))
 	// Only established entries are asked to honour a fence, so only they may
 	// extend gang leases.
 	if auth.Established {
-		o.Leases = e.table.leases(r.Name, e.members.Fenced, now)
+		o.Leases = e.table.leases(r.Name, fenced, now)
 	}
 	return o
 }
--- /dev/null
+++ b/entry/table_test.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill"
+)
+
+var testStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// testAgent sends reports of one agent to a table.
+type testAgent struct {
+	tb   *table
+	name string
+	boot uuid.UUID
+	seq  uint64
+}
+
+func (a *testAgent) beat(now time.Time, tasks ...rosemarysill.TaskReport) bool {
+	a.seq++
+	accepted, _ := a.tb.observe(rosemarysill.AgentReport{
+		Name: a.name, Boot: a.boot, Sequence: a.seq, HasTasks: true, Tasks: tasks, TasksDigest: a.seq,
+		Identity: &rosemarysill.AgentIdentity{Name: a.name, Boot: a.boot, Kind: rosemarysill.WorkerAgent, Domain: "Tunis"},
+	}, now)
+	return accepted
+}
+
+func member(job uuid.UUID, i, of int, state rosemarysill.TaskState) rosemarysill.TaskReport {
+	return rosemarysill.TaskReport{Job: job, Attempt: 1, Member: i, Members: of, State: state}
+}
+
+func neverFenced(uuid.UUID, int) bool { return false }
+
+// TestGangLeases guards against extending the lease of a gang that does not run
+// whole.
+func TestGangLeases(t *testing.T) {
+	timings := rosemarysill.DefaultTimings()
+	job := uuid.New()
+	cases := map[string]struct {
+		second  rosemarysill.TaskState // of member 1; empty: not reported
+		silence time.Duration          // of the second agent
+		reboot  bool                   // of the second agent
+		fenced  bool
+		want    int
+	}{
+		"all members run":                 {second: rosemarysill.TaskRunning, want: 1},
+		"a member has finished":           {second: rosemarysill.TaskDone, want: 1},
+		"a member failed":                 {second: rosemarysill.TaskFailure},
+		"a member stopped":                {second: rosemarysill.TaskStopped},
+		"a member is only reserved":       {second: rosemarysill.TaskReserved},
+		"a member is not reported":        {},
+		"an agent is silent":              {second: rosemarysill.TaskRunning, silence: timings.MemberFresh},
+		"an agent is silent, not missing": {second: rosemarysill.TaskRunning, silence: timings.MemberFresh - 1, want: 1},
+		"an agent has a new boot":         {second: rosemarysill.TaskRunning, reboot: true},
+		"the attempt is fenced":           {second: rosemarysill.TaskRunning, fenced: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tb := newTable(timings, 10)
+			a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
+			b := &testAgent{tb: tb, name: "b", boot: uuid.New()}
+			if c.second != "" {
+				require.True(t, b.beat(testStart, member(job, 1, 2, c.second)))
+			}
+			if c.reboot {
+				b.boot, b.seq = uuid.New(), 0
+				require.True(t, b.beat(testStart))
+			}
+			now := testStart.Add(c.silence)
+			require.True(t, a.beat(now, member(job, 0, 2, rosemarysill.TaskRunning)))
+			got := tb.leases("a", func(uuid.UUID, int) bool { return c.fenced }, now)
+			require.Len(t, got, c.want)
+		})
+	}
+}
+
+// TestOldReportsAreRefused guards against a late heartbeat that makes a gone
+// agent, or an old state of one, look alive.
+func TestOldReportsAreRefused(t *testing.T) {
+	tb := newTable(rosemarysill.DefaultTimings(), 10)
+	a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
+	require.True(t, a.beat(testStart))
+	old := *a
+	require.True(t, a.beat(testStart.Add(time.Second)))
+	require.False(t, old.beat(testStart.Add(2*time.Second)), "a repeated sequence")
+
+	former := *a
+	a.boot, a.seq = uuid.New(), 0
+	require.True(t, a.beat(testStart.Add(3*time.Second)))
+	require.False(t, former.beat(testStart.Add(4*time.Second)), "a former boot")
+
+	v, ok := tb.view("a", testStart.Add(4*time.Second))
+	require.True(t, ok)
+	require.Equal(t, a.boot, v.identity.Boot)
+}
+
+// TestSweep guards against agents that vanish without notice, and against a
+// table that only grows.
+func TestSweep(t *testing.T) {
+	tb := newTable(rosemarysill.DefaultTimings(), 1)
+	a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
+	require.True(t, a.beat(testStart, member(uuid.New(), 0, 1, rosemarysill.TaskRunning)))
+	require.False(t, tb.admits("b"), "the table is full")
+	require.Empty(t, tb.sweep(testStart))
+	later := testStart.Add(rosemarysill.DefaultTimings().MemberFresh)
+	require.Equal(t, []string{"a"}, tb.sweep(later))
+	require.Empty(t, tb.sweep(later), "reported once")
+	require.Empty(t, tb.sweep(testStart.Add(forgetAfter+1)))
+	require.True(t, tb.admits("b"))
+	require.Empty(t, tb.gangs)
+}
+
+// TestOrders guards against freshness or gang leases from an entry that may not
+// grant them.
+func TestOrders(t *testing.T) {
+	timings := rosemarysill.DefaultTimings()
+	cfg := rosemarysill.Configuration{Revision: 7, Domains: []rosemarysill.Domain{{Name: "Tunis"}}, Drained: []string{"a"}}
+	cases := map[string]struct {
+		auth      rosemarysill.Authority
+		old       bool
+		wantFresh time.Duration
+		wantLease int
+	}{
+		"authority for long":  {auth: rosemarysill.Authority{Until: testStart.Add(time.Hour), Established: true}, wantFresh: timings.FreshFor, wantLease: 1},
+		"authority for short": {auth: rosemarysill.Authority{Until: testStart.Add(time.Second), Established: true}, wantFresh: time.Second, wantLease: 1},
+		"joining entry":       {auth: rosemarysill.Authority{Until: testStart.Add(time.Hour)}, wantFresh: timings.FreshFor},
+		"no authority":        {auth: rosemarysill.Authority{Until: testStart, Established: true}},
+		"old report":          {auth: rosemarysill.Authority{Until: testStart.Add(time.Hour), Established: true}, old: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tb := newTable(timings, 10)
+			a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
+			require.True(t, a.beat(testStart, member(uuid.New(), 0, 1, rosemarysill.TaskRunning)))
+			e := &Entry{opts: rosemarysill.NewOptions(), table: tb}
+			c.auth.Config = cfg
+			o := e.orders(rosemarysill.AgentReport{Name: "a"}, !c.old, c.auth, neverFenced, testStart)
+			require.Equal(t, c.wantFresh, o.FreshFor)
+			require.Len(t, o.Leases, c.wantLease)
+			require.Equal(t, !c.old, o.Drained, "a revision comes with its content")
+			require.Equal(t, !c.old, o.Revision == 7)
+		})
+	}
+}
