--- a/caller/client.go
+++ b/caller/client.go
@@ -11,11 +11,21 @@
 	"github.com/rosemarysill/rosemarysill/message"
 )
 
-// maxAnswerBytes is the size of an answer of 16 MiB in base64, with its head.
-const maxAnswerBytes = 16<<20*4/3 + 64<<10
+// maxMessageBytes is the size of the largest answer in base64, with its head.
+const maxMessageBytes = maxAnswerBytes*4/3 + 64<<10
 
 const answerGrace = 2 * time.Second
 
+// unread holds the refusals that may have been made before anything of the
+// request was read. They say nothing about an earlier sending.
+var unread = map[rosemarysill.Code]bool{
+	rosemarysill.Unreachable:    true,
+	rosemarysill.ShuttingDown:   true,
+	rosemarysill.Overloaded:     true,
+	rosemarysill.TooLarge:       true,
+	rosemarysill.InvalidRequest: true,
+}
+
 // Client is a caller's view of the entries. It implements
 // rosemarysill.CallerService and is safe for concurrent use.
 type Client struct {
@@ -27,7 +37,7 @@
 
 // NewClient returns a client that tries the entries in the given order.
 func NewClient(entries []netip.AddrPort) *Client {
-	return &Client{entries: entries, message: message.NewClient(maxAnswerBytes)}
+	return &Client{entries: entries, message: message.NewClient(maxMessageBytes)}
 }
 
 // Close closes idle connections.
@@ -44,6 +54,9 @@
 	var answer CallAnswer
 	err := message.TryEach(ctx, c.entries, call.Idempotent, func(entry netip.AddrPort) error {
 		remaining := time.Until(call.Deadline).Milliseconds()
+		if remaining <= 0 && call.Resent {
+			return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "the deadline has passed and an earlier sending may have run")
+		}
 		if remaining <= 0 {
 			return rosemarysill.NewError(rosemarysill.DeadlineUnmeetable, "the deadline has passed")
 		}
@@ -56,8 +69,7 @@
 	})
 	if err != nil {
 		code := rosemarysill.CodeOf(err)
-		if call.Resent && rosemarysill.CodeOf(err) == rosemarysill.Unreachable {
-			// Nothing was sent this time, which says nothing about before.
+		if call.Resent && unread[code] {
 			code = rosemarysill.OutcomeUnknown
 		}
 		return rosemarysill.Answer{ID: call.ID, Code: code, Detail: rosemarysill.DetailOf(err), Upstream: answer.Upstream}
--- a/caller/request.go
+++ b/caller/request.go
@@ -18,6 +18,7 @@
 	maxRunSeconds    = 366 * 86_400 // of a job, as declared
 	maxJobBodyBytes  = 256 << 10    // the job's record in the store is at most 1 MB
 	maxCallBodyBytes = 1 << 20
+	maxAnswerBytes   = 16 << 20 // of a call
 )
 
 // CallRequest is the body of POST /v1/calls. RemainingMS is the time in which
@@ -49,17 +50,15 @@
 
 // check returns the call with its deadline, or all faults.
 func (q *CallRequest) check(faults message.Faults, received time.Time, longest time.Duration) (rosemarysill.Call, message.Faults) {
-	if len(faults) == 0 {
-		checkCommon(&faults, q.ID, q.Account, q.Class)
-		if q.RemainingMS <= 0 || q.RemainingMS > longest.Milliseconds() {
-			faults.Add("RemainingMS", "is not between 1 and %d", longest.Milliseconds())
-		}
-		if len(q.Body) > maxCallBodyBytes {
-			faults.Add("Body", "exceeds %d bytes", maxCallBodyBytes)
-		}
-		if q.Resent && q.Idempotent {
-			faults.Add("Resent", "is only for calls that are not idempotent")
-		}
+	checkCommon(&faults, q.ID, q.Account, q.Class)
+	if q.RemainingMS <= 0 || q.RemainingMS > longest.Milliseconds() {
+		faults.Add("RemainingMS", "is not between 1 and %d", longest.Milliseconds())
+	}
+	if len(q.Body) > maxCallBodyBytes {
+		faults.Add("Body", "exceeds %d bytes", maxCallBodyBytes)
+	}
+	if q.Resent && q.Idempotent {
+		faults.Add("Resent", "is only for calls that are not idempotent")
 	}
 	if len(faults) > 0 {
 		return rosemarysill.Call{}, faults
@@ -77,9 +76,6 @@
 
 // checkSpec adds the faults of a job's spec.
 func checkSpec(faults *message.Faults, spec *rosemarysill.JobSpec) {
-	if len(*faults) > 0 {
-		return
-	}
 	checkCommon(faults, spec.ID, spec.Account, spec.Class)
 	between(faults, "Shape.Members", spec.Shape.Members, 1, maxMembers)
 	between(faults, "Shape.Accelerators", spec.Shape.Accelerators, 0, maxPerMember)
--- a/caller/service.go
+++ b/caller/service.go
@@ -34,29 +34,29 @@
 
 func (h *handler) call(w http.ResponseWriter, r *http.Request) {
 	received := h.now()
-	data, err := message.Read(w, r, h.limits.BodyBytes, time.Now().Add(h.limits.ReadWithin))
-	if err != nil {
-		h.write(w, message.ReplyTo(uuid.Nil, err).Code, &CallAnswer{Reply: message.ReplyTo(uuid.Nil, err)})
+	var q CallRequest
+	faults, ok := h.read(w, r, &q, &q.ID)
+	if !ok {
 		return
 	}
-	var q CallRequest
-	call, faults := q.check(message.Decode(data, &q), received, h.limits.AnswerWithin)
+	call, faults := q.check(faults, received, h.limits.AnswerWithin)
 	if len(faults) > 0 {
 		h.refuse(w, q.ID, faults)
 		return
 	}
 	a := h.service.Call(r.Context(), call)
+	if len(a.Body) > maxAnswerBytes {
+		a.Code, a.Detail, a.Body = rosemarysill.AnswerTooLarge, "the call ran; its answer exceeds the limit", nil
+	}
 	h.write(w, a.Code, &CallAnswer{Reply: message.NewReply(a.ID, a.Code, a.Detail), Upstream: a.Upstream, Body: a.Body})
 }
 
 func (h *handler) submit(w http.ResponseWriter, r *http.Request) {
-	data, err := message.Read(w, r, h.limits.BodyBytes, time.Now().Add(h.limits.ReadWithin))
-	if err != nil {
-		h.writeJob(w, uuid.Nil, rosemarysill.Job{}, err)
+	var spec rosemarysill.JobSpec
+	faults, ok := h.read(w, r, &spec, &spec.ID)
+	if !ok {
 		return
 	}
-	var spec rosemarysill.JobSpec
-	faults := message.Decode(data, &spec)
 	checkSpec(&faults, &spec)
 	if len(faults) > 0 {
 		h.refuse(w, spec.ID, faults)
@@ -66,6 +66,27 @@
 	h.writeJob(w, spec.ID, job, err)
 }
 
+// read decodes the body into v, whose identifier is at id, and returns the
+// faults so far. It answers a request that was not received whole itself.
+func (h *handler) read(w http.ResponseWriter, r *http.Request, v any, id *uuid.UUID) (message.Faults, bool) {
+	header, faults := message.RequestID(r)
+	data, err := message.Read(w, r, h.limits.BodyBytes, time.Now().Add(h.limits.ReadWithin))
+	if err != nil {
+		reply := message.ReplyTo(header, err)
+		h.write(w, reply.Code, reply)
+		return nil, false
+	}
+	faults = append(faults, message.Decode(data, v)...)
+	switch {
+	case *id == uuid.Nil:
+		faults.Add("ID", "is missing")
+		*id = header // for the answer
+	case header != uuid.Nil && header != *id:
+		faults.Add(message.IDHeader, "differs from ID")
+	}
+	return faults, true
+}
+
 func (h *handler) job(w http.ResponseWriter, r *http.Request) {
 	if id, ok := h.id(w, r); ok {
 		job, err := h.service.Job(r.Context(), id)
@@ -102,8 +123,9 @@
 
 func (h *handler) unknown(w http.ResponseWriter, r *http.Request) {
 	var faults message.Faults
+	id, _ := message.RequestID(r)
 	faults.Add("", "no such path or method: %s %.100s", r.Method, r.URL.Path)
-	h.refuse(w, uuid.Nil, faults)
+	h.refuse(w, id, faults)
 }
 
 func (h *handler) refuse(w http.ResponseWriter, id uuid.UUID, faults message.Faults) {
--- a/caller/service_test.go
+++ b/caller/service_test.go
@@ -48,7 +48,7 @@
 
 func testLimits() message.Limits {
 	limits := message.DefaultLimits()
-	limits.LingerFor = 50 * time.Millisecond
+	limits.LingerFor = time.Millisecond
 	return limits
 }
 
--- a/message/answer.go
+++ b/message/answer.go
@@ -17,7 +17,7 @@
 // Headers of an answer. They let the receiver prove that the answer is whole,
 // also when something between changes the transfer coding.
 const (
-	IDHeader     = "Rosemarysill-ID"     // of a request whose body or path has no identifier
+	IDHeader     = "Rosemarysill-ID"     // of a request, so that an answer can name it before the body is read
 	LengthHeader = "Rosemarysill-Length" // bytes of the body, decimal
 	HashHeader   = "Rosemarysill-Xxhash" // xxhash64 of the body, 16 hex digits
 )
@@ -78,6 +78,21 @@
 	}
 }
 
+// RequestID returns the identifier from the header, zero when there is none.
+func RequestID(r *http.Request) (uuid.UUID, Faults) {
+	var faults Faults
+	text := r.Header.Get(IDHeader)
+	if text == "" {
+		return uuid.Nil, nil
+	}
+	id, err := uuid.Parse(text)
+	if err != nil || len(text) != len(id.String()) {
+		faults.Add(IDHeader, "is not a UUID")
+		return uuid.Nil, faults
+	}
+	return id, nil
+}
+
 // Read reads a request's body of at most limit bytes until the deadline. It
 // clears the read deadline afterwards: net/http watches the connection for a
 // disconnect while the handler runs, and an expired deadline would cancel the
--- a/message/client.go
+++ b/message/client.go
@@ -52,7 +52,7 @@
 // id. It is Unreachable when nothing was sent, and OutcomeUnknown for anything
 // lost after that.
 func (c *Client) Send(ctx context.Context, entry netip.AddrPort, id uuid.UUID, build func(*sling.Sling) *sling.Sling, out Headed) error {
-	s := build(sling.New().Client(c.http).Base("http://" + entry.String()).ResponseDecoder(checked{limit: c.limit}))
+	s := build(sling.New().Client(c.http).Base("http://"+entry.String()).Set(IDHeader, id.String()).ResponseDecoder(checked{limit: c.limit}))
 	req, err := s.Request()
 	if err != nil {
 		return rosemarysill.NewError(rosemarysill.InvalidRequest, "build request: %s", err)
--- a/message/decode.go
+++ b/message/decode.go
@@ -14,6 +14,7 @@
 	"strings"
 	"unicode/utf8"
 
+	"github.com/google/uuid"
 	"github.com/rosemarysill/rosemarysill"
 )
 
@@ -30,11 +31,19 @@
 // maxFaults bounds the faults that one answer reports.
 const maxFaults = 64
 
-// Add appends a fault unless the list is full.
+// Add appends a fault unless the list is full. A field that has a fault
+// already, or is part of one that has, gets no second one, so that checks of
+// values can run after those of types.
 func (f *Faults) Add(key, format string, args ...any) {
-	if len(*f) < maxFaults {
-		*f = append(*f, Fault{Key: key, Problem: fmt.Sprintf(format, args...)})
+	if len(*f) >= maxFaults {
+		return
+	}
+	for _, known := range *f {
+		if known.Key == "" || key == known.Key || strings.HasPrefix(key, known.Key+".") || strings.HasPrefix(key, known.Key+"[") {
+			return
+		}
 	}
+	*f = append(*f, Fault{Key: key, Problem: fmt.Sprintf(format, args...)})
 }
 
 // String returns the faults on one line.
@@ -58,6 +67,8 @@
 	return rosemarysill.NewError(rosemarysill.InvalidRequest, "%s", f)
 }
 
+var idType = reflect.TypeFor[uuid.UUID]()
+
 var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
 
 // Decode reads one JSON value into the struct that v points to and returns all
@@ -93,6 +104,9 @@
 	case reflect.Struct:
 		checkStruct(faults, key, raw, t)
 	case reflect.Slice:
+		if string(raw) == "null" { // how Go clients encode an empty list
+			return
+		}
 		if t.Elem().Kind() == reflect.Uint8 {
 			checkBytes(faults, key, raw)
 			return
@@ -125,7 +139,9 @@
 		faults.Add(key, "is not a string")
 		return
 	}
-	if err := reflect.New(t).Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(s)); err != nil {
+	err := reflect.New(t).Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(s))
+	// Other spellings of an identifier would make two of one.
+	if err != nil || (t == idType && len(s) != len(uuid.Nil.String())) {
 		faults.Add(key, "is malformed")
 	}
 }
--- a/message/server.go
+++ b/message/server.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/rosemarysill/rosemarysill"
 	"golang.org/x/sync/semaphore"
 )
@@ -102,30 +101,31 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
-		s.refuse(w, rosemarysill.ShuttingDown, "the entry is shutting down")
+		s.refuse(w, r, rosemarysill.ShuttingDown, "the entry is shutting down")
 		return
 	}
 	if !s.requests.TryAcquire(1) {
-		s.refuse(w, rosemarysill.Overloaded, "too many requests in progress")
+		s.refuse(w, r, rosemarysill.Overloaded, "too many requests in progress")
 		return
 	}
 	defer s.requests.Release(1)
 	size := r.ContentLength
 	if size > s.limits.BodyBytes {
-		s.refuse(w, rosemarysill.TooLarge, "the request exceeds the limit")
+		s.refuse(w, r, rosemarysill.TooLarge, "the request exceeds the limit")
 		return
 	}
 	if size < 0 { // not announced
 		size = s.limits.BodyBytes
 	}
 	if !s.held.TryAcquire(size) {
-		s.refuse(w, rosemarysill.Overloaded, "the requests in progress are too large together")
+		s.refuse(w, r, rosemarysill.Overloaded, "the requests in progress are too large together")
 		return
 	}
 	defer s.held.Release(size)
 	s.handler.ServeHTTP(w, r)
 }
 
-func (s *Server) refuse(w http.ResponseWriter, code rosemarysill.Code, detail string) {
-	_ = Write(w, code, NewReply(uuid.Nil, code, detail), time.Now().Add(s.limits.WriteWithin))
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, code rosemarysill.Code, detail string) {
+	id, _ := RequestID(r)
+	_ = Write(w, code, NewReply(id, code, detail), time.Now().Add(s.limits.WriteWithin))
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -87,8 +87,7 @@
 func (c *Client) send(ctx context.Context, id uuid.UUID, build func(*sling.Sling) *sling.Sling, fresh func() message.Headed) error {
 	return message.TryEach(ctx, c.entries, true, func(entry netip.AddrPort) error {
 		out := fresh()
-		withID := func(s *sling.Sling) *sling.Sling { return build(s).Set(message.IDHeader, id.String()) }
-		if err := c.message.Send(ctx, entry, id, withID, out); err != nil {
+		if err := c.message.Send(ctx, entry, id, build, out); err != nil {
 			fresh() // what was read is not proved to be the answer
 			return err
 		}
--- a/operator/intent.go
+++ b/operator/intent.go
@@ -21,9 +21,6 @@
 
 // checkIntent adds the faults that can be seen without the configuration.
 func checkIntent(faults *message.Faults, in *rosemarysill.Intent) {
-	if len(*faults) > 0 {
-		return
-	}
 	if !kinds[in.Kind] {
 		faults.Add("Kind", "is not a known kind of intent")
 	}
--- a/operator/service.go
+++ b/operator/service.go
@@ -57,7 +57,7 @@
 
 func (h *handler) plan(w http.ResponseWriter, r *http.Request) {
 	data, err := message.Read(w, r, h.limits.BodyBytes, time.Now().Add(h.limits.ReadWithin))
-	id, faults := requestID(r)
+	id, faults := message.RequestID(r)
 	if err != nil {
 		h.write(w, &PlanAnswer{Reply: message.ReplyTo(id, err)})
 		return
@@ -97,7 +97,7 @@
 }
 
 func (h *handler) status(w http.ResponseWriter, r *http.Request) {
-	id, faults := requestID(r)
+	id, faults := message.RequestID(r)
 	checkEmpty(&faults, w, r, h.limits)
 	if len(faults) > 0 {
 		h.refuse(w, id, faults)
@@ -112,25 +112,11 @@
 }
 
 func (h *handler) unknown(w http.ResponseWriter, r *http.Request) {
-	id, faults := requestID(r)
+	id, faults := message.RequestID(r)
 	faults.Add("", "no such path or method: %s %.100s", r.Method, r.URL.Path)
 	h.refuse(w, id, faults)
 }
 
-// requestID returns the identifier from the header, zero when there is none.
-func requestID(r *http.Request) (uuid.UUID, message.Faults) {
-	var faults message.Faults
-	text := r.Header.Get(message.IDHeader)
-	if text == "" {
-		return uuid.Nil, nil
-	}
-	id, err := uuid.Parse(text)
-	if err != nil {
-		faults.Add(message.IDHeader, "is not a UUID")
-	}
-	return id, faults
-}
-
 // planID returns the plan's identifier from the path, or answers the request.
 func (h *handler) planID(w http.ResponseWriter, r *http.Request) (uuid.UUID, bool) {
 	var faults message.Faults
--- a/upstream/fake_test.go
+++ b/upstream/fake_test.go
@@ -52,7 +52,7 @@
 }
 
 func (l *storeLink) Get(_ context.Context, key string) (rosemarysill.Item, error) {
-	time.Sleep(time.Millisecond)
+	advance(time.Millisecond)
 	if f := l.fault("Get"); f != works {
 		return rosemarysill.Item{}, rosemarysill.ErrStoreUnavailable
 	}
@@ -66,7 +66,7 @@
 }
 
 func (l *storeLink) Swap(_ context.Context, key string, value []byte, version uint64, _ rosemarysill.LeaseID) (uint64, error) {
-	time.Sleep(time.Millisecond)
+	advance(time.Millisecond)
 	switch l.fault("Swap") {
 	case refuses:
 		return 0, rosemarysill.ErrRateLimited
@@ -148,7 +148,7 @@
 // Scripts of agents.
 func serves(_ context.Context, f *fakeFleet, _ int, r rosemarysill.ForwardRequest) (rosemarysill.Answer, error) {
 	a := f.run(r)
-	time.Sleep(10 * time.Millisecond)
+	advance(10 * time.Millisecond)
 	return a, nil
 }
 
@@ -199,12 +199,14 @@
 		for range entries {
 			b.entries = append(b.entries, b.entry(ctx))
 		}
+		defer func() {
+			cancel()
+			for _, r := range b.entries {
+				<-r.Done()
+				require.Zero(t, r.Waiting()+r.InProgress(), "a slot or a place in the queue was not given back")
+			}
+		}()
 		test(b)
-		cancel()
-		for _, r := range b.entries {
-			<-r.Done()
-			require.Zero(t, r.Waiting()+r.InProgress(), "a slot or a place in the queue was not given back")
-		}
 	})
 }
 
@@ -275,3 +277,6 @@
 
 // seeded returns a random source with a fixed seed.
 func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+// advance lets the virtual clock of the bubble run.
+func advance(d time.Duration) { <-time.After(d) }
--- a/upstream/once_test.go
+++ b/upstream/once_test.go
@@ -63,7 +63,7 @@
 				call.Resent = true
 				then := b.entries[1].Call(context.Background(), call)
 				require.Equal(t, c.then, then.Code, then.Detail)
-				time.Sleep(15 * time.Second)
+				advance(15 * time.Second)
 				b.change(func() { clear(b.faults) })
 				call.Deadline = time.Now().Add(time.Minute)
 				third := b.entries[0].Call(context.Background(), call)
@@ -217,7 +217,7 @@
 						Call: int64(started), Return: int64(time.Since(begin)),
 					})
 					mu.Unlock()
-					time.Sleep(time.Duration(client*37+n*411) * time.Millisecond)
+					advance(time.Duration(client*37+n*411) * time.Millisecond)
 				}
 			})
 		}
--- a/upstream/router_test.go
+++ b/upstream/router_test.go
@@ -34,7 +34,7 @@
 					call := b.call()
 					call.Idempotent = c.idempotent
 					b.entries[0].Call(context.Background(), call)
-					time.Sleep(100 * time.Millisecond)
+					advance(100 * time.Millisecond)
 				}
 				n := b.entries[0].Counts()
 				require.Equal(t, []int{c.forwards, c.writes, c.reads, c.grant}, []int{n.Forwards, n.Records.Writes, n.Records.Reads, n.Records.Grants})
@@ -69,7 +69,7 @@
 					call := b.call()
 					call.Idempotent, call.Account = i%3 == 0, []string{"Sfax", "Sousse"}[i%2]
 					wg.Go(func() {
-						time.Sleep(time.Duration(i) * 4 * time.Millisecond)
+						advance(time.Duration(i) * 4 * time.Millisecond)
 						a := b.entries[i%2].Call(context.Background(), call)
 						mu.Lock()
 						defer mu.Unlock()
@@ -79,11 +79,11 @@
 						}
 					})
 				}
-				time.Sleep(100 * time.Millisecond)
+				advance(100 * time.Millisecond)
 				b.fleet.mu.Lock()
 				b.fleet.script = leavesAt(leaving...)
 				b.fleet.mu.Unlock()
-				time.Sleep(time.Second) // until the next heartbeats
+				advance(time.Second) // until the next heartbeats
 				b.change(func() {
 					for _, u := range leaving {
 						b.ups[u].Leaving, b.ups[u].LastBeat = true, time.Now()
@@ -156,7 +156,7 @@
 		until := b.auth.Until
 		call := b.call()
 		go func() {
-			time.Sleep(500 * time.Microsecond) // while the store writes
+			advance(500 * time.Microsecond) // while the store writes
 			b.change(func() { b.auth.Until = time.Now() })
 		}()
 		require.Equal(t, rosemarysill.NotAuthoritative, b.entries[0].Call(context.Background(), call).Code)
@@ -220,7 +220,7 @@
 				ctx, cancel := context.WithTimeout(context.Background(), c.after)
 				defer cancel()
 				require.Equal(t, c.want, r.Call(ctx, call).Code)
-				time.Sleep(100 * time.Millisecond)
+				advance(100 * time.Millisecond)
 				require.Equal(t, c.runs, b.fleet.ran(call.ID))
 				require.Zero(t, r.Waiting()+r.InProgress())
 				require.Equal(t, c.retry, r.Call(context.Background(), call).Code)
@@ -235,7 +235,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		r := b.entry(ctx)
 		codes := b.start(r, 6, func(i int, c *rosemarysill.Call) { c.Idempotent = i%2 == 0 }) // two in progress, four waiting
-		time.Sleep(5 * time.Millisecond)
+		advance(5 * time.Millisecond)
 		stop()
 		synctest.Wait()
 		require.Equal(t, rosemarysill.ShuttingDown, r.Call(context.Background(), b.call()).Code)
