--- a/caller/request.go
+++ b/caller/request.go
@@ -77,22 +77,16 @@
 // checkSpec adds the faults of a job's spec.
 func checkSpec(faults *message.Faults, spec *rosemarysill.JobSpec) {
 	checkCommon(faults, spec.ID, spec.Account, spec.Class)
-	between(faults, "Shape.Members", spec.Shape.Members, 1, maxMembers)
-	between(faults, "Shape.Accelerators", spec.Shape.Accelerators, 0, maxPerMember)
-	between(faults, "Shape.Processors", spec.Shape.Processors, 0, maxPerMember)
-	between(faults, "Shape.MemoryMB", spec.Shape.MemoryMB, 0, maxPerMember)
-	between(faults, "DeclaredSeconds", spec.DeclaredSeconds, 0, maxRunSeconds)
+	faults.Between("Shape.Members", spec.Shape.Members, 1, maxMembers)
+	faults.Between("Shape.Accelerators", spec.Shape.Accelerators, 0, maxPerMember)
+	faults.Between("Shape.Processors", spec.Shape.Processors, 0, maxPerMember)
+	faults.Between("Shape.MemoryMB", spec.Shape.MemoryMB, 0, maxPerMember)
+	faults.Between("DeclaredSeconds", spec.DeclaredSeconds, 0, maxRunSeconds)
 	if len(spec.Body) > maxJobBodyBytes {
 		faults.Add("Body", "exceeds %d bytes", maxJobBodyBytes)
 	}
 }
 
-func between(faults *message.Faults, key string, n, least, most int) {
-	if n < least || n > most {
-		faults.Add(key, "is %d, not between %d and %d", n, least, most)
-	}
-}
-
 func checkCommon(faults *message.Faults, id uuid.UUID, account string, class rosemarysill.Class) {
 	if id.Version() != 7 || id.Variant() != uuid.RFC4122 {
 		faults.Add("ID", "is not a UUID of version 7")
--- a/message/decode.go
+++ b/message/decode.go
@@ -46,6 +46,13 @@
 	*f = append(*f, Fault{Key: key, Problem: fmt.Sprintf(format, args...)})
 }
 
+// Between adds a fault unless n is between least and most.
+func (f *Faults) Between(key string, n, least, most int) {
+	if n < least || n > most {
+		f.Add(key, "is %d, not between %d and %d", n, least, most)
+	}
+}
+
 // String returns the faults on one line.
 func (f Faults) String() string {
 	parts := make([]string, 0, len(f))
--- a/operator/intent.go
+++ b/operator/intent.go
@@ -33,12 +33,12 @@
 	if in.Kind == rosemarysill.Declare && len(in.Accounts)+len(in.Domains) == 0 {
 		faults.Add("Accounts", "are missing, and so are Domains")
 	}
-	between(faults, "QuotaAccelerators", in.QuotaAccelerators, 0, maxQuota)
+	faults.Between("QuotaAccelerators", in.QuotaAccelerators, 0, maxQuota)
 	checkGuarantees(faults, "Guarantees", in.Guarantees)
 	for i, a := range in.Accounts {
 		key := fmt.Sprintf("Accounts[%d]", i)
 		checkName(faults, key+".Name", a.Name)
-		between(faults, key+".QuotaAccelerators", a.QuotaAccelerators, 0, maxQuota)
+		faults.Between(key+".QuotaAccelerators", a.QuotaAccelerators, 0, maxQuota)
 		checkGuarantees(faults, key+".Guarantees", a.Guarantees)
 	}
 	for i, d := range in.Domains {
@@ -59,16 +59,10 @@
 	}
 	for i, g := range all {
 		at := fmt.Sprintf("%s[%d].", key, i)
-		between(faults, at+"Count", g.Count, 1, maxQuota)
-		between(faults, at+"Shape.Members", g.Shape.Members, 1, maxQuota)
-		between(faults, at+"Shape.Accelerators", g.Shape.Accelerators, 0, maxQuota)
-		between(faults, at+"Shape.Processors", g.Shape.Processors, 0, maxQuota)
-		between(faults, at+"Shape.MemoryMB", g.Shape.MemoryMB, 0, 1<<30)
-	}
-}
-
-func between(faults *message.Faults, key string, n, least, most int) {
-	if n < least || n > most {
-		faults.Add(key, "is %d, not between %d and %d", n, least, most)
+		faults.Between(at+"Count", g.Count, 1, maxQuota)
+		faults.Between(at+"Shape.Members", g.Shape.Members, 1, maxQuota)
+		faults.Between(at+"Shape.Accelerators", g.Shape.Accelerators, 0, maxQuota)
+		faults.Between(at+"Shape.Processors", g.Shape.Processors, 0, maxQuota)
+		faults.Between(at+"Shape.MemoryMB", g.Shape.MemoryMB, 0, 1<<30)
 	}
 }
--- a/operator/service.go
+++ b/operator/service.go
@@ -88,10 +88,13 @@
 		return
 	}
 	c, err := h.service.Confirm(r.Context(), id)
-	if err != nil {
+	if err != nil && c.Plan != id {
 		h.write(w, &ConfirmAnswer{Reply: message.ReplyTo(id, err)})
 		return
 	}
+	if err != nil { // a refusal that tells what changed
+		c.Code, c.Detail = rosemarysill.CodeOf(err), rosemarysill.DetailOf(err)
+	}
 	event.PlanAnswered.Log(h.log).Stringer("Plan", id).Stringer("Code", c.Code).Uint64("Revision", c.Revision).Send()
 	h.write(w, &ConfirmAnswer{Reply: message.NewReply(id, c.Code, c.Detail), Confirmation: &c})
 }
