--- a/caller/request.go
+++ b/caller/request.go
@@ -18,6 +18,7 @@
 	maxRunSeconds    = 366 * 86_400 // of a job, as declared
 	maxJobBodyBytes  = 256 << 10    // the job's record in the store is at most 1 MB
 	maxCallBodyBytes = 1 << 20
+	maxAnswerBytes   = 16 << 20 // of a call
 )
 
 // CallRequest is the body of POST /v1/calls. RemainingMS is the time in which
@@ -49,17 +50,15 @@
 
 // check returns the call with its deadline, or all faults.
 func (q *CallRequest) check(faults message.Faults, received time.Time, longest time.Duration) (rosemarysill.Call, message.Faults) {
-	if len(faults) == 0 {
-		checkCommon(&faults, q.ID, q.Account, q.Class)
-		if q.RemainingMS <= 0 || q.RemainingMS > longest.Milliseconds() {
-			faults.Add("RemainingMS", "is not between 1 and %d", longest.Milliseconds())
-		}
-		if len(q.Body) > maxCallBodyBytes {
-			faults.Add("Body", "exceeds %d bytes", maxCallBodyBytes)
-		}
-		if q.Resent && q.Idempotent {
-			faults.Add("Resent", "is only for calls that are not idempotent")
-		}
+	checkCommon(&faults, q.ID, q.Account, q.Class)
+	if q.RemainingMS <= 0 || q.RemainingMS > longest.Milliseconds() {
+		faults.Add("RemainingMS", "is not between 1 and %d", longest.Milliseconds())
+	}
+	if len(q.Body) > maxCallBodyBytes {
+		faults.Add("Body", "exceeds %d bytes", maxCallBodyBytes)
+	}
+	if q.Resent && q.Idempotent {
+		faults.Add("Resent", "is only for calls that are not idempotent")
 	}
 	if len(faults) > 0 {
 		return rosemarysill.Call{}, faults
@@ -77,26 +76,17 @@
 
 // checkSpec adds the faults of a job's spec.
 func checkSpec(faults *message.Faults, spec *rosemarysill.JobSpec) {
-	if len(*faults) > 0 {
-		return
-	}
 	checkCommon(faults, spec.ID, spec.Account, spec.Class)
-	between(faults, "Shape.Members", spec.Shape.Members, 1, maxMembers)
-	between(faults, "Shape.Accelerators", spec.Shape.Accelerators, 0, maxPerMember)
-	between(faults, "Shape.Processors", spec.Shape.Processors, 0, maxPerMember)
-	between(faults, "Shape.MemoryMB", spec.Shape.MemoryMB, 0, maxPerMember)
-	between(faults, "DeclaredSeconds", spec.DeclaredSeconds, 0, maxRunSeconds)
+	faults.Between("Shape.Members", spec.Shape.Members, 1, maxMembers)
+	faults.Between("Shape.Accelerators", spec.Shape.Accelerators, 0, maxPerMember)
+	faults.Between("Shape.Processors", spec.Shape.Processors, 0, maxPerMember)
+	faults.Between("Shape.MemoryMB", spec.Shape.MemoryMB, 0, maxPerMember)
+	faults.Between("DeclaredSeconds", spec.DeclaredSeconds, 0, maxRunSeconds)
 	if len(spec.Body) > maxJobBodyBytes {
 		faults.Add("Body", "exceeds %d bytes", maxJobBodyBytes)
 	}
 }
 
-func between(faults *message.Faults, key string, n, least, most int) {
-	if n < least || n > most {
-		faults.Add(key, "is %d, not between %d and %d", n, least, most)
-	}
-}
-
 func checkCommon(faults *message.Faults, id uuid.UUID, account string, class rosemarysill.Class) {
 	if id.Version() != 7 || id.Variant() != uuid.RFC4122 {
 		faults.Add("ID", "is not a UUID of version 7")
