entry: tests of submission and cancellation under store faults

Cause: the paths on which an answer of the store is lost were untested. Change: tests over the stand-in store; membership behind an interface.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,13 +54,25 @@
 	}
 }
 
+// members is what an entry needs of package membership.
+type members interface {
+	rosemarysill.Peer
+	Run(ctx context.Context) error
+	Leave(ctx context.Context) error
+	Authority() rosemarysill.Authority
+	Fenced(job uuid.UUID, attempt int) bool
+	FenceAttempt(ctx context.Context, job uuid.UUID, attempt int, epoch uint64) error
+	Change(ctx context.Context, f func(rosemarysill.Configuration) (rosemarysill.Configuration, error)) (rosemarysill.Configuration, error)
+	RemoveEntries(ctx context.Context, ids []uuid.UUID) error
+}
+
 // Entry is one entry process. It implements the services for callers and
 // operators, and rosemarysill.BeatReceiver for agents.
 type Entry struct {
 	cfg     Config
 	opts    rosemarysill.Options
 	self    rosemarysill.Member
-	members *membership.Membership
+	members members
 	table   *table
 	book    *book
 	holder  *holder
