--- a/policy.go
+++ b/policy.go
@@ -20,6 +20,8 @@
 	Slots    []Slot
 	Started  time.Time
 	Stopping bool
+	// Guaranteed repeats PlaceDecision.Guaranteed of the placement.
+	Guaranteed bool
 	// CheckpointAt is the time of the last checkpoint; zero when there is none.
 	CheckpointAt time.Time
 }
@@ -47,6 +49,10 @@
 type PlaceDecision struct {
 	Job   uuid.UUID
 	Slots []Slot
+	// Guaranteed tells that the job is placed as part of its account's
+	// guarantee and is not reclaimed for another account. The caller records
+	// it with the placement.
+	Guaranteed bool
 }
 
 // ReclaimDecision stops a placed job, with a checkpoint if possible, and queues
--- a/request.go
+++ b/request.go
@@ -113,6 +113,7 @@
 	Attempt         int // 0 until the first attempt is recorded
 	Epoch           uint64
 	Slots           []Slot // one for each member of the current attempt
+	Guaranteed      bool   // the current attempt is part of the account's guarantee
 	Submitted       time.Time
 	Changed         time.Time
 	Code            Code
