--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -12,14 +12,14 @@
 )
 
 // attempt reserves every member, records the start and commits.
-func (p *placer) attempt(ctx context.Context, known storedJob, slots []rosemarysill.Slot) {
+func (p *placer) attempt(ctx context.Context, known storedJob, d rosemarysill.PlaceDecision) {
 	job := known.job
 	epoch, ok := p.e.holder.held()
 	if !ok {
 		return
 	}
 	job.Attempt++
-	job.Epoch, job.Slots, job.State = epoch, slots, rosemarysill.JobStarting
+	job.Epoch, job.Slots, job.Guaranteed, job.State = epoch, d.Slots, d.Guaranteed, rosemarysill.JobStarting
 	if err := p.reserve(ctx, job); err != nil {
 		p.stop(ctx, job)
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/membership"
 	"github.com/rosemarysill/rosemarysill/message"
+	"github.com/rosemarysill/rosemarysill/metric"
 	"github.com/rosemarysill/rosemarysill/operator"
 	"github.com/rosemarysill/rosemarysill/peer"
 	"github.com/rosemarysill/rosemarysill/platform"
@@ -54,6 +55,10 @@
 	}
 }
 
+// maxAccounts bounds the client accounts with histograms of their own; the
+// two-year size is 91.
+const maxAccounts = 128
+
 // members is what an entry needs of package membership.
 type members interface {
 	rosemarysill.Peer
@@ -77,6 +82,7 @@
 	book    *book
 	holder  *holder
 	router  *upstream.Router
+	calls   *metric.Calls
 	placer  *placer
 
 	epochSeen atomic.Uint64 // highest placement epoch known
@@ -96,6 +102,7 @@
 		opts:   o,
 		self:   rosemarysill.Member{ID: uuid.New(), Name: cfg.Name, Address: cfg.GRPC, State: rosemarysill.Joining},
 		table:  newTable(o.Timings, cfg.MaxAgents),
+		calls:  metric.NewCalls(maxAccounts),
 		wakeUp: make(chan struct{}, 1),
 		done:   make(chan struct{}),
 	}
@@ -140,6 +147,7 @@
 func (e *Entry) Run(ctx context.Context, httpListener, grpcListener net.Listener) error {
 	defer close(e.done)
 	e.started = e.opts.Now()
+	defer metric.Publish(e.cfg.Name, e.calls, e.routing)()
 	event.EntryStarted.Log(e.opts.Log).Str("Entry", e.cfg.Name).Str("ID", e.self.ID.String()).Send()
 
 	// The parts outlive ctx: requests in progress need them.
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -105,17 +105,19 @@
 	auth := e.members.Authority()
 	epoch, places := e.holder.held()
 	s := rosemarysill.Status{
-		Entry:         e.selfIn(auth.Members),
-		Entries:       auth.Members.Entries,
-		Authoritative: auth.Valid(now),
-		StoreContact:  auth.ByStore(now),
-		Places:        places,
-		Epoch:         max(epoch, e.epochSeen.Load()),
-		Revision:      auth.Config.Revision,
-		Domains:       auth.Config.Domains,
-		Drained:       auth.Config.Drained,
-		Upstreams:     e.table.upstreams(&auth.Config),
-		Jobs:          map[rosemarysill.JobState]int{},
+		Entry:           e.selfIn(auth.Members),
+		Entries:         auth.Members.Entries,
+		Authoritative:   auth.Valid(now),
+		StoreContact:    auth.ByStore(now),
+		Places:          places,
+		Epoch:           max(epoch, e.epochSeen.Load()),
+		Revision:        auth.Config.Revision,
+		Domains:         auth.Config.Domains,
+		Drained:         auth.Config.Drained,
+		Upstreams:       e.table.upstreams(&auth.Config),
+		Jobs:            map[rosemarysill.JobState]int{},
+		WaitingCalls:    e.router.Waiting(),
+		CallsInProgress: e.router.InProgress(),
 	}
 	state := e.clusterState(&auth.Config, now)
 	s.Workers = state.Workers
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -132,6 +132,6 @@
 	}
 	p.work.Go(func() {
 		defer p.drop(d.Job)
-		p.attempt(ctx, known, d.Slots)
+		p.attempt(ctx, known, d)
 	})
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/metric"
 	"github.com/rosemarysill/rosemarysill/upstream"
 )
 
@@ -15,6 +18,20 @@
 			auth := e.members.Authority()
 			return e.table.upstreams(&auth.Config)
 		},
+		Observe: func(c rosemarysill.Call, code rosemarysill.Code, queued, took time.Duration) {
+			e.calls.Observe(c.Account, c.Class, code, queued, took)
+		},
 		Limits: &limits,
 	}, e.optionList()...)
 }
+
+// routing returns the router's gauges and totals for the metrics.
+func (e *Entry) routing() metric.Routing {
+	c := e.router.Counts()
+	return metric.Routing{
+		Waiting: e.router.Waiting(), InProgress: e.router.InProgress(),
+		Calls: c.Calls, Forwards: c.Forwards,
+		RecordWrites: c.Records.Writes, RecordReads: c.Records.Reads,
+		LeaseGrants: c.Records.Grants, RecordsDropped: c.Records.Dropped,
+	}
+}
--- a/entry/state.go
+++ b/entry/state.go
@@ -37,6 +37,6 @@
 func placedJob(j rosemarysill.Job) rosemarysill.PlacedJob {
 	return rosemarysill.PlacedJob{
 		Spec: j.Spec, Attempt: j.Attempt, Slots: j.Slots, Started: j.Changed,
-		Stopping: j.State == rosemarysill.JobStopping,
+		Stopping: j.State == rosemarysill.JobStopping, Guaranteed: j.Guaranteed,
 	}
 }
