rosemarysill: applied plans carry a summary

Cause: PlanOutdated must tell what changed since a plan was made, and the configuration of that revision is gone by then. Ruled out: a copy of the base configuration in each plan, up to 1 MB.

--- a/configuration.go
+++ b/configuration.go
@@ -31,6 +31,7 @@
 type AppliedPlan struct {
 	ID       uuid.UUID
 	Revision uint64 // the configuration revision that it made
+	Summary  string // the change in words, for operators whose plan is outdated
 }
 
 // Configuration is the operators' configuration, one document in the store
