--- a/upstream/call.go
+++ b/upstream/call.go
@@ -144,9 +144,15 @@
 }
 
 func (r *Router) observe(c rosemarysill.Call, code rosemarysill.Code, queued, took time.Duration) {
-	if r.src.Observe != nil {
-		r.src.Observe(c, code, queued, took)
+	if r.src.Observe == nil {
+		return
 	}
+	// Names that callers make up must not fill the figures of the accounts.
+	cfg := r.src.Authority().Config
+	if _, declared := cfg.Account(c.Account); !declared {
+		c.Account = ""
+	}
+	r.src.Observe(c, code, queued, took)
 }
 
 // run records the call if it must run at most once and forwards it until it has
--- a/upstream/fake_test.go
+++ b/upstream/fake_test.go
@@ -174,6 +174,8 @@
 	faults  map[string][]storeFault // of the next exchanges by operation
 	entries []*Router
 	ids     uint64
+	// observed has a line for each answered call.
+	observed []string
 }
 
 // inBubble runs a test on a virtual clock with entries over the given number
@@ -215,6 +217,11 @@
 	limits.Dispatch.FreshFor = 24 * time.Hour
 	r := NewRouter(Sources{
 		Limits: &limits,
+		Observe: func(c rosemarysill.Call, code rosemarysill.Code, queued, took time.Duration) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.observed = append(b.observed, fmt.Sprint(c.Account, " ", code, " ", queued, " ", took))
+		},
 		Upstreams: func() []rosemarysill.UpstreamState {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/upstream/router.go
+++ b/upstream/router.go
@@ -18,7 +18,7 @@
 	Upstreams func() []rosemarysill.UpstreamState
 	Authority func() rosemarysill.Authority
 	// Observe is told of each answered call: its time in the queue and its time
-	// from arrival to answer.
+	// from arrival to answer. The account is empty when it is not declared.
 	Observe func(c rosemarysill.Call, code rosemarysill.Code, queued, took time.Duration)
 	// Limits replaces DefaultLimits unless it is nil.
 	Limits *Limits
--- a/upstream/router_test.go
+++ b/upstream/router_test.go
@@ -276,3 +276,17 @@
 		require.Contains(t, order[:8], "SousseDone")
 	})
 }
+
+// TestEachAnswerIsObservedOnce guards against figures that miss refused calls,
+// count time in the queue as service, or grow with names that callers make up.
+func TestEachAnswerIsObservedOnce(t *testing.T) {
+	inBubble(t, 1, 1, func(b *bench) {
+		b.start(b.entries[0], 4, func(i int, c *rosemarysill.Call) {
+			c.Idempotent = true
+			if i == 0 {
+				c.Account = "made up"
+			}
+		})()
+		require.ElementsMatch(t, []string{" UnknownAccount 0s 0s", "Sfax Done 0s 10ms", "Sfax Done 0s 10ms", "Sfax Done 10ms 20ms"}, b.observed)
+	})
+}
