--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -109,6 +109,12 @@
 // update takes over the reported upstreams. A new boot begins anew; calls in
 // progress at an old one keep it until they return.
 func (f fleet) update(reported []rosemarysill.UpstreamState) fleet {
+	if f.same(reported) {
+		for i, b := range f {
+			b.report(reported[i])
+		}
+		return f
+	}
 	known := make(map[string]*backend, len(f))
 	for _, b := range f {
 		known[b.state.Identity.Name] = b
@@ -128,6 +134,14 @@
 	return out
 }
 
+// same reports whether the upstreams are the known ones in the same order, the
+// usual case, which needs no new table.
+func (f fleet) same(reported []rosemarysill.UpstreamState) bool {
+	return slices.EqualFunc(f, reported, func(b *backend, u rosemarysill.UpstreamState) bool {
+		return b.state.Identity.Name == u.Identity.Name && b.state.Identity.Boot == u.Identity.Boot
+	})
+}
+
 // choose returns the upstream for a call: one that it has not tried before,
 // then the most free slots, then the shortest observed time, then the name. A
 // probe is due before others, since one call at a time is risked.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -227,6 +227,8 @@
 	rosemarysill.NoCapacity:         true,
 	rosemarysill.Unreachable:        true,
 	rosemarysill.DomainOut:          true,
+	rosemarysill.ShuttingDown:       true,
+	rosemarysill.Overloaded:         true,
 }
 
 // again reports whether the call is to be forwarded once more. A refused call
@@ -258,11 +260,11 @@
 			b.ejected, b.ejections = false, 0
 			s.effects = append(s.effects, Changed{Upstream: b.state.Identity.Name})
 		}
-	case e.Code == rosemarysill.Leaving || e.Code == rosemarysill.DomainOut:
+	case e.Code == rosemarysill.Leaving || e.Code == rosemarysill.ShuttingDown || e.Code == rosemarysill.DomainOut:
 		b.skipUntil = now.Add(s.limits.SkipFor)
 	case e.Code == rosemarysill.StaleConfiguration:
 		b.skipUntil = now.Add(s.limits.SkipShort)
-	case e.Code == rosemarysill.NoCapacity:
+	case e.Code == rosemarysill.NoCapacity || e.Code == rosemarysill.Overloaded:
 		b.taken += b.free()
 	case e.Code == rosemarysill.Unreachable:
 		s.failed(b, probe, now)
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -10,6 +10,11 @@
 	"github.com/rosemarysill/rosemarysill/record"
 )
 
+// answerGrace is how long an answer may travel after the deadline, at which the
+// agent ends the work. Without it, each call that ends just in time would be
+// unknown.
+const answerGrace = 500 * time.Millisecond
+
 // Call serves a call. It returns when the answer is known or ctx ends. Work in
 // progress for a call that must run at most once goes on after that, so that
 // its outcome is recorded.
@@ -50,7 +55,12 @@
 	if code, detail := r.check(c, now); code != rosemarysill.Done {
 		return nil, r.refuse(c, code, detail), false
 	}
-	ups := r.upstreams()
+	r.mu.Lock()
+	old := now.Sub(r.seen) > 2*r.limits.TickEvery
+	r.mu.Unlock()
+	if old { // before the first tick, or after a pause
+		r.Wake()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopping {
@@ -59,7 +69,6 @@
 	if len(r.tasks) >= r.limits.InProgress {
 		return nil, r.refuse(c, rosemarysill.Overloaded, "too many calls in progress"), false
 	}
-	r.decide(dispatch.Reported{Upstreams: ups})
 	// A call that would be refused is not recorded first, unless its record may
 	// tell the caller what became of an earlier sending.
 	if !c.Idempotent && !c.Resent {
@@ -72,7 +81,7 @@
 		call: c, ticket: r.last, arrived: now,
 		effects: make(chan dispatch.Effect, 1), answer: make(chan rosemarysill.Answer, 1),
 	}
-	t.ctx, t.cancel = context.WithDeadline(context.Background(), c.Deadline)
+	t.ctx, t.cancel = context.WithDeadline(context.Background(), c.Deadline.Add(answerGrace))
 	r.tasks[t.ticket] = t
 	return t, rosemarysill.Answer{}, true
 }
@@ -160,7 +169,7 @@
 func (r *Router) run(t *task) rosemarysill.Answer {
 	c := t.call
 	if !c.Idempotent {
-		claim := r.keeper.Claim(t.ctx, c)
+		claim := r.claim(t)
 		if claim.Held == nil && claim.Proved {
 			return claim.Answer
 		}
@@ -191,6 +200,13 @@
 	return answer(c, rosemarysill.OutcomeUnknown, "the call was lost") // effects is never closed
 }
 
+// claim records the call, until its deadline at the latest.
+func (r *Router) claim(t *task) record.Claim {
+	ctx, cancel := context.WithDeadline(t.ctx, t.call.Deadline)
+	defer cancel()
+	return r.keeper.Claim(ctx, t.call)
+}
+
 // forward makes one attempt and gives the slot back.
 func (r *Router) forward(t *task, send dispatch.Send) {
 	begin := r.opts.Now()
--- a/upstream/router.go
+++ b/upstream/router.go
@@ -45,6 +45,7 @@
 	last     dispatch.Ticket
 	stopping bool
 	forwards int
+	seen     time.Time     // when the upstreams were taken over
 	idle     chan struct{} // closed when the router stops and no call is left
 }
 
@@ -151,6 +152,7 @@
 	ups := r.upstreams()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.seen = r.opts.Now()
 	r.decide(dispatch.Reported{Upstreams: ups})
 	r.decide(dispatch.Ticked{})
 }
--- a/upstream/router_test.go
+++ b/upstream/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -290,3 +291,37 @@
 		require.ElementsMatch(t, []string{" UnknownAccount 0s 0s", "Sfax Done 0s 10ms", "Sfax Done 0s 10ms", "Sfax Done 10ms 20ms"}, b.observed)
 	})
 }
+
+// TestAnswersReachTheirCallers guards against an answer that reaches another
+// call when answers are reordered, late or mixed up.
+func TestAnswersReachTheirCallers(t *testing.T) {
+	inBubble(t, 1, 8, func(b *bench) {
+		rnd := seeded(5)
+		b.fleet.script = func(ctx context.Context, f *fakeFleet, u int, r rosemarysill.ForwardRequest) (rosemarysill.Answer, error) {
+			f.mu.Lock()
+			wait, mixed := time.Duration(rnd.IntN(200))*time.Millisecond, rnd.IntN(10) == 0
+			f.mu.Unlock()
+			advance(wait)
+			if mixed {
+				return mixesUp(ctx, f, u, r)
+			}
+			return f.run(r), nil
+		}
+		var wg sync.WaitGroup
+		wrong := make(chan string, 200)
+		for i := range 200 {
+			call := b.call()
+			call.Idempotent, call.Body = i%2 == 0, fmt.Appendf(nil, "suit %d", i)
+			call.Account = []string{"Sfax", "Sousse"}[i%4/2]
+			wg.Go(func() {
+				advance(time.Duration(i) * 20 * time.Millisecond)
+				a := b.entries[0].Call(context.Background(), call)
+				if a.ID != call.ID || (a.Code == rosemarysill.Done && !strings.HasSuffix(string(a.Body), " of "+string(call.Body))) {
+					wrong <- fmt.Sprintf("call %s: answer %s %q", call.Body, a.ID, a.Body)
+				}
+			})
+		}
+		wg.Wait()
+		require.Empty(t, wrong)
+	})
+}
