record: accounts share the store writes and the queue

One account that sent many calls that must run at most once used up the write rate and the claims of an entry, and five accounts could fill the queue of all; the others were refused as Overloaded or QueueFull. While more than half is left an account may take what it needs; of the rest, each account that asks gets an equal part. The HTTP server admits more requests than the router holds, so that the router, which knows the accounts, decides which are refused.

Defaults: 64 waiting calls per class and account (256), 2,048 in all (4,096), 128 claims (64), 4,096 HTTP requests (1,024).

Ruled out: creating records when a slot is free, in the order of the queue; the order is fair then, but a slow store idles the slots of calls without a record.

--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -5,7 +5,7 @@
 // Limits bound the queues and retries of one entry.
 type Limits struct {
 	QueuePerAccount int // waiting calls of one class and account
-	Queued          int // waiting calls of all
+	Queued          int // waiting calls of all; over half of it, accounts are held to equal parts
 
 	Attempts     int     // forwards of one call
 	RetryShare   float64 // retries allowed for each call, once the reserve is used
@@ -24,8 +24,8 @@
 // DefaultLimits returns the limits of a deployment.
 func DefaultLimits() Limits {
 	return Limits{
-		QueuePerAccount: 256,
-		Queued:          4096,
+		QueuePerAccount: 64,
+		Queued:          2048,
 		Attempts:        4,
 		RetryShare:      0.1,
 		RetryReserve:    3,
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -165,6 +165,25 @@
 
 func (qs *queues) waiting() int { return qs[0].waiting + qs[1].waiting + qs[2].waiting }
 
+// length returns the number of waiting calls of a class and account.
+func (qs *queues) length(rank int, account string) int {
+	if h, ok := qs[rank].accounts[account]; ok {
+		return h.Len()
+	}
+	return 0
+}
+
+// most returns how many calls of one class and account may wait. Once half of
+// all places are taken, the other half is for those that hold less than an
+// equal part, so that a few accounts cannot fill the queue of all.
+func (qs *queues) most(l *Limits) int {
+	if 2*qs.waiting() < l.Queued {
+		return l.QueuePerAccount
+	}
+	n := len(qs[0].accounts) + len(qs[1].accounts) + len(qs[2].accounts)
+	return min(l.QueuePerAccount, max(1, l.Queued/2/(n+1)))
+}
+
 // next returns the rank of the class to serve, or false when nothing waits.
 func (qs *queues) next() (int, bool) {
 	urgent, normal, batch := &qs[0], &qs[1], &qs[2]
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -137,8 +137,7 @@
 	if !now.Before(deadline) {
 		return rosemarysill.DeadlineUnmeetable, "the deadline has passed"
 	}
-	q := &s.queues[rank]
-	if h, ok := q.accounts[account]; ok && h.Len() >= s.limits.QueuePerAccount {
+	if s.queues.length(rank, account) >= s.queues.most(&s.limits) {
 		return rosemarysill.QueueFull, "the queue of the account and class is full"
 	}
 	if s.queues.waiting() >= s.limits.Queued {
--- a/message/server.go
+++ b/message/server.go
@@ -26,13 +26,14 @@
 }
 
 // DefaultLimits returns limits for an entry with a few GB of memory. A body of
-// 1 MiB is 1.4 MB in base64.
+// 1 MiB is 1.4 MB in base64. Requests exceeds the calls that a router holds, so
+// that the router, which knows the accounts, decides which are refused.
 func DefaultLimits() Limits {
 	return Limits{
 		HeaderBytes:  16 << 10,
 		BodyBytes:    1500 << 10,
 		HeldBytes:    256 << 20,
-		Requests:     1024,
+		Requests:     4096,
 		ReadWithin:   10 * time.Second,
 		WriteWithin:  30 * time.Second,
 		IdleFor:      2 * time.Minute,
--- a/record/keeper.go
+++ b/record/keeper.go
@@ -28,7 +28,7 @@
 	memory  time.Duration
 	opts    rosemarysill.Options
 	limiter *rate.Limiter
-	claims  chan struct{}
+	shares  *shares
 
 	granting singleflight.Group
 
@@ -75,7 +75,7 @@
 		memory:  opts.Timings.RequestMemory,
 		opts:    opts,
 		limiter: rate.NewLimiter(rate.Limit(limits.WritesPerSecond), limits.WritesPerSecond),
-		claims:  make(chan struct{}, limits.Claims),
+		shares:  newShares(limits.Claims, limits.WritesPerSecond),
 	}
 }
 
@@ -89,13 +89,12 @@
 // Claim creates the record of the call, or takes over one that is proved not
 // run. Nothing was forwarded by this router when no record is held.
 func (k *Keeper) Claim(ctx context.Context, c rosemarysill.Call) Claim {
-	select {
-	case k.claims <- struct{}{}:
-		defer func() { <-k.claims }()
-	default:
-		return refused(c, rosemarysill.Overloaded, "too many records are being created")
+	now := k.opts.Now()
+	if !k.shares.begin(c.Account, writesPerCall, k.limiter.TokensAt(now), now) {
+		return refused(c, rosemarysill.Overloaded, "the account's share of the records is used")
 	}
-	if !k.limiter.AllowN(k.opts.Now(), writesPerCall) {
+	defer k.shares.end(c.Account)
+	if !k.limiter.AllowN(now, writesPerCall) {
 		return refused(c, rosemarysill.Overloaded, "the limit of store writes is reached")
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTries*k.limits.StoreWithin)
--- a/record/keeper_test.go
+++ b/record/keeper_test.go
@@ -167,3 +167,46 @@
 	require.NotNil(t, claim.Held, claim.Answer.Detail)
 	require.Equal(t, 2, k.Counts().Grants)
 }
+
+// TestAccountsShareTheWrites guards against an account that cannot record its
+// calls because others send as many as they can.
+func TestAccountsShareTheWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := NewKeeper(DefaultLimits(), rosemarysill.NewOptions(rosemarysill.WithStore(newStore())))
+		got := map[string]int{}
+		claim := func(account string, n int) {
+			call := callMadeAt(time.Now(), uint64(n))
+			call.Account = account
+			if k.Claim(t.Context(), call).Held != nil {
+				got[account]++
+			}
+		}
+		for ms := range 10_000 { // 1,000 writes are possible, and 100 saved ones
+			claim("many", ms)
+			if ms%100 == 0 { // needs 20 writes per second
+				claim("few", ms)
+			}
+			<-time.After(time.Millisecond)
+		}
+		require.GreaterOrEqual(t, got["few"], 95)
+		require.GreaterOrEqual(t, got["many"], 400)
+		require.LessOrEqual(t, k.Counts().Writes, 1100/writesPerCall)
+	})
+}
+
+// TestAccountsShareTheClaims guards against an account that cannot record its
+// calls because a slow store keeps those of another in progress.
+func TestAccountsShareTheClaims(t *testing.T) {
+	s := newShares(8, 100)
+	begin := func(account string) bool { return s.begin(account, 2, 100, time.Unix(1, 0)) }
+	require.True(t, begin("few"))
+	s.end("few")
+	for i := range 10 {
+		require.Equal(t, i < 4, begin("many"), "claim %d", i)
+	}
+	require.True(t, begin("few"))
+	require.True(t, begin("few"))
+	require.False(t, begin("few"))
+	s.end("many")
+	require.True(t, begin("other"))
+}
--- a/record/limits.go
+++ b/record/limits.go
@@ -5,8 +5,8 @@
 // Limits bound the records of one entry.
 type Limits struct {
 	StoredBytes     int           // largest answer that is kept in a record
-	WritesPerSecond int           // store writes, on average and at once
-	Claims          int           // records being created at a time
+	WritesPerSecond int           // store writes, on average and at once; shared like Claims
+	Claims          int           // records being created at a time; over half of it, accounts are held to equal parts
 	StoreWithin     time.Duration // one exchange with the store
 	LeaseShare      time.Duration // records created within this time share a lease
 	IdentifierSlack time.Duration // a record outlives its identifier by this, for clocks that differ and late writes
@@ -20,7 +20,7 @@
 	return Limits{
 		StoredBytes:     64 << 10,
 		WritesPerSecond: 100,
-		Claims:          64,
+		Claims:          128,
 		StoreWithin:     time.Second,
 		LeaseShare:      time.Minute,
 		IdentifierSlack: time.Minute,
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -22,7 +22,7 @@
 	return Limits{
 		Dispatch:    dispatch.DefaultLimits(),
 		Record:      record.DefaultLimits(),
-		InProgress:  8192,
+		InProgress:  3072,
 		AnswerBytes: 16 << 20,
 		TickEvery:   20 * time.Millisecond,
 		SettleEvery: time.Second,
