--- a/entry/operators.go
+++ b/entry/operators.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/plan"
 )
 
 // planPrefix is the prefix of the store keys of plans.
@@ -23,7 +24,7 @@
 	if !auth.ByStore(now) {
 		return rosemarysill.Plan{}, rosemarysill.NewError(rosemarysill.StoreUnavailable, "a plan is made only while the store answers")
 	}
-	p, err := makePlan(in, auth.Config, now, e.opts.Timings)
+	p, err := plan.Make(uuid.New(), in, e.clusterState(&auth.Config, now), e.table.upstreams(&auth.Config), now, now.Add(e.opts.Timings.PlanLife))
 	if err != nil {
 		return rosemarysill.Plan{}, err
 	}
@@ -63,9 +64,12 @@
 	if err != nil {
 		return rosemarysill.Confirmation{}, err
 	}
+	if auth := e.members.Authority(); p.Intent.Kind == rosemarysill.RemoveEntries && !auth.Established {
+		return e.confirmJoining(ctx, p, auth.Config)
+	}
 	var answer rosemarysill.Confirmation
 	_, err = e.members.Change(ctx, func(cfg rosemarysill.Configuration) (rosemarysill.Configuration, error) {
-		next, c := applyPlan(cfg, p)
+		next, c := plan.Apply(cfg, p, e.table.workers(&cfg, e.opts.Now()), e.opts.Now())
 		answer = c
 		if next.Revision == cfg.Revision {
 			return cfg, errUnchanged
@@ -84,6 +88,18 @@
 	return answer, nil
 }
 
+// confirmJoining removes entries from the list at an entry that is not
+// established. It cannot record the plan in the configuration; removing an
+// entry again has no effect.
+func (e *Entry) confirmJoining(ctx context.Context, p rosemarysill.Plan, cfg rosemarysill.Configuration) (rosemarysill.Confirmation, error) {
+	_, answer := plan.Apply(cfg, p, nil, e.opts.Now())
+	if answer.Code != rosemarysill.Done {
+		return answer, nil
+	}
+	answer.Revision = cfg.Revision
+	return answer, e.removeEntries(ctx, p.Intent.Target)
+}
+
 // errUnchanged ends a change of the configuration that is not needed.
 var errUnchanged = errors.New("configuration is unchanged")
 
