--- /dev/null
+++ b/cmd/capacity/measure.go
@@ -0,0 +1,312 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/caller"
+	"github.com/rosemarysill/rosemarysill/operator"
+	"github.com/rosemarysill/rosemarysill/standin"
+)
+
+// row is what one number of agents costs.
+type row struct {
+	agents, tasks int
+	idle, busy    load          // of the entry that places, without and with tasks
+	store         storeLoad     // at rest, with tasks
+	change        time.Duration // until a change was in force at all agents
+	takeover      time.Duration // until another entry placed after a kill
+	afterKill     storeLoad     // in the minute after the kill
+	idleAgent     load          // of one agent process
+}
+
+// load is what one process spends.
+type load struct {
+	core     float64 // share of one core
+	resident int64   // bytes
+	bytes    float64 // TCP payload a second, both directions, with all agents
+}
+
+// storeLoad is calls at the store by kind, a minute.
+type storeLoad map[string]float64
+
+// patience bounds the waits.
+const patience = 3 * time.Minute
+
+// bench is one deployment under measurement.
+type bench struct {
+	o        options
+	dir      string
+	store    *standin.Store
+	http     []netip.AddrPort
+	grpc     []netip.AddrPort
+	entries  []*program
+	agents   *agents
+	operator *operator.Client
+	caller   *caller.Client
+}
+
+func freePort() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func measure(ctx context.Context, o options, n int) (row, error) {
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return row{}, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	b := &bench{o: o, dir: dir, store: standin.NewStore(standin.StoreOptions{}), agents: newAgents()}
+	server, err := standin.Serve(netip.AddrPort{}, b.store)
+	if err != nil {
+		return row{}, err
+	}
+	defer server.Stop()
+	if err := b.start(server.Address(), n); err != nil {
+		return row{}, err
+	}
+	defer b.close()
+	return b.run(ctx, n, server.Address())
+}
+
+func (b *bench) start(store netip.AddrPort, n int) error {
+	for range b.o.Entries {
+		h, err := freePort()
+		if err != nil {
+			return err
+		}
+		g, err := freePort()
+		if err != nil {
+			return err
+		}
+		b.http, b.grpc = append(b.http, h), append(b.grpc, g)
+	}
+	for i := range b.o.Entries {
+		p, err := startEntry(b.o.Program, b.dir, fmt.Sprintf("entry-%d", i), b.http[i], b.grpc[i], store, b.grpc)
+		if err != nil {
+			return err
+		}
+		b.entries = append(b.entries, p)
+	}
+	for i := range n {
+		if err := b.agents.add(i, b.grpc); err != nil {
+			return err
+		}
+	}
+	b.operator, b.caller = operator.NewClient(b.http), caller.NewClient(b.http)
+	return nil
+}
+
+func (b *bench) close() {
+	for _, p := range b.entries {
+		p.kill()
+	}
+	b.agents.close()
+	b.operator.Close()
+	b.caller.Close()
+}
+
+// until repeats f until it succeeds.
+func until(ctx context.Context, f func() error) error {
+	deadline := time.Now().Add(patience)
+	for {
+		err := f()
+		if err == nil || time.Now().After(deadline) || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (b *bench) change(ctx context.Context, in rosemarysill.Intent) error {
+	return until(ctx, func() error {
+		p, err := b.operator.Plan(ctx, in)
+		if err != nil {
+			return err
+		}
+		_, err = b.operator.Confirm(ctx, p.ID)
+		return err
+	})
+}
+
+// status asks one entry.
+func (b *bench) status(ctx context.Context, i int) (rosemarysill.Status, error) {
+	c := operator.NewClient(b.http[i : i+1])
+	defer c.Close()
+	return c.Status(ctx)
+}
+
+// inForce waits until the revision is in force at n agents.
+func (b *bench) inForce(ctx context.Context, n int) error {
+	return until(ctx, func() error {
+		s, err := b.status(ctx, len(b.http)-1)
+		if err == nil && s.AgentsAtRevision < n {
+			err = errors.Newf("%d of %d agents have revision %d", s.AgentsAtRevision, n, s.Revision)
+		}
+		return err
+	})
+}
+
+// placing returns the entry that places.
+func (b *bench) placing(ctx context.Context, skip int) (int, error) {
+	found := -1
+	err := until(ctx, func() error {
+		for i := range b.entries {
+			if i == skip {
+				continue
+			}
+			if s, err := b.status(ctx, i); err == nil && s.Places {
+				found = i
+				return nil
+			}
+		}
+		return errors.New("no entry places")
+	})
+	return found, err
+}
+
+func (b *bench) run(ctx context.Context, n int, store netip.AddrPort) (row, error) {
+	r := row{agents: n}
+	in := rosemarysill.Intent{Kind: rosemarysill.Declare}
+	for i := range 91 {
+		in.Accounts = append(in.Accounts, rosemarysill.Account{Name: fmt.Sprintf("account-%02d", i)})
+	}
+	for i := range domains {
+		in.Domains = append(in.Domains, rosemarysill.Domain{Name: domainName(i), Region: fmt.Sprintf("region-%d", i%7)})
+	}
+	if err := b.change(ctx, in); err != nil {
+		return r, errors.Wrap(err, "declare")
+	}
+	if err := b.inForce(ctx, n); err != nil {
+		return r, err
+	}
+	at, err := b.placing(ctx, -1)
+	if err != nil {
+		return r, err
+	}
+	if r.idle, _, err = b.window(b.entries[at]); err != nil {
+		return r, err
+	}
+	if r.idleAgent, err = b.oneAgent(store); err != nil {
+		return r, err
+	}
+	if err := b.fill(ctx, n); err != nil {
+		return r, errors.Wrap(err, "tasks")
+	}
+	r.tasks = int(b.o.Tasks * float64(n))
+	if r.busy, r.store, err = b.window(b.entries[at]); err != nil {
+		return r, err
+	}
+	began := time.Now()
+	if err := b.change(ctx, rosemarysill.Intent{Kind: rosemarysill.Declare, Accounts: []rosemarysill.Account{{Name: "account-new"}}}); err != nil {
+		return r, errors.Wrap(err, "change")
+	}
+	if err := b.inForce(ctx, n); err != nil {
+		return r, err
+	}
+	r.change = time.Since(began)
+	if len(b.entries) < 2 {
+		return r, nil
+	}
+	began = time.Now()
+	before := b.store.Counters().Calls
+	b.entries[at].kill()
+	if _, err := b.placing(ctx, at); err != nil {
+		return r, err
+	}
+	r.takeover = time.Since(began)
+	time.Sleep(time.Until(began.Add(b.o.Window)))
+	r.afterKill = perMinute(before, b.store.Counters().Calls, time.Since(began))
+	return r, nil
+}
+
+// window measures a process for a while.
+func (b *bench) window(p *program) (load, storeLoad, error) {
+	cpu, err := p.cpu()
+	if err != nil {
+		return load{}, nil, err
+	}
+	began, calls := time.Now(), b.store.Counters().Calls
+	bytes := b.agents.bytes.sent.Load() + b.agents.bytes.received.Load()
+	time.Sleep(b.o.Window)
+	took := time.Since(began)
+	after, err := p.cpu()
+	if err != nil {
+		return load{}, nil, err
+	}
+	resident, err := p.resident()
+	l := load{
+		core: (after - cpu).Seconds() / took.Seconds(), resident: resident,
+		// All entries get the same heartbeats.
+		bytes: float64(b.agents.bytes.sent.Load()+b.agents.bytes.received.Load()-bytes) / took.Seconds() / float64(len(b.entries)),
+	}
+	return l, perMinute(calls, b.store.Counters().Calls, took), err
+}
+
+func perMinute(before, after map[string]int, d time.Duration) storeLoad {
+	out := storeLoad{}
+	for kind, n := range after {
+		if n > before[kind] {
+			out[kind] = float64(n-before[kind]) / d.Minutes()
+		}
+	}
+	return out
+}
+
+// oneAgent measures an agent process of its own.
+func (b *bench) oneAgent(netip.AddrPort) (load, error) {
+	server, err := standin.Serve(netip.AddrPort{}, standin.NewRuntime(standin.RuntimeOptions{Name: "measured"}))
+	if err != nil {
+		return load{}, err
+	}
+	defer server.Stop()
+	listen, err := freePort()
+	if err != nil {
+		return load{}, err
+	}
+	p, err := startAgent(b.o.Program, b.dir, "measured", listen, server.Address(), b.grpc)
+	if err != nil {
+		return load{}, err
+	}
+	defer p.kill()
+	time.Sleep(5 * time.Second)
+	l, _, err := b.window(p)
+	return l, err
+}
+
+// fill submits jobs of one task without accelerators until the fleet runs the
+// wished number of tasks, in gangs of 8.
+func (b *bench) fill(ctx context.Context, n int) error {
+	const members = 8
+	jobs := int(b.o.Tasks * float64(n) / members)
+	for i := range jobs {
+		spec := rosemarysill.JobSpec{
+			ID: uuid.Must(uuid.NewV7()), Account: fmt.Sprintf("account-%02d", i%91), Class: rosemarysill.Normal, Idempotent: true,
+			Shape:           rosemarysill.Shape{Members: members, Processors: 1, MemoryMB: 64},
+			DeclaredSeconds: 3600, Body: []byte(`{"RunSeconds":36000}`),
+		}
+		if err := until(ctx, func() error { _, err := b.caller.Submit(ctx, spec); return err }); err != nil {
+			return err
+		}
+	}
+	return until(ctx, func() error {
+		s, err := b.operator.Status(ctx)
+		if err == nil && s.Jobs[rosemarysill.JobRunning] < jobs {
+			err = errors.Newf("jobs %v of %d", s.Jobs, jobs)
+		}
+		return err
+	})
+}
