membership: failure scenarios, drawn failures and histories of changes

Found by the scenarios: two lost answers in a row to the write of the contact mark ended store contact. The write is now read back at once.

--- a/membership/cycle.go
+++ b/membership/cycle.go
@@ -119,27 +119,29 @@
 	}
 	key := ContactPrefix + m.state.Self.ID.String()
 	value := mark{Entry: m.state.Self.ID, WriteID: uuid.New()}
+	sent := m.opts.Now()
 	for range 2 {
-		sent := m.opts.Now()
 		version, err := m.swap(ctx, key, value, m.markVer)
-		if err == nil {
-			m.markVer = version
-			m.update(func(s *State, _ time.Time) { s.Marked(sent) })
-			return
-		}
-		if !errors.Is(err, rosemarysill.ErrVersion) {
-			return
-		}
-		// Either the answer to an earlier write of ours was lost, or another
-		// entry took the mark.
-		var found mark
-		if m.markVer, err = m.decode(ctx, key, &found); err != nil {
-			return
-		}
-		if found.Entry != m.state.Self.ID {
-			m.update(func(s *State, _ time.Time) { s.MarkLost() })
-			return
+		if err != nil {
+			// The answer to this or an earlier write may have been lost, or
+			// another entry has taken the mark.
+			var found mark
+			if version, err = m.decode(ctx, key, &found); err != nil {
+				return
+			}
+			if found.Entry != m.state.Self.ID && version != m.markVer {
+				m.markVer = version
+				m.update(func(s *State, _ time.Time) { s.MarkLost() })
+				return
+			}
+			if found.WriteID != value.WriteID {
+				m.markVer = version
+				continue
+			}
 		}
+		m.markVer = version
+		m.update(func(s *State, _ time.Time) { s.Marked(sent) })
+		return
 	}
 }
 
--- a/membership/fake_test.go
+++ b/membership/fake_test.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,12 +140,14 @@
 
 type node struct {
 	*Membership
-	link  *link
-	self  rosemarysill.Member
-	stop  context.CancelFunc
-	pause time.Duration // the clock that the entry sees lags by this
+	link *link
+	self rosemarysill.Member
+	stop context.CancelFunc
+	skip atomic.Int64 // lead of the entry's clock after a pause, in ns
 }
 
+func (n *node) now() time.Time { return time.Now().Add(time.Duration(n.skip.Load())) }
+
 func newFleet(t *testing.T) *fleet {
 	return &fleet{t: t, store: newFakeStore(), entries: map[netip.AddrPort]*node{}, cut: map[[2]string]bool{}}
 }
@@ -215,7 +218,7 @@
 	self := rosemarysill.Member{ID: uuid.New(), Name: name, Address: address(i)}
 	n := &node{self: self, link: &link{fakeStore: f.store}}
 	n.Membership = New(self, []netip.AddrPort{address(0), address(1), address(2)},
-		rosemarysill.WithStore(n.link), rosemarysill.WithPeers(peersOf{f, name}))
+		rosemarysill.WithStore(n.link), rosemarysill.WithPeers(peersOf{f, name}), rosemarysill.WithNow(n.now))
 	ctx, cancel := context.WithCancel(f.t.Context())
 	n.stop = cancel
 	f.mu.Lock()
@@ -240,18 +243,17 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(9000+i))
 }
 
-// outage makes the store unreachable to the entries, or reachable again.
-func outage(is bool, nodes ...*node) {
+// setFault decides what happens to the store calls of the entries.
+func setFault(decide func(op, key string) fault, nodes ...*node) {
 	for _, n := range nodes {
 		n.link.mu.Lock()
-		n.link.fault = nil
-		if is {
-			n.link.fault = func(string, string) fault { return down }
-		}
+		n.link.fault = decide
 		n.link.mu.Unlock()
 	}
 }
 
+func allDown(string, string) fault { return down }
+
 // after lets the fake clock run and the entries settle.
 func after(d time.Duration) {
 	<-time.After(d)
