--- a/upstream/fake_test.go
+++ b/upstream/fake_test.go
@@ -164,6 +164,13 @@
 	return a, nil
 }
 
+// servesInAnyOrder answers after 5 to 15 ms, so that later calls overtake.
+func servesInAnyOrder(_ context.Context, f *fakeFleet, _ int, r rosemarysill.ForwardRequest) (rosemarysill.Answer, error) {
+	a := f.run(r)
+	advance(5*time.Millisecond + time.Duration(r.Call.ID[15]*37%10)*time.Millisecond)
+	return a, nil
+}
+
 func losesItsAnswer(_ context.Context, f *fakeFleet, _ int, r rosemarysill.ForwardRequest) (rosemarysill.Answer, error) {
 	f.run(r)
 	return rosemarysill.Answer{}, fmt.Errorf("connection reset")
--- a/upstream/once_test.go
+++ b/upstream/once_test.go
@@ -47,6 +47,7 @@
 		"answer too large to carry":       {answersWith(16<<20 + 1), nil, nil, rosemarysill.AnswerTooLarge, rosemarysill.AnswerTooLarge, 1, rosemarysill.AnswerTooLarge},
 		"answer too large for its record": {answersWith(64<<10 + 1), nil, nil, rosemarysill.Done, rosemarysill.AnswerTooLarge, 1, rosemarysill.AnswerTooLarge},
 		"agent dies during the call":      {diesAfter(3 * time.Second), nil, nil, rosemarysill.OutcomeUnknown, rosemarysill.OutcomeUnknown, 1, rosemarysill.OutcomeUnknown},
+		"answer just after the deadline":  {travelsLate, nil, nil, rosemarysill.Done, rosemarysill.OutcomeUnknown, 1, rosemarysill.Done},
 		"agent never answers":             {diesAfter(time.Hour), nil, nil, rosemarysill.OutcomeUnknown, rosemarysill.OutcomeUnknown, 1, rosemarysill.OutcomeUnknown},
 		"agent answers without a truth":   {refusesAs(rosemarysill.InternalError), nil, nil, rosemarysill.OutcomeUnknown, rosemarysill.OutcomeUnknown, 0, rosemarysill.OutcomeUnknown},
 		"agent claims Done with an error": {refusesAs(rosemarysill.Done), nil, nil, rosemarysill.OutcomeUnknown, rosemarysill.OutcomeUnknown, 0, rosemarysill.OutcomeUnknown},
@@ -152,6 +153,17 @@
 	}
 }
 
+// travelsLate answers in time with an answer that arrives after the deadline.
+func travelsLate(ctx context.Context, f *fakeFleet, _ int, r rosemarysill.ForwardRequest) (rosemarysill.Answer, error) {
+	a := f.run(r)
+	select {
+	case <-time.After(r.Remaining + 100*time.Millisecond):
+		return a, nil
+	case <-ctx.Done():
+		return rosemarysill.Answer{}, ctx.Err()
+	}
+}
+
 func diesAfter(d time.Duration) forward {
 	return func(ctx context.Context, f *fakeFleet, _ int, r rosemarysill.ForwardRequest) (rosemarysill.Answer, error) {
 		f.run(r)
