message: a hung entry does not stop a client, server faults are events

Requests that need no upstream give up an entry after 15 s and ask the next one. Idempotent requests are tried elsewhere after StoreUnavailable too, since an entry may have lost the store alone.

Tests: a panic of a handler ends one request, its place is given back and the next request is Done; StoreUnavailable with and without idempotence.

--- a/caller/client.go
+++ b/caller/client.go
@@ -97,6 +97,8 @@
 	var answer JobAnswer
 	err := message.TryEach(ctx, c.entries, true, func(entry netip.AddrPort) error {
 		answer = JobAnswer{}
+		ctx, cancel := context.WithTimeout(ctx, message.AnswerWithin)
+		defer cancel()
 		return c.send(ctx, entry, id, build, &answer)
 	})
 	if err != nil {
--- a/message/client.go
+++ b/message/client.go
@@ -20,6 +20,10 @@
 	"github.com/rosemarysill/rosemarysill"
 )
 
+// AnswerWithin is the time after which a request that needs no upstream is
+// tried at the next entry.
+const AnswerWithin = 15 * time.Second
+
 // Headed is an answer that begins with a Reply.
 type Headed interface{ Head() *Reply }
 
--- a/message/client_test.go
+++ b/message/client_test.go
@@ -87,6 +87,8 @@
 		"none serves":                      {false, codes{rosemarysill.Unreachable, rosemarysill.NoUpstream, rosemarysill.NotAuthoritative}, rosemarysill.NotAuthoritative, 3},
 		"refused for good":                 {true, codes{rosemarysill.InvalidRequest}, rosemarysill.InvalidRequest, 1},
 		"overloaded":                       {true, codes{rosemarysill.Overloaded}, rosemarysill.Overloaded, 1},
+		"no store":                         {false, codes{rosemarysill.StoreUnavailable}, rosemarysill.StoreUnavailable, 1},
+		"no store, idempotent":             {true, codes{rosemarysill.StoreUnavailable, rosemarysill.Done}, rosemarysill.Done, 2},
 		"it failed":                        {true, codes{rosemarysill.UpstreamFailed}, rosemarysill.UpstreamFailed, 1},
 		"lost":                             {false, codes{rosemarysill.OutcomeUnknown}, rosemarysill.OutcomeUnknown, 1},
 		"lost, idempotent":                 {true, codes{rosemarysill.OutcomeUnknown, rosemarysill.Done}, rosemarysill.Done, 2},
--- a/message/entries.go
+++ b/message/entries.go
@@ -9,7 +9,7 @@
 
 // elsewhere holds the not-run codes after which another entry may do better.
 // QueueFull and Overloaded are left out because trying again multiplies the
-// load, and StoreUnavailable because all entries use the same store.
+// load.
 var elsewhere = map[rosemarysill.Code]bool{
 	rosemarysill.Unreachable:      true,
 	rosemarysill.NotAuthoritative: true,
@@ -21,6 +21,9 @@
 // until one settles it. send returns the error of the answer. After an answer
 // that leaves the outcome open, the next entry is tried only if the request is
 // idempotent, and a later refusal does not prove that the request did not run.
+// StoreUnavailable is tried elsewhere for idempotent requests only: a call's
+// record may exist although nothing ran, and another entry would answer that the
+// outcome is unknown.
 func TryEach(ctx context.Context, entries []netip.AddrPort, idempotent bool, send func(entry netip.AddrPort) error) error {
 	if len(entries) == 0 {
 		return rosemarysill.NewError(rosemarysill.Unreachable, "no entry is known")
@@ -32,7 +35,7 @@
 		if code.Truth() == rosemarysill.TruthUnknown {
 			open = err
 		}
-		again := elsewhere[code] || (code == rosemarysill.OutcomeUnknown && idempotent)
+		again := elsewhere[code] || (idempotent && (code == rosemarysill.OutcomeUnknown || code == rosemarysill.StoreUnavailable))
 		if !again || ctx.Err() != nil {
 			break
 		}
--- a/message/server.go
+++ b/message/server.go
@@ -1,7 +1,9 @@
 package message
 
 import (
+	"bytes"
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -9,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 )
 
@@ -48,17 +52,19 @@
 	handler  http.Handler
 	requests *semaphore.Weighted
 	held     *semaphore.Weighted
+	log      zerolog.Logger
 	stopping atomic.Bool
 	done     chan struct{}
 }
 
-// NewServer returns a server of the handler.
-func NewServer(handler http.Handler, limits Limits) *Server {
+// NewServer returns a server of the handler that uses the Log of opts.
+func NewServer(handler http.Handler, limits Limits, opts ...rosemarysill.Option) *Server {
 	return &Server{
 		limits:   limits,
 		handler:  handler,
 		requests: semaphore.NewWeighted(limits.Requests),
 		held:     semaphore.NewWeighted(limits.HeldBytes),
+		log:      rosemarysill.NewOptions(opts...).Log,
 		done:     make(chan struct{}),
 	}
 }
@@ -75,6 +81,7 @@
 		ReadHeaderTimeout: s.limits.ReadWithin,
 		IdleTimeout:       s.limits.IdleFor,
 		MaxHeaderBytes:    s.limits.HeaderBytes,
+		ErrorLog:          log.New(faults{s.log}, "", 0),
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
@@ -97,6 +104,14 @@
 	return errors.Wrap(err, "shut down")
 }
 
+// faults turns the lines of net/http's log into events.
+type faults struct{ log zerolog.Logger }
+
+func (f faults) Write(line []byte) (int, error) {
+	event.ServerFault.Log(f.log).Bytes("Detail", bytes.TrimSpace(line)).Send()
+	return len(line), nil
+}
+
 // ServeHTTP refuses what exceeds the limits or arrives during the shutdown and
 // hands the rest to the handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/message/server_test.go
+++ b/message/server_test.go
@@ -91,6 +91,9 @@
 			_ = Write(w, rosemarysill.CodeOf(err), ReplyTo(id, err), time.Now().Add(limits.WriteWithin))
 			return
 		}
+		if string(data) == "panic" {
+			panic("a fault of the handler")
+		}
 		if d, err := time.ParseDuration(string(data)); err == nil {
 			select {
 			case <-time.After(d):
@@ -116,12 +119,13 @@
 		"runs longer than the read deadline": {"", "20m", rosemarysill.Done},
 		"too large":                          {"", strings.Repeat("x", 101), rosemarysill.TooLarge},
 		"too large together":                 {strings.Repeat("0", 90) + "1s", strings.Repeat("x", 100), rosemarysill.Overloaded},
+		"handler panics":                     {"", "panic", rosemarysill.OutcomeUnknown},
 		"too many":                           {"1s", "", rosemarysill.Overloaded},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			l := limits
-			if name == "too many" {
+			if c.before == "1s" || c.body == "panic" {
 				l.Requests = 1
 			}
 			served(t, l, echo(l), func(client *Client, _ *pipes, _ *Server, _ func()) {
@@ -137,6 +141,7 @@
 				if c.before != "" {
 					require.Equal(t, rosemarysill.Done, <-done)
 				}
+				require.Equal(t, rosemarysill.Done, ask(client, number(9), time.Hour, ""), "a place was not given back")
 			})
 		})
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -87,6 +87,8 @@
 func (c *Client) send(ctx context.Context, id uuid.UUID, build func(*sling.Sling) *sling.Sling, fresh func() message.Headed) error {
 	return message.TryEach(ctx, c.entries, true, func(entry netip.AddrPort) error {
 		out := fresh()
+		ctx, cancel := context.WithTimeout(ctx, message.AnswerWithin)
+		defer cancel()
 		if err := c.message.Send(ctx, entry, id, build, out); err != nil {
 			fresh() // what was read is not proved to be the answer
 			return err
