agent: decide by slots, ledger and standing, and leave gracefully

Cause: the thin agent ran everything it was sent. Ledger.Begin checks an effect again just before it is sent.

Ruled out: ending a call with the connection that brought it, because a repeated delivery may wait for it too. A leaving upstream waits for its calls without a limit of its own; their deadlines bound the wait.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,7 +31,8 @@
 	obey(o rosemarysill.AgentOrders, sent time.Time)
 	// leave refuses new work from now on.
 	leave()
-	// finish returns when nothing is in progress or when ctx ends.
+	// finish returns when nothing is in progress. When ctx ends it stops what
+	// may be stopped.
 	finish(ctx context.Context)
 }
 
@@ -41,8 +42,8 @@
 	cfg     Config
 	opts    rosemarysill.Options
 	beats   *heartbeat
-	leaving chan struct{}
-	once    sync.Once
+	leaving context.Context // ends when the agent is to leave
+	end     context.CancelFunc
 	done    chan struct{}
 }
 
@@ -72,12 +73,14 @@
 }
 
 func newAgent(cfg Config, entries rosemarysill.Entries, opts rosemarysill.Options, b backend) *Agent {
+	leaving, end := context.WithCancel(context.Background())
 	return &Agent{
 		backend: b,
 		cfg:     cfg,
 		opts:    opts,
 		beats:   newHeartbeat(cfg, entries, opts, b),
-		leaving: make(chan struct{}),
+		leaving: leaving,
+		end:     end,
 		done:    make(chan struct{}),
 	}
 }
@@ -87,16 +90,24 @@
 
 // Leave begins a graceful shutdown: the agent refuses new work at once, tells
 // all entries, and finishes what is in progress.
-func (a *Agent) Leave() { a.once.Do(func() { close(a.leaving) }) }
+func (a *Agent) Leave() { a.end() }
 
 // Done is closed when Run has returned.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
+// prepare readies the back end unless the agent is to end before.
+func (a *Agent) prepare(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(a.leaving, cancel)()
+	return a.start(ctx)
+}
+
 // Run announces the agent and serves until ctx ends or Leave is called. It
 // returns at the end of the graceful shutdown.
 func (a *Agent) Run(ctx context.Context) error {
 	defer close(a.done)
-	if err := a.start(ctx); err != nil {
+	if err := a.prepare(ctx); err != nil {
 		return err
 	}
 	event.AgentStarted.Log(a.opts.Log).Str("Agent", a.cfg.Identity.Name).Stringer("Boot", a.cfg.Identity.Boot).Send()
@@ -109,7 +120,7 @@
 
 	select {
 	case <-ctx.Done():
-	case <-a.leaving:
+	case <-a.leaving.Done():
 	}
 	event.AgentLeaving.Log(a.opts.Log).Str("Agent", a.cfg.Identity.Name).Send()
 	a.leave()
@@ -119,6 +130,7 @@
 	cancel()
 	stop()
 	parts.Wait()
+	a.beats.last(context.WithoutCancel(ctx))
 	event.AgentStopped.Log(a.opts.Log).Str("Agent", a.cfg.Identity.Name).Send()
 	return nil
 }
--- a/agent/config.go
+++ b/agent/config.go
@@ -19,7 +19,15 @@
 	StopWithin time.Duration // time limit for the graceful stop; default 30 s
 	PollEvery  time.Duration // between polls of the runtime's tasks; default 500 ms
 	CallWithin time.Duration // time limit of a request to the runtime or to an entry; default 2 s
-	Answers    int           // answers kept for duplicate deliveries; default 256
+	// CheckpointWithin and EndWithin limit a checkpoint and the stop of one
+	// task at the runtime; defaults 15 s and 10 s. Both together are shorter
+	// than ReclaimWithin.
+	CheckpointWithin time.Duration
+	EndWithin        time.Duration
+	// Calls bounds the non-idempotent calls that an upstream's agent
+	// remembers; default 16,384.
+	Calls   int
+	Answers int // answers kept for duplicate deliveries; default 256
 	// AnswerBytes bounds the bodies of the kept answers; default 4 MiB.
 	AnswerBytes int
 	// Jobs bounds the jobs that the ledger of a worker remembers; default 4,096.
@@ -46,5 +54,8 @@
 	limit(&c.StopWithin, 30*time.Second)
 	limit(&c.PollEvery, 500*time.Millisecond)
 	limit(&c.CallWithin, 2*time.Second)
+	limit(&c.CheckpointWithin, 15*time.Second)
+	limit(&c.EndWithin, 10*time.Second)
+	set(&c.Calls, 16384)
 	return c
 }
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// last sends a final heartbeat to every entry and waits for the replies. It is
+// called after run has returned.
+func (h *heartbeat) last(ctx context.Context) {
+	h.beatAll(ctx)
+	h.inFlight.Wait()
+}
+
 // now makes a heartbeat to every entry due at once.
 func (h *heartbeat) now() {
 	select {
@@ -129,6 +136,7 @@
 		e.misses++
 		if e.misses >= entrySilence && !e.configured {
 			delete(h.entries, address)
+			event.AgentEntryDropped.Log(h.opts.Log).Stringer("Entry", address).Err(err).Send()
 			return
 		}
 	} else {
--- a/worker/effect.go
+++ b/worker/effect.go
@@ -113,6 +113,35 @@
 	}
 }
 
+// Begin checks an effect again just before the shell performs it, and reports
+// whether it is still due: the process may have paused since Due returned it.
+func (l *Ledger) Begin(e Effect, now time.Time) bool {
+	l.expire(now)
+	m, ok := l.members[e.Task]
+	switch {
+	case e.Kind == StopTask || e.Kind == ForgetTask:
+		return true
+	case !ok || !m.active() || m.inFlight != e.Kind:
+		return false
+	case e.Kind == StartTask:
+		err := l.startRefusal(e.Task, m.epoch, m, now)
+		if err == nil && m.stopWanted {
+			err = rosemarysill.NewError(rosemarysill.StaleAttempt, "%s", m.detail)
+		}
+		if err == nil {
+			return true
+		}
+		m.inFlight, m.neverStarted = "", true
+		m.finish(rosemarysill.TaskStopped, "not started: "+rosemarysill.DetailOf(err), now)
+		return false
+	case e.Kind == CheckpointTask && m.checkpointWanted && now.Before(m.leaseUntil), !m.stopWanted:
+		return true
+	default:
+		m.inFlight, m.checkpointWanted = "", false
+		return false
+	}
+}
+
 // Did takes in the result of an effect. checkpoint is the name that a
 // checkpoint returned.
 func (l *Ledger) Did(e Effect, checkpoint string, err error, now time.Time) {
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -236,14 +236,15 @@
 	}
 }
 
-// Idle reports whether no member holds capacity.
-func (l *Ledger) Idle() bool {
+// Active returns the number of members that hold capacity.
+func (l *Ledger) Active() int {
+	n := 0
 	for _, m := range l.members {
 		if m.active() {
-			return false
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // expire applies all deadlines up to now. Each event does so first, so that a
