--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -155,10 +155,14 @@
 func TestDeliveryJoins(t *testing.T) {
 	release := make(chan struct{})
 	var runs atomic.Int64
-	serve := serveFunc(func(context.Context, rosemarysill.Call) ([]byte, error) {
+	serve := serveFunc(func(ctx context.Context, _ rosemarysill.Call) ([]byte, error) {
 		runs.Add(1)
-		<-release
-		return []byte("answer"), nil
+		select {
+		case <-release:
+			return []byte("answer"), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	})
 	bubble(t, func() *Agent {
 		release = make(chan struct{})
@@ -171,8 +175,8 @@
 				_, err := a.Forward(ctx, call(1, 1, false))
 				codes <- rosemarysill.CodeOf(err)
 			}()
+			synctest.Wait()
 		}
-		synctest.Wait()
 		lose()
 		require.Equal(t, rosemarysill.OutcomeUnknown, <-codes)
 		close(release)
@@ -181,6 +185,19 @@
 	})
 }
 
+// TestAnswerBeyondBound guards against an answer that is dropped before its own
+// caller has read it.
+func TestAnswerBeyondBound(t *testing.T) {
+	cfg := config(address1)
+	cfg.AnswerBytes = 1
+	serve := serveFunc(func(context.Context, rosemarysill.Call) ([]byte, error) { return []byte("answer"), nil })
+	bubble(t, func() *Agent { return NewUpstream(cfg, fakeEntries{address1: newEntry()}, serve) }, func(t *testing.T, a *Agent) {
+		answer, err := a.Forward(context.Background(), call(1, 1, false))
+		require.NoError(t, err)
+		require.Equal(t, "answer", string(answer.Body))
+	})
+}
+
 // TestRefusals guards against work that the agent must not take, and against
 // answers beyond the limit.
 func TestRefusals(t *testing.T) {
--- a/worker/memory_test.go
+++ b/worker/memory_test.go
@@ -28,6 +28,50 @@
 	require.Equal(t, StopTask, effects[0].Kind)
 }
 
+// TestBeginChecksAgain guards against an effect that is sent after a pause
+// between its decision and the request.
+func TestBeginChecksAgain(t *testing.T) {
+	cases := map[string]struct {
+		between func(l *Ledger)
+		at      time.Duration
+		want    bool
+	}{
+		"no pause":               {func(*Ledger) {}, 0, true},
+		"reservation lapsed":     {func(*Ledger) {}, 3 * time.Second, false},
+		"stopped":                {func(l *Ledger) { _, _ = l.Stop(stop(1, 1, 3), start) }, 0, false},
+		"later epoch":            {func(l *Ledger) { l.Obey(orders(1, 4), start, start) }, 0, false},
+		"domain out":             {func(l *Ledger) { l.Obey(rosemarysill.AgentOrders{Revision: 2, DomainOut: true}, start, start) }, 0, false},
+		"later attempt reserved": {func(l *Ledger) { _ = l.Reserve(reserve(1, 2, 3, 1), start) }, 0, false},
+	}
+	t.Run("lease lapsed before its extension", func(t *testing.T) {
+		l := newTestLedger()
+		l.Obey(orders(1, 3), start, start)
+		require.NoError(t, l.Reserve(reserve(1, 1, 3, 0), start))
+		require.NoError(t, l.Commit(commit(1, 1, 3), start))
+		l.Did(l.Due(start)[0], "", nil, start)
+		renewed := start.Add(2 * time.Second)
+		l.Obey(rosemarysill.AgentOrders{Leases: []rosemarysill.LeaseGrant{{Job: job(1), Attempt: 1, For: time.Minute}}}, renewed, renewed)
+		e := l.Due(renewed)[0]
+		require.Equal(t, ExtendTask, e.Kind)
+		require.False(t, l.Begin(e, start.Add(17*time.Second)))
+	})
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := newTestLedger()
+			l.Obey(orders(1, 3), start, start)
+			require.NoError(t, l.Reserve(reserve(1, 1, 3, 0), start))
+			require.NoError(t, l.Commit(commit(1, 1, 3), start))
+			e := l.Due(start)[0]
+			c.between(l)
+			now := start.Add(c.at)
+			require.Equal(t, c.want, l.Begin(e, now))
+			reply, err := l.Stop(stop(1, 1, 4), now)
+			require.NoError(t, err)
+			require.Equal(t, !c.want, reply.NeverStarted)
+		})
+	}
+}
+
 // TestCheckpointDoesNotDelayStopPastLease guards against a checkpoint that
 // hangs while the lease lapses.
 func TestCheckpointDoesNotDelayStopPastLease(t *testing.T) {
