cmd: process tests of gangs, a killed entry and graceful stops

Cause: only the path of a call was tested through processes. Change: a gang of three members end to end; the placing entry killed with six gangs under way; an upstream's agent and an entry terminated under 36 calls. Found: an entry answers UnknownAccount until it has read the newest configuration, so the tests wait for the revision at all entries. Conclusion: the whole path stands; the driver of attempts is still the thin one.

--- a/cmd/rosemarysill/process_test.go
+++ b/cmd/rosemarysill/process_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 )
 
 // patience bounds the waits for processes; it is no measure of speed.
-const patience = 60 * time.Second
+const patience = 20 * time.Second
 
 var buildOnce = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "rosemarysill")
@@ -66,6 +67,25 @@
 	return p
 }
 
+// kill ends the process without warning.
+func (p *process) kill(t *testing.T) {
+	t.Helper()
+	require.NoError(t, p.cmd.Process.Kill())
+	<-p.exited
+}
+
+// terminate asks for a graceful shutdown and waits for the exit.
+func (p *process) terminate(t *testing.T) {
+	t.Helper()
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-p.exited:
+		require.NoError(t, err)
+	case <-time.After(patience):
+		require.Fail(t, "the process did not end", p.log.String())
+	}
+}
+
 // freePort returns a loopback address that was free a moment ago.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
@@ -224,6 +244,22 @@
 	})
 }
 
+// ready waits until all entries and agents have the configuration.
+func (d *deployment) ready(agents int) {
+	d.t.Helper()
+	for i := range d.http {
+		c := operator.NewClient(d.http[i : i+1])
+		d.eventually("agents", func() error {
+			s, err := c.Status(context.Background())
+			if err == nil && (s.Revision == 0 || s.AgentsAtRevision < agents) {
+				err = fmt.Errorf("%d agents at revision %d, behind: %v", s.AgentsAtRevision, s.Revision, s.AgentsBehind)
+			}
+			return err
+		})
+		c.Close()
+	}
+}
+
 func newCall(body standin.CallBody) rosemarysill.Call {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -235,18 +271,125 @@
 	}
 }
 
-// TestCallEndToEnd guards against a break anywhere on the path of a call
-// through separate processes.
-func TestCallEndToEnd(t *testing.T) {
+func newJob(members, accelerators int, body string) rosemarysill.JobSpec {
+	return rosemarysill.JobSpec{
+		ID: uuid.Must(uuid.NewV7()), Account: "Sfax Flippers", Class: rosemarysill.Normal, Idempotent: true,
+		Shape:           rosemarysill.Shape{Members: members, Accelerators: accelerators, Processors: 1, MemoryMB: 64},
+		DeclaredSeconds: 1, Body: []byte(body),
+	}
+}
+
+// finish waits for the end of a job.
+func (d *deployment) finish(id uuid.UUID) rosemarysill.Job {
+	d.t.Helper()
+	var job rosemarysill.Job
+	d.eventually("job "+id.String(), func() error {
+		var err error
+		job, err = d.caller.Job(context.Background(), id)
+		if err == nil && !job.State.Final() {
+			err = fmt.Errorf("state %s attempt %d: %s", job.State, job.Attempt, job.Detail)
+		}
+		return err
+	})
+	return job
+}
+
+// TestCallAndGangEndToEnd guards against a break anywhere on the path of a
+// request through separate processes.
+func TestCallAndGangEndToEnd(t *testing.T) {
+	d := newDeployment(t, 2, 2, 3)
+	d.declare()
+	d.ready(5)
+
+	call := newCall(standin.CallBody{})
+	answer := d.caller.Call(context.Background(), call)
+	require.Equal(t, rosemarysill.Done, answer.Code, answer.Detail)
+	require.Equal(t, 1, d.calls.RunsOf(call.ID))
+
+	spec := newJob(3, 4, `{"RunSeconds":0.2,"Result":"flippers: 12"}`)
+	_, err := d.caller.Submit(context.Background(), spec)
+	require.NoError(t, err)
+	job := d.finish(spec.ID)
+	require.Equal(t, rosemarysill.JobDone, job.State, job.Detail)
+	require.Equal(t, "flippers: 12", string(job.Result))
+	require.Len(t, d.tasks.Spans(), 3)
+}
+
+// TestEntryKilled guards against work that stops or runs twice when the placing
+// entry dies: calls and gangs go on through the other one.
+func TestEntryKilled(t *testing.T) {
+	d := newDeployment(t, 2, 2, 3)
+	d.declare()
+	d.ready(5)
+	var specs []rosemarysill.JobSpec
+	for range 6 {
+		spec := newJob(3, 2, `{"RunSeconds":1,"Result":"reconciled"}`)
+		_, err := d.caller.Submit(context.Background(), spec)
+		require.NoError(t, err)
+		specs = append(specs, spec)
+	}
+	d.entries[d.placing()].kill(t)
+
+	call := newCall(standin.CallBody{})
+	answer := d.caller.Call(context.Background(), call)
+	require.Equal(t, rosemarysill.Done, answer.Code, answer.Detail)
+	for _, spec := range specs {
+		require.Equal(t, rosemarysill.JobDone, d.finish(spec.ID).State)
+	}
+	require.Empty(t, d.tasks.StartedTwice())
+	require.Empty(t, d.tasks.Overlapping())
+}
+
+// placing returns the entry that places jobs.
+func (d *deployment) placing() int {
+	d.t.Helper()
+	found := -1
+	d.eventually("placing entry", func() error {
+		for i := range d.http {
+			c := operator.NewClient(d.http[i : i+1])
+			s, err := c.Status(context.Background())
+			c.Close()
+			if err == nil && s.Places {
+				found = i
+				return nil
+			}
+		}
+		return fmt.Errorf("no entry places")
+	})
+	return found
+}
+
+// TestGracefulStops guards against a planned stop that cuts off a request in
+// progress: an upstream's agent and an entry end while calls run.
+func TestGracefulStops(t *testing.T) {
 	d := newDeployment(t, 2, 2, 0)
 	d.declare()
-	d.eventually("call", func() error {
-		call := newCall(standin.CallBody{})
-		answer := d.caller.Call(context.Background(), call)
-		if answer.Code != rosemarysill.Done {
-			return rosemarysill.NewError(answer.Code, "%s", answer.Detail)
+	d.ready(2)
+	results := make(chan rosemarysill.Answer, 64)
+	var calls sync.WaitGroup
+	send := func(n int) {
+		for range n {
+			calls.Go(func() { results <- d.caller.Call(context.Background(), newCall(standin.CallBody{Seconds: 0.3})) })
+		}
+	}
+	send(12)
+	d.eventually("calls in progress", func() error {
+		if d.upstreams["upstream-0"].Busy() == 0 {
+			return fmt.Errorf("none")
 		}
-		require.Equal(t, 1, d.calls.RunsOf(call.ID))
 		return nil
 	})
+	d.agents["upstream-0"].terminate(t)
+	send(12)
+	d.entries[0].terminate(t)
+	send(12)
+	calls.Wait()
+	close(results)
+	n := 0
+	for a := range results {
+		require.Equal(t, rosemarysill.Done, a.Code, a.Detail)
+		require.Equal(t, 1, d.calls.RunsOf(a.ID))
+		n++
+	}
+	require.Equal(t, 36, n)
 }
