membership: leases are withheld for ReserveFor longer after a fence

A commit that an earlier placing entry sent may still start a member while its reservation lasts, so the last lease of a fenced attempt ends ReserveFor + GangLease + Margin after the fence is complete, not GangLease + Margin. A newly established entry grants no lease for StoreFresh longer than that.

--- a/membership/fence.go
+++ b/membership/fence.go
@@ -36,7 +36,7 @@
 		}
 		// An acknowledgement ends before the fence it stands for.
 		sent, ok := f.acked[m.ID]
-		if !ok || !now.Before(sent.Add(FenceMemory(f.timings)-f.timings.GangLease-2*f.timings.Margin)) {
+		if !ok || !now.Before(sent.Add(FenceMemory(f.timings)-f.timings.ReserveFor-f.timings.GangLease-2*f.timings.Margin)) {
 			ask = append(ask, m)
 		}
 	}
@@ -45,7 +45,8 @@
 
 // FenceAttempt asks each established entry to grant no more gang lease to the
 // attempt. It returns nil when each has acknowledged or was removed; the last
-// lease granted before ends within GangLease from then on, plus Margin.
+// lease granted before ends within GangLease and Margin, and a commit of an
+// earlier placing entry may start a member within ReserveFor before that.
 func (m *Membership) FenceAttempt(ctx context.Context, job uuid.UUID, attempt int, epoch uint64) error {
 	r := rosemarysill.FenceRequest{From: m.state.Self.ID, Job: job, Attempt: attempt, Epoch: epoch}
 	f := NewFenceState(m.opts.Timings)
--- a/membership/state.go
+++ b/membership/state.go
@@ -152,9 +152,9 @@
 	}
 	if s.Established() && !was && len(s.others()) > 0 {
 		// A placing entry whose list is up to StoreFresh old may complete a
-		// fence without asking this entry. The leases granted before that end
-		// within GangLease.
-		s.grantAt = now.Add(s.Timings.StoreFresh + s.Timings.GangLease + s.Timings.Margin)
+		// fence without asking this entry. A member may be started within
+		// ReserveFor after that, and its lease lasts GangLease.
+		s.grantAt = now.Add(s.Timings.StoreFresh + s.Timings.ReserveFor + s.Timings.GangLease + s.Timings.Margin)
 	}
 }
 
