--- a/placement/borrow.go
+++ b/placement/borrow.go
@@ -31,7 +31,7 @@
 		d.place(w.Spec, at, false)
 		return
 	}
-	if d.large(w.Spec.Shape) && d.now.Sub(w.Submitted) >= d.timings.GangPatience && d.reserved < maxReservations {
+	if !d.without[Reservation] && d.large(w.Spec.Shape) && d.now.Sub(w.Submitted) >= d.timings.GangPatience && d.reserved < maxReservations {
 		if until, ok := d.reserve(w); ok {
 			d.hold(w.Spec, fmt.Sprintf("capacity is reserved until %s", until.UTC().Format(time.RFC3339)))
 			return
@@ -68,7 +68,7 @@
 		for i := range open {
 			open[i] = d.fleet.free[i].Sub(d.kept[i], 1).Floor()
 		}
-		if at, ok := d.locateAvoiding(w, open); ok {
+		if at, ok := d.locateAvoiding(w, open); ok && !d.without[OutsideSets] {
 			return at, true
 		}
 		if at, ok := d.locateAvoiding(w, d.fleet.free); ok {
@@ -77,7 +77,7 @@
 		d.failed[kind] = true
 	}
 	kind.inGap = true
-	if d.reserved == 0 || d.failed[kind] || d.now.Add(d.runTime(w.Spec)).After(d.gapUntil) {
+	if d.without[Backfill] || d.reserved == 0 || d.failed[kind] || d.now.Add(d.runTime(w.Spec)).After(d.gapUntil) {
 		return nil, false
 	}
 	both := make(rooms, len(d.gap))
@@ -103,27 +103,13 @@
 }
 
 // reserve withholds capacity for a large gang that has waited longer than
-// GangPatience. Borrowed work that started after that time is stopped for it if
-// that is enough; else the gang gets the place that is expected to be free
-// first, with that time as the deadline.
+// GangPatience: the place that is expected to be free first, with that time as
+// the deadline. It is found anew with each decision.
 func (d *pass) reserve(w *rosemarysill.WaitingJob) (time.Time, bool) {
 	within := d.usable
 	if !w.Spec.Idempotent {
 		within = d.spare
 	}
-	since := w.Submitted.Add(d.timings.GangPatience)
-	share := d.book.Share(w.Spec.Account)
-	if d.searches < maxSearches {
-		d.searches++
-		v, ok := d.reclaim(w.Spec.Shape, within, func(h *holding) bool {
-			return h.stoppable() && h.job.Started.After(since) && d.book.Share(h.job.Spec.Account) >= share
-		})
-		if ok {
-			d.stop(v.jobs, w.Spec, "backfilled work makes room for a large gang")
-			d.withhold(w.Spec.Shape, v.at, nil)
-			return d.now.Add(d.timings.ReclaimWithin), true
-		}
-	}
 	at, until, ok := d.earliest(w.Spec.Shape, within)
 	if !ok {
 		return until, false
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -15,12 +15,18 @@
 		return false
 	}
 	within := d.claimable(w.Spec, unit, whole)
+	if d.without[LeastReclaim] && whole && d.sets.at[unit] != nil {
+		within = make(rooms, len(d.spare))
+		for _, u := range d.sets.base[unit] {
+			within[u.worker] = within[u.worker].Add(u.amount, 1)
+		}
+	}
 	if at, ok := d.locateAvoiding(w, d.freeWithin(within)); ok {
 		d.settleClaim(w.Spec, unit, whole, at)
 		d.place(w.Spec, at, true)
 		return true
 	}
-	if whole {
+	if whole && !d.without[LeastReclaim] {
 		if at, ok := d.locateAvoiding(w, d.fleet.free); ok && d.keepsSets(w.Spec, unit, at) {
 			d.place(w.Spec, at, true)
 			return true
@@ -215,18 +221,26 @@
 // locateAvoiding locates a waiting job, if possible away from the workers on
 // which it failed.
 func (d *pass) locateAvoiding(w *rosemarysill.WaitingJob, in rooms) ([]share, bool) {
-	if len(w.FailedOn) > 0 {
+	if len(w.FailedOn) > 0 && !d.without[AvoidFailed] {
 		other := append(rooms(nil), in...)
 		for _, name := range w.FailedOn {
 			if i, ok := d.fleet.byName[name]; ok {
 				other[i] = account.Resources{}
 			}
 		}
-		if at, ok := d.fleet.locate(w.Spec.Shape, other, tightest); ok {
+		if at, ok := d.fleet.locate(w.Spec.Shape, other, d.rule()); ok {
 			return at, true
 		}
 	}
-	return d.fleet.locate(w.Spec.Shape, in, tightest)
+	return d.fleet.locate(w.Spec.Shape, in, d.rule())
+}
+
+// rule is the order of racks for new work.
+func (d *pass) rule() rule {
+	if d.without[BestFit] {
+		return first
+	}
+	return tightest
 }
 
 func (d *pass) place(spec rosemarysill.JobSpec, at []share, guaranteed bool) {
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -17,13 +17,44 @@
 	return func(p *policy) { p.timings = t }
 }
 
+// Choice is a design choice that no promise requires. docs/MEASURES.md has a
+// row for each, with and without it.
+type Choice string
+
+// The choices.
+const (
+	BestFit      Choice = "best fit"             // the tightest rack first, instead of the first that fits
+	OutsideSets  Choice = "outside sets"         // borrowed work goes outside the guaranteed sets first
+	FairShare    Choice = "fair share"           // smallest borrowed share first, instead of submission order
+	LeastReclaim Choice = "least reclaim"        // reclaim where the least borrowed work stops, instead of the kept set
+	Reservation  Choice = "reservation"          // large gangs get a reservation after GangPatience
+	Backfill     Choice = "backfill"             // short stoppable jobs use the gap of a reservation
+	LeaveDomains Choice = "leave domains"        // jobs in a domain that is out continue elsewhere
+	AvoidFailed  Choice = "avoid failed workers" // a job is tried on a worker on which it has not failed
+)
+
+// Choices returns all choices.
+func Choices() []Choice {
+	return []Choice{BestFit, OutsideSets, FairShare, LeastReclaim, Reservation, Backfill, LeaveDomains, AvoidFailed}
+}
+
+// Without leaves out design choices, to measure what each is worth.
+func Without(choices ...Choice) Option {
+	return func(p *policy) {
+		for _, c := range choices {
+			p.without[c] = true
+		}
+	}
+}
+
 type policy struct {
 	timings rosemarysill.Timings
+	without map[Choice]bool
 }
 
 // New returns the placement policy of docs/design.md, section 6.6.
 func New(opts ...Option) rosemarysill.Policy {
-	p := &policy{timings: rosemarysill.DefaultTimings()}
+	p := &policy{timings: rosemarysill.DefaultTimings(), without: map[Choice]bool{}}
 	for _, set := range opts {
 		set(p)
 	}
@@ -37,7 +68,9 @@
 // in order of submission, then the others by class and fair share.
 func (p *policy) Decide(s rosemarysill.ClusterState, now time.Time) rosemarysill.Decision {
 	d := newPass(p, s, now)
-	d.leaveDomains()
+	if !p.without[LeaveDomains] {
+		d.leaveDomains()
+	}
 	d.charge()
 	claims := make([]int, 0, len(s.Waiting))
 	for i := range s.Waiting {
@@ -54,6 +87,14 @@
 	for _, i := range claims {
 		rest[i] = !d.claim(&s.Waiting[i])
 	}
+	if p.without[FairShare] {
+		for _, i := range claims {
+			if rest[i] {
+				d.borrow(&s.Waiting[i])
+			}
+		}
+		clear(rest)
+	}
 	queue := account.NewQueue(s.Waiting, rest, d.book)
 	for i, ok := queue.Next(); ok; i, ok = queue.Next() {
 		d.borrow(&s.Waiting[i])
