placement: whole guaranteed gangs are claimed before smaller jobs

Cause: an account's urgent small jobs took parts of the unit that its own waiting gang was about to claim, were stopped for it, and came back before it, decision after decision. Change: claims of exactly a granted shape go first.

--- a/account/book.go
+++ b/account/book.go
@@ -73,6 +73,21 @@
 	return max(unit, 0), false, unit >= 0
 }
 
+// Grants reports whether the account's guarantee is of exactly the shape of the
+// job, whether claimed or not.
+func (b *Book) Grants(spec rosemarysill.JobSpec) bool {
+	l := b.accounts[spec.Account]
+	if l == nil {
+		return false
+	}
+	for _, i := range l.units {
+		if b.units[i].Shape == spec.Shape {
+			return true
+		}
+	}
+	return false
+}
+
 // covers reports whether a smaller job fits in the members left of a unit.
 func (u *Unit) covers(s rosemarysill.Shape) bool {
 	return s.Members <= u.Room && s.Accelerators <= u.Shape.Accelerators && s.Processors <= u.Shape.Processors &&
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -81,7 +81,13 @@
 		claims = append(claims, i)
 	}
 	sort.SliceStable(claims, func(i, j int) bool {
-		return s.Waiting[claims[i]].Spec.Class.Rank() < s.Waiting[claims[j]].Spec.Class.Rank()
+		a, b := &s.Waiting[claims[i]].Spec, &s.Waiting[claims[j]].Spec
+		// Whole gangs go before smaller jobs: a smaller job that took a part of
+		// the unit first would be stopped for the gang in the same decision.
+		if x, y := d.book.Grants(*a), d.book.Grants(*b); x != y {
+			return x
+		}
+		return a.Class.Rank() < b.Class.Rank()
 	})
 	rest := make([]bool, len(s.Waiting))
 	for _, i := range claims {
--- a/workload/cmd/policybench/main.go
+++ b/workload/cmd/policybench/main.go
@@ -12,9 +12,10 @@
 )
 
 type options struct {
-	Seeds     int  `long:"seeds" default:"5" description:"seeds of each scenario, from 1"`
-	Ablations bool `long:"ablations" description:"leave out one design choice at a time instead of running the baselines"`
-	Groups    bool `long:"groups" description:"also print completion times by class and by client account"`
+	Seeds     int    `long:"seeds" default:"5" description:"seeds of each scenario, from 1"`
+	Ablations bool   `long:"ablations" description:"leave out one design choice at a time instead of running the baselines"`
+	Only      string `long:"only" description:"the name of the only scenario to run"`
+	Groups    bool   `long:"groups" description:"also print completion times by class and by client account"`
 }
 
 func main() {
@@ -38,6 +39,9 @@
 		seeds = append(seeds, uint64(n+1))
 	}
 	for _, generate := range workload.Scenarios() {
+		if o.Only != "" && o.Only != generate(1).Name {
+			continue
+		}
 		fmt.Printf("\n### %s, %d seeds\n\n", generate(1).Name, o.Seeds)
 		var results []*workload.Result
 		for _, v := range variants {
