entry: drive attempts with the state machine of package gang

Change: one driver for each attempt carries out the effects of gang.Attempt and feeds it with answers and reports; the placer takes over attempts from records, moves jobs out of failure domains, learns worker health and run times, ends cancelled and rejected jobs, and deletes old ones. Ruled out: one loop for all attempts, whose blocking calls would delay each other.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,6 +83,7 @@
 	holder  *holder
 	router  *upstream.Router
 	calls   *metric.Calls
+	jobs    *metric.Calls // by final state
 	placer  *placer
 
 	epochSeen atomic.Uint64 // highest placement epoch known
@@ -103,6 +104,7 @@
 		self:   rosemarysill.Member{ID: uuid.New(), Name: cfg.Name, Address: cfg.GRPC, State: rosemarysill.Joining},
 		table:  newTable(o.Timings, cfg.MaxAgents),
 		calls:  metric.NewCalls(maxAccounts),
+		jobs:   metric.NewCalls(maxAccounts),
 		wakeUp: make(chan struct{}, 1),
 		done:   make(chan struct{}),
 	}
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -54,6 +54,16 @@
 	return h.epoch, h.lease != 0 && h.now().Before(h.until)
 }
 
+// deadline returns the end of the lease by this entry's clock.
+func (h *holder) deadline() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lease == 0 {
+		return time.Time{}
+	}
+	return h.until
+}
+
 // keep renews the lease, or tries to take it. It returns whether the entry
 // holds the lease afterwards and whether it has just taken it.
 func (h *holder) keep(ctx context.Context) (holds, taken bool) {
--- a/entry/state.go
+++ b/entry/state.go
@@ -7,17 +7,25 @@
 	"github.com/rosemarysill/rosemarysill"
 )
 
-// clusterState returns the input of a placement decision.
+// clusterState returns the input of a placement decision. A job with an
+// attempt in hand counts as placed even before its start is recorded.
 func (e *Entry) clusterState(cfg *rosemarysill.Configuration, now time.Time) rosemarysill.ClusterState {
-	s := rosemarysill.ClusterState{Config: *cfg, Workers: e.table.workers(cfg, now)}
+	attempts, ratios := e.placer.snapshot()
+	s := rosemarysill.ClusterState{Config: *cfg, Workers: e.placer.judged(e.table.workers(cfg, now), now), RunRatio: ratios}
 	jobs, _ := e.book.all()
 	for _, j := range jobs {
-		switch j.job.State {
-		case rosemarysill.JobQueued:
+		if j.job.State.Final() {
+			continue
+		}
+		if placed, ok := attempts[j.job.Spec.ID.String()]; ok {
+			s.Placed = append(s.Placed, placed)
+			continue
+		}
+		if j.job.State == rosemarysill.JobQueued {
 			s.Waiting = append(s.Waiting, waitingJob(j.job))
-		case rosemarysill.JobStarting, rosemarysill.JobRunning, rosemarysill.JobStopping:
-			s.Placed = append(s.Placed, placedJob(j.job))
+			continue
 		}
+		s.Placed = append(s.Placed, placedJob(j.job))
 	}
 	sort.Slice(s.Waiting, func(i, j int) bool {
 		a, b := s.Waiting[i], s.Waiting[j]
--- a/entry/table.go
+++ b/entry/table.go
@@ -240,6 +240,18 @@
 	return out
 }
 
+// anyDomainOut reports whether a slot is in a failure domain that is out.
+func (tb *table) anyDomainOut(slots []rosemarysill.Slot, cfg *rosemarysill.Configuration) bool {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, slot := range slots {
+		if a, ok := tb.agents[slot.Worker]; ok && a.known && cfg.DomainOut(a.identity.Domain) {
+			return true
+		}
+	}
+	return false
+}
+
 // agentView is an agent as the placing loop needs it.
 type agentView struct {
 	identity rosemarysill.AgentIdentity
