peer, worker: answer a stop with the boot, report no unstarted member

Cause: package gang believes "never started" only of the boot that was reserved, and takes every reported state but Reserved as a start. The ledger reported a committed member that it refused to start as Stopped, so a non-idempotent job would have ended as Unknown instead of waiting again.

--- a/agent.go
+++ b/agent.go
@@ -148,9 +148,12 @@
 }
 
 // StopReply tells whether the member is known to run no more.
-// NeverStarted is proof that the member did not start and will not: the agent
-// refuses a later commit of the attempt.
+// NeverStarted is proof that the member did not start in this boot of the agent
+// and will not: the agent refuses a later commit of the attempt. An agent that
+// has restarted since the reservation cannot prove it, so Boot tells which boot
+// answers.
 type StopReply struct {
+	Boot         uuid.UUID
 	Stopped      bool
 	NeverStarted bool
 	Checkpoint   string
--- a/peer/client_agent.go
+++ b/peer/client_agent.go
@@ -60,5 +60,5 @@
 	if err != nil {
 		return rosemarysill.StopReply{}, err
 	}
-	return decodeStopReply(m), nil
+	return decodeStopReply(m)
 }
--- a/peer/gang.go
+++ b/peer/gang.go
@@ -138,13 +138,16 @@
 }
 
 func encodeStopReply(r rosemarysill.StopReply) *peerpb.StopReply {
-	return &peerpb.StopReply{Stopped: r.Stopped, NeverStarted: r.NeverStarted, Checkpoint: r.Checkpoint}
+	return &peerpb.StopReply{Boot: r.Boot[:], Stopped: r.Stopped, NeverStarted: r.NeverStarted, Checkpoint: r.Checkpoint}
 }
 
-func decodeStopReply(m *peerpb.StopReply) rosemarysill.StopReply {
-	return rosemarysill.StopReply{
+func decodeStopReply(m *peerpb.StopReply) (rosemarysill.StopReply, error) {
+	var d decoder
+	r := rosemarysill.StopReply{
+		Boot:         d.uuid("Boot", m.GetBoot()),
 		Stopped:      m.GetStopped(),
 		NeverStarted: m.GetNeverStarted(),
 		Checkpoint:   clip(m.GetCheckpoint()),
 	}
+	return r, d.replyErr()
 }
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -119,6 +119,9 @@
 	l.expire(now)
 	task := rosemarysill.RuntimeTask{Job: r.Job, Attempt: r.Attempt, Member: r.Member}
 	m, ok := l.members[task]
+	if ok && m.unstarted() {
+		return rosemarysill.NewError(rosemarysill.ReservationLapsed, "member %d of attempt %d: %s", r.Member, r.Attempt, m.detail)
+	}
 	if ok && m.stage != reserved && m.epoch == r.Epoch {
 		return nil
 	}
@@ -182,7 +185,7 @@
 		return l.stop(rec, task, m, r.Checkpoint, now), nil
 	}
 	if r.Attempt < rec.attempt {
-		return rosemarysill.StopReply{Stopped: true}, nil
+		return rosemarysill.StopReply{Boot: l.cfg.Identity.Boot, Stopped: true}, nil
 	}
 	s, ok := rec.spent[r.Member]
 	if !ok && len(rec.spent) >= l.cfg.Members {
@@ -190,7 +193,7 @@
 	}
 	s.stopped = true
 	rec.spent[r.Member] = s
-	return rosemarysill.StopReply{Stopped: true, NeverStarted: s.neverStarted}, nil
+	return rosemarysill.StopReply{Boot: l.cfg.Identity.Boot, Stopped: true, NeverStarted: s.neverStarted}, nil
 }
 
 func (l *Ledger) stop(rec *record, task rosemarysill.RuntimeTask, m *member, checkpoint bool, now time.Time) rosemarysill.StopReply {
@@ -198,13 +201,14 @@
 	case reserved:
 		delete(l.members, task)
 		rec.spent[task.Member] = spending{stopped: true, neverStarted: true}
-		return rosemarysill.StopReply{Stopped: true, NeverStarted: true}
+		return rosemarysill.StopReply{Boot: l.cfg.Identity.Boot, Stopped: true, NeverStarted: true}
 	case committed:
 		m.finish(rosemarysill.TaskStopped, "stopped before the start", now)
 	case starting, running:
 		m.wantStop(checkpoint, "stopped by request")
 	}
 	return rosemarysill.StopReply{
+		Boot:         l.cfg.Identity.Boot,
 		Stopped:      m.stage == finished,
 		NeverStarted: m.stage == finished && m.neverStarted,
 		Checkpoint:   m.checkpoint,
--- a/worker/member.go
+++ b/worker/member.go
@@ -52,6 +52,13 @@
 // mayRun reports whether the runtime may have the task.
 func (m *member) mayRun() bool { return m.stage == starting || m.stage == running }
 
+// unstarted reports whether the member was committed and never sent to the
+// runtime. It is not reported, because every state of a report but Reserved
+// says that the member started; the answer to a stop gives the proof.
+func (m *member) unstarted() bool {
+	return m.stage == finished && m.neverStarted && m.outcome == rosemarysill.TaskStopped
+}
+
 // wantStop asks for the stop of a member that may run. The first reason stays.
 func (m *member) wantStop(checkpoint bool, detail string) {
 	if m.stopWanted {
@@ -67,6 +74,7 @@
 	m.neverStarted = m.neverStarted || m.stage == reserved || m.stage == committed
 	m.stage, m.outcome, m.detail, m.finishedAt = finished, outcome, detail, now
 	m.request.Spec.Body = nil
+	m.acked = m.unstarted() // no entry needs to learn it from a report
 }
 
 // state returns the state for reports. A start that the runtime has not
--- a/worker/report.go
+++ b/worker/report.go
@@ -12,13 +12,13 @@
 // no members is 0, so that idle workers spend no bytes on it.
 func (l *Ledger) Report(now time.Time) ([]rosemarysill.TaskReport, uint64) {
 	l.expire(now)
-	if len(l.members) == 0 {
-		return nil, 0
-	}
-	reports := make([]rosemarysill.TaskReport, 0, len(l.members))
+	var reports []rosemarysill.TaskReport
 	d := xxhash.New()
 	for _, task := range l.sorted() {
 		m := l.members[task]
+		if m.unstarted() {
+			continue
+		}
 		r := rosemarysill.TaskReport{
 			Job:        task.Job,
 			Attempt:    task.Attempt,
@@ -33,6 +33,9 @@
 		reports = append(reports, r)
 		hashReport(d, &r)
 	}
+	if len(reports) == 0 {
+		return nil, 0
+	}
 	return reports, max(d.Sum64(), 1)
 }
 
