worker: order the stops of unknown tasks

Cause: Due returned the stops of tasks that the ledger does not know in the order of a map, so equal events could give effects in different order. Change: they are sorted like members.

--- a/worker/effect.go
+++ b/worker/effect.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"maps"
 	"time"
 
 	"github.com/rosemarysill/rosemarysill"
@@ -39,7 +40,7 @@
 			effects = append(effects, e)
 		}
 	}
-	for task := range l.orphans {
+	for _, task := range sortTasks(maps.Keys(l.orphans)) {
 		effects = append(effects, Effect{Kind: StopTask, Task: task})
 	}
 	clear(l.orphans)
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -268,8 +269,12 @@
 	l.dropFinished(now)
 }
 
-func (l *Ledger) sorted() []rosemarysill.RuntimeTask {
-	return slices.SortedFunc(maps.Keys(l.members), func(a, b rosemarysill.RuntimeTask) int {
+// sorted returns the members in a fixed order, so that the same events give the
+// same effects in the same order.
+func (l *Ledger) sorted() []rosemarysill.RuntimeTask { return sortTasks(maps.Keys(l.members)) }
+
+func sortTasks(tasks iter.Seq[rosemarysill.RuntimeTask]) []rosemarysill.RuntimeTask {
+	return slices.SortedFunc(tasks, func(a, b rosemarysill.RuntimeTask) int {
 		return cmp.Or(slices.Compare(a.Job[:], b.Job[:]), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Member, b.Member))
 	})
 }
