--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -119,6 +120,9 @@
 	l.expire(now)
 	task := rosemarysill.RuntimeTask{Job: r.Job, Attempt: r.Attempt, Member: r.Member}
 	m, ok := l.members[task]
+	if ok && m.unstarted() {
+		return rosemarysill.NewError(rosemarysill.ReservationLapsed, "member %d of attempt %d: %s", r.Member, r.Attempt, m.detail)
+	}
 	if ok && m.stage != reserved && m.epoch == r.Epoch {
 		return nil
 	}
@@ -182,7 +186,7 @@
 		return l.stop(rec, task, m, r.Checkpoint, now), nil
 	}
 	if r.Attempt < rec.attempt {
-		return rosemarysill.StopReply{Stopped: true}, nil
+		return rosemarysill.StopReply{Boot: l.cfg.Identity.Boot, Stopped: true}, nil
 	}
 	s, ok := rec.spent[r.Member]
 	if !ok && len(rec.spent) >= l.cfg.Members {
@@ -190,7 +194,7 @@
 	}
 	s.stopped = true
 	rec.spent[r.Member] = s
-	return rosemarysill.StopReply{Stopped: true, NeverStarted: s.neverStarted}, nil
+	return rosemarysill.StopReply{Boot: l.cfg.Identity.Boot, Stopped: true, NeverStarted: s.neverStarted}, nil
 }
 
 func (l *Ledger) stop(rec *record, task rosemarysill.RuntimeTask, m *member, checkpoint bool, now time.Time) rosemarysill.StopReply {
@@ -198,13 +202,14 @@
 	case reserved:
 		delete(l.members, task)
 		rec.spent[task.Member] = spending{stopped: true, neverStarted: true}
-		return rosemarysill.StopReply{Stopped: true, NeverStarted: true}
+		return rosemarysill.StopReply{Boot: l.cfg.Identity.Boot, Stopped: true, NeverStarted: true}
 	case committed:
 		m.finish(rosemarysill.TaskStopped, "stopped before the start", now)
 	case starting, running:
 		m.wantStop(checkpoint, "stopped by request")
 	}
 	return rosemarysill.StopReply{
+		Boot:         l.cfg.Identity.Boot,
 		Stopped:      m.stage == finished,
 		NeverStarted: m.stage == finished && m.neverStarted,
 		Checkpoint:   m.checkpoint,
@@ -264,8 +269,12 @@
 	l.dropFinished(now)
 }
 
-func (l *Ledger) sorted() []rosemarysill.RuntimeTask {
-	return slices.SortedFunc(maps.Keys(l.members), func(a, b rosemarysill.RuntimeTask) int {
+// sorted returns the members in a fixed order, so that the same events give the
+// same effects in the same order.
+func (l *Ledger) sorted() []rosemarysill.RuntimeTask { return sortTasks(maps.Keys(l.members)) }
+
+func sortTasks(tasks iter.Seq[rosemarysill.RuntimeTask]) []rosemarysill.RuntimeTask {
+	return slices.SortedFunc(tasks, func(a, b rosemarysill.RuntimeTask) int {
 		return cmp.Or(slices.Compare(a.Job[:], b.Job[:]), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Member, b.Member))
 	})
 }
