entry: freshness lasts until the next heartbeat; pause between attempts

Cause: an agent's freshness was bounded by the granting entry's authority, which is renewed every StoreFresh/2. In some phases it ended before the agent's next heartbeat, and calls were refused as StaleConfiguration, then NoUpstream. Also, an attempt that an agent refused was followed at once by the next: up to 226 attempts of one job in the demonstration. Change: an entry with authority grants FreshFor whole; attempts of one job pause, doubling from DecideEvery to BeatEvery; the result of a gang is that of member 0, because the results of 128 members would not fit into the record; a commit must match the epoch of its reservation. Ruled out: reading the store more often, which still leaves less than BeatEvery. Bound: an agent acts on a configuration at most StoreFresh + FreshFor = 8 s old, the same as for tasks.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -23,7 +23,7 @@
 
 // speed scales the timings of the protocol, so that the demonstration takes
 // seconds.
-const speed = 0.1
+const speed = 0.2
 
 // movedDomain is the failure domain that is taken out and brought back.
 const movedDomain = "Sousse"
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -58,7 +58,11 @@
 	if !auth.Valid(now) {
 		return o
 	}
-	o.FreshFor = min(e.opts.Timings.FreshFor, auth.Until.Sub(now))
+	// The grant may outlast this entry's authority: bounded by it, a grant made
+	// just before the next read of the store would end before the agent's next
+	// heartbeat. An agent then acts on a configuration that is at most
+	// StoreFresh + FreshFor old.
+	o.FreshFor = e.opts.Timings.FreshFor
 	// Only established entries are asked to honour a fence, so only they may
 	// extend gang leases.
 	if auth.Established {
--- a/entry/learn.go
+++ b/entry/learn.go
@@ -20,18 +20,20 @@
 		if t == nil {
 			return
 		}
+		t.pause = min(max(2*t.pause, p.e.opts.Timings.DecideEvery), p.e.opts.Timings.BeatEvery)
+		t.notUntil = now.Add(t.pause)
 		t.refusals++
 		if !a.StaleAttempt() {
 			t.refusals = 0
 		}
 		return
 	}
+	delete(p.tries, d.id)
 	for i, slot := range a.Job().Slots {
 		p.learnMember(d, a, i, slot, now)
 	}
 	switch outcome {
 	case gang.Finished:
-		delete(p.tries, d.id)
 		if job.Code == rosemarysill.FailedEverywhere {
 			p.health.Acquit(d.id)
 		}
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -33,8 +33,11 @@
 // tries are the attempts of a waiting job that no record shows.
 type tries struct {
 	highest  int
-	refusals int       // in a row, because an agent has seen a higher attempt
-	notUntil time.Time // pause after a failed attempt
+	refusals int // in a row, because an agent has seen a higher attempt
+	// An agent may refuse what the table allows, until its next heartbeat; a
+	// pause keeps the attempts from following each other without one.
+	pause    time.Duration
+	notUntil time.Time
 }
 
 func newPlacer(e *Entry) *placer {
@@ -185,6 +188,9 @@
 	job := s.job
 	job.Guaranteed = place.Guaranteed
 	t := p.triesOf(place.Job)
+	if now.Before(t.notUntil) {
+		return
+	}
 	number := gang.NextAttempt(job, t.highest, t.refusals)
 	p.mu.Lock()
 	t.highest = number
--- a/gang/finish.go
+++ b/gang/finish.go
@@ -1,7 +1,6 @@
 package gang
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -117,16 +116,6 @@
 	return a.slots[i].Worker + ": " + a.members[i].detail
 }
 
-// result returns the result of the only member, or the results of all members
-// in order as a JSON array of base64 strings.
-func (a *Attempt) result() []byte {
-	if len(a.members) == 1 {
-		return a.members[0].result
-	}
-	all := make([][]byte, len(a.members))
-	for i, m := range a.members {
-		all[i] = m.result
-	}
-	raw, _ := json.Marshal(all) // byte slices always encode
-	return raw
-}
+// result returns the result of member 0, which speaks for the gang: the results
+// of 128 members would not fit into the job's record.
+func (a *Attempt) result() []byte { return a.members[0].result }
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -93,6 +93,11 @@
 		return spentError(task, s)
 	}
 	if m, ok := l.members[task]; ok {
+		if m.request.Epoch != r.Epoch {
+			// Two placing entries have used the same number; a commit may use
+			// only the reservation of its own entry.
+			return rosemarysill.NewError(rosemarysill.StaleAttempt, "member %d of attempt %d is reserved under epoch %d", r.Member, r.Attempt, m.request.Epoch)
+		}
 		if !slices.Equal(m.request.Slot.Accelerators, r.Slot.Accelerators) {
 			return rosemarysill.NewError(rosemarysill.InvalidRequest, "member %d of attempt %d has other accelerators", r.Member, r.Attempt)
 		}
@@ -145,6 +150,9 @@
 		}
 		return rosemarysill.NewError(rosemarysill.ReservationLapsed, "member %d of attempt %d is not reserved", r.Member, r.Attempt)
 	}
+	if r.Epoch != m.request.Epoch {
+		return rosemarysill.NewError(rosemarysill.ReservationLapsed, "member %d of attempt %d is reserved under epoch %d", r.Member, r.Attempt, m.request.Epoch)
+	}
 	if err := l.startRefusal(task, r.Epoch, m, now); err != nil {
 		return err
 	}
