placement: reservations keep shares fair and large gangs moving

Ruled out: large gangs that stop one another, the oldest gang first regardless of share, two or more reservations at a time.

--- a/placement/borrow.go
+++ b/placement/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"time"
 
 	"github.com/rosemarysill/rosemarysill"
@@ -31,18 +32,12 @@
 		d.place(w.Spec, at, false)
 		return
 	}
-	if !d.without[Reservation] && d.large(w.Spec.Shape) && d.now.Sub(w.Submitted) >= d.timings.GangPatience && d.reserved < maxReservations {
-		if until, ok := d.reserve(w); ok {
-			d.hold(w.Spec, fmt.Sprintf("capacity is reserved until %s", until.UTC().Format(time.RFC3339)))
-			return
-		}
-	}
 	d.hold(w.Spec, "no free capacity of this shape")
 }
 
 // locateBorrowed finds room for a job that borrows. Work that can be stopped
-// goes outside the guaranteed sets if it fits there, else into them or into the
-// gap of a reservation. Work that must not be stopped goes only where no set
+// goes anywhere, also into the guaranteed sets, else into the gap of a
+// reservation. Work that must not be stopped goes only where no set
 // becomes short.
 func (d *pass) locateBorrowed(w *rosemarysill.WaitingJob) ([]share, bool) {
 	kind := failure{shape: w.Spec.Shape, idempotent: w.Spec.Idempotent}
@@ -64,13 +59,6 @@
 		return nil, false
 	}
 	if !d.failed[kind] {
-		open := make(rooms, len(d.kept))
-		for i := range open {
-			open[i] = d.fleet.free[i].Sub(d.kept[i], 1).Floor()
-		}
-		if at, ok := d.locateAvoiding(w, open); ok && !d.without[OutsideSets] {
-			return at, true
-		}
 		if at, ok := d.locateAvoiding(w, d.fleet.free); ok {
 			return at, true
 		}
@@ -96,21 +84,91 @@
 	return at, true
 }
 
-// large reports whether a gang needs more than half of the largest worker, so
-// that smaller jobs can keep it from ever fitting.
+// large reports whether a gang needs more than half of the largest worker on one
+// worker or more than the largest worker in all, so that smaller jobs can keep it
+// from ever fitting.
 func (d *pass) large(s rosemarysill.Shape) bool {
-	return s.Members > 1 || s.Accelerators > 1 && 2*s.Accelerators > d.largest
+	return s.Members > 1 && s.TotalAccelerators() > d.largest || s.Accelerators > 1 && 2*s.Accelerators > d.largest
 }
 
-// reserve withholds capacity for a large gang that has waited longer than
-// GangPatience: the place that is expected to be free first, with that time as
-// the deadline. It is found anew with each decision.
-func (d *pass) reserve(w *rosemarysill.WaitingJob) (time.Time, bool) {
-	within := d.usable
-	if !w.Spec.Idempotent {
-		within = d.spare
+// reserve gives large gangs that have waited longer than GangPatience a place
+// before other jobs borrow, so that smaller jobs of any class do not keep them
+// from ever fitting. Only accounts with the smallest share get one: without it an
+// account could keep its share by asking for it in small jobs, and with one for
+// other accounts the large jobs would always go before the small ones.
+func (d *pass) reserve(rest []bool) {
+	if d.without[Reservation] {
+		return
+	}
+	var gangs []int
+	shares := make(map[string]float64)
+	smallest := 1.0
+	for i := range d.state.Waiting {
+		w := &d.state.Waiting[i]
+		if !rest[i] {
+			continue
+		}
+		if name := w.Spec.Account; shares[name] == 0 {
+			shares[name] = d.book.Share(name)
+			smallest = min(smallest, shares[name])
+		}
+		if d.large(w.Spec.Shape) && d.now.Sub(w.Submitted) >= d.timings.GangPatience {
+			gangs = append(gangs, i)
+		}
+	}
+	sort.SliceStable(gangs, func(i, j int) bool {
+		return shares[d.state.Waiting[gangs[i]].Spec.Account] < shares[d.state.Waiting[gangs[j]].Spec.Account]
+	})
+	for _, i := range gangs {
+		w := &d.state.Waiting[i]
+		if d.reserved >= maxReservations || d.book.Share(w.Spec.Account) > smallest {
+			break
+		}
+		if !d.book.WithinQuota(w.Spec) {
+			continue
+		}
+		if at, ok := d.locateBorrowed(w); ok {
+			d.book.Borrow(w.Spec)
+			d.place(w.Spec, at, false)
+			rest[i] = false
+			continue
+		}
+		if until, ok := d.reserveFor(w); ok {
+			d.hold(w.Spec, fmt.Sprintf("capacity is reserved until %s", until.UTC().Format(time.RFC3339)))
+			rest[i] = false
+		}
+	}
+}
+
+// reserveFor makes room for a large gang. Smaller borrowed jobs that started
+// while it waited longer than GangPatience are stopped if that is enough. Large
+// gangs are not, since two of them would stop each other without end. Otherwise
+// it withholds the place that lacks the least, with the time at which it
+// is expected to be free as the deadline. Both are found anew with each decision.
+func (d *pass) reserveFor(w *rosemarysill.WaitingJob) (time.Time, bool) {
+	if d.searches < maxSearches && !d.without[StopOvertakers] {
+		d.searches++
+		within := d.usable
+		if !w.Spec.Idempotent {
+			within = d.spare
+		}
+		since := w.Submitted.Add(d.timings.GangPatience)
+		v, ok := d.reclaim(w.Spec.Shape, within, func(h *holding) bool {
+			return h.stoppable() && !d.large(h.job.Spec.Shape) && h.job.Started.After(since)
+		})
+		if ok {
+			d.stop(v.jobs, w.Spec, "smaller jobs that overtook a large gang make room for it")
+			d.withhold(w.Spec.Shape, v.at, nil)
+			d.reserved++
+			return d.now.Add(d.timings.ReclaimWithin), true
+		}
+	}
+	// Guaranteed claims come and go in the kept sets, so that a place there may
+	// never become free.
+	at, until, ok := d.nearest(w.Spec.Shape, d.spare)
+	if !ok && w.Spec.Idempotent {
+		at, until, ok = d.nearest(w.Spec.Shape, d.usable)
 	}
-	at, until, ok := d.earliest(w.Spec.Shape, within)
 	if !ok {
 		return until, false
 	}
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -91,7 +91,6 @@
 	// The claim takes its whole set, of which these jobs held a part.
 	for n, u := range d.sets.base[unit] {
 		d.sets.base[unit][n].amount = u.amount.Add(lent[u.worker], 1)
-		d.kept[u.worker] = d.kept[u.worker].Add(lent[u.worker], 1)
 	}
 	return d.reclaim(shape, within, (*holding).stoppable)
 }
@@ -143,14 +142,12 @@
 			for n := range d.sets.base[unit] {
 				if b := &d.sets.base[unit][n]; b.worker == u.worker {
 					b.amount = b.amount.Sub(u.amount, 1)
-					d.kept[u.worker] = d.kept[u.worker].Sub(u.amount, 1)
 				}
 			}
 		}
 		return
 	}
 	for _, u := range d.sets.base[unit] {
-		d.kept[u.worker] = d.kept[u.worker].Sub(u.amount, 1).Floor()
 		d.spare[u.worker] = d.spare[u.worker].Add(u.amount, 1)
 	}
 	for _, u := range held {
--- a/placement/pass.go
+++ b/placement/pass.go
@@ -13,7 +13,7 @@
 const (
 	maxSearches     = 16 // searches for capacity to reclaim
 	maxChecks       = 4  // checks of a placement against all guaranteed sets
-	maxReservations = 4  // large gangs that hold a reservation at a time
+	maxReservations = 1  // large gangs that hold a reservation at a time
 )
 
 // holding is a placed job with what it holds.
@@ -46,7 +46,6 @@
 
 	avail   rooms // usable capacity that holds no work that must not be stopped
 	sets    sets
-	kept    rooms // amounts of the sets
 	spare   rooms // what is neither kept nor held by work that must not be stopped
 	own     attached
 	leaving rooms // amounts held by jobs that are stopping
@@ -218,10 +217,8 @@
 func (d *pass) enterSets(found sets) {
 	d.sets = found
 	d.spare = append(rooms(nil), d.avail...)
-	d.kept = make(rooms, len(d.avail))
 	for _, base := range found.base {
 		for _, u := range base {
-			d.kept[u.worker] = d.kept[u.worker].Add(u.amount, 1)
 			d.spare[u.worker] = d.spare[u.worker].Sub(u.amount, 1)
 		}
 	}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -23,19 +23,19 @@
 
 // The choices.
 const (
-	BestFit      Choice = "best fit"             // the tightest rack first, instead of the first that fits
-	OutsideSets  Choice = "outside sets"         // borrowed work goes outside the guaranteed sets first
-	FairShare    Choice = "fair share"           // smallest borrowed share first, instead of submission order
-	LeastReclaim Choice = "least reclaim"        // reclaim where the least borrowed work stops, instead of the kept set
-	Reservation  Choice = "reservation"          // large gangs get a reservation after GangPatience
-	Backfill     Choice = "backfill"             // short stoppable jobs use the gap of a reservation
-	LeaveDomains Choice = "leave domains"        // jobs in a domain that is out continue elsewhere
-	AvoidFailed  Choice = "avoid failed workers" // a job is tried on a worker on which it has not failed
+	BestFit        Choice = "best fit"             // the tightest rack first, instead of the first that fits
+	FairShare      Choice = "fair share"           // smallest borrowed share first, instead of submission order
+	LeastReclaim   Choice = "least reclaim"        // reclaim where the least borrowed work stops, instead of the kept set
+	Reservation    Choice = "reservation"          // large gangs get a reservation after GangPatience
+	Backfill       Choice = "backfill"             // short stoppable jobs use the gap of a reservation
+	StopOvertakers Choice = "stop overtakers"      // smaller jobs that started while a large gang waited are stopped for it
+	LeaveDomains   Choice = "leave domains"        // jobs in a domain that is out continue elsewhere
+	AvoidFailed    Choice = "avoid failed workers" // a job is tried on a worker on which it has not failed
 )
 
 // Choices returns all choices.
 func Choices() []Choice {
-	return []Choice{BestFit, OutsideSets, FairShare, LeastReclaim, Reservation, Backfill, LeaveDomains, AvoidFailed}
+	return []Choice{BestFit, FairShare, LeastReclaim, Reservation, Backfill, StopOvertakers, LeaveDomains, AvoidFailed}
 }
 
 // Without leaves out design choices, to measure what each is worth.
@@ -93,6 +93,7 @@
 	for _, i := range claims {
 		rest[i] = !d.claim(&s.Waiting[i])
 	}
+	d.reserve(rest)
 	if p.without[FairShare] {
 		for _, i := range claims {
 			if rest[i] {
--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -8,9 +8,12 @@
 	"github.com/rosemarysill/rosemarysill/account"
 )
 
-// earliest returns the place within the given amounts that is expected to be
-// free first, and when.
-func (d *pass) earliest(s rosemarysill.Shape, within rooms) ([]share, time.Time, bool) {
+// nearest returns the place within the given amounts that lacks the fewest
+// members, the one that is expected to be free first among equals, and when that
+// is. A place that is reserved only gains free members while others are filled
+// again, so that the choice stays the same from decision to decision; expected
+// ends are too often wrong for that.
+func (d *pass) nearest(s rosemarysill.Shape, within rooms) ([]share, time.Time, bool) {
 	d.buildScopes()
 	base := make(rooms, len(within))
 	for w := range base {
@@ -18,10 +21,12 @@
 	}
 	var best []share
 	var until time.Time
+	least := 0
 	for _, sc := range d.scopes.of(s) {
 		g := gauge{fleet: d.fleet, need: account.MemberOf(s), limit: s.Members, within: within, room: base, racks: sc.racks}
 		g.start()
 		end := d.now
+		missing := s.Members - g.count
 		ends := append([]int(nil), sc.jobs...)
 		sort.SliceStable(ends, func(i, j int) bool {
 			return d.expectedEnd(&d.held[ends[i]]).Before(d.expectedEnd(&d.held[ends[j]]))
@@ -34,9 +39,9 @@
 				end = d.expectedEnd(h)
 			}
 		}
-		if g.count >= s.Members && (best == nil || end.Before(until)) {
+		if g.count >= s.Members && (best == nil || missing < least || missing == least && end.Before(until)) {
 			if at, ok := d.fleet.locateIn(s, g.bounded(), sc.racks, tightest); ok {
-				best, until = at, end
+				best, until, least = at, end, missing
 			}
 		}
 		g.reset()
