--- a/workload/generate.go
+++ b/workload/generate.go
@@ -49,8 +49,8 @@
 	g.account("workshop")
 	for _, a := range []string{"rounds", "franchises", "parts", "workshop"} {
 		g.small(a, 110)
-		g.medium(a, 26)
-		g.large(a, 3)
+		g.medium(a, 12)
+		g.large(a, 2)
 	}
 	g.steady("rounds", rosemarysill.Normal, pair, 6, 40*time.Minute)
 	g.steady("franchises", rosemarysill.Urgent, shape(1, 4, false), 30, 20*time.Minute)
@@ -69,8 +69,8 @@
 		g.account(a, rosemarysill.Guarantee{Shape: shape(1, 8, false), Count: 1},
 			rosemarysill.Guarantee{Shape: shape(1, 2, false), Count: 2})
 		g.small(a, 90)
-		g.medium(a, 22)
-		g.large(a, 5)
+		g.medium(a, 10)
+		g.large(a, 4)
 		g.steady(a, rosemarysill.Normal, shape(1, 8, false), 5, 30*time.Minute)
 		g.steady(a, rosemarysill.Urgent, shape(1, 2, false), 12, 15*time.Minute)
 	}
@@ -83,18 +83,18 @@
 
 // EqualDemand returns a saturated cluster without guarantees on which four
 // accounts want the same amount of work for the same time; one of them asks for
-// it in eight times as many requests.
+// it in eight times as many requests, and first.
 func EqualDemand(seed uint64) Scenario {
 	g := newGenerator("equal demand", seed, 64, 128<<10, "Bizerte", "Tunis", "Nabeul", "Sousse")
 	g.s.Length = 4 * time.Hour
 	for _, a := range []string{"many", "even", "odd", "whole"} {
 		g.account(a)
-		size, n := 8, 60
+		size, n, arrive := 8, 60, 30*time.Minute
 		if a == "many" {
-			size, n = 1, 480
+			size, n, arrive = 1, 480, time.Minute
 		}
 		for range n {
-			g.add(a, rosemarysill.Normal, shape(1, size, false), g.within(30*time.Minute), g.spread(30*time.Minute, 1.5))
+			g.add(a, rosemarysill.Normal, shape(1, size, false), g.within(arrive), g.spread(30*time.Minute, 1.5))
 		}
 	}
 	return g.finish()
