entry, agent, peer: a report is dated by the echo of the entry's last reply

Cause: the model of the gang protocol and the model-based test showed that a heartbeat that arrives late makes a dead member look alive and renews the lease of a gang that is not whole. Change: a reply carries a stamp, the next heartbeat echoes it, and a gang lease counts a report from the sending of that reply. The stamps start at a random number, so that those of another boot are not taken. Ruled out: wall clocks of agents, which are not compared.

--- a/agent.go
+++ b/agent.go
@@ -73,6 +73,7 @@
 	Tasks       []TaskReport
 	HasTasks    bool   // Tasks is present, possibly empty
 	Revision    uint64 // configuration revision that the agent has
+	Echo        uint64 // Stamp of the last reply that the agent got from this entry; 0 is none
 }
 
 // Beat is a heartbeat; a relay may fold the reports of several agents.
@@ -98,6 +99,7 @@
 	Drained      bool
 	FreshFor     time.Duration // configuration freshness, counted from the sending of the heartbeat; 0 grants none
 	Epoch        uint64        // highest placement epoch known to the entry
+	Stamp        uint64        // for the agent to echo; the entry dates the next report by it
 	Leases       []LeaseGrant
 }
 
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -23,6 +23,7 @@
 	again      bool // a heartbeat is due as soon as the one in flight ends
 	identify   bool // send the identity
 	acked      uint64
+	echo       uint64 // stamp of the last reply
 	misses     int
 }
 
@@ -107,7 +108,7 @@
 		return
 	}
 	h.sequence++
-	r := rosemarysill.AgentReport{Name: h.cfg.Identity.Name, Boot: h.cfg.Identity.Boot, Sequence: h.sequence}
+	r := rosemarysill.AgentReport{Name: h.cfg.Identity.Name, Boot: h.cfg.Identity.Boot, Sequence: h.sequence, Echo: e.echo}
 	h.backend.report(&r)
 	r.HasTasks = e.identify || r.TasksDigest != e.acked
 	if !r.HasTasks {
@@ -145,6 +146,7 @@
 			if o.Name == h.cfg.Identity.Name {
 				e.identify = o.SendIdentity
 				e.acked = o.AckedDigest
+				e.echo = o.Stamp
 				h.backend.obey(o, sent)
 			}
 		}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -48,6 +48,7 @@
 func (e *Entry) orders(r rosemarysill.AgentReport, accepted bool, auth rosemarysill.Authority, fenced func(uuid.UUID, int) bool, now time.Time) rosemarysill.AgentOrders {
 	known, digest := e.table.acknowledged(r.Name)
 	o := rosemarysill.AgentOrders{Name: r.Name, SendIdentity: !known, AckedDigest: digest, Epoch: e.epochSeen.Load()}
+	o.Stamp = e.table.stamp(now)
 	if !accepted || !known {
 		return o
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,7 +102,7 @@
 		cfg:    cfg,
 		opts:   o,
 		self:   rosemarysill.Member{ID: uuid.New(), Name: cfg.Name, Address: cfg.GRPC, State: rosemarysill.Joining},
-		table:  newTable(o.Timings, cfg.MaxAgents),
+		table:  newTable(o.Timings, cfg.MaxAgents, o.Now()),
 		calls:  metric.NewCalls(maxAccounts),
 		jobs:   metric.NewCalls(maxAccounts),
 		wakeUp: make(chan struct{}, 1),
--- a/entry/table.go
+++ b/entry/table.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -27,8 +28,11 @@
 	digest   uint64 // of tasks
 	hasTasks bool
 	lastBeat time.Time
-	retired  []uuid.UUID
-	missing  bool // reported as missing in the log
+	// saidAt is a time before which the last report was not made: the sending of
+	// the reply that it echoes. A heartbeat may arrive late.
+	saidAt  time.Time
+	retired []uuid.UUID
+	missing bool // reported as missing in the log
 }
 
 // gangKey names an attempt of a job.
@@ -48,13 +52,30 @@
 type table struct {
 	mu     sync.Mutex
 	t      rosemarysill.Timings
-	limit  int // agents
+	limit  int       // agents
+	base   uint64    // stamp of start; random, so that stamps of another boot of an entry are not taken
+	start  time.Time // of this entry
 	agents map[string]*agentState
 	gangs  map[gangKey]map[int]memberSeen
 }
 
-func newTable(t rosemarysill.Timings, limit int) *table {
-	return &table{t: t, limit: limit, agents: map[string]*agentState{}, gangs: map[gangKey]map[int]memberSeen{}}
+func newTable(t rosemarysill.Timings, limit int, start time.Time) *table {
+	return &table{t: t, limit: limit, base: rand.Uint64(), start: start, agents: map[string]*agentState{}, gangs: map[gangKey]map[int]memberSeen{}}
+}
+
+// stamp returns the stamp of a reply that is sent at now.
+func (tb *table) stamp(now time.Time) uint64 {
+	return tb.base + uint64(now.Sub(tb.start).Microseconds())
+}
+
+// stampedAt returns the time of a stamp, or the zero time when it is none of
+// this boot's.
+func (tb *table) stampedAt(stamp uint64, now time.Time) time.Time {
+	age := tb.stamp(now) - stamp
+	if age > uint64(now.Sub(tb.start).Microseconds()) {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(age) * time.Microsecond)
 }
 
 // admits reports whether the table has room for the agent.
@@ -86,6 +107,7 @@
 		a.identity, a.known = *r.Identity, true
 	}
 	a.report, a.lastBeat, a.missing = r, now, false
+	a.saidAt = tb.stampedAt(r.Echo, now)
 	if r.HasTasks {
 		tb.setTasks(r.Name, a, r)
 	}
@@ -150,7 +172,7 @@
 }
 
 // complete reports whether every member of the gang runs, or has finished
-// well, at an agent that was heard within MemberFresh.
+// well, by a report that its agent made within MemberFresh.
 func (tb *table) complete(k gangKey, members int, now time.Time) bool {
 	seen := tb.gangs[k]
 	for i := range members {
@@ -158,7 +180,9 @@
 		if !ok || (m.task.State != rosemarysill.TaskRunning && m.task.State != rosemarysill.TaskDone) {
 			return false
 		}
-		if !tb.fresh(tb.agents[m.agent], now) {
+		// The report must have been made within MemberFresh, not only have
+		// arrived: the agent may have died while its heartbeat was under way.
+		if now.Sub(tb.agents[m.agent].saidAt) >= tb.t.MemberFresh {
 			return false
 		}
 	}
--- a/entry/table_test.go
+++ b/entry/table_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -19,12 +20,19 @@
 	name string
 	boot uuid.UUID
 	seq  uint64
+	echo uint64
+}
+
+// answered gives the agent a reply that the entry sent at the time.
+func (a *testAgent) answered(at time.Time) *testAgent {
+	a.echo = a.tb.stamp(at)
+	return a
 }
 
 func (a *testAgent) beat(now time.Time, tasks ...rosemarysill.TaskReport) bool {
 	a.seq++
 	accepted, _ := a.tb.observe(rosemarysill.AgentReport{
-		Name: a.name, Boot: a.boot, Sequence: a.seq, HasTasks: true, Tasks: tasks, TasksDigest: a.seq,
+		Name: a.name, Boot: a.boot, Sequence: a.seq, Echo: a.echo, HasTasks: true, Tasks: tasks, TasksDigest: a.seq,
 		Identity: &rosemarysill.AgentIdentity{Name: a.name, Boot: a.boot, Kind: rosemarysill.WorkerAgent, Domain: "Tunis"},
 	}, now)
 	return accepted
@@ -42,12 +50,16 @@
 	timings := rosemarysill.DefaultTimings()
 	job := uuid.New()
 	cases := map[string]struct {
-		second  rosemarysill.TaskState // of member 1; empty: not reported
-		silence time.Duration          // of the second agent
-		reboot  bool                   // of the second agent
-		fenced  bool
-		want    int
+		second     rosemarysill.TaskState // of member 1; empty: not reported
+		silence    time.Duration          // of the second agent
+		reboot     bool                   // of the second agent
+		fenced     bool
+		late       bool // the second agent's report was made long before it arrived
+		otherEntry bool // it echoes a stamp that this entry did not make
+		want       int
 	}{
+		"a report arrived late":           {second: rosemarysill.TaskRunning, late: true},
+		"a stamp of another entry":        {second: rosemarysill.TaskRunning, otherEntry: true},
 		"all members run":                 {second: rosemarysill.TaskRunning, want: 1},
 		"a member has finished":           {second: rosemarysill.TaskDone, want: 1},
 		"a member failed":                 {second: rosemarysill.TaskFailure},
@@ -61,9 +73,15 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			tb := newTable(timings, 10)
-			a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
-			b := &testAgent{tb: tb, name: "b", boot: uuid.New()}
+			tb := newTable(timings, 10, testStart)
+			a := (&testAgent{tb: tb, name: "a", boot: uuid.New()}).answered(testStart.Add(c.silence))
+			b := (&testAgent{tb: tb, name: "b", boot: uuid.New()}).answered(testStart)
+			switch {
+			case c.late:
+				b.answered(testStart.Add(-timings.MemberFresh))
+			case c.otherEntry:
+				b.echo = rand.Uint64()
+			}
 			if c.second != "" {
 				require.True(t, b.beat(testStart, member(job, 1, 2, c.second)))
 			}
@@ -82,7 +100,7 @@
 // TestOldReportsAreRefused guards against a late heartbeat that makes a gone
 // agent, or an old state of one, look alive.
 func TestOldReportsAreRefused(t *testing.T) {
-	tb := newTable(rosemarysill.DefaultTimings(), 10)
+	tb := newTable(rosemarysill.DefaultTimings(), 10, testStart)
 	a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
 	require.True(t, a.beat(testStart))
 	old := *a
@@ -102,7 +120,7 @@
 // TestSweep guards against agents that vanish without notice, and against a
 // table that only grows.
 func TestSweep(t *testing.T) {
-	tb := newTable(rosemarysill.DefaultTimings(), 1)
+	tb := newTable(rosemarysill.DefaultTimings(), 1, testStart)
 	a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
 	require.True(t, a.beat(testStart, member(uuid.New(), 0, 1, rosemarysill.TaskRunning)))
 	require.False(t, tb.admits("b"), "the table is full")
@@ -134,8 +152,8 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			tb := newTable(timings, 10)
-			a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
+			tb := newTable(timings, 10, testStart)
+			a := (&testAgent{tb: tb, name: "a", boot: uuid.New()}).answered(testStart)
 			require.True(t, a.beat(testStart, member(uuid.New(), 0, 1, rosemarysill.TaskRunning)))
 			e := &Entry{opts: rosemarysill.NewOptions(), table: tb}
 			c.auth.Config = cfg
@@ -159,7 +177,7 @@
 	const steps = 50
 	for i := range steps {
 		readAt := testStart.Add(-readEvery * time.Duration(i) / steps)
-		tb := newTable(timings, 10)
+		tb := newTable(timings, 10, testStart)
 		a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
 		require.True(t, a.beat(testStart))
 		e := &Entry{opts: rosemarysill.NewOptions(), table: tb}
--- a/peer/beat.go
+++ b/peer/beat.go
@@ -46,6 +46,7 @@
 		TasksDigest: r.TasksDigest,
 		Revision:    r.Revision,
 		Leaving:     r.Leaving,
+		Echo:        r.Echo,
 	}
 	if id := r.Identity; id != nil {
 		m.Identity = &peerpb.Identity{
@@ -105,6 +106,7 @@
 		InProgress:  d.number("Report.InProgress", m.GetInProgress()),
 		TasksDigest: m.GetTasksDigest(),
 		Revision:    m.GetRevision(),
+		Echo:        m.GetEcho(),
 	}
 	if r.Name == "" {
 		d.fault("Report.Name", "missing")
@@ -176,6 +178,7 @@
 			DomainOut:    o.DomainOut,
 			Drained:      o.Drained,
 			SendIdentity: o.SendIdentity,
+			Stamp:        o.Stamp,
 		}
 		for _, l := range o.Leases {
 			orders.Leases = append(orders.Leases, &peerpb.Grant{
@@ -219,6 +222,7 @@
 			Drained:      o.GetDrained(),
 			FreshFor:     d.milliseconds(o.GetFreshMs()),
 			Epoch:        o.GetEpoch(),
+			Stamp:        o.GetStamp(),
 		}
 		for _, l := range o.GetLeases() {
 			orders.Leases = append(orders.Leases, rosemarysill.LeaseGrant{
