--- a/entry/driver.go
+++ b/attempt/driver.go
@@ -1,4 +1,6 @@
-package entry
+// Package attempt drives one attempt of a job: it carries out the effects of the
+// state machine of package gang and feeds it with answers and reports.
+package attempt
 
 import (
 	"context"
@@ -9,13 +11,32 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/fleet"
 	"github.com/rosemarysill/rosemarysill/gang"
+	"github.com/rosemarysill/rosemarysill/job"
+	"github.com/rosemarysill/rosemarysill/lease"
 )
 
-// driver drives one attempt of a job: it carries out the effects of its state
+// Members is what a driver needs of package membership.
+type Members interface {
+	Authority() rosemarysill.Authority
+	FenceAttempt(ctx context.Context, job uuid.UUID, attempt int, epoch uint64) error
+}
+
+// Parts are what drivers share with their entry.
+type Parts struct {
+	Opts    rosemarysill.Options
+	Holder  *lease.Holder
+	Table   *fleet.Table
+	Book    *job.Book
+	Members Members
+	Started func() time.Time // of the entry
+}
+
+// Driver drives one attempt of a job: it carries out the effects of its state
 // machine and feeds it with their answers and with the agents' reports.
-type driver struct {
-	e       *Entry
+type Driver struct {
+	parts   Parts
 	id      uuid.UUID
 	epoch   uint64
 	events  chan gang.Event
@@ -33,23 +54,23 @@
 // eventsEach bounds the answers of one member that wait to be taken.
 const eventsEach = 4
 
-// newDriver returns a driver of the attempt that begin makes.
-func newDriver(e *Entry, s storedJob, epoch uint64, placed rosemarysill.PlacedJob) *driver {
-	return &driver{
-		e: e, id: s.job.Spec.ID, epoch: epoch, version: s.version, placed: placed,
+// New returns a driver of the attempt that begin makes.
+func New(parts Parts, s job.Stored, epoch uint64, placed rosemarysill.PlacedJob) *Driver {
+	return &Driver{
+		parts: parts, id: s.Job.Spec.ID, epoch: epoch, version: s.Version, placed: placed,
 		events: make(chan gang.Event, eventsEach*(len(placed.Slots)+2)),
 		wake:   make(chan struct{}, 1),
 	}
 }
 
-// run drives the attempt to its end, or until ctx ends. It returns the outcome.
-func (d *driver) run(ctx context.Context, a *gang.Attempt, effects []gang.Effect) gang.Outcome {
+// Run drives the attempt to its end, or until ctx ends. It returns the outcome.
+func (d *Driver) Run(ctx context.Context, a *gang.Attempt, effects []gang.Effect) gang.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer d.effects.Wait()
 	defer cancel()
 	d.a = a
 	d.perform(ctx, effects)
-	t := time.NewTicker(d.e.opts.Timings.DecideEvery)
+	t := time.NewTicker(d.parts.Opts.Timings.DecideEvery)
 	defer t.Stop()
 	for a.Outcome() == gang.Open {
 		select {
@@ -66,47 +87,47 @@
 	return a.Outcome()
 }
 
-// notify makes the driver look at the table, the record and the lease again.
-func (d *driver) notify() {
+// Notify makes the driver look at the table, the record and the lease again.
+func (d *Driver) Notify() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
 	}
 }
 
-// askReclaim asks for the end of the attempt in favour of other work.
-func (d *driver) askReclaim() {
+// AskReclaim asks for the end of the attempt in favour of other work.
+func (d *Driver) AskReclaim() {
 	d.mu.Lock()
 	d.reclaim = true
 	d.mu.Unlock()
-	d.notify()
+	d.Notify()
 }
 
-// job returns what the attempt holds, for placement decisions.
-func (d *driver) job() rosemarysill.PlacedJob {
+// Placed returns what the attempt holds, for placement decisions.
+func (d *Driver) Placed() rosemarysill.PlacedJob {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.placed
 }
 
 // step takes one event to the state machine.
-func (d *driver) step(ctx context.Context, ev gang.Event) {
-	if epoch, ok := d.e.holder.held(); !ok || epoch != d.epoch {
+func (d *Driver) step(ctx context.Context, ev gang.Event) {
+	if epoch, ok := d.parts.Holder.Held(); !ok || epoch != d.epoch {
 		ev = gang.Event{Kind: gang.Superseded}
 	}
-	d.perform(ctx, d.a.Step(ev, d.e.opts.Now()))
+	d.perform(ctx, d.a.Step(ev, d.parts.Opts.Now()))
 }
 
 // observe turns what has changed outside into events: reports of the agents,
 // a request to cancel or to reclaim, and the time.
-func (d *driver) observe(ctx context.Context) {
-	now := d.e.opts.Now()
+func (d *Driver) observe(ctx context.Context) {
+	now := d.parts.Opts.Now()
 	for i, slot := range d.placed.Slots {
 		for _, ev := range d.memberEvents(i, slot, now) {
 			d.step(ctx, ev)
 		}
 	}
-	if s, ok := d.e.book.get(d.id); ok && s.job.CancelRequested {
+	if s, ok := d.parts.Book.Get(d.id); ok && s.Job.CancelRequested {
 		d.step(ctx, gang.Event{Kind: gang.CancelAsked})
 	}
 	d.mu.Lock()
@@ -120,27 +141,27 @@
 }
 
 // memberEvents returns what the table tells about a member.
-func (d *driver) memberEvents(i int, slot rosemarysill.Slot, now time.Time) []gang.Event {
-	v, ok := d.e.table.view(slot.Worker, now)
+func (d *Driver) memberEvents(i int, slot rosemarysill.Slot, now time.Time) []gang.Event {
+	v, ok := d.parts.Table.Agent(slot.Worker, now)
 	switch {
-	case !ok && now.Sub(d.e.started) < 2*d.e.opts.Timings.MemberFresh:
+	case !ok && now.Sub(d.parts.Started()) < 2*d.parts.Opts.Timings.MemberFresh:
 		return nil // this entry has just started; the agent may not have called yet
-	case !ok || !v.fresh:
+	case !ok || !v.Fresh:
 		return []gang.Event{{Kind: gang.AgentMissing, Member: i}}
-	case v.identity.Boot != slot.Boot:
-		return []gang.Event{{Kind: gang.NewBoot, Member: i, Boot: v.identity.Boot}}
+	case v.Identity.Boot != slot.Boot:
+		return []gang.Event{{Kind: gang.NewBoot, Member: i, Boot: v.Identity.Boot}}
 	}
 	var events []gang.Event
-	for _, t := range v.tasks {
+	for _, t := range v.Tasks {
 		if t.Job == d.id && t.Attempt == d.a.Number() && t.Member == i {
-			events = append(events, gang.Event{Kind: gang.Reported, Member: i, Report: t, Boot: v.identity.Boot})
+			events = append(events, gang.Event{Kind: gang.Reported, Member: i, Report: t, Boot: v.Identity.Boot})
 		}
 	}
 	return events
 }
 
 // perform carries out effects; their answers come back as events.
-func (d *driver) perform(ctx context.Context, effects []gang.Effect) {
+func (d *Driver) perform(ctx context.Context, effects []gang.Effect) {
 	for _, ef := range effects {
 		if ef.Kind == gang.WriteState {
 			d.note(ef.Job)
@@ -150,7 +171,7 @@
 }
 
 // answer hands an event to the loop.
-func (d *driver) answer(ctx context.Context, ev gang.Event) {
+func (d *Driver) answer(ctx context.Context, ev gang.Event) {
 	select {
 	case d.events <- ev:
 	case <-ctx.Done():
@@ -158,20 +179,20 @@
 }
 
 // note keeps what the metrics and the policy need to know of a new state.
-func (d *driver) note(j rosemarysill.Job) {
+func (d *Driver) note(j rosemarysill.Job) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch j.State {
 	case rosemarysill.JobRunning:
-		d.ranFrom = d.e.opts.Now()
-		event.JobRunning.Log(d.e.opts.Log).Stringer("Job", d.id).Int("Attempt", j.Attempt).Send()
+		d.ranFrom = d.parts.Opts.Now()
+		event.JobRunning.Log(d.parts.Opts.Log).Stringer("Job", d.id).Int("Attempt", j.Attempt).Send()
 	case rosemarysill.JobStopping:
 		d.placed.Stopping = true
-		event.JobStopping.Log(d.e.opts.Log).Stringer("Job", d.id).Int("Attempt", j.Attempt).Str("Detail", j.Detail).Send()
+		event.JobStopping.Log(d.parts.Opts.Log).Stringer("Job", d.id).Int("Attempt", j.Attempt).Str("Detail", j.Detail).Send()
 	}
 }
 
-func (d *driver) carryOut(ctx context.Context, ef gang.Effect) gang.Event {
+func (d *Driver) carryOut(ctx context.Context, ef gang.Effect) gang.Event {
 	switch ef.Kind {
 	case gang.SendReserve:
 		return d.reserve(ctx, ef)
@@ -188,10 +209,12 @@
 	}
 }
 
-// finishedJob tells the metrics about a job that reached a final state.
-func (e *Entry) finishedJob(j rosemarysill.Job) {
-	event.JobFinished.Log(e.opts.Log).Stringer("Job", j.Spec.ID).Str("State", string(j.State)).
-		Stringer("Code", j.Code).Str("Detail", j.Detail).Send()
-	took := j.Changed.Sub(j.Submitted)
-	e.jobs.Observe(j.Spec.Account, j.Spec.Class, j.Code, took, took)
+// ID returns the job's identifier.
+func (d *Driver) ID() uuid.UUID { return d.id }
+
+// RanFrom returns when all members were seen running, or the zero time.
+func (d *Driver) RanFrom() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ranFrom
 }
--- a/entry/send.go
+++ b/attempt/send.go
@@ -1,4 +1,4 @@
-package entry
+package attempt
 
 import (
 	"context"
@@ -13,16 +13,16 @@
 )
 
 // agent returns the agent of a member.
-func (d *driver) agent(ef gang.Effect) (rosemarysill.Agent, error) {
+func (d *Driver) agent(ef gang.Effect) (rosemarysill.Agent, error) {
 	slot := ef.Job.Slots[ef.Member]
-	v, ok := d.e.table.view(slot.Worker, d.e.opts.Now())
+	v, ok := d.parts.Table.Agent(slot.Worker, d.parts.Opts.Now())
 	if !ok {
 		return nil, rosemarysill.NewError(rosemarysill.Unreachable, "worker %s is not known", slot.Worker)
 	}
-	return d.e.opts.Agents.Agent(v.identity.Address)
+	return d.parts.Opts.Agents.Agent(v.Identity.Address)
 }
 
-func (d *driver) reserve(ctx context.Context, ef gang.Effect) gang.Event {
+func (d *Driver) reserve(ctx context.Context, ef gang.Effect) gang.Event {
 	ev := gang.Event{Kind: gang.ReserveAccepted, Member: ef.Member}
 	a, err := d.agent(ef)
 	if err == nil {
@@ -30,8 +30,8 @@
 		defer cancel()
 		err = a.Reserve(ctx, rosemarysill.ReserveRequest{
 			Spec: ef.Job.Spec, Attempt: ef.Job.Attempt, Epoch: ef.Job.Epoch, Member: ef.Member, Slot: ef.Job.Slots[ef.Member],
-			Revision:  d.e.members.Authority().Config.Revision,
-			Remaining: ef.Deadline.Sub(d.e.opts.Now()), Checkpoint: ef.Job.Checkpoint,
+			Revision:  d.parts.Members.Authority().Config.Revision,
+			Remaining: ef.Deadline.Sub(d.parts.Opts.Now()), Checkpoint: ef.Job.Checkpoint,
 		})
 	}
 	return refusedOrLost(ev, err, gang.ReserveRefused, gang.ReserveLost)
@@ -52,7 +52,7 @@
 
 // commit sends the commit again after a lost answer, as long as the
 // reservation lasts: a duplicate is answered like the first.
-func (d *driver) commit(ctx context.Context, ef gang.Effect) gang.Event {
+func (d *Driver) commit(ctx context.Context, ef gang.Effect) gang.Event {
 	ctx, cancel := context.WithDeadline(ctx, ef.Deadline)
 	defer cancel()
 	for {
@@ -61,7 +61,7 @@
 		if err == nil {
 			err = a.Commit(ctx, rosemarysill.CommitRequest{
 				Job: ef.Job.Spec.ID, Attempt: ef.Job.Attempt, Epoch: ef.Job.Epoch, Member: ef.Member,
-				Lease: d.e.opts.Timings.GangLease,
+				Lease: d.parts.Opts.Timings.GangLease,
 			})
 		}
 		ev = refusedOrLost(ev, err, gang.CommitRefused, gang.CommitLost)
@@ -71,18 +71,18 @@
 		select {
 		case <-ctx.Done():
 			return ev
-		case <-time.After(d.e.opts.Timings.DecideEvery):
+		case <-time.After(d.parts.Opts.Timings.DecideEvery):
 		}
 	}
 }
 
-func (d *driver) stop(ctx context.Context, ef gang.Effect) gang.Event {
+func (d *Driver) stop(ctx context.Context, ef gang.Effect) gang.Event {
 	lost := gang.Event{Kind: gang.StopLost, Member: ef.Member}
 	a, err := d.agent(ef)
 	if err != nil {
 		return lost
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.e.opts.Timings.BeatEvery)
+	ctx, cancel := context.WithTimeout(ctx, d.parts.Opts.Timings.BeatEvery)
 	defer cancel()
 	reply, err := a.Stop(ctx, rosemarysill.StopRequest{
 		Job: ef.Job.Spec.ID, Attempt: ef.Job.Attempt, Epoch: ef.Job.Epoch, Member: ef.Member, Checkpoint: ef.Checkpoint,
@@ -95,10 +95,10 @@
 
 // fence returns when the fence is complete, or with an event of no effect when
 // ctx ends or this entry is superseded.
-func (d *driver) fence(ctx context.Context, ef gang.Effect) gang.Event {
-	err := d.e.members.FenceAttempt(ctx, ef.Job.Spec.ID, ef.Job.Attempt, d.epoch)
+func (d *Driver) fence(ctx context.Context, ef gang.Effect) gang.Event {
+	err := d.parts.Members.FenceAttempt(ctx, ef.Job.Spec.ID, ef.Job.Attempt, d.epoch)
 	if err == nil {
-		event.AttemptFenced.Log(d.e.opts.Log).Stringer("Job", d.id).Int("Attempt", ef.Job.Attempt).Send()
+		event.AttemptFenced.Log(d.parts.Opts.Log).Stringer("Job", d.id).Int("Attempt", ef.Job.Attempt).Send()
 		return gang.Event{Kind: gang.FenceComplete}
 	}
 	if rosemarysill.CodeOf(err) == rosemarysill.StaleEpoch {
@@ -110,52 +110,52 @@
 // recordStart writes the start of the attempt while this entry has authority by
 // store, holds the placement lease, and knows all failure domains of the
 // attempt to be in. The write is not sent again after any of these ends.
-func (d *driver) recordStart(ctx context.Context, ef gang.Effect) gang.Event {
-	now := d.e.opts.Now()
-	auth := d.e.members.Authority()
-	until := d.e.holder.deadline()
+func (d *Driver) recordStart(ctx context.Context, ef gang.Effect) gang.Event {
+	now := d.parts.Opts.Now()
+	auth := d.parts.Members.Authority()
+	until := d.parts.Holder.Deadline()
 	if auth.StoreDeadline.Before(until) {
 		until = auth.StoreDeadline
 	}
 	if ef.Deadline.Before(until) {
 		until = ef.Deadline
 	}
-	if !auth.Established || !auth.ByStore(now) || !now.Before(until) || d.e.table.anyDomainOut(ef.Job.Slots, &auth.Config) {
+	if !auth.Established || !auth.ByStore(now) || !now.Before(until) || d.parts.Table.AnyDomainOut(ef.Job.Slots, &auth.Config) {
 		return gang.Event{Kind: gang.WriteRefused}
 	}
 	ctx, cancel := context.WithTimeout(ctx, until.Sub(now))
 	defer cancel()
 	ev := d.write(ctx, ef.Job)
 	if ev.Kind == gang.WriteTook {
-		event.JobStartRecorded.Log(d.e.opts.Log).Stringer("Job", d.id).Int("Attempt", ef.Job.Attempt).Uint64("Epoch", ef.Job.Epoch).Send()
+		event.JobStartRecorded.Log(d.parts.Opts.Log).Stringer("Job", d.id).Int("Attempt", ef.Job.Attempt).Uint64("Epoch", ef.Job.Epoch).Send()
 	}
 	return ev
 }
 
 // write writes the record at the version that this driver knows.
-func (d *driver) write(ctx context.Context, j rosemarysill.Job) gang.Event {
+func (d *Driver) write(ctx context.Context, j rosemarysill.Job) gang.Event {
 	d.mu.Lock()
 	version := d.version
 	d.mu.Unlock()
-	stored, res := d.e.book.write(ctx, j, version, d.e.opts.Now())
+	stored, res := d.parts.Book.Write(ctx, j, version, d.parts.Opts.Now())
 	switch {
 	case res.Effect == platform.TookEffect:
-		d.setVersion(stored.version)
+		d.setVersion(stored.Version)
 		return gang.Event{Kind: gang.WriteTook}
 	case res.Effect == platform.Unresolved:
 		return gang.Event{Kind: gang.WriteUnresolved}
 	case !errors.Is(res.Err, rosemarysill.ErrVersion):
 		return gang.Event{Kind: gang.WriteRefused}
 	}
-	found, err := d.e.book.read(ctx, d.id)
+	found, err := d.parts.Book.Read(ctx, d.id)
 	if err != nil {
 		return gang.Event{Kind: gang.WriteUnresolved}
 	}
-	d.setVersion(found.version)
-	return gang.Event{Kind: gang.WriteConflict, Job: found.job}
+	d.setVersion(found.Version)
+	return gang.Event{Kind: gang.WriteConflict, Job: found.Job}
 }
 
-func (d *driver) setVersion(v uint64) {
+func (d *Driver) setVersion(v uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version = v
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -29,16 +29,16 @@
 }
 
 func (e *Entry) answerReport(r rosemarysill.AgentReport, auth rosemarysill.Authority) (rosemarysill.AgentOrders, error) {
-	if !e.table.admits(r.Name) {
+	if !e.table.Admits(r.Name) {
 		return rosemarysill.AgentOrders{}, rosemarysill.NewError(rosemarysill.Overloaded, "the table of agents is full")
 	}
 	now := e.opts.Now()
-	accepted, appeared := e.table.observe(r, now)
+	accepted, appeared := e.table.Observe(r, now)
 	if appeared {
 		event.AgentAppeared.Log(e.opts.Log).Str("Agent", r.Name).Str("Boot", r.Boot.String()).Send()
 	}
 	if accepted && (r.HasTasks || appeared) {
-		e.wake()
+		e.placer.Wake()
 	}
 	return e.orders(r, accepted, auth, e.members.Fenced, now), nil
 }
@@ -46,15 +46,15 @@
 // orders answers one report. A report that was not accepted is old: it is
 // granted nothing, because its sender may have been replaced.
 func (e *Entry) orders(r rosemarysill.AgentReport, accepted bool, auth rosemarysill.Authority, fenced func(uuid.UUID, int) bool, now time.Time) rosemarysill.AgentOrders {
-	known, digest := e.table.acknowledged(r.Name)
-	o := rosemarysill.AgentOrders{Name: r.Name, SendIdentity: !known, AckedDigest: digest, Epoch: e.epochSeen.Load()}
-	o.Stamp = e.table.stamp(now)
+	known, digest := e.table.Acknowledged(r.Name)
+	o := rosemarysill.AgentOrders{Name: r.Name, SendIdentity: !known, AckedDigest: digest, Epoch: e.placer.EpochSeen()}
+	o.Stamp = e.table.Stamp(now)
 	if !accepted || !known {
 		return o
 	}
-	v, _ := e.table.view(r.Name, now)
+	v, _ := e.table.Agent(r.Name, now)
 	o.Revision = auth.Config.Revision
-	o.DomainOut = auth.Config.DomainOut(v.identity.Domain)
+	o.DomainOut = auth.Config.DomainOut(v.Identity.Domain)
 	o.Drained = auth.Config.IsDrained(r.Name)
 	if !auth.Valid(now) {
 		return o
@@ -67,7 +67,7 @@
 	// Only established entries are asked to honour a fence, so only they may
 	// extend gang leases.
 	if auth.Established {
-		o.Leases = e.table.leases(r.Name, fenced, now)
+		o.Leases = e.table.Leases(r.Name, fenced, now)
 	}
 	return o
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,13 +12,18 @@
 	"github.com/google/uuid"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/attempt"
 	"github.com/rosemarysill/rosemarysill/caller"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/fleet"
+	"github.com/rosemarysill/rosemarysill/job"
+	"github.com/rosemarysill/rosemarysill/lease"
 	"github.com/rosemarysill/rosemarysill/membership"
 	"github.com/rosemarysill/rosemarysill/message"
 	"github.com/rosemarysill/rosemarysill/metric"
 	"github.com/rosemarysill/rosemarysill/operator"
 	"github.com/rosemarysill/rosemarysill/peer"
+	"github.com/rosemarysill/rosemarysill/placer"
 	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/upstream"
 )
@@ -78,19 +83,17 @@
 	opts    rosemarysill.Options
 	self    rosemarysill.Member
 	members members
-	table   *table
-	book    *book
-	holder  *holder
+	table   *fleet.Table
+	book    *job.Book
+	holder  *lease.Holder
 	router  *upstream.Router
 	calls   *metric.Calls
 	jobs    *metric.Calls // by final state
-	placer  *placer
+	placer  *placer.Placer
 
-	epochSeen atomic.Uint64 // highest placement epoch known
-	started   time.Time
-	stopping  atomic.Bool
-	wakeUp    chan struct{}
-	done      chan struct{}
+	started  time.Time
+	stopping atomic.Bool
+	done     chan struct{}
 }
 
 // New returns an entry process. It needs the options Store, Policy, Agents and
@@ -99,20 +102,22 @@
 	cfg = cfg.withDefaults()
 	o := rosemarysill.NewOptions(opts...)
 	e := &Entry{
-		cfg:    cfg,
-		opts:   o,
-		self:   rosemarysill.Member{ID: uuid.New(), Name: cfg.Name, Address: cfg.GRPC, State: rosemarysill.Joining},
-		table:  newTable(o.Timings, cfg.MaxAgents, o.Now()),
-		calls:  metric.NewCalls(maxAccounts),
-		jobs:   metric.NewCalls(maxAccounts),
-		wakeUp: make(chan struct{}, 1),
-		done:   make(chan struct{}),
+		cfg:   cfg,
+		opts:  o,
+		self:  rosemarysill.Member{ID: uuid.New(), Name: cfg.Name, Address: cfg.GRPC, State: rosemarysill.Joining},
+		table: fleet.New(o.Timings, cfg.MaxAgents, o.Now()),
+		calls: metric.NewCalls(maxAccounts),
+		jobs:  metric.NewCalls(maxAccounts),
+		done:  make(chan struct{}),
 	}
 	e.members = membership.New(e.self, cfg.Peers, opts...)
-	e.book = newBook(o.Store, e.wake)
-	e.holder = newHolder(o.Store, e.self.ID, o.Timings.PlacerLease, o.Now)
+	e.book = job.NewBook(o.Store, func() { e.placer.Wake() })
+	e.holder = lease.NewHolder(o.Store, e.self.ID, o.Timings.PlacerLease, o.Now)
 	e.router = newRouter(e)
-	e.placer = newPlacer(e)
+	e.placer = placer.New(attempt.Parts{
+		Opts: o, Holder: e.holder, Table: e.table, Book: e.book, Members: e.members,
+		Started: func() time.Time { return e.started },
+	}, cfg.KeepJobs, e.finished)
 	return e
 }
 
@@ -121,14 +126,6 @@
 	return []rosemarysill.Option{func(o *rosemarysill.Options) { *o = e.opts }}
 }
 
-// wake asks for a placement decision soon.
-func (e *Entry) wake() {
-	select {
-	case e.wakeUp <- struct{}{}:
-	default:
-	}
-}
-
 // Done is closed when Run has returned.
 func (e *Entry) Done() <-chan struct{} { return e.done }
 
@@ -156,7 +153,7 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	server := peer.NewServer(peer.ServerConfig{}, peer.Handlers{Entry: e, Peer: e.members}, e.optionList()...)
-	watcher := platform.NewWatcher(e.opts.Store, jobPrefix, e.book.update,
+	watcher := platform.NewWatcher(e.opts.Store, job.Prefix, e.book.Update,
 		platform.WatcherOptions{ListEvery: time.Minute, Now: e.opts.Now, Log: e.opts.Log})
 	parts.Go(func() { _ = server.Run(serving, grpcListener) })
 	parts.Go(func() { _ = e.members.Run(serving) })
@@ -164,14 +161,14 @@
 	parts.Go(func() { _ = e.router.Run(serving) })
 	placing, stopPlacing := context.WithCancel(serving)
 	placed := make(chan struct{})
-	go func() { defer close(placed); e.placer.run(placing) }()
+	go func() { defer close(placed); e.placer.Run(placing) }()
 
 	err := message.NewServer(e.Handler(), e.cfg.Limits).Run(e.untilStop(ctx), httpListener)
 
 	stopPlacing()
 	<-placed
 	leave, cancel := context.WithTimeout(serving, e.opts.Timings.StoreFresh)
-	e.holder.release(leave)
+	e.holder.Release(leave)
 	_ = e.members.Leave(leave)
 	cancel()
 	stop()
@@ -188,3 +185,11 @@
 	})
 	return ctx
 }
+
+// finished tells the metrics about a job that reached a final state.
+func (e *Entry) finished(j rosemarysill.Job) {
+	event.JobFinished.Log(e.opts.Log).Stringer("Job", j.Spec.ID).Str("State", string(j.State)).
+		Stringer("Code", j.Code).Str("Detail", j.Detail).Send()
+	took := j.Changed.Sub(j.Submitted)
+	e.jobs.Observe(j.Spec.Account, j.Spec.Class, j.Code, took, took)
+}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -17,19 +17,19 @@
 
 // Submit accepts a job by creating its record in the store.
 func (e *Entry) Submit(ctx context.Context, spec rosemarysill.JobSpec) (rosemarysill.Job, error) {
-	if known, ok := e.book.get(spec.ID); ok {
-		return sameJob(known.job, spec)
+	if known, ok := e.book.Get(spec.ID); ok {
+		return sameJob(known.Job, spec)
 	}
 	now := e.opts.Now()
 	if err := e.admit(spec, now); err != nil {
 		return rosemarysill.Job{}, err
 	}
 	job := rosemarysill.Job{Spec: spec, State: rosemarysill.JobQueued, Submitted: now}
-	stored, res := e.book.write(ctx, job, 0, now)
+	stored, res := e.book.Write(ctx, job, 0, now)
 	switch res.Effect {
 	case platform.TookEffect:
-		e.wake()
-		return stored.job, nil
+		e.placer.Wake()
+		return stored.Job, nil
 	case platform.NoEffect:
 		return e.refusedSubmit(ctx, spec, res.Err)
 	default:
@@ -44,11 +44,11 @@
 	if !errors.Is(cause, rosemarysill.ErrVersion) {
 		return rosemarysill.Job{}, storeError(cause)
 	}
-	known, err := e.book.read(ctx, spec.ID)
+	known, err := e.book.Read(ctx, spec.ID)
 	if err != nil {
 		return rosemarysill.Job{}, rosemarysill.NewError(rosemarysill.OutcomeUnknown, "job %s exists but cannot be read", spec.ID)
 	}
-	return sameJob(known.job, spec)
+	return sameJob(known.Job, spec)
 }
 
 // sameJob returns the accepted job if it has the same specification.
@@ -90,7 +90,7 @@
 	if q := account.QuotaAccelerators; q > 0 && spec.Shape.TotalAccelerators() > q {
 		return rosemarysill.NewError(rosemarysill.QuotaExceeded, "%d accelerators exceed the quota of %d", spec.Shape.TotalAccelerators(), q)
 	}
-	if n := e.book.open(); n >= e.cfg.MaxJobs {
+	if n := e.book.Open(); n >= e.cfg.MaxJobs {
 		return rosemarysill.NewError(rosemarysill.QueueFull, "%d jobs are open, the limit is %d", n, e.cfg.MaxJobs)
 	}
 	return e.possible(spec.Shape, &auth.Config, now)
@@ -110,18 +110,18 @@
 // Cancel ends a job that waits and asks for the end of one that has started.
 func (e *Entry) Cancel(ctx context.Context, id uuid.UUID) (rosemarysill.Job, error) {
 	for range cancelTries {
-		known, err := e.book.read(ctx, id)
+		known, err := e.book.Read(ctx, id)
 		if err != nil {
 			return rosemarysill.Job{}, jobError(id, err)
 		}
-		if known.job.State.Final() || known.job.CancelRequested {
-			return known.job, nil
+		if known.Job.State.Final() || known.Job.CancelRequested {
+			return known.Job, nil
 		}
-		stored, res := e.book.write(ctx, cancelled(known.job), known.version, e.opts.Now())
+		stored, res := e.book.Write(ctx, cancelled(known.Job), known.Version, e.opts.Now())
 		switch {
 		case res.Effect == platform.TookEffect:
-			e.wake()
-			return stored.job, nil
+			e.placer.Wake()
+			return stored.Job, nil
 		case res.Effect == platform.Unresolved:
 			return rosemarysill.Job{}, rosemarysill.NewError(rosemarysill.OutcomeUnknown, "the store did not tell whether job %s was cancelled", id)
 		case !errors.Is(res.Err, rosemarysill.ErrVersion):
@@ -144,13 +144,13 @@
 // Job returns a job. During an outage of the store it answers from its copy if
 // the job is final there, because a final job does not change.
 func (e *Entry) Job(ctx context.Context, id uuid.UUID) (rosemarysill.Job, error) {
-	known, err := e.book.read(ctx, id)
+	known, err := e.book.Read(ctx, id)
 	if err == nil {
-		return known.job, nil
+		return known.Job, nil
 	}
 	if !errors.Is(err, rosemarysill.ErrNotFound) {
-		if known, ok := e.book.get(id); ok && known.job.State.Final() {
-			return known.job, nil
+		if known, ok := e.book.Get(id); ok && known.Job.State.Final() {
+			return known.Job, nil
 		}
 	}
 	return rosemarysill.Job{}, jobError(id, err)
--- a/entry/jobs_test.go
+++ b/entry/jobs_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/job"
 	"github.com/rosemarysill/rosemarysill/standin"
 )
 
@@ -77,7 +78,7 @@
 			_, err := e.Submit(ctx, spec)
 			require.Equal(t, c.code, rosemarysill.CodeOf(err), "%v", err)
 			store.SetFaults(standin.StoreFaults{})
-			_, err = store.Get(ctx, jobKey(spec.ID))
+			_, err = store.Get(ctx, job.Key(spec.ID))
 			require.Equal(t, c.accepted, err == nil)
 		})
 	}
@@ -89,7 +90,7 @@
 	ctx := context.Background()
 	a, store, _ := testEntry(t)
 	b, _, _ := testEntry(t)
-	b.opts.Store, b.book = store, newBook(store, func() {})
+	b.opts.Store, b.book = store, job.NewBook(store, func() {})
 	spec := testSpec()
 	_, err := a.Submit(ctx, spec)
 	require.NoError(t, err)
@@ -142,7 +143,7 @@
 		t.Run(name, func(t *testing.T) {
 			e, store, _ := testEntry(t)
 			job := rosemarysill.Job{Spec: testSpec(), State: c.state, Attempt: c.attempt}
-			e.book.write(ctx, job, 0, testStart)
+			e.book.Write(ctx, job, 0, testStart)
 			store.SetFaults(c.faults)
 			got, err := e.Cancel(ctx, job.Spec.ID)
 			require.NoError(t, err)
@@ -162,8 +163,8 @@
 	e, store, _ := testEntry(t)
 	running := rosemarysill.Job{Spec: testSpec(), State: rosemarysill.JobRunning}
 	done := rosemarysill.Job{Spec: testSpec(), State: rosemarysill.JobDone}
-	e.book.write(ctx, running, 0, testStart)
-	e.book.write(ctx, done, 0, testStart)
+	e.book.Write(ctx, running, 0, testStart)
+	e.book.Write(ctx, done, 0, testStart)
 	store.SetFaults(standin.StoreFaults{Outage: true})
 	got, err := e.Job(ctx, done.Spec.ID)
 	require.NoError(t, err)
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/job"
 	"github.com/rosemarysill/rosemarysill/plan"
 )
 
@@ -24,7 +25,7 @@
 	if !auth.ByStore(now) {
 		return rosemarysill.Plan{}, rosemarysill.NewError(rosemarysill.StoreUnavailable, "a plan is made only while the store answers")
 	}
-	p, err := plan.Make(uuid.New(), in, e.clusterState(&auth.Config, now), e.table.upstreams(&auth.Config), now, now.Add(e.opts.Timings.PlanLife))
+	p, err := plan.Make(uuid.New(), in, e.placer.ClusterState(&auth.Config, now), e.table.Upstreams(&auth.Config), now, now.Add(e.opts.Timings.PlanLife))
 	if err != nil {
 		return rosemarysill.Plan{}, err
 	}
@@ -69,7 +70,7 @@
 	}
 	var answer rosemarysill.Confirmation
 	_, err = e.members.Change(ctx, func(cfg rosemarysill.Configuration) (rosemarysill.Configuration, error) {
-		next, c := plan.Apply(cfg, p, e.table.workers(&cfg, e.opts.Now()), e.opts.Now())
+		next, c := plan.Apply(cfg, p, e.table.Workers(&cfg, e.opts.Now()), e.opts.Now())
 		answer = c
 		if next.Revision == cfg.Revision {
 			return cfg, errUnchanged
@@ -84,7 +85,7 @@
 			return rosemarysill.Confirmation{}, err
 		}
 	}
-	e.wake()
+	e.placer.Wake()
 	return answer, nil
 }
 
@@ -119,28 +120,28 @@
 func (e *Entry) Status(context.Context) (rosemarysill.Status, error) {
 	now := e.opts.Now()
 	auth := e.members.Authority()
-	epoch, places := e.holder.held()
+	epoch, places := e.holder.Held()
 	s := rosemarysill.Status{
 		Entry:           e.selfIn(auth.Members),
 		Entries:         auth.Members.Entries,
 		Authoritative:   auth.Valid(now),
 		StoreContact:    auth.ByStore(now),
 		Places:          places,
-		Epoch:           max(epoch, e.epochSeen.Load()),
+		Epoch:           max(epoch, e.placer.EpochSeen()),
 		Revision:        auth.Config.Revision,
 		Domains:         auth.Config.Domains,
 		Drained:         auth.Config.Drained,
-		Upstreams:       e.table.upstreams(&auth.Config),
+		Upstreams:       e.table.Upstreams(&auth.Config),
 		Jobs:            map[rosemarysill.JobState]int{},
 		WaitingCalls:    e.router.Waiting(),
 		CallsInProgress: e.router.InProgress(),
 	}
-	state := e.clusterState(&auth.Config, now)
+	state := e.placer.ClusterState(&auth.Config, now)
 	s.Workers = state.Workers
 	s.FreeAccelerators, s.LargestFreeBlock = freeCapacity(state)
-	jobs, _ := e.book.all()
+	jobs, _ := e.book.All()
 	for _, j := range jobs {
-		s.Jobs[j.job.State]++
+		s.Jobs[j.Job.State]++
 	}
 	s.Accounts = accountStatus(auth.Config, jobs)
 	s.AgentsAtRevision, s.AgentsBehind = e.revisions(auth.Config.Revision, now)
@@ -160,12 +161,12 @@
 // revisions counts the agents that have the revision and names those that do
 // not.
 func (e *Entry) revisions(revision uint64, now time.Time) (at int, behind []string) {
-	for _, v := range e.table.views(now) {
+	for _, v := range e.table.Views(now) {
 		switch {
-		case v.fresh && v.revision >= revision:
+		case v.Fresh && v.Revision >= revision:
 			at++
-		case v.fresh:
-			behind = append(behind, v.identity.Name)
+		case v.Fresh:
+			behind = append(behind, v.Identity.Name)
 		}
 	}
 	return at, behind
@@ -196,7 +197,7 @@
 }
 
 // accountStatus sums the jobs by client account.
-func accountStatus(cfg rosemarysill.Configuration, jobs []storedJob) []rosemarysill.AccountStatus {
+func accountStatus(cfg rosemarysill.Configuration, jobs []job.Stored) []rosemarysill.AccountStatus {
 	byName := map[string]*rosemarysill.AccountStatus{}
 	for _, a := range cfg.Accounts {
 		st := &rosemarysill.AccountStatus{Name: a.Name}
@@ -206,16 +207,16 @@
 		byName[a.Name] = st
 	}
 	for _, j := range jobs {
-		st, ok := byName[j.job.Spec.Account]
+		st, ok := byName[j.Job.Spec.Account]
 		if !ok {
 			continue
 		}
-		switch j.job.State {
+		switch j.Job.State {
 		case rosemarysill.JobQueued:
 			st.WaitingJobs++
 		case rosemarysill.JobStarting, rosemarysill.JobRunning, rosemarysill.JobStopping:
 			st.RunningJobs++
-			st.UsedAccelerators += j.job.Spec.Shape.TotalAccelerators()
+			st.UsedAccelerators += j.Job.Spec.Shape.TotalAccelerators()
 		}
 	}
 	var out []rosemarysill.AccountStatus
--- a/entry/possible.go
+++ b/entry/possible.go
@@ -9,7 +9,7 @@
 // possible refuses a shape that the workers known to this entry could not hold
 // even if all were empty and in.
 func (e *Entry) possible(s rosemarysill.Shape, cfg *rosemarysill.Configuration, now time.Time) error {
-	workers := e.table.workers(cfg, now)
+	workers := e.table.Workers(cfg, now)
 	if len(workers) == 0 || now.Sub(e.started) < 2*e.opts.Timings.MemberFresh {
 		return nil // not all workers may have announced themselves yet
 	}
--- a/entry/router.go
+++ b/entry/router.go
@@ -16,7 +16,7 @@
 		Authority: e.members.Authority,
 		Upstreams: func() []rosemarysill.UpstreamState {
 			auth := e.members.Authority()
-			return e.table.upstreams(&auth.Config)
+			return e.table.Upstreams(&auth.Config)
 		},
 		Observe: func(c rosemarysill.Call, code rosemarysill.Code, queued, took time.Duration) {
 			e.calls.Observe(c.Account, c.Class, code, queued, took)
--- a/entry/table.go
+++ b/fleet/table.go
@@ -1,4 +1,6 @@
-package entry
+// Package fleet is the table of agents that an entry keeps from their
+// heartbeats.
+package fleet
 
 import (
 	"math/rand/v2"
@@ -47,48 +49,50 @@
 	task  rosemarysill.TaskReport
 }
 
-// table holds the agents as their heartbeats describe them. It has no clock:
+// Table holds the agents as their heartbeats describe them. It has no clock:
 // callers pass the time.
-type table struct {
+type Table struct {
 	mu     sync.Mutex
 	t      rosemarysill.Timings
 	limit  int       // agents
-	base   uint64    // stamp of start; random, so that stamps of another boot of an entry are not taken
+	base   uint64    // Stamp of start; random, so that stamps of another boot of an entry are not taken
 	start  time.Time // of this entry
 	agents map[string]*agentState
 	gangs  map[gangKey]map[int]memberSeen
 }
 
-func newTable(t rosemarysill.Timings, limit int, start time.Time) *table {
-	return &table{t: t, limit: limit, base: rand.Uint64(), start: start, agents: map[string]*agentState{}, gangs: map[gangKey]map[int]memberSeen{}}
+// New returns an empty table of at most limit agents for an entry that starts at
+// start.
+func New(t rosemarysill.Timings, limit int, start time.Time) *Table {
+	return &Table{t: t, limit: limit, base: rand.Uint64(), start: start, agents: map[string]*agentState{}, gangs: map[gangKey]map[int]memberSeen{}}
 }
 
-// stamp returns the stamp of a reply that is sent at now.
-func (tb *table) stamp(now time.Time) uint64 {
+// Stamp returns the stamp of a reply that is sent at now.
+func (tb *Table) Stamp(now time.Time) uint64 {
 	return tb.base + uint64(now.Sub(tb.start).Microseconds())
 }
 
 // stampedAt returns the time of a stamp, or the zero time when it is none of
 // this boot's.
-func (tb *table) stampedAt(stamp uint64, now time.Time) time.Time {
-	age := tb.stamp(now) - stamp
+func (tb *Table) stampedAt(stamp uint64, now time.Time) time.Time {
+	age := tb.Stamp(now) - stamp
 	if age > uint64(now.Sub(tb.start).Microseconds()) {
 		return time.Time{}
 	}
 	return now.Add(-time.Duration(age) * time.Microsecond)
 }
 
-// admits reports whether the table has room for the agent.
-func (tb *table) admits(name string) bool {
+// Admits reports whether the table has room for the agent.
+func (tb *Table) Admits(name string) bool {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	_, ok := tb.agents[name]
 	return ok || len(tb.agents) < tb.limit
 }
 
-// observe takes a report into the table. It returns false for a report that is
+// Observe takes a report into the table. It returns false for a report that is
 // older than what the table holds; such a report renews nothing.
-func (tb *table) observe(r rosemarysill.AgentReport, now time.Time) (accepted, appeared bool) {
+func (tb *Table) Observe(r rosemarysill.AgentReport, now time.Time) (accepted, appeared bool) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	a, ok := tb.agents[r.Name]
@@ -129,7 +133,7 @@
 }
 
 // startBoot forgets what belonged to the former boot: its tasks are gone.
-func (tb *table) startBoot(a *agentState, boot uuid.UUID) {
+func (tb *Table) startBoot(a *agentState, boot uuid.UUID) {
 	if a.report.Boot != uuid.Nil {
 		a.retired = append(a.retired, a.report.Boot)
 		if len(a.retired) > retiredBoots {
@@ -141,7 +145,7 @@
 	a.report = rosemarysill.AgentReport{Boot: boot}
 }
 
-func (tb *table) setTasks(name string, a *agentState, r rosemarysill.AgentReport) {
+func (tb *Table) setTasks(name string, a *agentState, r rosemarysill.AgentReport) {
 	tb.dropTasks(a)
 	a.tasks, a.digest, a.hasTasks = r.Tasks, r.TasksDigest, true
 	for _, task := range r.Tasks {
@@ -153,7 +157,7 @@
 	}
 }
 
-func (tb *table) dropTasks(a *agentState) {
+func (tb *Table) dropTasks(a *agentState) {
 	for _, task := range a.tasks {
 		k := gangKey{task.Job, task.Attempt}
 		if seen, ok := tb.gangs[k][task.Member]; ok && seen.agent == a.report.Name {
@@ -167,13 +171,13 @@
 }
 
 // fresh reports whether the agent was heard within MemberFresh.
-func (tb *table) fresh(a *agentState, now time.Time) bool {
+func (tb *Table) fresh(a *agentState, now time.Time) bool {
 	return now.Sub(a.lastBeat) < tb.t.MemberFresh
 }
 
 // complete reports whether every member of the gang runs, or has finished
 // well, by a report that its agent made within MemberFresh.
-func (tb *table) complete(k gangKey, members int, now time.Time) bool {
+func (tb *Table) complete(k gangKey, members int, now time.Time) bool {
 	seen := tb.gangs[k]
 	for i := range members {
 		m, ok := seen[i]
@@ -189,8 +193,8 @@
 	return members > 0
 }
 
-// leases returns the gang leases that the agent's running members may get.
-func (tb *table) leases(name string, fenced func(uuid.UUID, int) bool, now time.Time) []rosemarysill.LeaseGrant {
+// Leases returns the gang leases that the agent's running members may get.
+func (tb *Table) Leases(name string, fenced func(uuid.UUID, int) bool, now time.Time) []rosemarysill.LeaseGrant {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	a, ok := tb.agents[name]
@@ -209,9 +213,9 @@
 	return grants
 }
 
-// acknowledged returns whether the agent's identity is known and the digest of
+// Acknowledged returns whether the agent's identity is known and the digest of
 // the tasks that the table holds.
-func (tb *table) acknowledged(name string) (known bool, digest uint64) {
+func (tb *Table) Acknowledged(name string) (known bool, digest uint64) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	a, ok := tb.agents[name]
@@ -222,7 +226,7 @@
 }
 
 // sorted returns the states with a known identity of the given kind, by name.
-func (tb *table) sorted(kind rosemarysill.AgentKind) []*agentState {
+func (tb *Table) sorted(kind rosemarysill.AgentKind) []*agentState {
 	var out []*agentState
 	for _, a := range tb.agents {
 		if a.known && a.identity.Kind == kind {
@@ -233,8 +237,8 @@
 	return out
 }
 
-// upstreams returns the upstreams as the router needs them.
-func (tb *table) upstreams(cfg *rosemarysill.Configuration) []rosemarysill.UpstreamState {
+// Upstreams returns the upstreams as the router needs them.
+func (tb *Table) Upstreams(cfg *rosemarysill.Configuration) []rosemarysill.UpstreamState {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	var out []rosemarysill.UpstreamState
@@ -251,9 +255,9 @@
 	return out
 }
 
-// workers returns the workers as a policy needs them, without regard to
+// Workers returns the workers as a policy needs them, without regard to
 // quarantine.
-func (tb *table) workers(cfg *rosemarysill.Configuration, now time.Time) []rosemarysill.WorkerState {
+func (tb *Table) Workers(cfg *rosemarysill.Configuration, now time.Time) []rosemarysill.WorkerState {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	var out []rosemarysill.WorkerState
@@ -264,8 +268,8 @@
 	return out
 }
 
-// anyDomainOut reports whether a slot is in a failure domain that is out.
-func (tb *table) anyDomainOut(slots []rosemarysill.Slot, cfg *rosemarysill.Configuration) bool {
+// AnyDomainOut reports whether a slot is in a failure domain that is out.
+func (tb *Table) AnyDomainOut(slots []rosemarysill.Slot, cfg *rosemarysill.Configuration) bool {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	for _, slot := range slots {
@@ -276,34 +280,34 @@
 	return false
 }
 
-// agentView is an agent as the placing loop needs it.
-type agentView struct {
-	identity rosemarysill.AgentIdentity
-	fresh    bool
-	leaving  bool
-	revision uint64
-	tasks    []rosemarysill.TaskReport
+// View is an agent as the placing loop needs it.
+type View struct {
+	Identity rosemarysill.AgentIdentity
+	Fresh    bool // heard within MemberFresh
+	Leaving  bool
+	Revision uint64 // of the configuration that it has
+	Tasks    []rosemarysill.TaskReport
 }
 
-// view returns the agent, or false when no identity is known for it.
-func (tb *table) view(name string, now time.Time) (agentView, bool) {
+// Agent returns the agent, or false when no identity is known for it.
+func (tb *Table) Agent(name string, now time.Time) (View, bool) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	a, ok := tb.agents[name]
 	if !ok || !a.known {
-		return agentView{}, false
+		return View{}, false
 	}
-	return agentView{
-		identity: a.identity,
-		fresh:    tb.fresh(a, now),
-		leaving:  a.report.Leaving,
-		revision: a.report.Revision,
-		tasks:    a.tasks,
+	return View{
+		Identity: a.identity,
+		Fresh:    tb.fresh(a, now),
+		Leaving:  a.report.Leaving,
+		Revision: a.report.Revision,
+		Tasks:    a.tasks,
 	}, true
 }
 
-// views returns all agents with a known identity, by name.
-func (tb *table) views(now time.Time) []agentView {
+// Views returns all agents with a known identity, by name.
+func (tb *Table) Views(now time.Time) []View {
 	tb.mu.Lock()
 	names := make([]string, 0, len(tb.agents))
 	for name := range tb.agents {
@@ -311,18 +315,18 @@
 	}
 	tb.mu.Unlock()
 	sort.Strings(names)
-	var out []agentView
+	var out []View
 	for _, name := range names {
-		if v, ok := tb.view(name, now); ok {
+		if v, ok := tb.Agent(name, now); ok {
 			out = append(out, v)
 		}
 	}
 	return out
 }
 
-// sweep drops agents that have been silent for long and returns the names of
+// Sweep drops agents that have been silent for long and returns the names of
 // those that have just gone missing.
-func (tb *table) sweep(now time.Time) (missing []string) {
+func (tb *Table) Sweep(now time.Time) (missing []string) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	for name, a := range tb.agents {
--- a/entry/table_test.go
+++ b/fleet/table_test.go
@@ -1,4 +1,4 @@
-package entry
+package fleet
 
 import (
 	"math/rand/v2"
@@ -9,14 +9,13 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/membership"
 )
 
 var testStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 // testAgent sends reports of one agent to a table.
 type testAgent struct {
-	tb   *table
+	tb   *Table
 	name string
 	boot uuid.UUID
 	seq  uint64
@@ -25,13 +24,13 @@
 
 // answered gives the agent a reply that the entry sent at the time.
 func (a *testAgent) answered(at time.Time) *testAgent {
-	a.echo = a.tb.stamp(at)
+	a.echo = a.tb.Stamp(at)
 	return a
 }
 
 func (a *testAgent) beat(now time.Time, tasks ...rosemarysill.TaskReport) bool {
 	a.seq++
-	accepted, _ := a.tb.observe(rosemarysill.AgentReport{
+	accepted, _ := a.tb.Observe(rosemarysill.AgentReport{
 		Name: a.name, Boot: a.boot, Sequence: a.seq, Echo: a.echo, HasTasks: true, Tasks: tasks, TasksDigest: a.seq,
 		Identity: &rosemarysill.AgentIdentity{Name: a.name, Boot: a.boot, Kind: rosemarysill.WorkerAgent, Domain: "Tunis"},
 	}, now)
@@ -42,8 +41,6 @@
 	return rosemarysill.TaskReport{Job: job, Attempt: 1, Member: i, Members: of, State: state}
 }
 
-func neverFenced(uuid.UUID, int) bool { return false }
-
 // TestGangLeases guards against extending the lease of a gang that does not run
 // whole.
 func TestGangLeases(t *testing.T) {
@@ -73,7 +70,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			tb := newTable(timings, 10, testStart)
+			tb := New(timings, 10, testStart)
 			a := (&testAgent{tb: tb, name: "a", boot: uuid.New()}).answered(testStart.Add(c.silence))
 			b := (&testAgent{tb: tb, name: "b", boot: uuid.New()}).answered(testStart)
 			switch {
@@ -91,7 +88,7 @@
 			}
 			now := testStart.Add(c.silence)
 			require.True(t, a.beat(now, member(job, 0, 2, rosemarysill.TaskRunning)))
-			got := tb.leases("a", func(uuid.UUID, int) bool { return c.fenced }, now)
+			got := tb.Leases("a", func(uuid.UUID, int) bool { return c.fenced }, now)
 			require.Len(t, got, c.want)
 		})
 	}
@@ -100,7 +97,7 @@
 // TestOldReportsAreRefused guards against a late heartbeat that makes a gone
 // agent, or an old state of one, look alive.
 func TestOldReportsAreRefused(t *testing.T) {
-	tb := newTable(rosemarysill.DefaultTimings(), 10, testStart)
+	tb := New(rosemarysill.DefaultTimings(), 10, testStart)
 	a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
 	require.True(t, a.beat(testStart))
 	old := *a
@@ -112,77 +109,23 @@
 	require.True(t, a.beat(testStart.Add(3*time.Second)))
 	require.False(t, former.beat(testStart.Add(4*time.Second)), "a former boot")
 
-	v, ok := tb.view("a", testStart.Add(4*time.Second))
+	v, ok := tb.Agent("a", testStart.Add(4*time.Second))
 	require.True(t, ok)
-	require.Equal(t, a.boot, v.identity.Boot)
+	require.Equal(t, a.boot, v.Identity.Boot)
 }
 
 // TestSweep guards against agents that vanish without notice, and against a
 // table that only grows.
 func TestSweep(t *testing.T) {
-	tb := newTable(rosemarysill.DefaultTimings(), 1, testStart)
+	tb := New(rosemarysill.DefaultTimings(), 1, testStart)
 	a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
 	require.True(t, a.beat(testStart, member(uuid.New(), 0, 1, rosemarysill.TaskRunning)))
-	require.False(t, tb.admits("b"), "the table is full")
-	require.Empty(t, tb.sweep(testStart))
+	require.False(t, tb.Admits("b"), "the table is full")
+	require.Empty(t, tb.Sweep(testStart))
 	later := testStart.Add(rosemarysill.DefaultTimings().MemberFresh)
-	require.Equal(t, []string{"a"}, tb.sweep(later))
-	require.Empty(t, tb.sweep(later), "reported once")
-	require.Empty(t, tb.sweep(testStart.Add(forgetAfter+1)))
-	require.True(t, tb.admits("b"))
+	require.Equal(t, []string{"a"}, tb.Sweep(later))
+	require.Empty(t, tb.Sweep(later), "reported once")
+	require.Empty(t, tb.Sweep(testStart.Add(forgetAfter+1)))
+	require.True(t, tb.Admits("b"))
 	require.Empty(t, tb.gangs)
 }
-
-// TestOrders guards against freshness or gang leases from an entry that may not
-// grant them.
-func TestOrders(t *testing.T) {
-	timings := rosemarysill.DefaultTimings()
-	cfg := rosemarysill.Configuration{Revision: 7, Domains: []rosemarysill.Domain{{Name: "Tunis"}}, Drained: []string{"a"}}
-	cases := map[string]struct {
-		auth      rosemarysill.Authority
-		old       bool
-		wantFresh time.Duration
-		wantLease int
-	}{
-		"authority for long":  {auth: rosemarysill.Authority{Until: testStart.Add(time.Hour), Established: true}, wantFresh: timings.FreshFor, wantLease: 1},
-		"authority for short": {auth: rosemarysill.Authority{Until: testStart.Add(time.Second), Established: true}, wantFresh: timings.FreshFor, wantLease: 1},
-		"joining entry":       {auth: rosemarysill.Authority{Until: testStart.Add(time.Hour)}, wantFresh: timings.FreshFor},
-		"no authority":        {auth: rosemarysill.Authority{Until: testStart, Established: true}},
-		"old report":          {auth: rosemarysill.Authority{Until: testStart.Add(time.Hour), Established: true}, old: true},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			tb := newTable(timings, 10, testStart)
-			a := (&testAgent{tb: tb, name: "a", boot: uuid.New()}).answered(testStart)
-			require.True(t, a.beat(testStart, member(uuid.New(), 0, 1, rosemarysill.TaskRunning)))
-			e := &Entry{opts: rosemarysill.NewOptions(), table: tb}
-			c.auth.Config = cfg
-			o := e.orders(rosemarysill.AgentReport{Name: "a"}, !c.old, c.auth, neverFenced, testStart)
-			require.Equal(t, c.wantFresh, o.FreshFor)
-			require.Len(t, o.Leases, c.wantLease)
-			require.Equal(t, !c.old, o.Drained, "a revision comes with its content")
-			require.Equal(t, !c.old, o.Revision == 7)
-		})
-	}
-}
-
-// TestFreshnessLastsToTheNextHeartbeat guards against agents that refuse work in
-// the steady state, whatever the phase between an entry's reads of the store and
-// an agent's heartbeats. Bounded by the entry's authority, the freshness ended
-// before the next heartbeat in some phases, and calls were refused as
-// StaleConfiguration and NoUpstream.
-func TestFreshnessLastsToTheNextHeartbeat(t *testing.T) {
-	timings := rosemarysill.DefaultTimings()
-	readEvery := membership.ReadEvery(timings)
-	const steps = 50
-	for i := range steps {
-		readAt := testStart.Add(-readEvery * time.Duration(i) / steps)
-		tb := newTable(timings, 10, testStart)
-		a := &testAgent{tb: tb, name: "a", boot: uuid.New()}
-		require.True(t, a.beat(testStart))
-		e := &Entry{opts: rosemarysill.NewOptions(), table: tb}
-		auth := rosemarysill.Authority{Until: readAt.Add(timings.StoreFresh), Established: true}
-		o := e.orders(rosemarysill.AgentReport{Name: "a"}, true, auth, neverFenced, testStart)
-		require.GreaterOrEqual(t, o.FreshFor, timings.BeatEvery+timings.Margin, "read %s before the heartbeat", testStart.Sub(readAt))
-	}
-}
--- a/entry/holder.go
+++ b/lease/holder.go
@@ -1,4 +1,6 @@
-package entry
+// Package lease keeps the placement lease: at most one entry places jobs, each
+// under an epoch of its own.
+package lease
 
 import (
 	"context"
@@ -30,8 +32,8 @@
 	WriteID uuid.UUID
 }
 
-// holder takes and keeps the placement lease for one entry.
-type holder struct {
+// Holder takes and keeps the placement lease for one entry.
+type Holder struct {
 	store rosemarysill.Store
 	self  uuid.UUID
 	ttl   time.Duration
@@ -43,19 +45,20 @@
 	epoch uint64
 }
 
-func newHolder(store rosemarysill.Store, self uuid.UUID, ttl time.Duration, now func() time.Time) *holder {
-	return &holder{store: store, self: self, ttl: ttl, now: now}
+// NewHolder returns the holder of the entry self; the lease lasts ttl.
+func NewHolder(store rosemarysill.Store, self uuid.UUID, ttl time.Duration, now func() time.Time) *Holder {
+	return &Holder{store: store, self: self, ttl: ttl, now: now}
 }
 
-// held returns the epoch while the lease is held by this entry's clock.
-func (h *holder) held() (uint64, bool) {
+// Held returns the epoch while the lease is held by this entry's clock.
+func (h *Holder) Held() (uint64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.epoch, h.lease != 0 && h.now().Before(h.until)
 }
 
-// deadline returns the end of the lease by this entry's clock.
-func (h *holder) deadline() time.Time {
+// Deadline returns the end of the lease by this entry's clock.
+func (h *Holder) Deadline() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.lease == 0 {
@@ -64,17 +67,17 @@
 	return h.until
 }
 
-// keep renews the lease, or tries to take it. It returns whether the entry
+// Keep renews the lease, or tries to take it. It returns whether the entry
 // holds the lease afterwards and whether it has just taken it.
-func (h *holder) keep(ctx context.Context) (holds, taken bool) {
-	if _, ok := h.held(); ok {
+func (h *Holder) Keep(ctx context.Context) (holds, taken bool) {
+	if _, ok := h.Held(); ok {
 		return h.renew(ctx), false
 	}
 	ok := h.take(ctx)
 	return ok, ok
 }
 
-func (h *holder) renew(ctx context.Context) bool {
+func (h *Holder) renew(ctx context.Context) bool {
 	sent := h.now()
 	err := h.store.Renew(ctx, h.currentLease())
 	h.mu.Lock()
@@ -88,7 +91,7 @@
 	return h.lease != 0 && h.now().Before(h.until)
 }
 
-func (h *holder) currentLease() rosemarysill.LeaseID {
+func (h *Holder) currentLease() rosemarysill.LeaseID {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.lease
@@ -96,7 +99,7 @@
 
 // take creates the holder's key under a new lease and raises the epoch. If any
 // step fails, the lease is given back; were that lost too, it lapses.
-func (h *holder) take(ctx context.Context) bool {
+func (h *Holder) take(ctx context.Context) bool {
 	if item, err := h.store.Get(ctx, holderKey); err == nil && item.Version != 0 {
 		return false
 	} else if err != nil && !errors.Is(err, rosemarysill.ErrNotFound) {
@@ -128,7 +131,7 @@
 
 // raiseEpoch increments the stored epoch. A lost answer leaves a gap in the
 // epochs, which does no harm: the next attempt increments again.
-func (h *holder) raiseEpoch(ctx context.Context) (uint64, error) {
+func (h *Holder) raiseEpoch(ctx context.Context) (uint64, error) {
 	var rec epochRecord
 	item, err := h.store.Get(ctx, epochKey)
 	if err != nil && !errors.Is(err, rosemarysill.ErrNotFound) {
@@ -151,8 +154,8 @@
 	return rec.Epoch, nil
 }
 
-// release gives the lease back, so that another entry can take over at once.
-func (h *holder) release(ctx context.Context) {
+// Release gives the lease back, so that another entry can take over at once.
+func (h *Holder) Release(ctx context.Context) {
 	h.mu.Lock()
 	lease := h.lease
 	h.lease = 0
@@ -163,6 +166,6 @@
 }
 
 // giveBack revokes a lease; a failure is harmless, because the lease lapses.
-func (h *holder) giveBack(ctx context.Context, lease rosemarysill.LeaseID) {
+func (h *Holder) giveBack(ctx context.Context, lease rosemarysill.LeaseID) {
 	_ = h.store.Revoke(ctx, lease)
 }
--- a/entry/holder_test.go
+++ b/lease/holder_test.go
@@ -1,4 +1,4 @@
-package entry
+package lease
 
 import (
 	"context"
@@ -21,11 +21,13 @@
 	s.Tick()
 }
 
-func newHolders(clock *testClock, n int) (*standin.Store, []*holder) {
+var testStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func newHolders(clock *testClock, n int) (*standin.Store, []*Holder) {
 	store := standin.NewStore(standin.StoreOptions{Now: clock.now})
-	var out []*holder
+	var out []*Holder
 	for range n {
-		out = append(out, newHolder(store, uuid.New(), 5*time.Second, clock.now))
+		out = append(out, NewHolder(store, uuid.New(), 5*time.Second, clock.now))
 	}
 	return store, out
 }
@@ -38,27 +40,27 @@
 	store, h := newHolders(clock, 2)
 	a, b := h[0], h[1]
 
-	holds, taken := a.keep(ctx)
+	holds, taken := a.Keep(ctx)
 	require.True(t, holds && taken)
-	holds, _ = b.keep(ctx)
+	holds, _ = b.Keep(ctx)
 	require.False(t, holds, "the lease is taken")
 
 	clock.advance(4*time.Second, store)
-	holds, taken = a.keep(ctx)
+	holds, taken = a.Keep(ctx)
 	require.True(t, holds && !taken, "renewed")
 
 	clock.advance(6*time.Second, store) // a was paused past its lease
-	_, held := a.held()
+	_, held := a.Held()
 	require.False(t, held)
-	holds, _ = b.keep(ctx)
+	holds, _ = b.Keep(ctx)
 	require.True(t, holds)
 	first, second := a.epoch, b.epoch
 	require.Greater(t, second, first)
-	holds, _ = a.keep(ctx)
+	holds, _ = a.Keep(ctx)
 	require.False(t, holds)
 
-	b.release(ctx)
-	holds, _ = a.keep(ctx)
+	b.Release(ctx)
+	holds, _ = a.Keep(ctx)
 	require.True(t, holds, "released, so there is no wait")
 	require.Greater(t, a.epoch, second)
 }
@@ -86,12 +88,12 @@
 					store.SetFaults(standin.StoreFaults{})
 				}
 				who := h[i%2]
-				if _, taken := who.keep(ctx); taken {
+				if _, taken := who.Keep(ctx); taken {
 					require.False(t, epochs[who.epoch], "epoch %d is used twice", who.epoch)
 					epochs[who.epoch] = true
 				}
-				_, first := h[0].held()
-				_, second := h[1].held()
+				_, first := h[0].Held()
+				_, second := h[1].Held()
 				require.False(t, first && second, "two holders at once")
 				clock.advance(time.Second, store)
 			}
@@ -106,13 +108,13 @@
 	ctx := context.Background()
 	clock := &testClock{testStart}
 	store, h := newHolders(clock, 1)
-	holds, _ := h[0].keep(ctx)
+	holds, _ := h[0].Keep(ctx)
 	require.True(t, holds)
 	store.SetFaults(standin.StoreFaults{Outage: true})
 	clock.advance(3*time.Second, store)
-	holds, _ = h[0].keep(ctx)
+	holds, _ = h[0].Keep(ctx)
 	require.True(t, holds, "not lapsed yet")
 	clock.advance(2*time.Second, store)
-	holds, _ = h[0].keep(ctx)
+	holds, _ = h[0].Keep(ctx)
 	require.False(t, holds)
 }
--- a/entry/learn.go
+++ b/placer/learn.go
@@ -1,26 +1,27 @@
-package entry
+package placer
 
 import (
 	"time"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/attempt"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/gang"
 )
 
 // learn takes in how an attempt ended: the health of its workers, the run time
 // of its job, and the number for the next attempt.
-func (p *placer) learn(d *driver, a *gang.Attempt, outcome gang.Outcome) {
-	now := p.e.opts.Now()
+func (p *Placer) learn(d *attempt.Driver, a *gang.Attempt, outcome gang.Outcome) {
+	now := p.parts.Opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	job := a.Job()
 	if outcome == gang.Abandoned {
-		t := p.tries[d.id]
+		t := p.tries[d.ID()]
 		if t == nil {
 			return
 		}
-		t.pause = min(max(2*t.pause, p.e.opts.Timings.DecideEvery), p.e.opts.Timings.BeatEvery)
+		t.pause = min(max(2*t.pause, p.parts.Opts.Timings.DecideEvery), p.parts.Opts.Timings.BeatEvery)
 		t.notUntil = now.Add(t.pause)
 		t.refusals++
 		if !a.StaleAttempt() {
@@ -28,48 +29,48 @@
 		}
 		return
 	}
-	delete(p.tries, d.id)
+	delete(p.tries, d.ID())
 	for i, slot := range a.Job().Slots {
 		p.learnMember(d, a, i, slot, now)
 	}
 	switch outcome {
 	case gang.Finished:
 		if job.Code == rosemarysill.FailedEverywhere {
-			p.health.Acquit(d.id)
+			p.health.Acquit(d.ID())
 		}
-		if job.Code == rosemarysill.Done && !d.ranFrom.IsZero() {
-			p.ratios.Observe(job.Spec.Account, time.Duration(job.Spec.DeclaredSeconds)*time.Second, now.Sub(d.ranFrom))
+		if job.Code == rosemarysill.Done && !d.RanFrom().IsZero() {
+			p.ratios.Observe(job.Spec.Account, time.Duration(job.Spec.DeclaredSeconds)*time.Second, now.Sub(d.RanFrom()))
 		}
-		p.e.finishedJob(job)
+		p.finished(job)
 	case gang.Requeued:
-		event.JobRequeued.Log(p.e.opts.Log).Stringer("Job", d.id).Int("Attempt", a.Number()).Str("Detail", job.Detail).Send()
+		event.JobRequeued.Log(p.parts.Opts.Log).Stringer("Job", d.ID()).Int("Attempt", a.Number()).Str("Detail", job.Detail).Send()
 	}
 }
 
 // learnMember enters the end of one member into the health of its worker.
-func (p *placer) learnMember(d *driver, a *gang.Attempt, i int, slot rosemarysill.Slot, now time.Time) {
-	v, ok := p.e.table.view(slot.Worker, now)
-	if !ok || v.identity.Boot != slot.Boot {
+func (p *Placer) learnMember(d *attempt.Driver, a *gang.Attempt, i int, slot rosemarysill.Slot, now time.Time) {
+	v, ok := p.parts.Table.Agent(slot.Worker, now)
+	if !ok || v.Identity.Boot != slot.Boot {
 		p.health.Forget(slot.Worker)
 		return
 	}
-	for _, t := range v.tasks {
-		if t.Job != d.id || t.Attempt != a.Number() || t.Member != i {
+	for _, t := range v.Tasks {
+		if t.Job != d.ID() || t.Attempt != a.Number() || t.Member != i {
 			continue
 		}
 		switch t.State {
 		case rosemarysill.TaskDone:
 			p.health.Succeeded(slot.Worker)
 		case rosemarysill.TaskFailure:
-			if p.health.Failed(slot.Worker, d.id, now) {
-				event.WorkerSetAside.Log(p.e.opts.Log).Str("Worker", slot.Worker).Send()
+			if p.health.Failed(slot.Worker, d.ID(), now) {
+				event.WorkerSetAside.Log(p.parts.Opts.Log).Str("Worker", slot.Worker).Send()
 			}
 		}
 	}
 }
 
 // judged applies the quarantine of faulty workers.
-func (p *placer) judged(workers []rosemarysill.WorkerState, now time.Time) []rosemarysill.WorkerState {
+func (p *Placer) judged(workers []rosemarysill.WorkerState, now time.Time) []rosemarysill.WorkerState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range workers {
@@ -83,12 +84,12 @@
 }
 
 // snapshot returns the attempts in hand and the learned run times.
-func (p *placer) snapshot() (attempts map[string]rosemarysill.PlacedJob, ratios map[string]float64) {
+func (p *Placer) snapshot() (attempts map[string]rosemarysill.PlacedJob, ratios map[string]float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	attempts = make(map[string]rosemarysill.PlacedJob, len(p.drivers))
 	for id, d := range p.drivers {
-		attempts[id.String()] = d.job()
+		attempts[id.String()] = d.Placed()
 	}
 	return attempts, p.ratios.Map()
 }
--- a/entry/state.go
+++ b/placer/state.go
@@ -1,4 +1,4 @@
-package entry
+package placer
 
 import (
 	"sort"
@@ -7,25 +7,25 @@
 	"github.com/rosemarysill/rosemarysill"
 )
 
-// clusterState returns the input of a placement decision. A job with an
+// ClusterState returns the input of a placement decision. A job with an
 // attempt in hand counts as placed even before its start is recorded.
-func (e *Entry) clusterState(cfg *rosemarysill.Configuration, now time.Time) rosemarysill.ClusterState {
-	attempts, ratios := e.placer.snapshot()
-	s := rosemarysill.ClusterState{Config: *cfg, Workers: e.placer.judged(e.table.workers(cfg, now), now), RunRatio: ratios}
-	jobs, _ := e.book.all()
+func (p *Placer) ClusterState(cfg *rosemarysill.Configuration, now time.Time) rosemarysill.ClusterState {
+	attempts, ratios := p.snapshot()
+	s := rosemarysill.ClusterState{Config: *cfg, Workers: p.judged(p.parts.Table.Workers(cfg, now), now), RunRatio: ratios}
+	jobs, _ := p.parts.Book.All()
 	for _, j := range jobs {
-		if j.job.State.Final() {
+		if j.Job.State.Final() {
 			continue
 		}
-		if placed, ok := attempts[j.job.Spec.ID.String()]; ok {
+		if placed, ok := attempts[j.Job.Spec.ID.String()]; ok {
 			s.Placed = append(s.Placed, placed)
 			continue
 		}
-		if j.job.State == rosemarysill.JobQueued {
-			s.Waiting = append(s.Waiting, waitingJob(j.job))
+		if j.Job.State == rosemarysill.JobQueued {
+			s.Waiting = append(s.Waiting, waitingJob(j.Job))
 			continue
 		}
-		s.Placed = append(s.Placed, placedJob(j.job))
+		s.Placed = append(s.Placed, placedJob(j.Job))
 	}
 	sort.Slice(s.Waiting, func(i, j int) bool {
 		a, b := s.Waiting[i], s.Waiting[j]
