--- a/spec/config.pml
+++ b/spec/config.pml
@@ -64,6 +64,7 @@
 byte ticks;                     /* since its acceptance plus one */
 
 byte k;
+byte was;                       /* zero between actions */
 
 #define IS_ESTABLISHED(e) (STATE(mem[e], e) == ESTABLISHED)
 
@@ -132,6 +133,12 @@
 	contact[e] = 1; oldContact[e] = old; expired[e] = 0
 }
 
+#ifdef NO_REVISION_CHECK
+#define NEWER(x, y) true
+#else
+#define NEWER(x, y) ((x) >= (y))
+#endif
+
 /* ---- store contact ---- */
 
 #ifdef LATE
@@ -150,23 +157,20 @@
 inline Read(e) {
 	d_step {
 		reading[e] ->
-#ifdef NO_REVISION_CHECK
-		/* (g) */
-		assert(readCfg[e] >= cfg[e]);
-		cfg[e] = readCfg[e];
-		Adopt(e, readCfg[e], readMem[e]);
-		SetContact(e, oldRead[e]);
-#else
+		was = cfg[e];
 		if
-		:: readCfg[e] >= cfg[e] && readMem[e] >= mem[e] ->
+		:: NEWER(readCfg[e], cfg[e]) && NEWER(readMem[e], mem[e]) ->
 			Adopt(e, readCfg[e], readMem[e]);
+			cfg[e] = readCfg[e];
 			if
 			:: !contact[e] || oldContact[e] -> SetContact(e, oldRead[e])
 			:: else
 			fi
 		:: else
 		fi;
-#endif
+		/* (g) */
+		assert(cfg[e] >= was);
+		was = 0;
 		reading[e] = 0; readCfg[e] = 0; readMem[e] = 0; oldRead[e] = 0
 	}
 }
@@ -436,16 +440,14 @@
 inline Obey() {
 	d_step {
 		replying ->
-#ifdef NO_REVISION_CHECK
-		/* (g) */
-		assert(replyCfg >= agentCfg);
-		agentCfg = replyCfg;
-#else
+		was = agentCfg;
 		if
-		:: replyCfg > agentCfg -> agentCfg = replyCfg
+		:: NEWER(replyCfg, agentCfg) -> agentCfg = replyCfg
 		:: else
 		fi;
-#endif
+		/* (g) */
+		assert(agentCfg >= was);
+		was = 0;
 		if
 		:: replyFresh && (!fresh || oldFresh) -> fresh = 1; oldFresh = oldReply
 		:: else
