membership: a removal and a read of the list hide no change

Cause: the model under spec/ gave two traces. An entry that reads config, then members, can see the list without an entry beside the configuration from before that entry's last change; and a remover could remove an entry whose last change came after its own last read. In both it is then authoritative by silence on the old configuration. Change: members is read first; config is read again before a removal. Ruled out: one document for both, because each join would rewrite the configuration.

--- a/membership/change.go
+++ b/membership/change.go
@@ -121,7 +121,7 @@
 // without its confirmation, and all others learn the change or lose their
 // authority within ConfirmFresh.
 func (m *Membership) accepted(ctx context.Context, cfg rosemarysill.Configuration) error {
-	m.update(func(s *State, _ time.Time) { s.ConfigWritten(cfg) })
+	m.update(func(s *State, _ time.Time) { s.ConfigRead(cfg) })
 	for {
 		m.mu.Lock()
 		changed := m.changed
--- a/membership/cycle.go
+++ b/membership/cycle.go
@@ -53,15 +53,17 @@
 	cfgRevision, listRevision := m.state.Config.Revision, m.state.Members.Revision
 	m.mu.Unlock()
 	sent := m.opts.Now()
-	var cfg rosemarysill.Configuration
-	if _, err := m.decode(ctx, ConfigKey, &cfg); err != nil {
-		return err
-	}
+	// The list is read first: an entry that changed the configuration and then
+	// left must not be missing from the list beside the old configuration.
 	var list rosemarysill.Members
 	version, err := m.decode(ctx, MembersKey, &list)
 	if err != nil {
 		return err
 	}
+	var cfg rosemarysill.Configuration
+	if _, err := m.decode(ctx, ConfigKey, &cfg); err != nil {
+		return err
+	}
 	if cfg.Revision < cfgRevision || list.Revision < listRevision {
 		event.OlderDocument.Log(m.opts.Log).Uint64("Revision", cfg.Revision).Uint64("Known", cfgRevision).
 			Uint64("MembersRevision", list.Revision).Uint64("KnownMembers", listRevision).Send()
@@ -84,6 +86,9 @@
 			return
 		}
 	}
+	if len(c.Take) > 0 && m.readConfig(ctx) != nil {
+		return
+	}
 	if m.writeList(ctx, c.List, c.Version) != nil {
 		return
 	}
@@ -92,6 +97,18 @@
 	}
 }
 
+// readConfig reads the configuration again before entries are removed: their
+// last change may have come after this entry's last read, and nobody is asked
+// for it once they are out of the list.
+func (m *Membership) readConfig(ctx context.Context) error {
+	var cfg rosemarysill.Configuration
+	if _, err := m.decode(ctx, ConfigKey, &cfg); err != nil {
+		return err
+	}
+	m.update(func(s *State, _ time.Time) { s.ConfigRead(cfg) })
+	return nil
+}
+
 // writeList writes the list by compare-and-swap. When the answer is lost, the
 // next read recognises the write.
 func (m *Membership) writeList(ctx context.Context, list rosemarysill.Members, version uint64) error {
--- a/membership/state.go
+++ b/membership/state.go
@@ -224,9 +224,9 @@
 	s.mayMark = true
 }
 
-// ConfigWritten records that this entry's write of the configuration took
-// effect.
-func (s *State) ConfigWritten(cfg rosemarysill.Configuration) {
+// ConfigRead takes over a configuration that this entry has read or written, if
+// it is newer.
+func (s *State) ConfigRead(cfg rosemarysill.Configuration) {
 	if cfg.Revision > s.Config.Revision {
 		s.Config = cfg
 	}
