cmd, demo: a reclaimed guarantee and a faulty worker through processes

Figures: a guarantee of 16 accelerators is claimed on a full fleet by stopping 4 of 8 borrowed jobs; a worker that fails every task gets at most 5 tasks while 12 jobs finish.

--- a/cmd/capacity/fleet.go
+++ b/cmd/capacity/fleet.go
@@ -77,12 +77,8 @@
 		Entries: entries,
 	}
 	w := agent.NewWorker(cfg, clients, standin.NewRuntime(standin.RuntimeOptions{Name: name, Accelerators: 1}))
-	server := peer.NewServer(peer.ServerConfig{}, peer.Handlers{Agent: w})
-	serving, stop := context.WithCancel(context.Background())
-	a.parts.Go(func() { _ = server.Run(serving, l) })
 	a.parts.Go(func() {
-		_ = w.Run(a.ctx)
-		stop()
+		_ = w.Serve(a.ctx, l, peer.ServerConfig{})
 		clients.Close()
 	})
 	return nil
--- a/cmd/rosemarysill/failure_test.go
+++ b/cmd/rosemarysill/failure_test.go
@@ -286,3 +286,71 @@
 		require.Equal(t, spec.ID, s.Task.Job)
 	}
 }
+
+// TestGuaranteeIsReclaimed guards against a guaranteed shape that is not there
+// when its account claims it: another account has borrowed every accelerator.
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	d := newDeployment(t, 2, 0, 4)
+	d.declare()
+	d.ready(4)
+	shape := rosemarysill.Shape{Members: 2, Accelerators: 8, Processors: 1, MemoryMB: 64}
+	d.change(rosemarysill.Intent{
+		Kind: rosemarysill.Grant, Target: "Sfax Flippers",
+		Guarantees: []rosemarysill.Guarantee{{Shape: shape, Count: 1}},
+	})
+	var borrowed []rosemarysill.JobSpec
+	for range 8 {
+		spec := newJob(1, 4, `{"RunSeconds":60}`)
+		spec.Account = "Bizerte Arcades"
+		borrowed = append(borrowed, d.submit(spec))
+	}
+	for _, spec := range borrowed {
+		d.reach(spec, rosemarysill.JobRunning)
+	}
+	claim := newJob(2, 8, `{"RunSeconds":0.2,"Result":"claimed"}`)
+	claim.Shape = shape
+	d.submit(claim)
+	require.Equal(t, "claimed", string(d.finish(claim.ID).Result))
+	stopped := 0
+	for _, spec := range borrowed {
+		job, err := d.caller.Job(context.Background(), spec.ID)
+		require.NoError(t, err)
+		if job.Attempt > 1 || job.State == rosemarysill.JobQueued {
+			stopped++
+		}
+		require.False(t, job.State.Final(), "borrowed work waits or runs again")
+	}
+	require.Equal(t, 4, stopped, "as little borrowed work as needed")
+	d.whole()
+}
+
+// TestFaultyWorker guards against a worker that fails every task and keeps
+// getting work, and against a job that fails everywhere and takes the workers
+// out of service.
+func TestFaultyWorker(t *testing.T) {
+	d := newDeployment(t, 2, 0, 4)
+	d.declare()
+	d.ready(4)
+	d.runtimes["worker-0"].SetFaults(standin.RuntimeFaults{FailTasks: true})
+	var specs []rosemarysill.JobSpec
+	for range 12 {
+		specs = append(specs, d.submit(newJob(1, 8, `{"RunSeconds":0.3}`)))
+	}
+	for _, spec := range specs {
+		job := d.finish(spec.ID)
+		require.Equal(t, rosemarysill.JobDone, job.State, job.Detail)
+	}
+	failures := 0
+	for _, s := range d.tasks.Spans() {
+		if s.Worker == "worker-0" {
+			failures++
+		}
+	}
+	require.LessOrEqual(t, failures, 5, "three failures and trials")
+
+	bad := d.finish(d.submit(newJob(1, 1, `{"Fail":true}`)).ID)
+	require.Equal(t, rosemarysill.FailedEverywhere, bad.Code, bad.Detail)
+	good := d.finish(d.submit(newJob(3, 8, `{}`)).ID)
+	require.Equal(t, rosemarysill.JobDone, good.State, "the other workers are in service")
+	d.whole()
+}
--- a/cmd/rosemarysill/process.go
+++ b/cmd/rosemarysill/process.go
@@ -131,7 +131,7 @@
 	defer clients.Close()
 	a, closeBackEnd := newAgent(s, clients, opts)
 	defer closeBackEnd()
-	return serveAgent(untilSignal(), a, l, opts)
+	return a.Serve(untilSignal(), l, peer.ServerConfig{})
 }
 
 // newAgent returns the agent and what closes the connections to its back end.
@@ -151,15 +151,3 @@
 	r := worker.NewRuntime(s.BackEnd, worker.RuntimeOptions{})
 	return agent.NewWorker(cfg, entries, r, opts...), r.Close
 }
-
-// serveAgent runs the agent with its server. The server outlives ctx, because
-// entries still ask for what is in progress while the agent stops.
-func serveAgent(ctx context.Context, a *agent.Agent, l net.Listener, opts []rosemarysill.Option) error {
-	server := peer.NewServer(peer.ServerConfig{}, peer.Handlers{Agent: a}, opts...)
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	go func() { _ = server.Run(serving, l) }()
-	err := a.Run(ctx)
-	stop()
-	<-server.Done()
-	return err
-}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -101,14 +101,7 @@
 	}
 	id.Address = address
 	a := build(agent.Config{Identity: id, Entries: f.grpc})
-	server := peer.NewServer(peer.ServerConfig{}, peer.Handlers{Agent: a}, f.opts...)
-	f.start(func(ctx context.Context) {
-		serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-		go func() { _ = server.Run(serving, l) }()
-		_ = a.Run(ctx)
-		stop()
-		<-server.Done()
-	})
+	f.start(func(ctx context.Context) { _ = a.Serve(ctx, l, peer.ServerConfig{}) })
 	return nil
 }
 
