metric: histograms of jobs for each client account and class

Cause: figures of jobs were kept but not published, in histograms that ended at 30 minutes, while jobs run for hours. Change: histograms of jobs up to a week in steps of 100 ms, published beside those of calls. Figures: 18 KB for each histogram, below the bound of 24 KB.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -146,7 +146,7 @@
 func (e *Entry) Run(ctx context.Context, httpListener, grpcListener net.Listener) error {
 	defer close(e.done)
 	e.started = e.opts.Now()
-	defer metric.Publish(e.cfg.Name, e.calls, e.routing)()
+	defer metric.Publish(e.cfg.Name, e.calls, e.jobs, e.routing)()
 	event.EntryStarted.Log(e.opts.Log).Str("Entry", e.cfg.Name).Str("ID", e.self.ID.String()).Send()
 
 	// The parts outlive ctx: requests in progress need them.
@@ -186,10 +186,15 @@
 	return ctx
 }
 
-// finished tells the metrics about a job that reached a final state.
-func (e *Entry) finished(j rosemarysill.Job) {
+// finished tells the metrics about a job that reached a final state. Started is
+// the start of its last attempt, or zero.
+func (e *Entry) finished(j rosemarysill.Job, started time.Time) {
 	event.JobFinished.Log(e.opts.Log).Stringer("Job", j.Spec.ID).Str("State", string(j.State)).
 		Stringer("Code", j.Code).Str("Detail", j.Detail).Send()
 	took := j.Changed.Sub(j.Submitted)
-	e.jobs.Observe(j.Spec.Account, j.Spec.Class, j.Code, took, took)
+	queued := took
+	if !started.IsZero() {
+		queued = started.Sub(j.Submitted)
+	}
+	e.jobs.Observe(j.Spec.Account, j.Spec.Class, j.Code, queued, took)
 }
--- a/metric/calls.go
+++ b/metric/calls.go
@@ -21,16 +21,21 @@
 	// A histogram of two digits up to 30 minutes in steps of 10 µs has 22 KB, so
 	// 91 accounts with three classes have at most 12 MB. Longer times count as
 	// 30 minutes.
-	step    = 10 * time.Microsecond
-	longest = 30 * time.Minute
-	digits  = 2
+	callStep    = 10 * time.Microsecond
+	longestCall = 30 * time.Minute
+	// Jobs run for hours to days; a histogram up to a week in steps of 100 ms
+	// has 18 KB.
+	jobStep    = 100 * time.Millisecond
+	longestJob = 7 * 24 * time.Hour
+	digits     = 2
 )
 
-// Calls are histograms and counters of calls. They are safe for concurrent use,
+// Calls are histograms and counters of calls, or of jobs. They are safe for concurrent use,
 // and their size is bounded by the number of accounts.
 type Calls struct {
-	most  int
-	known map[rosemarysill.Code]string
+	most          int
+	step, longest time.Duration // of the histograms
+	known         map[rosemarysill.Code]string
 
 	mu     sync.RWMutex
 	series map[string]*[3]series // by account, in the order of classes
@@ -47,7 +52,15 @@
 // NewCalls returns figures for at most the given number of accounts; those that
 // come later are counted together under Rest.
 func NewCalls(accounts int) *Calls {
-	return &Calls{most: accounts, known: rosemarysill.Codes(), series: map[string]*[3]series{}}
+	return newCalls(accounts, callStep, longestCall)
+}
+
+// NewJobs returns figures of jobs: the time from submission to the final state,
+// and the time in queue until the start of the last attempt.
+func NewJobs(accounts int) *Calls { return newCalls(accounts, jobStep, longestJob) }
+
+func newCalls(accounts int, step, longest time.Duration) *Calls {
+	return &Calls{most: accounts, step: step, longest: longest, known: rosemarysill.Codes(), series: map[string]*[3]series{}}
 }
 
 // Observe counts an answered call: its time in the queue and its time from
@@ -62,10 +75,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.codes == nil {
-		s.latency, s.queue, s.codes = newHistogram(), newHistogram(), map[string]int64{}
+		s.latency, s.queue, s.codes = c.newHistogram(), c.newHistogram(), map[string]int64{}
 	}
-	record(s.latency, took)
-	record(s.queue, queued)
+	c.record(s.latency, took)
+	c.record(s.queue, queued)
 	s.codes[name]++
 }
 
@@ -95,13 +108,13 @@
 	return s
 }
 
-func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(1, int64(longest/step), digits)
+func (c *Calls) newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(c.longest/c.step), digits)
 }
 
-func record(h *hdrhistogram.Histogram, d time.Duration) {
-	d = max(0, min(d, longest))
-	_ = h.RecordValue(int64(d / step)) // in range
+func (c *Calls) record(h *hdrhistogram.Histogram, d time.Duration) {
+	d = max(0, min(d, c.longest))
+	_ = h.RecordValue(int64(d / c.step)) // in range
 }
 
 // Summary is a histogram in milliseconds.
@@ -126,7 +139,7 @@
 	for account, all := range c.series {
 		classes := map[rosemarysill.Class]Figures{}
 		for i, class := range rosemarysill.Classes() {
-			if f, ok := all[i].figures(); ok {
+			if f, ok := all[i].figures(c.step); ok {
 				classes[class] = f
 			}
 		}
@@ -135,20 +148,20 @@
 	return out
 }
 
-func (s *series) figures() (Figures, bool) {
+func (s *series) figures(step time.Duration) (Figures, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.codes == nil {
 		return Figures{}, false
 	}
-	f := Figures{Latency: summarise(s.latency), Queue: summarise(s.queue), Codes: make(map[string]int64, len(s.codes))}
+	f := Figures{Latency: summarise(s.latency, step), Queue: summarise(s.queue, step), Codes: make(map[string]int64, len(s.codes))}
 	for name, n := range s.codes {
 		f.Codes[name] = n
 	}
 	return f, true
 }
 
-func summarise(h *hdrhistogram.Histogram) Summary {
+func summarise(h *hdrhistogram.Histogram, step time.Duration) Summary {
 	ms := func(v float64) float64 { return v * float64(step) / float64(time.Millisecond) }
 	return Summary{
 		Count: h.TotalCount(),
--- a/metric/calls_test.go
+++ b/metric/calls_test.go
@@ -20,7 +20,7 @@
 func table() string {
 	var b strings.Builder
 	b.WriteString("# Metrics\n\nEach entry publishes its figures at `/debug/vars` (expvar) under `Entries.<Entry>`, since the start of the process. " +
-		"Times are in milliseconds, from histograms with two digits in steps of 0.01 ms up to 30 minutes. " +
+		"Times are in milliseconds, from histograms with two digits: of calls in steps of 0.01 ms up to 30 minutes, of jobs in steps of 100 ms up to a week. " +
 		"Client accounts beyond the limit of the process are counted together as `" + Rest + "`.\n\n| Name | Unit | Meaning |\n|---|---|---|\n")
 	for _, d := range Definitions() {
 		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", d.Name, d.Unit, d.Meaning)
@@ -65,7 +65,10 @@
 func TestPublishedNamesAreDefined(t *testing.T) {
 	calls := NewCalls(2)
 	calls.Observe("Sfax", rosemarysill.Urgent, rosemarysill.Done, 0, time.Second)
-	remove := Publish("e1", calls, func() Routing { return Routing{} })
+	jobs := NewJobs(2)
+	jobs.Observe("Sfax", rosemarysill.Batch, rosemarysill.Done, time.Minute, 30*time.Hour)
+	require.InEpsilon(t, 30*3.6e6, jobs.Figures()["Sfax"][rosemarysill.Batch].Latency.Max, 0.01)
+	remove := Publish("e1", calls, jobs, func() Routing { return Routing{} })
 	var all map[string]any
 	require.NoError(t, json.Unmarshal([]byte(expvar.Get("Entries").String()), &all))
 	got := map[string]bool{}
@@ -99,7 +102,7 @@
 	require.InEpsilon(t, 1_800_000, batch.Latency.Max, 0.01)
 	require.Zero(t, batch.Queue.Max)
 	require.NotContains(t, got, rosemarysill.Normal)
-	require.LessOrEqual(t, newHistogram().ByteSize(), 24<<10)
+	require.LessOrEqual(t, c.newHistogram().ByteSize(), 24<<10)
 	c.Observe("", rosemarysill.Urgent, rosemarysill.UnknownAccount, 0, 0)
 	require.Contains(t, c.Figures(), Rest)
 }
--- a/metric/publish.go
+++ b/metric/publish.go
@@ -20,12 +20,13 @@
 
 // Publish shows an entry's figures under /debug/vars until the returned
 // function is called.
-func Publish(entry string, calls *Calls, routing func() Routing) (remove func()) {
+func Publish(entry string, calls, jobs *Calls, routing func() Routing) (remove func()) {
 	entries.Set(entry, expvar.Func(func() any {
 		return struct {
 			Calls   any
+			Jobs    any
 			Routing Routing
-		}{calls.Figures(), routing()}
+		}{calls.Figures(), jobs.Figures(), routing()}
 	}))
 	return func() { entries.Delete(entry) }
 }
@@ -41,23 +42,12 @@
 // Definitions returns the catalogue of published figures. All names are below
 // Entries.<Entry>.
 func Definitions() []Definition {
-	defs := []Definition{
-		{"Calls.<Account>.<Class>.Codes.<Code>", "calls", "Answered calls by result code; `Unlisted` is any code that is not in CODES.md."},
-	}
-	for _, h := range []struct{ name, meaning string }{
-		{"Latency", "time from the arrival of a call to its answer"},
-		{"Queue", "time from the arrival of a call to its first forward, or to its refusal"},
-	} {
-		prefix := "Calls.<Account>.<Class>." + h.name + "."
-		defs = append(defs,
-			Definition{prefix + "Count", "calls", "Number of calls: " + h.meaning + "."},
-			Definition{prefix + "Mean", "ms", "Mean of the " + h.meaning + "."},
-			Definition{prefix + "P50", "ms", "Median of the " + h.meaning + "."},
-			Definition{prefix + "P95", "ms", "95th percentile of the " + h.meaning + "."},
-			Definition{prefix + "P99", "ms", "99th percentile of the " + h.meaning + "."},
-			Definition{prefix + "Max", "ms", "Longest " + h.meaning + "."},
-		)
-	}
+	defs := histograms("Calls", "calls", "Answered calls by result code; `Unlisted` is any code that is not in CODES.md.",
+		"time from the arrival of a call to its answer",
+		"time from the arrival of a call to its first forward, or to its refusal")
+	defs = append(defs, histograms("Jobs", "jobs", "Jobs that this entry brought to a final state, by result code.",
+		"time from the submission of a job to its final state",
+		"time from the submission of a job to the start of its last attempt")...)
 	return append(defs,
 		Definition{"Routing.Waiting", "calls", "Calls in the queues now."},
 		Definition{"Routing.InProgress", "calls", "Calls at upstreams now."},
@@ -69,3 +59,20 @@
 		Definition{"Routing.RecordsDropped", "records", "Records that were not put right after an unresolved write, because too many waited."},
 	)
 }
+
+// histograms returns the definitions of the figures of calls or jobs.
+func histograms(group, unit, codes, latency, queue string) []Definition {
+	prefix := group + ".<Account>.<Class>."
+	defs := []Definition{{prefix + "Codes.<Code>", unit, codes}}
+	for _, h := range []struct{ name, meaning string }{{"Latency", latency}, {"Queue", queue}} {
+		defs = append(defs,
+			Definition{prefix + h.name + ".Count", unit, "Number of " + unit + ": " + h.meaning + "."},
+			Definition{prefix + h.name + ".Mean", "ms", "Mean of the " + h.meaning + "."},
+			Definition{prefix + h.name + ".P50", "ms", "Median of the " + h.meaning + "."},
+			Definition{prefix + h.name + ".P95", "ms", "95th percentile of the " + h.meaning + "."},
+			Definition{prefix + h.name + ".P99", "ms", "99th percentile of the " + h.meaning + "."},
+			Definition{prefix + h.name + ".Max", "ms", "Longest " + h.meaning + "."},
+		)
+	}
+	return defs
+}
--- a/placer/learn.go
+++ b/placer/learn.go
@@ -41,7 +41,7 @@
 		if job.Code == rosemarysill.Done && !d.RanFrom().IsZero() {
 			p.ratios.Observe(job.Spec.Account, time.Duration(job.Spec.DeclaredSeconds)*time.Second, now.Sub(d.RanFrom()))
 		}
-		p.finished(job)
+		p.finished(job, d.Placed().Started)
 	case gang.Requeued:
 		event.JobRequeued.Log(p.parts.Opts.Log).Stringer("Job", d.ID()).Int("Attempt", a.Number()).Str("Detail", job.Detail).Send()
 	}
