attempt: stops outlive the attempt that they end

Cause: the end of an attempt cancelled its context, and with it the stops of an abandoned reservation, which then held its capacity for ReserveFor. Change: a stop has its own limit of BeatEvery. Ruled out: waiting for all effects, because a fence may take long. Before: TestAbandonedAttemptGivesReservationsBack fails, the attempt ends without the answers to its stops; after: passes.

--- a/attempt/send.go
+++ b/attempt/send.go
@@ -82,7 +82,9 @@
 	if err != nil {
 		return lost
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.parts.Opts.Timings.BeatEvery)
+	// A stop outlives the attempt that ends with it: cut off, an abandoned
+	// reservation would hold its capacity for ReserveFor.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.parts.Opts.Timings.BeatEvery)
 	defer cancel()
 	reply, err := a.Stop(ctx, rosemarysill.StopRequest{
 		Job: ef.Job.Spec.ID, Attempt: ef.Job.Attempt, Epoch: ef.Job.Epoch, Member: ef.Member, Checkpoint: ef.Checkpoint,
