cmd: process tests wait until all entries are established

Change: the tests wait for Established at all entries. Ruled out: letting a joining entry record calls, because it may not know all others.

--- a/cmd/rosemarysill/process_test.go
+++ b/cmd/rosemarysill/process_test.go
@@ -256,13 +256,17 @@
 	})
 }
 
-// ready waits until all entries and agents have the configuration.
+// ready waits until all entries are established and have the configuration, as
+// have the agents. A joining entry refuses what needs the store.
 func (d *deployment) ready(agents int) {
 	d.t.Helper()
 	for i := range d.http {
 		c := operator.NewClient(d.http[i : i+1])
 		d.eventually("agents", func() error {
 			s, err := c.Status(context.Background())
+			if err == nil && s.Entry.State != rosemarysill.Established {
+				err = fmt.Errorf("entry %s is %s", s.Entry.Name, s.Entry.State)
+			}
 			if err == nil && (s.Revision == 0 || s.AgentsAtRevision < agents) {
 				err = fmt.Errorf("%d agents at revision %d, behind: %v", s.AgentsAtRevision, s.Revision, s.AgentsBehind)
 			}
