cmd/capacity: print each row, listen below the range of outgoing connections

Cause: one of three runs lost all rows when an entry could not listen on the chosen port beside the tests. Change: rows are printed as they come; ports from 12,000 on.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -33,9 +33,10 @@
 		r, err := measure(context.Background(), o, n)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "%d agents: %v\n", n, err)
-			os.Exit(1)
+			break
 		}
 		rows = append(rows, r)
+		printRows(os.Stderr, rows[len(rows)-1:])
 	}
-	printRows(rows)
+	printRows(os.Stdout, rows)
 }
--- a/cmd/capacity/measure.go
+++ b/cmd/capacity/measure.go
@@ -54,13 +54,26 @@
 	caller   *caller.Client
 }
 
+// firstPort and ports are the range in which freePort looks. It lies below the
+// system's range for outgoing connections, one of which could take a port
+// between the choice and its use.
+const (
+	firstPort = 12000
+	ports     = 8000
+)
+
+var nextPort = os.Getpid() % ports
+
+// freePort returns a loopback address that was free a moment ago.
 func freePort() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+	for range ports {
+		nextPort = (nextPort + 1) % ports
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
+		if err == nil {
+			return l.Addr().(*net.TCPAddr).AddrPort(), l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return netip.AddrPort{}, errors.New("no free port")
 }
 
 func measure(ctx context.Context, o options, n int) (row, error) {
--- a/cmd/capacity/report.go
+++ b/cmd/capacity/report.go
@@ -2,22 +2,23 @@
 
 import (
 	"fmt"
+	"io"
 	"sort"
 	"strings"
 )
 
-func printRows(rows []row) {
-	fmt.Println("| agents | tasks | entry core, idle | entry core, tasks | entry MB, idle | entry MB, tasks | entry B/s, idle | entry B/s, tasks | change in force | takeover | agent core | agent MB |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
+func printRows(w io.Writer, rows []row) {
+	fmt.Fprintln(w, "| agents | tasks | entry core, idle | entry core, tasks | entry MB, idle | entry MB, tasks | entry B/s, idle | entry B/s, tasks | change in force | takeover | agent core | agent MB |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, r := range rows {
-		fmt.Printf("| %d | %d | %.2f%% | %.2f%% | %.1f | %.1f | %.0f | %.0f | %.2f s | %.2f s | %.2f%% | %.1f |\n",
+		fmt.Fprintf(w, "| %d | %d | %.2f%% | %.2f%% | %.1f | %.1f | %.0f | %.0f | %.2f s | %.2f s | %.2f%% | %.1f |\n",
 			r.agents, r.tasks, 100*r.idle.core, 100*r.busy.core, megabytes(r.idle.resident), megabytes(r.busy.resident),
 			r.idle.bytes, r.busy.bytes, r.change.Seconds(), r.takeover.Seconds(), 100*r.idleAgent.core, megabytes(r.idleAgent.resident))
 	}
 	for _, r := range rows {
-		fmt.Printf("\nstore calls a minute with %d agents, at rest: %s; after the kill: %s\n", r.agents, r.store, r.afterKill)
+		fmt.Fprintf(w, "\nstore calls a minute with %d agents, at rest: %s; after the kill: %s\n", r.agents, r.store, r.afterKill)
 	}
-	fmt.Println("\nslopes for each agent:")
+	fmt.Fprintln(w, "\nslopes for each agent:")
 	for _, s := range []struct {
 		name string
 		of   func(r row) float64
@@ -30,7 +31,7 @@
 		{"entry B/s, tasks", func(r row) float64 { return r.busy.bytes }},
 	} {
 		slope, start := fit(rows, s.of)
-		fmt.Printf("  %-22s %.5f, from %.3f\n", s.name, slope, start)
+		fmt.Fprintf(w, "  %-22s %.5f, from %.3f\n", s.name, slope, start)
 	}
 }
 
