attempt: count the store writes of a job

Cause: docs/CAPACITY.md counts with four writes a job without a test. Change: a test drives a gang from reservation to its end and counts them.

--- a/attempt/driver_test.go
+++ b/attempt/driver_test.go
@@ -150,3 +150,37 @@
 	require.Equal(t, gang.Lost, d.Run(context.Background(), a, effects))
 	require.Zero(t, f.commits)
 }
+
+// TestWritesOfAJob guards against more store writes for a job than the four
+// that docs/CAPACITY.md counts with: submission, recorded start, running, end.
+func TestWritesOfAJob(t *testing.T) {
+	f := &fakeAgents{stopping: make(chan struct{})}
+	close(f.stopping)
+	d, a, effects, store := testDriver(t, f, domainIn)
+	outcome := make(chan gang.Outcome, 1)
+	go func() { outcome <- d.Run(context.Background(), a, effects) }()
+	report := func(sequence uint64, state rosemarysill.TaskState) {
+		for i, slot := range d.Placed().Slots {
+			d.parts.Table.Observe(rosemarysill.AgentReport{
+				Name: slot.Worker, Boot: slot.Boot, Sequence: sequence, HasTasks: true, TasksDigest: sequence,
+				Tasks: []rosemarysill.TaskReport{{Job: d.ID(), Attempt: 1, Member: i, Members: 2, State: state, Result: []byte("done")}},
+			}, time.Now())
+		}
+		d.Notify()
+	}
+	state := func() rosemarysill.JobState {
+		s, _ := d.parts.Book.Get(d.ID())
+		return s.Job.State
+	}
+	wait := func(want rosemarysill.JobState) {
+		require.Eventually(t, func() bool { return state() == want }, 10*time.Second, time.Millisecond, string(want))
+	}
+	wait(rosemarysill.JobStarting)
+	report(2, rosemarysill.TaskRunning)
+	wait(rosemarysill.JobRunning)
+	report(3, rosemarysill.TaskDone)
+	require.Equal(t, gang.Finished, <-outcome)
+	require.Equal(t, rosemarysill.JobDone, state())
+	require.Equal(t, 2+4, store.Counters().Calls[standin.StoreSwap], "two for the placement lease, four for the job")
+	require.Equal(t, 2, f.commits)
+}
