entry: a joining entry answers the plan RemoveEntries

Cause: the first step after the loss of all entries failed: Plan asked for store contact as established entries have it, so a joining entry refused every plan, the one that it must accept included. Found by the new TestAllEntriesLost, which timed out on the plan. Change: a plan needs store contact only; Confirm decides what may take effect. Ruled out: an exception for the one intent, because a plan changes nothing.

--- a/cmd/rosemarysill/failure_test.go
+++ b/cmd/rosemarysill/failure_test.go
@@ -354,3 +354,40 @@
 	require.Equal(t, rosemarysill.JobDone, good.State, "the other workers are in service")
 	d.whole()
 }
+
+// TestAllEntriesLost guards against a deployment that stays without placement
+// after all entries were lost at once, although operators state that they are
+// gone, and against new entries that act before that.
+func TestAllEntriesLost(t *testing.T) {
+	d := newDeployment(t, 2, 0, 2)
+	d.declare()
+	d.ready(2)
+	ctx := context.Background()
+	before, err := d.operator.Status(ctx)
+	require.NoError(t, err)
+	require.Len(t, before.Entries, 2)
+	for i := range d.entries {
+		d.entries[i].kill(t)
+	}
+	for i := range d.entries {
+		d.entries[i] = d.startEntry(i)
+	}
+	remove := rosemarysill.Intent{Kind: rosemarysill.RemoveEntries, Target: before.Entries[0].ID.String() + "," + before.Entries[1].ID.String()}
+	var p rosemarysill.Plan
+	d.eventually("plan", func() error {
+		p, err = d.operator.Plan(ctx, remove)
+		return err
+	})
+	s, err := d.operator.Status(ctx)
+	require.NoError(t, err)
+	require.Equal(t, rosemarysill.Joining, s.Entry.State)
+	require.False(t, s.Places)
+	c, err := d.operator.Confirm(ctx, p.ID)
+	require.NoError(t, err)
+	require.Equal(t, rosemarysill.Done, c.Code, c.Detail)
+	d.ready(2)
+	spec := newJob(2, 8, `{"Result":"placed"}`)
+	d.eventually("submission", func() error { _, err := d.caller.Submit(ctx, spec); return err })
+	require.Equal(t, "placed", string(d.finish(spec.ID).Result))
+	d.whole()
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -22,7 +22,9 @@
 func (e *Entry) Plan(ctx context.Context, in rosemarysill.Intent) (rosemarysill.Plan, error) {
 	now := e.opts.Now()
 	auth := e.members.Authority()
-	if !auth.ByStore(now) {
+	// A joining entry has store contact too. It must answer RemoveEntries when
+	// all other entries were lost.
+	if !now.Before(auth.StoreDeadline) {
 		return rosemarysill.Plan{}, rosemarysill.NewError(rosemarysill.StoreUnavailable, "a plan is made only while the store answers")
 	}
 	p, err := plan.Make(uuid.New(), in, e.placer.ClusterState(&auth.Config, now), e.table.Upstreams(&auth.Config), now, now.Add(e.opts.Timings.PlanLife))
