entry: status names the guarantees that do not fit

Cause: AccountStatus.Short was declared and never filled. Change: the status asks placement.Shortages; a field without a source is removed.

--- a/cmd/rosemarysill/operator.go
+++ b/cmd/rosemarysill/operator.go
@@ -181,6 +181,9 @@
 	for _, a := range s.Accounts {
 		fmt.Fprintf(w, "account\t%s\tguaranteed %d\tused %d\trunning %d\twaiting %d\n",
 			a.Name, a.GuaranteedAccelerators, a.UsedAccelerators, a.RunningJobs, a.WaitingJobs)
+		for _, short := range a.Short {
+			fmt.Fprintf(w, "short\t%s\t%s\n", a.Name, short)
+		}
 	}
 	for _, u := range s.Upstreams {
 		fmt.Fprintf(w, "upstream\t%s\t%s\tfree %d of %d\tleaving %t\tdrained %t\n",
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sort"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/job"
+	"github.com/rosemarysill/rosemarysill/placement"
 	"github.com/rosemarysill/rosemarysill/plan"
 )
 
@@ -145,7 +147,7 @@
 	for _, j := range jobs {
 		s.Jobs[j.Job.State]++
 	}
-	s.Accounts = accountStatus(auth.Config, jobs)
+	s.Accounts = accountStatus(auth.Config, jobs, placement.Shortages(auth.Config, state.Workers))
 	s.AgentsAtRevision, s.AgentsBehind = e.revisions(auth.Config.Revision, now)
 	return s, nil
 }
@@ -198,8 +200,9 @@
 	return total, largest
 }
 
-// accountStatus sums the jobs by client account.
-func accountStatus(cfg rosemarysill.Configuration, jobs []job.Stored) []rosemarysill.AccountStatus {
+// accountStatus sums the jobs by client account and names the guarantees that
+// the usable workers could not hold.
+func accountStatus(cfg rosemarysill.Configuration, jobs []job.Stored, short []placement.Shortage) []rosemarysill.AccountStatus {
 	byName := map[string]*rosemarysill.AccountStatus{}
 	for _, a := range cfg.Accounts {
 		st := &rosemarysill.AccountStatus{Name: a.Name}
@@ -221,6 +224,11 @@
 			st.UsedAccelerators += j.Job.Spec.Shape.TotalAccelerators()
 		}
 	}
+	for _, sh := range short {
+		if st, ok := byName[sh.Account]; ok {
+			st.Short = append(st.Short, fmt.Sprintf("%d gangs of %d x %d accelerators", sh.Missing, sh.Shape.Members, sh.Shape.Accelerators))
+		}
+	}
 	var out []rosemarysill.AccountStatus
 	for _, st := range byName {
 		out = append(out, *st)
--- a/operator/service_test.go
+++ b/operator/service_test.go
@@ -69,7 +69,7 @@
 		confirmation: rosemarysill.Confirmation{Plan: planID, Revision: 8},
 		status: rosemarysill.Status{
 			Entry: rosemarysill.Member{ID: planID, Address: netip.MustParseAddrPort("[::1]:1"), State: rosemarysill.Established}, Epoch: 3,
-			Jobs: map[rosemarysill.JobState]int{rosemarysill.JobRunning: 2}, Workers: []rosemarysill.WorkerState{{Usable: true}}, StoreUnavailableSeconds: 0.5,
+			Jobs: map[rosemarysill.JobState]int{rosemarysill.JobRunning: 2}, Workers: []rosemarysill.WorkerState{{Usable: true}},
 		},
 	}
 	c := NewClient([]netip.AddrPort{serve(t, f)})
--- a/service.go
+++ b/service.go
@@ -50,29 +50,28 @@
 	UsedAccelerators       int
 	WaitingJobs            int
 	RunningJobs            int
-	Short                  []string // guarantees that could not be claimed now
+	Short                  []string // guarantees that the usable workers could not hold
 }
 
 // Status is an entry's view of the system.
 type Status struct {
-	Entry                   Member
-	Entries                 []Member
-	Authoritative           bool
-	StoreContact            bool
-	Places                  bool // this entry holds the placement lease
-	Epoch                   uint64
-	Revision                uint64
-	Domains                 []Domain
-	Drained                 []string
-	Accounts                []AccountStatus
-	Workers                 []WorkerState
-	Upstreams               []UpstreamState
-	Jobs                    map[JobState]int
-	FreeAccelerators        int
-	LargestFreeBlock        int // accelerators free in one rack, at most
-	AgentsAtRevision        int // agents that have this revision
-	AgentsBehind            []string
-	WaitingCalls            int
-	CallsInProgress         int
-	StoreUnavailableSeconds float64
+	Entry            Member
+	Entries          []Member
+	Authoritative    bool
+	StoreContact     bool
+	Places           bool // this entry holds the placement lease
+	Epoch            uint64
+	Revision         uint64
+	Domains          []Domain
+	Drained          []string
+	Accounts         []AccountStatus
+	Workers          []WorkerState
+	Upstreams        []UpstreamState
+	Jobs             map[JobState]int
+	FreeAccelerators int
+	LargestFreeBlock int // accelerators free in one rack, at most
+	AgentsAtRevision int // agents that have this revision
+	AgentsBehind     []string
+	WaitingCalls     int
+	CallsInProgress  int
 }
