message: one HTTP client for the platform's back ends; capacity of a busy agent

Cause: three clients set up the same transport and traced the same proof that nothing was sent; the busy agent was not measured. Change: message.NewHTTPClient and message.Traced serve store, worker runtime, upstream and entries; the capacity tool measures an agent process idle and with tasks.

--- a/cmd/capacity/measure.go
+++ b/cmd/capacity/measure.go
@@ -25,7 +25,8 @@
 	change        time.Duration // until a change was in force at all agents
 	takeover      time.Duration // until another entry placed after a kill
 	afterKill     storeLoad     // in the minute after the kill
-	idleAgent     load          // of one agent process
+	idleAgent     load          // of one agent process without tasks
+	busyAgent     load          // of the same with its share of the tasks
 }
 
 // load is what one process spends.
@@ -92,7 +93,7 @@
 		return row{}, err
 	}
 	defer b.close()
-	return b.run(ctx, n, server.Address())
+	return b.run(ctx, n)
 }
 
 func (b *bench) start(store netip.AddrPort, n int) error {
@@ -198,7 +199,7 @@
 	return found, err
 }
 
-func (b *bench) run(ctx context.Context, n int, store netip.AddrPort) (row, error) {
+func (b *bench) run(ctx context.Context, n int) (row, error) {
 	r := row{agents: n}
 	in := rosemarysill.Intent{Kind: rosemarysill.Declare}
 	for i := range 91 {
@@ -218,19 +219,27 @@
 	if err != nil {
 		return r, err
 	}
-	if r.idle, _, err = b.window(b.entries[at]); err != nil {
+	one, stop, err := b.oneAgent()
+	if err != nil {
+		return r, err
+	}
+	defer stop()
+	if err := b.inForce(ctx, n+1, revision); err != nil {
 		return r, err
 	}
-	if r.idleAgent, err = b.oneAgent(store); err != nil {
+	loads, _, err := b.window(b.entries[at], one)
+	if err != nil {
 		return r, err
 	}
+	r.idle, r.idleAgent = loads[0], loads[1]
 	if err := b.fill(ctx, n); err != nil {
 		return r, errors.Wrap(err, "tasks")
 	}
 	r.tasks = int(b.o.Tasks * float64(n))
-	if r.busy, r.store, err = b.window(b.entries[at]); err != nil {
+	if loads, r.store, err = b.window(b.entries[at], one); err != nil {
 		return r, err
 	}
+	r.busy, r.busyAgent = loads[0], loads[1]
 	began := time.Now()
 	revision, err = b.change(ctx, rosemarysill.Intent{Kind: rosemarysill.Declare, Accounts: []rosemarysill.Account{{Name: "account-new"}}})
 	if err != nil {
@@ -255,27 +264,37 @@
 	return r, nil
 }
 
-// window measures a process for a while.
-func (b *bench) window(p *program) (load, storeLoad, error) {
-	cpu, err := p.cpu()
-	if err != nil {
-		return load{}, nil, err
+// window measures processes for a while. The bytes are those of one entry.
+func (b *bench) window(programs ...*program) ([]load, storeLoad, error) {
+	before := make([]time.Duration, len(programs))
+	for i, p := range programs {
+		var err error
+		if before[i], err = p.cpu(); err != nil {
+			return nil, nil, err
+		}
 	}
 	began, calls := time.Now(), b.store.Counters().Calls
 	bytes := b.agents.bytes.sent.Load() + b.agents.bytes.received.Load()
 	time.Sleep(b.o.Window)
 	took := time.Since(began)
-	after, err := p.cpu()
-	if err != nil {
-		return load{}, nil, err
-	}
-	resident, err := p.resident()
-	l := load{
-		core: (after - cpu).Seconds() / took.Seconds(), resident: resident,
-		// All entries get the same heartbeats.
-		bytes: float64(b.agents.bytes.sent.Load()+b.agents.bytes.received.Load()-bytes) / took.Seconds() / float64(len(b.entries)),
+	bytes = b.agents.bytes.sent.Load() + b.agents.bytes.received.Load() - bytes
+	var loads []load
+	for i, p := range programs {
+		after, err := p.cpu()
+		if err != nil {
+			return nil, nil, err
+		}
+		resident, err := p.resident()
+		if err != nil {
+			return nil, nil, err
+		}
+		loads = append(loads, load{
+			core: (after - before[i]).Seconds() / took.Seconds(), resident: resident,
+			// All entries get the same heartbeats.
+			bytes: float64(bytes) / took.Seconds() / float64(len(b.entries)),
+		})
 	}
-	return l, perMinute(calls, b.store.Counters().Calls, took), err
+	return loads, perMinute(calls, b.store.Counters().Calls, took), nil
 }
 
 func perMinute(before, after map[string]int, d time.Duration) storeLoad {
@@ -288,25 +307,21 @@
 	return out
 }
 
-// oneAgent measures an agent process of its own.
-func (b *bench) oneAgent(netip.AddrPort) (load, error) {
+// oneAgent starts a worker's agent as a process of its own.
+func (b *bench) oneAgent() (*program, func(), error) {
 	server, err := standin.Serve(netip.AddrPort{}, standin.NewRuntime(standin.RuntimeOptions{Name: "measured"}))
 	if err != nil {
-		return load{}, err
+		return nil, nil, err
 	}
-	defer server.Stop()
 	listen, err := freePort()
 	if err != nil {
-		return load{}, err
+		return nil, nil, err
 	}
 	p, err := startAgent(b.o.Program, b.dir, "measured", listen, server.Address(), b.grpc)
 	if err != nil {
-		return load{}, err
+		return nil, nil, err
 	}
-	defer p.kill()
-	time.Sleep(5 * time.Second)
-	l, _, err := b.window(p)
-	return l, err
+	return p, func() { p.kill(); server.Stop() }, nil
 }
 
 // fill submits jobs of one task without accelerators until the fleet runs the
--- a/cmd/capacity/report.go
+++ b/cmd/capacity/report.go
@@ -8,12 +8,12 @@
 )
 
 func printRows(w io.Writer, rows []row) {
-	fmt.Fprintln(w, "| agents | tasks | entry core, idle | entry core, tasks | entry MB, idle | entry MB, tasks | entry B/s, idle | entry B/s, tasks | change in force | takeover | agent core | agent MB |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| agents | tasks | entry core, idle | entry core, tasks | entry MB, idle | entry MB, tasks | entry B/s, idle | entry B/s, tasks | change in force | takeover | agent core, idle | agent core, tasks | agent MB, idle | agent MB, tasks |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, r := range rows {
-		fmt.Fprintf(w, "| %d | %d | %.2f%% | %.2f%% | %.1f | %.1f | %.0f | %.0f | %.2f s | %.2f s | %.2f%% | %.1f |\n",
+		fmt.Fprintf(w, "| %d | %d | %.2f%% | %.2f%% | %.1f | %.1f | %.0f | %.0f | %.2f s | %.2f s | %.2f%% | %.2f%% | %.1f | %.1f |\n",
 			r.agents, r.tasks, 100*r.idle.core, 100*r.busy.core, megabytes(r.idle.resident), megabytes(r.busy.resident),
-			r.idle.bytes, r.busy.bytes, r.change.Seconds(), r.takeover.Seconds(), 100*r.idleAgent.core, megabytes(r.idleAgent.resident))
+			r.idle.bytes, r.busy.bytes, r.change.Seconds(), r.takeover.Seconds(), 100*r.idleAgent.core, 100*r.busyAgent.core, megabytes(r.idleAgent.resident), megabytes(r.busyAgent.resident))
 	}
 	for _, r := range rows {
 		fmt.Fprintf(w, "\nstore calls a minute with %d agents, at rest: %s; after the kill: %s\n", r.agents, r.store, r.afterKill)
--- a/message/client.go
+++ b/message/client.go
@@ -7,10 +7,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,11 +59,9 @@
 	if err != nil {
 		return rosemarysill.NewError(rosemarysill.InvalidRequest, "build request: %s", err)
 	}
-	// A connection is got before any byte of the request is sent.
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	res, err := s.Do(req.WithContext(ctx), out, out)
-	if err != nil && !connected.Load() {
+	traced, assigned := Traced(ctx)
+	res, err := s.Do(req.WithContext(traced), out, out)
+	if err != nil && !assigned() {
 		return rosemarysill.NewError(rosemarysill.Unreachable, "entry %s: %s", entry, err)
 	}
 	if err != nil {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -8,18 +8,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/dghubble/sling"
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/message"
 )
 
 // ClientOptions are the limits of a Client. A zero field takes the default.
@@ -55,17 +53,7 @@
 	return &Client{
 		opts: o,
 		base: sling.New().Base("http://" + address.String()),
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:            (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-				MaxConnsPerHost:        o.MaxConns,
-				MaxIdleConnsPerHost:    o.MaxConns,
-				IdleConnTimeout:        time.Minute,
-				DisableCompression:     true,
-				MaxResponseHeaderBytes: 64 << 10,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		http: message.NewHTTPClient(o.MaxConns, o.DialTimeout),
 	}
 }
 
@@ -95,10 +83,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	var assigned atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { assigned.Store(true) },
-	})
+	traced, assigned := message.Traced(ctx)
 	req, err := c.base.New().Post("/v1/call").
 		Set("Call-Id", call.ID.String()).
 		Set("Account", call.Account).
@@ -112,7 +97,7 @@
 	resp, err := c.http.Do(req.WithContext(traced))
 	if err != nil {
 		switch {
-		case assigned.Load():
+		case assigned():
 			return nil, rosemarysill.NewError(rosemarysill.OutcomeUnknown, "call sent, no answer: %v", err)
 		case ctx.Err() != nil:
 			return nil, rosemarysill.NewError(rosemarysill.DeadlineUnmeetable, "no connection in time: %v", err)
--- a/worker/runtime.go
+++ b/worker/runtime.go
@@ -7,15 +7,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/message"
 )
 
 // RuntimeOptions are the limits of a RuntimeClient. A zero field takes the
@@ -53,17 +51,7 @@
 	return &RuntimeClient{
 		opts: o,
 		base: sling.New().Base("http://" + address.String()),
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:            (&net.Dialer{Timeout: o.CallTimeout}).DialContext,
-				MaxConnsPerHost:        o.MaxConns,
-				MaxIdleConnsPerHost:    o.MaxConns,
-				IdleConnTimeout:        time.Minute,
-				DisableCompression:     true,
-				MaxResponseHeaderBytes: 64 << 10,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		http: message.NewHTTPClient(o.MaxConns, o.CallTimeout),
 	}
 }
 
@@ -151,12 +139,10 @@
 	if err != nil {
 		return rosemarysill.NewError(rosemarysill.InvalidRequest, "runtime request: %v", err)
 	}
-	var assigned atomic.Bool
-	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { assigned.Store(true) },
-	})))
+	traced, assigned := message.Traced(ctx)
+	resp, err := c.http.Do(req.WithContext(traced))
 	if err != nil {
-		if assigned.Load() {
+		if assigned() {
 			return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "runtime call sent, no answer: %v", err)
 		}
 		return rosemarysill.NewError(rosemarysill.Unreachable, "no connection to the runtime: %v", err)
