placer: forget the tries of jobs that end in the queue

Cause: found on reading: the attempts of a job that was cancelled or rejected while it waited stayed in memory for good. Change: they are dropped with its final state.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,11 +49,16 @@
 }
 
 // New returns a placer. Finished is called with each job that reached a final
-// state and the start of its last attempt, if any; jobs final for keepJobs are deleted from the store.
+// state and the start of its last attempt, if any; jobs that have been final for
+// keepJobs are deleted from the store.
 func New(parts attempt.Parts, keepJobs time.Duration, finished func(j rosemarysill.Job, started time.Time)) *Placer {
 	return &Placer{
-		parts: parts, keepJobs: keepJobs, finished: finished, wakeUp: make(chan struct{}, 1), drivers: map[uuid.UUID]*attempt.Driver{}, tries: map[uuid.UUID]*tries{},
-		health: placement.NewHealth(), ratios: placement.NewRatios(),
+		parts: parts, keepJobs: keepJobs, finished: finished,
+		wakeUp:  make(chan struct{}, 1),
+		drivers: map[uuid.UUID]*attempt.Driver{},
+		tries:   map[uuid.UUID]*tries{},
+		health:  placement.NewHealth(),
+		ratios:  placement.NewRatios(),
 	}
 }
 
@@ -295,6 +300,9 @@
 // finish writes a final state without an attempt.
 func (p *Placer) finish(ctx context.Context, job rosemarysill.Job, version uint64, now time.Time) {
 	if stored, res := p.parts.Book.Write(ctx, job, version, now); res.Effect == platform.TookEffect {
+		p.mu.Lock()
+		delete(p.tries, job.Spec.ID)
+		p.mu.Unlock()
 		p.finished(stored.Job, time.Time{})
 	}
 }
