--- a/placer/placer.go
+++ b/placer/placer.go
@@ -300,9 +300,6 @@
 // finish writes a final state without an attempt.
 func (p *Placer) finish(ctx context.Context, job rosemarysill.Job, version uint64, now time.Time) {
 	if stored, res := p.parts.Book.Write(ctx, job, version, now); res.Effect == platform.TookEffect {
-		p.mu.Lock()
-		delete(p.tries, job.Spec.ID)
-		p.mu.Unlock()
 		p.finished(stored.Job, time.Time{})
 	}
 }
@@ -333,6 +330,7 @@
 		return
 	}
 	p.tidyAt = now.Add(tidyEvery)
+	p.forget(jobs)
 	n := 0
 	for _, s := range jobs {
 		if n < tidyMost && s.Job.State.Final() && now.Sub(s.Job.Changed) > p.keepJobs {
@@ -353,3 +351,21 @@
 
 // EpochSeen returns the highest placement epoch that this entry knows.
 func (p *Placer) EpochSeen() uint64 { return p.epochSeen.Load() }
+
+// forget drops the tries of jobs that are final, which another entry or a
+// caller's cancellation may have made so.
+func (p *Placer) forget(jobs []job.Stored) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open := map[uuid.UUID]bool{}
+	for _, s := range jobs {
+		if !s.Job.State.Final() {
+			open[s.Job.Spec.ID] = true
+		}
+	}
+	for id := range p.tries {
+		if !open[id] && p.drivers[id] == nil {
+			delete(p.tries, id)
+		}
+	}
+}
