fleet: gang leases follow gang.MayRenew

Cause: found on reading the whole change: the rule by which a gang lease may be renewed stood twice, in gang.MayRenew, which the model-based test proves and nothing else called, and in the table of agents, which the processes use. Change: the table gathers the reports that are fresh and asks gang.MayRenew. Behaviour is the same.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/gang"
 )
 
 // forgetAfter is the silence after which an agent is dropped from the table.
@@ -184,19 +185,15 @@
 // complete reports whether every member of the gang runs, or has finished
 // well, by a report that its agent made within MemberFresh.
 func (tb *Table) complete(k gangKey, members int, now time.Time) bool {
-	seen := tb.gangs[k]
-	for i := range members {
-		m, ok := seen[i]
-		if !ok || (m.task.State != rosemarysill.TaskRunning && m.task.State != rosemarysill.TaskDone) {
-			return false
-		}
+	var reports []rosemarysill.TaskReport
+	for _, m := range tb.gangs[k] {
 		// The report must have been made within MemberFresh, not only have
 		// arrived: the agent may have died while its heartbeat was under way.
-		if now.Sub(tb.agents[m.agent].saidAt) >= tb.t.MemberFresh {
-			return false
+		if now.Sub(tb.agents[m.agent].saidAt) < tb.t.MemberFresh {
+			reports = append(reports, m.task)
 		}
 	}
-	return members > 0
+	return gang.MayRenew(members, k.attempt, reports)
 }
 
 // Leases returns the gang leases that the agent's running members may get.
