entry, placer, cmd: less that stands twice

Change: cmp.Or; one method of the common options; identifiers as keys and compared as bytes, which is the same order. Behaviour is the same; no test is changed. Left: the clients of callers and operators, and the gRPC clients of entries, are alike in shape only.

--- a/cmd/rosemarysill/caller.go
+++ b/cmd/rosemarysill/caller.go
@@ -72,18 +72,20 @@
 	Body       string `long:"body" value-name:"TEXT" description:"Body of the request; - reads standard input"`
 }
 
-func (o requestOptions) identifier() (uuid.UUID, error) {
+// read returns the identifier and the body of the request.
+func (o requestOptions) read() (id uuid.UUID, body []byte, err error) {
 	if o.ID == "" {
-		return uuid.NewV7()
+		id, err = uuid.NewV7()
+	} else {
+		id, err = parseID(o.ID)
 	}
-	return parseID(o.ID)
-}
-
-func (o requestOptions) body() ([]byte, error) {
-	if o.Body == "-" {
-		return io.ReadAll(os.Stdin)
+	if err != nil || o.Body != "-" {
+		return id, []byte(o.Body), err
 	}
-	return []byte(o.Body), nil
+	if body, err = io.ReadAll(os.Stdin); err != nil {
+		err = rosemarysill.NewError(rosemarysill.InvalidArguments, "read body: %v", err)
+	}
+	return id, body, err
 }
 
 func parseID(s string) (uuid.UUID, error) {
@@ -102,14 +104,10 @@
 
 // Execute sends the call.
 func (c *callCommand) Execute([]string) error {
-	id, err := c.identifier()
+	id, body, err := c.read()
 	if err != nil {
 		return err
 	}
-	body, err := c.body()
-	if err != nil {
-		return rosemarysill.NewError(rosemarysill.InvalidArguments, "read body: %v", err)
-	}
 	return c.withCaller(func(ctx context.Context, client *caller.Client) error {
 		a := client.Call(ctx, rosemarysill.Call{
 			ID: id, Account: c.Account, Class: rosemarysill.Class(c.Class), Idempotent: c.Idempotent,
@@ -138,14 +136,10 @@
 
 // Execute submits the job.
 func (c *submitCommand) Execute([]string) error {
-	id, err := c.identifier()
+	id, body, err := c.read()
 	if err != nil {
 		return err
 	}
-	body, err := c.body()
-	if err != nil {
-		return rosemarysill.NewError(rosemarysill.InvalidArguments, "read body: %v", err)
-	}
 	spec := rosemarysill.JobSpec{
 		ID: id, Account: c.Account, Class: rosemarysill.Class(c.Class), Idempotent: c.Idempotent,
 		Shape: rosemarysill.Shape{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -44,22 +45,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxJobs, 10000)
-	setDefault(&c.MaxAgents, 2500)
-	setDefault(&c.MaxJobBodyBytes, 512<<10)
-	setDefault(&c.KeepJobs, 24*time.Hour)
-	setDefault(&c.Limits, message.DefaultLimits())
-	setDefault(&c.Calls, upstream.DefaultLimits())
+	c.MaxJobs = cmp.Or(c.MaxJobs, 10000)
+	c.MaxAgents = cmp.Or(c.MaxAgents, 2500)
+	c.MaxJobBodyBytes = cmp.Or(c.MaxJobBodyBytes, 512<<10)
+	c.KeepJobs = cmp.Or(c.KeepJobs, 24*time.Hour)
+	c.Limits = cmp.Or(c.Limits, message.DefaultLimits())
+	c.Calls = cmp.Or(c.Calls, upstream.DefaultLimits())
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // maxAccounts bounds the client accounts with histograms of their own; the
 // two-year size is 91.
 const maxAccounts = 128
--- a/placer/learn.go
+++ b/placer/learn.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/attempt"
 	"github.com/rosemarysill/rosemarysill/event"
@@ -84,12 +86,12 @@
 }
 
 // snapshot returns the attempts in hand and the learned run times.
-func (p *Placer) snapshot() (attempts map[string]rosemarysill.PlacedJob, ratios map[string]float64) {
+func (p *Placer) snapshot() (attempts map[uuid.UUID]rosemarysill.PlacedJob, ratios map[string]float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	attempts = make(map[string]rosemarysill.PlacedJob, len(p.drivers))
+	attempts = make(map[uuid.UUID]rosemarysill.PlacedJob, len(p.drivers))
 	for id, d := range p.drivers {
-		attempts[id.String()] = d.Placed()
+		attempts[id] = d.Placed()
 	}
 	return attempts, p.ratios.Map()
 }
--- a/placer/state.go
+++ b/placer/state.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"bytes"
 	"sort"
 	"time"
 
@@ -17,7 +18,7 @@
 		if j.Job.State.Final() {
 			continue
 		}
-		if placed, ok := attempts[j.Job.Spec.ID.String()]; ok {
+		if placed, ok := attempts[j.Job.Spec.ID]; ok {
 			s.Placed = append(s.Placed, placed)
 			continue
 		}
@@ -32,9 +33,9 @@
 		if !a.Submitted.Equal(b.Submitted) {
 			return a.Submitted.Before(b.Submitted)
 		}
-		return a.Spec.ID.String() < b.Spec.ID.String()
+		return bytes.Compare(a.Spec.ID[:], b.Spec.ID[:]) < 0
 	})
-	sort.Slice(s.Placed, func(i, j int) bool { return s.Placed[i].Spec.ID.String() < s.Placed[j].Spec.ID.String() })
+	sort.Slice(s.Placed, func(i, j int) bool { return bytes.Compare(s.Placed[i].Spec.ID[:], s.Placed[j].Spec.ID[:]) < 0 })
 	return s
 }
 
--- a/standin/runtime.go
+++ b/standin/runtime.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"sort"
@@ -63,13 +64,13 @@
 	if o.Journal == nil {
 		o.Journal = NewTaskJournal()
 	}
-	setDefault(&o.Name, "worker")
-	setDefault(&o.Accelerators, 8)
-	setDefault(&o.Processors, 64)
-	setDefault(&o.MemoryMB, 128<<10)
-	setDefault(&o.MaxTasks, 256)
-	setDefault(&o.MaxBodyBytes, 1<<20)
-	setDefault(&o.UsageLag, 5*time.Second)
+	o.Name = cmp.Or(o.Name, "worker")
+	o.Accelerators = cmp.Or(o.Accelerators, 8)
+	o.Processors = cmp.Or(o.Processors, 64)
+	o.MemoryMB = cmp.Or(o.MemoryMB, 128<<10)
+	o.MaxTasks = cmp.Or(o.MaxTasks, 256)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, 1<<20)
+	o.UsageLag = cmp.Or(o.UsageLag, 5*time.Second)
 	return &Runtime{opts: o, clock: newClock(o.Now), tasks: map[rosemarysill.RuntimeTask]*runtimeTask{}}
 }
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"maps"
 	"sort"
 	"strings"
@@ -97,15 +98,15 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	setDefault(&o.MaxValueBytes, 1_000_000)
-	setDefault(&o.MaxBytes, 256<<20)
-	setDefault(&o.PageBytes, 4<<20)
-	setDefault(&o.LogChanges, 4096)
-	setDefault(&o.LogBytes, 64<<20)
-	setDefault(&o.WritesPerS, 400)
-	setDefault(&o.ReadsPerS, 2000)
-	setDefault(&o.MaxWait, 30*time.Second)
-	setDefault(&o.MaxTTL, 24*time.Hour)
+	o.MaxValueBytes = cmp.Or(o.MaxValueBytes, 1_000_000)
+	o.MaxBytes = cmp.Or(o.MaxBytes, 256<<20)
+	o.PageBytes = cmp.Or(o.PageBytes, 4<<20)
+	o.LogChanges = cmp.Or(o.LogChanges, 4096)
+	o.LogBytes = cmp.Or(o.LogBytes, 64<<20)
+	o.WritesPerS = cmp.Or(o.WritesPerS, 400)
+	o.ReadsPerS = cmp.Or(o.ReadsPerS, 2000)
+	o.MaxWait = cmp.Or(o.MaxWait, 30*time.Second)
+	o.MaxTTL = cmp.Or(o.MaxTTL, 24*time.Hour)
 	return &Store{
 		opts:      o,
 		clock:     newClock(o.Now),
@@ -117,13 +118,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // newLimiter allows bursts of a quarter of a second's calls.
 func newLimiter(perS float64) *rate.Limiter {
 	if perS < 0 {
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -81,11 +82,11 @@
 	if o.Journal == nil {
 		o.Journal = NewCallJournal()
 	}
-	setDefault(&o.Name, "upstream")
-	setDefault(&o.Slots, 8)
-	setDefault(&o.Conns, 64)
-	setDefault(&o.MaxBodyBytes, 16<<20)
-	setDefault(&o.MaxAnswerBytes, 64<<20)
+	o.Name = cmp.Or(o.Name, "upstream")
+	o.Slots = cmp.Or(o.Slots, 8)
+	o.Conns = cmp.Or(o.Conns, 64)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, 16<<20)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, 64<<20)
 	return &Upstream{opts: o, clock: newClock(o.Now)}
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -42,11 +43,11 @@
 
 // NewClient returns a client of the upstream at the address.
 func NewClient(address netip.AddrPort, o ClientOptions) *Client {
-	setDefault(&o.MaxBodyBytes, 1<<20)
-	setDefault(&o.MaxAnswerBytes, 16<<20)
-	setDefault(&o.MaxConns, 32)
-	setDefault(&o.DialTimeout, time.Second)
-	setDefault(&o.MaxTime, 5*time.Minute)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, 1<<20)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, 16<<20)
+	o.MaxConns = cmp.Or(o.MaxConns, 32)
+	o.DialTimeout = cmp.Or(o.DialTimeout, time.Second)
+	o.MaxTime = cmp.Or(o.MaxTime, 5*time.Minute)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -57,13 +58,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/worker/runtime.go
+++ b/worker/runtime.go
@@ -3,6 +3,7 @@
 package worker
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -40,11 +41,11 @@
 
 // NewRuntime returns a client of the runtime at the address.
 func NewRuntime(address netip.AddrPort, o RuntimeOptions) *RuntimeClient {
-	setRuntimeDefault(&o.CallTimeout, time.Second)
-	setRuntimeDefault(&o.StopTimeout, 30*time.Second)
-	setRuntimeDefault(&o.MaxBodyBytes, 1<<20)
-	setRuntimeDefault(&o.MaxReplyBytes, 32<<20)
-	setRuntimeDefault(&o.MaxConns, 16)
+	o.CallTimeout = cmp.Or(o.CallTimeout, time.Second)
+	o.StopTimeout = cmp.Or(o.StopTimeout, 30*time.Second)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, 1<<20)
+	o.MaxReplyBytes = cmp.Or(o.MaxReplyBytes, 32<<20)
+	o.MaxConns = cmp.Or(o.MaxConns, 16)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -55,13 +56,6 @@
 	}
 }
 
-func setRuntimeDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Close closes the idle connections.
 func (c *RuntimeClient) Close() { c.http.CloseIdleConnections() }
 
