--- a/attempt/send.go
+++ b/attempt/send.go
@@ -9,7 +9,7 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/gang"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 )
 
 // agent returns the agent of a member.
@@ -141,10 +141,10 @@
 	d.mu.Unlock()
 	stored, res := d.parts.Book.Write(ctx, j, version, d.parts.Opts.Now())
 	switch {
-	case res.Effect == platform.TookEffect:
+	case res.Effect == kvstore.TookEffect:
 		d.setVersion(stored.Version)
 		return gang.Event{Kind: gang.WriteTook}
-	case res.Effect == platform.Unresolved:
+	case res.Effect == kvstore.Unresolved:
 		return gang.Event{Kind: gang.WriteUnresolved}
 	case !errors.Is(res.Err, rosemarysill.ErrVersion):
 		return gang.Event{Kind: gang.WriteRefused}
--- a/cmd/rosemarysill/process.go
+++ b/cmd/rosemarysill/process.go
@@ -13,10 +13,10 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/agent"
 	"github.com/rosemarysill/rosemarysill/entry"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/message"
 	"github.com/rosemarysill/rosemarysill/peer"
 	"github.com/rosemarysill/rosemarysill/placement"
-	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/settings"
 	"github.com/rosemarysill/rosemarysill/upstream"
 	"github.com/rosemarysill/rosemarysill/worker"
@@ -81,15 +81,15 @@
 	opts := []rosemarysill.Option{rosemarysill.WithLog(log), rosemarysill.WithTimings(s.Timings)}
 	clients := peer.NewClients(peer.ClientsConfig{}, opts...)
 	defer clients.Close()
-	store := platform.NewClient(s.Store, storeOptions(s.Limits))
+	store := kvstore.NewClient(s.Store, storeOptions(s.Limits))
 	defer store.Close()
 	opts = append(opts, rosemarysill.WithStore(store), rosemarysill.WithAgents(clients),
 		rosemarysill.WithPeers(clients), rosemarysill.WithPolicy(placement.New(placement.WithTimings(s.Timings))))
 	return entry.New(entryConfig(s), opts...).Run(untilSignal(), httpListener, grpcListener)
 }
 
-func storeOptions(l settings.EntryLimits) platform.Options {
-	o := platform.DefaultOptions()
+func storeOptions(l settings.EntryLimits) kvstore.Options {
+	o := kvstore.DefaultOptions()
 	o.WritesPerS, o.ReadsPerS, o.CallTimeout = l.StoreWritesPerS, l.StoreReadsPerS, l.StoreTimeout
 	return o
 }
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/rosemarysill/rosemarysill/upstream"
 	"github.com/rosemarysill/rosemarysill/worker"
@@ -53,7 +53,7 @@
 func TestStandinsAsProcesses(t *testing.T) {
 	t.Run("store", func(t *testing.T) {
 		address := start(t, "--kind", "store")
-		c, control := platform.NewClient(address, platform.Options{}), standin.NewControl(address)
+		c, control := kvstore.NewClient(address, kvstore.Options{}), standin.NewControl(address)
 		defer c.Close()
 		_, err := c.Swap(t.Context(), "k", []byte("v"), 0, 0)
 		require.NoError(t, err)
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -13,9 +13,9 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/agent"
 	"github.com/rosemarysill/rosemarysill/entry"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/peer"
 	"github.com/rosemarysill/rosemarysill/placement"
-	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/rosemarysill/rosemarysill/upstream"
 	"github.com/rosemarysill/rosemarysill/worker"
@@ -25,7 +25,7 @@
 type fleet struct {
 	opts    []rosemarysill.Option
 	clients *peer.Clients
-	store   *platform.Client
+	store   *kvstore.Client
 	http    []netip.AddrPort
 	grpc    []netip.AddrPort
 	calls   *standin.CallJournal
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f.store = platform.NewClient(server, platform.DefaultOptions())
+	f.store = kvstore.NewClient(server, kvstore.DefaultOptions())
 	return f, nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/fleet"
 	"github.com/rosemarysill/rosemarysill/job"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/lease"
 	"github.com/rosemarysill/rosemarysill/membership"
 	"github.com/rosemarysill/rosemarysill/message"
@@ -25,7 +26,6 @@
 	"github.com/rosemarysill/rosemarysill/operator"
 	"github.com/rosemarysill/rosemarysill/peer"
 	"github.com/rosemarysill/rosemarysill/placer"
-	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/upstream"
 )
 
@@ -147,8 +147,8 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	server := peer.NewServer(peer.ServerConfig{}, peer.Handlers{Entry: e, Peer: e.members}, e.optionList()...)
-	watcher := platform.NewWatcher(e.opts.Store, job.Prefix, e.book.Update,
-		platform.WatcherOptions{ListEvery: time.Minute, Now: e.opts.Now, Log: e.opts.Log})
+	watcher := kvstore.NewWatcher(e.opts.Store, job.Prefix, e.book.Update,
+		kvstore.WatcherOptions{ListEvery: time.Minute, Now: e.opts.Now, Log: e.opts.Log})
 	parts.Go(func() { _ = server.Run(serving, grpcListener) })
 	parts.Go(func() { _ = e.members.Run(serving) })
 	parts.Go(func() { watcher.Run(serving) })
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 )
 
 // cancelTries bounds the compare-and-swaps of one cancellation; each lost race
@@ -27,10 +27,10 @@
 	job := rosemarysill.Job{Spec: spec, State: rosemarysill.JobQueued, Submitted: now}
 	stored, res := e.book.Write(ctx, job, 0, now)
 	switch res.Effect {
-	case platform.TookEffect:
+	case kvstore.TookEffect:
 		e.placer.Wake()
 		return stored.Job, nil
-	case platform.NoEffect:
+	case kvstore.NoEffect:
 		return e.refusedSubmit(ctx, spec, res.Err)
 	default:
 		return rosemarysill.Job{}, rosemarysill.NewError(rosemarysill.OutcomeUnknown,
@@ -119,10 +119,10 @@
 		}
 		stored, res := e.book.Write(ctx, cancelled(known.Job), known.Version, e.opts.Now())
 		switch {
-		case res.Effect == platform.TookEffect:
+		case res.Effect == kvstore.TookEffect:
 			e.placer.Wake()
 			return stored.Job, nil
-		case res.Effect == platform.Unresolved:
+		case res.Effect == kvstore.Unresolved:
 			return rosemarysill.Job{}, rosemarysill.NewError(rosemarysill.OutcomeUnknown, "the store did not tell whether job %s was cancelled", id)
 		case !errors.Is(res.Err, rosemarysill.ErrVersion):
 			return rosemarysill.Job{}, storeError(res.Err)
--- a/job/book.go
+++ b/job/book.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 )
 
 // Prefix is the prefix of the store keys of jobs.
@@ -43,7 +43,7 @@
 }
 
 // Update takes in a step of the watch on Prefix.
-func (b *Book) Update(u platform.Update) {
+func (b *Book) Update(u kvstore.Update) {
 	b.mu.Lock()
 	if u.Full {
 		b.replace(u.Items)
@@ -140,13 +140,13 @@
 
 // Write swaps the record of a job at the given version. The job gets a new
 // WriteID and the time of the change.
-func (b *Book) Write(ctx context.Context, job rosemarysill.Job, version uint64, now time.Time) (Stored, platform.WriteResult) {
+func (b *Book) Write(ctx context.Context, job rosemarysill.Job, version uint64, now time.Time) (Stored, kvstore.WriteResult) {
 	job.WriteID = uuid.New()
 	job.Changed = now
-	res := platform.WriteDocument(ctx, b.store, platform.Write{
+	res := kvstore.WriteDocument(ctx, b.store, kvstore.Write{
 		Key: Key(job.Spec.ID), Document: job, WriteID: job.WriteID, Version: version,
 	})
-	if res.Effect != platform.TookEffect {
+	if res.Effect != kvstore.TookEffect {
 		return Stored{}, res
 	}
 	s := Stored{Job: job, Version: res.Version}
--- a/platform/answer_test.go
+++ b/kvstore/answer_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"net/http"
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/stretchr/testify/require"
 )
 
@@ -50,7 +50,7 @@
 				_, _ = w.Write([]byte(tc.body))
 			}))
 			defer srv.Close()
-			c := platform.NewClient(netip.MustParseAddrPort(srv.Listener.Addr().String()), platform.Options{MaxReplyBytes: 500})
+			c := kvstore.NewClient(netip.MustParseAddrPort(srv.Listener.Addr().String()), kvstore.Options{MaxReplyBytes: 500})
 			defer c.Close()
 			_, err := c.Swap(t.Context(), "k", []byte("v"), 1, 0)
 			if tc.want == nil {
@@ -69,7 +69,7 @@
 		_, _ = w.Write([]byte(`{"Items":[],"Revision":1,"Next":"a"}`))
 	}))
 	defer srv.Close()
-	c := platform.NewClient(netip.MustParseAddrPort(srv.Listener.Addr().String()), platform.Options{})
+	c := kvstore.NewClient(netip.MustParseAddrPort(srv.Listener.Addr().String()), kvstore.Options{})
 	defer c.Close()
 	_, _, err := c.List(t.Context(), "p")
 	require.ErrorIs(t, err, rosemarysill.ErrStoreUnavailable)
--- a/platform/client.go
+++ b/kvstore/client.go
@@ -1,7 +1,7 @@
-// Package platform is the client of the platform's store: calls with deadlines,
+// Package kvstore is the client of the platform's store: calls with deadlines,
 // size and rate limits, writes of documents whose lost answers are resolved,
 // and a watch that notices when it has become silent.
-package platform
+package kvstore
 
 import (
 	"context"
--- a/platform/client_test.go
+++ b/kvstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -17,19 +17,19 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // serve starts a stand-in store with a client. Both end with the test.
-func serve(t *testing.T, so standin.StoreOptions, o platform.Options) (*standin.Store, *platform.Client) {
+func serve(t *testing.T, so standin.StoreOptions, o kvstore.Options) (*standin.Store, *kvstore.Client) {
 	t.Helper()
 	store, c, _ := serveUntil(t, so, o)
 	return store, c
 }
 
 // serveUntil is serve with a function that stops the store early.
-func serveUntil(t *testing.T, so standin.StoreOptions, o platform.Options) (*standin.Store, *platform.Client, func()) {
+func serveUntil(t *testing.T, so standin.StoreOptions, o kvstore.Options) (*standin.Store, *kvstore.Client, func()) {
 	t.Helper()
 	store := standin.NewStore(so)
 	srv, err := standin.Serve(netip.AddrPort{}, store)
 	require.NoError(t, err)
-	c := platform.NewClient(srv.Address(), o)
+	c := kvstore.NewClient(srv.Address(), o)
 	stop := func() {
 		c.Close()
 		srv.Stop()
@@ -42,13 +42,13 @@
 // TestWriteWithoutConnection guards against an outage that makes writes
 // unresolved which were never sent.
 func TestWriteWithoutConnection(t *testing.T) {
-	_, c, stop := serveUntil(t, standin.StoreOptions{}, platform.Options{})
+	_, c, stop := serveUntil(t, standin.StoreOptions{}, kvstore.Options{})
 	stop()
 	_, err := c.Swap(t.Context(), "k", nil, 0, 0)
 	require.ErrorIs(t, err, rosemarysill.ErrStoreUnavailable)
 	require.Equal(t, rosemarysill.StoreUnavailable, rosemarysill.CodeOf(err))
-	r := platform.WriteDocument(t.Context(), c, platform.Write{Key: "k", Document: document{"mine", firstID}, WriteID: firstID})
-	require.Equal(t, platform.NoEffect, r.Effect)
+	r := kvstore.WriteDocument(t.Context(), c, kvstore.Write{Key: "k", Document: document{"mine", firstID}, WriteID: firstID})
+	require.Equal(t, kvstore.NoEffect, r.Effect)
 }
 
 // TestStoreErrors guards against errors that mislead a writer about the effect
@@ -56,28 +56,28 @@
 func TestStoreErrors(t *testing.T) {
 	ctx := context.Background()
 	cases := map[string]struct {
-		options platform.Options
+		options kvstore.Options
 		limits  standin.StoreOptions
 		faults  standin.StoreFaults
-		call    func(c *platform.Client) error
+		call    func(c *kvstore.Client) error
 		want    error
 		code    rosemarysill.Code
 	}{
-		"create over an existing key": {call: func(c *platform.Client) error { _, err := c.Swap(ctx, "a", nil, 0, 0); return err }, want: rosemarysill.ErrVersion},
-		"swap of a missing key":       {call: func(c *platform.Client) error { _, err := c.Swap(ctx, "b", nil, 1, 0); return err }, want: rosemarysill.ErrVersion},
-		"get of a missing key":        {call: func(c *platform.Client) error { _, err := c.Get(ctx, "b"); return err }, want: rosemarysill.ErrNotFound},
-		"delete of a missing key":     {call: func(c *platform.Client) error { return c.Delete(ctx, "b", 1) }, want: rosemarysill.ErrNotFound},
-		"delete of another version":   {call: func(c *platform.Client) error { return c.Delete(ctx, "a", 9) }, want: rosemarysill.ErrVersion},
-		"renewal of no lease":         {call: func(c *platform.Client) error { return c.Renew(ctx, 9) }, want: rosemarysill.ErrLeaseLapsed},
-		"swap under no lease":         {call: func(c *platform.Client) error { _, err := c.Swap(ctx, "b", nil, 0, 9); return err }, want: rosemarysill.ErrLeaseLapsed},
-		"watch from the future":       {call: func(c *platform.Client) error { _, _, err := c.Watch(ctx, "", 99); return err }, want: rosemarysill.ErrCompacted},
-		"outage":                      {faults: standin.StoreFaults{Outage: true}, call: func(c *platform.Client) error { _, err := c.Get(ctx, "a"); return err }, want: rosemarysill.ErrStoreUnavailable},
-		"lost answer":                 {faults: standin.StoreFaults{LoseNext: 1}, call: func(c *platform.Client) error { _, err := c.Swap(ctx, "b", nil, 0, 0); return err }, want: rosemarysill.ErrStoreUnavailable},
-		"slow store":                  {options: platform.Options{CallTimeout: 20 * time.Millisecond}, faults: standin.StoreFaults{Delay: time.Hour}, call: func(c *platform.Client) error { _, err := c.Get(ctx, "a"); return err }, want: rosemarysill.ErrStoreUnavailable},
-		"watch never answered":        {options: platform.Options{CallTimeout: 20 * time.Millisecond, WatchWait: 20 * time.Millisecond}, faults: standin.StoreFaults{Delay: time.Hour}, call: func(c *platform.Client) error { _, _, err := c.Watch(ctx, "a", 1); return err }, want: rosemarysill.ErrStoreUnavailable},
-		"value over the client's limit": {options: platform.Options{MaxValueBytes: 4}, call: func(c *platform.Client) error { _, err := c.Swap(ctx, "b", make([]byte, 5), 0, 0); return err },
+		"create over an existing key": {call: func(c *kvstore.Client) error { _, err := c.Swap(ctx, "a", nil, 0, 0); return err }, want: rosemarysill.ErrVersion},
+		"swap of a missing key":       {call: func(c *kvstore.Client) error { _, err := c.Swap(ctx, "b", nil, 1, 0); return err }, want: rosemarysill.ErrVersion},
+		"get of a missing key":        {call: func(c *kvstore.Client) error { _, err := c.Get(ctx, "b"); return err }, want: rosemarysill.ErrNotFound},
+		"delete of a missing key":     {call: func(c *kvstore.Client) error { return c.Delete(ctx, "b", 1) }, want: rosemarysill.ErrNotFound},
+		"delete of another version":   {call: func(c *kvstore.Client) error { return c.Delete(ctx, "a", 9) }, want: rosemarysill.ErrVersion},
+		"renewal of no lease":         {call: func(c *kvstore.Client) error { return c.Renew(ctx, 9) }, want: rosemarysill.ErrLeaseLapsed},
+		"swap under no lease":         {call: func(c *kvstore.Client) error { _, err := c.Swap(ctx, "b", nil, 0, 9); return err }, want: rosemarysill.ErrLeaseLapsed},
+		"watch from the future":       {call: func(c *kvstore.Client) error { _, _, err := c.Watch(ctx, "", 99); return err }, want: rosemarysill.ErrCompacted},
+		"outage":                      {faults: standin.StoreFaults{Outage: true}, call: func(c *kvstore.Client) error { _, err := c.Get(ctx, "a"); return err }, want: rosemarysill.ErrStoreUnavailable},
+		"lost answer":                 {faults: standin.StoreFaults{LoseNext: 1}, call: func(c *kvstore.Client) error { _, err := c.Swap(ctx, "b", nil, 0, 0); return err }, want: rosemarysill.ErrStoreUnavailable},
+		"slow store":                  {options: kvstore.Options{CallTimeout: 20 * time.Millisecond}, faults: standin.StoreFaults{Delay: time.Hour}, call: func(c *kvstore.Client) error { _, err := c.Get(ctx, "a"); return err }, want: rosemarysill.ErrStoreUnavailable},
+		"watch never answered":        {options: kvstore.Options{CallTimeout: 20 * time.Millisecond, WatchWait: 20 * time.Millisecond}, faults: standin.StoreFaults{Delay: time.Hour}, call: func(c *kvstore.Client) error { _, _, err := c.Watch(ctx, "a", 1); return err }, want: rosemarysill.ErrStoreUnavailable},
+		"value over the client's limit": {options: kvstore.Options{MaxValueBytes: 4}, call: func(c *kvstore.Client) error { _, err := c.Swap(ctx, "b", make([]byte, 5), 0, 0); return err },
 			code: rosemarysill.TooLarge},
-		"value over the store's limit": {limits: standin.StoreOptions{MaxValueBytes: 4}, call: func(c *platform.Client) error { _, err := c.Swap(ctx, "b", make([]byte, 5), 0, 0); return err },
+		"value over the store's limit": {limits: standin.StoreOptions{MaxValueBytes: 4}, call: func(c *kvstore.Client) error { _, err := c.Swap(ctx, "b", make([]byte, 5), 0, 0); return err },
 			code: rosemarysill.TooLarge},
 	}
 	for name, tc := range cases {
@@ -111,7 +111,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		return now
-	}}, platform.Options{})
+	}}, kvstore.Options{})
 	ctx := t.Context()
 	lapsing, err := c.Grant(ctx, 5*time.Second)
 	require.NoError(t, err)
--- a/platform/document_test.go
+++ b/kvstore/document_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/stretchr/testify/require"
 )
@@ -57,40 +57,40 @@
 // TestWriteDocumentResolves guards against a writer that takes a lost answer
 // for a failed write, or a pending write for a failed one.
 func TestWriteDocumentResolves(t *testing.T) {
-	mine := platform.Write{Key: "k", Document: document{"mine", firstID}, WriteID: firstID}
+	mine := kvstore.Write{Key: "k", Document: document{"mine", firstID}, WriteID: firstID}
 	cases := map[string]struct {
-		write     platform.Write
+		write     kvstore.Write
 		limits    standin.StoreOptions
 		faults    standin.StoreFaults
 		prepare   func(s *standin.Store) rosemarysill.Store
 		during    func(s *standin.Store) // runs 30 ms after the write was sent
-		want      platform.Effect
+		want      kvstore.Effect
 		code      rosemarysill.Code
 		swaps     int // counted at the store
 		revisions uint64
 	}{
-		"no fault":    {write: mine, want: platform.TookEffect, swaps: 1, revisions: 1},
-		"answer lost": {write: mine, faults: standin.StoreFaults{LoseNext: 1}, want: platform.TookEffect, swaps: 1, revisions: 1},
+		"no fault":    {write: mine, want: kvstore.TookEffect, swaps: 1, revisions: 1},
+		"answer lost": {write: mine, faults: standin.StoreFaults{LoseNext: 1}, want: kvstore.TookEffect, swaps: 1, revisions: 1},
 		"answer lost, key overwritten": {write: mine, faults: standin.StoreFaults{LoseNext: 1},
 			prepare: func(s *standin.Store) rosemarysill.Store {
 				return overwritten{s}
-			}, want: platform.Unresolved, swaps: 2, revisions: 2},
+			}, want: kvstore.Unresolved, swaps: 2, revisions: 2},
 		"write arrives after the read back": {write: mine, prepare: func(s *standin.Store) rosemarysill.Store {
 			return &lateStore{Store: s}
-		}, want: platform.TookEffect, swaps: 2, revisions: 1},
-		"version conflict": {write: platform.Write{Key: "k", Document: document{"mine", firstID}, WriteID: firstID, Version: 7},
-			want: platform.NoEffect, swaps: 1},
-		"lapsed lease": {write: platform.Write{Key: "k", Document: document{"mine", firstID}, WriteID: firstID, Lease: 7},
-			want: platform.NoEffect, swaps: 1},
-		"oversized value": {write: mine, limits: standin.StoreOptions{MaxValueBytes: 8}, want: platform.NoEffect, code: rosemarysill.TooLarge, swaps: 1},
-		"rate limited":    {write: mine, limits: standin.StoreOptions{WritesPerS: 0.001}, prepare: exhaust, want: platform.NoEffect, swaps: 2, revisions: 1},
-		"outage":          {write: mine, faults: standin.StoreFaults{Outage: true}, want: platform.Unresolved, swaps: 1},
+		}, want: kvstore.TookEffect, swaps: 2, revisions: 1},
+		"version conflict": {write: kvstore.Write{Key: "k", Document: document{"mine", firstID}, WriteID: firstID, Version: 7},
+			want: kvstore.NoEffect, swaps: 1},
+		"lapsed lease": {write: kvstore.Write{Key: "k", Document: document{"mine", firstID}, WriteID: firstID, Lease: 7},
+			want: kvstore.NoEffect, swaps: 1},
+		"oversized value": {write: mine, limits: standin.StoreOptions{MaxValueBytes: 8}, want: kvstore.NoEffect, code: rosemarysill.TooLarge, swaps: 1},
+		"rate limited":    {write: mine, limits: standin.StoreOptions{WritesPerS: 0.001}, prepare: exhaust, want: kvstore.NoEffect, swaps: 2, revisions: 1},
+		"outage":          {write: mine, faults: standin.StoreFaults{Outage: true}, want: kvstore.Unresolved, swaps: 1},
 		"outage ends": {write: mine, faults: standin.StoreFaults{Outage: true},
-			during: func(s *standin.Store) { s.SetFaults(standin.StoreFaults{}) }, want: platform.TookEffect, swaps: 2, revisions: 1},
-		"slow store":       {write: mine, faults: standin.StoreFaults{Delay: time.Hour}, want: platform.Unresolved, swaps: 1, revisions: 1},
-		"other WriteID":    {write: platform.Write{Key: "k", Document: document{"mine", firstID}, WriteID: secondID}, want: platform.NoEffect},
-		"without WriteID":  {write: platform.Write{Key: "k", Document: document{"mine", uuid.Nil}}, want: platform.NoEffect},
-		"not a JSON value": {write: platform.Write{Key: "k", Document: func() {}, WriteID: firstID}, want: platform.NoEffect},
+			during: func(s *standin.Store) { s.SetFaults(standin.StoreFaults{}) }, want: kvstore.TookEffect, swaps: 2, revisions: 1},
+		"slow store":       {write: mine, faults: standin.StoreFaults{Delay: time.Hour}, want: kvstore.Unresolved, swaps: 1, revisions: 1},
+		"other WriteID":    {write: kvstore.Write{Key: "k", Document: document{"mine", firstID}, WriteID: secondID}, want: kvstore.NoEffect},
+		"without WriteID":  {write: kvstore.Write{Key: "k", Document: document{"mine", uuid.Nil}}, want: kvstore.NoEffect},
+		"not a JSON value": {write: kvstore.Write{Key: "k", Document: func() {}, WriteID: firstID}, want: kvstore.NoEffect},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -106,9 +106,9 @@
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 				defer cancel()
-				got := platform.WriteDocument(ctx, store, tc.write)
+				got := kvstore.WriteDocument(ctx, store, tc.write)
 				require.Equal(t, tc.want, got.Effect, "%v", got.Err)
-				require.Equal(t, tc.want == platform.TookEffect, got.Err == nil)
+				require.Equal(t, tc.want == kvstore.TookEffect, got.Err == nil)
 				if tc.code != 0 {
 					require.Equal(t, tc.code, rosemarysill.CodeOf(got.Err))
 				}
@@ -116,7 +116,7 @@
 				sleepFor(t, 2*time.Hour) // a slow write takes effect
 				require.Equal(t, tc.swaps, s.Counters().Calls[standin.StoreSwap])
 				require.Equal(t, tc.revisions, s.Revision())
-				if it, err := s.Get(t.Context(), "k"); got.Effect == platform.TookEffect {
+				if it, err := s.Get(t.Context(), "k"); got.Effect == kvstore.TookEffect {
 					require.NoError(t, err)
 					require.Equal(t, it.Version, got.Version)
 				}
--- a/platform/watcher.go
+++ b/kvstore/watcher.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"cmp"
--- a/platform/watcher_test.go
+++ b/kvstore/watcher_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -23,7 +23,7 @@
 	lastRev uint64
 }
 
-func (f *follower) handle(u platform.Update) {
+func (f *follower) handle(u kvstore.Update) {
 	if u.Full {
 		f.items = map[string]string{}
 		f.fulls++
@@ -98,7 +98,7 @@
 				var log bytes.Buffer
 				f := &follower{items: map[string]string{}}
 				ctx, cancel := context.WithCancel(t.Context())
-				w := platform.NewWatcher(s, "p/", f.handle, platform.WatcherOptions{Log: zerolog.New(&log)})
+				w := kvstore.NewWatcher(s, "p/", f.handle, kvstore.WatcherOptions{Log: zerolog.New(&log)})
 				go w.Run(ctx)
 				synctest.Wait()
 				tc.act(t, s)
@@ -130,7 +130,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore(standin.StoreOptions{})
 		ctx, cancel := context.WithCancel(t.Context())
-		w := platform.NewWatcher(earlyStore{s}, "p/", func(platform.Update) {}, platform.WatcherOptions{ListEvery: 10 * time.Second})
+		w := kvstore.NewWatcher(earlyStore{s}, "p/", func(kvstore.Update) {}, kvstore.WatcherOptions{ListEvery: 10 * time.Second})
 		go w.Run(ctx)
 		sleepFor(t, 10*time.Minute)
 		cancel()
@@ -171,9 +171,9 @@
 // when a list of several pages overlaps with the changes that follow.
 func TestWatcherAfterPages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var updates []platform.Update
+		var updates []kvstore.Update
 		ctx, cancel := context.WithCancel(t.Context())
-		w := platform.NewWatcher(&pagedStore{}, "p/", func(u platform.Update) { updates = append(updates, u) }, platform.WatcherOptions{})
+		w := kvstore.NewWatcher(&pagedStore{}, "p/", func(u kvstore.Update) { updates = append(updates, u) }, kvstore.WatcherOptions{})
 		go w.Run(ctx)
 		synctest.Wait()
 		cancel()
@@ -205,7 +205,7 @@
 
 // TestListSpansPages guards against a list that stops at the first page.
 func TestListSpansPages(t *testing.T) {
-	store, c := serve(t, standin.StoreOptions{PageBytes: 10}, platform.Options{})
+	store, c := serve(t, standin.StoreOptions{PageBytes: 10}, kvstore.Options{})
 	want := []rosemarysill.Item{}
 	for i, key := range []string{"p/a", "p/b", "p/c"} {
 		v, err := store.Swap(t.Context(), key, []byte("12345"), 0, 0)
@@ -223,7 +223,7 @@
 // TestWatchOverHTTP guards against a watch that reports a change only at the
 // end of its wait, and against one that outlasts its context.
 func TestWatchOverHTTP(t *testing.T) {
-	store, c := serve(t, standin.StoreOptions{}, platform.Options{WatchWait: 30 * time.Second})
+	store, c := serve(t, standin.StoreOptions{}, kvstore.Options{WatchWait: 30 * time.Second})
 	got := make(chan []rosemarysill.Change, 1)
 	go func() {
 		changes, _, _ := c.Watch(t.Context(), "p/", 0)
@@ -245,7 +245,7 @@
 // TestLocalRate guards against an entry that spends the store's rate of all
 // entries: its own limit refuses before a call is sent.
 func TestLocalRate(t *testing.T) {
-	store, c := serve(t, standin.StoreOptions{}, platform.Options{WritesPerS: 0.001, ReadsPerS: 0.001})
+	store, c := serve(t, standin.StoreOptions{}, kvstore.Options{WritesPerS: 0.001, ReadsPerS: 0.001})
 	_, err := c.Grant(t.Context(), time.Minute)
 	require.NoError(t, err)
 	_, err = c.Grant(t.Context(), time.Minute)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -14,8 +14,8 @@
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/gang"
 	"github.com/rosemarysill/rosemarysill/job"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/placement"
-	"github.com/rosemarysill/rosemarysill/platform"
 )
 
 // Placer places waiting jobs and drives their attempts while its entry holds
@@ -299,7 +299,7 @@
 
 // finish writes a final state without an attempt.
 func (p *Placer) finish(ctx context.Context, job rosemarysill.Job, version uint64, now time.Time) {
-	if stored, res := p.parts.Book.Write(ctx, job, version, now); res.Effect == platform.TookEffect {
+	if stored, res := p.parts.Book.Write(ctx, job, version, now); res.Effect == kvstore.TookEffect {
 		p.finished(stored.Job, time.Time{})
 	}
 }
--- a/standin/http_test.go
+++ b/standin/http_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/stretchr/testify/require"
 )
@@ -61,7 +61,7 @@
 	store := standin.NewStore(standin.StoreOptions{})
 	srv, err := standin.Serve(netip.AddrPort{}, store)
 	require.NoError(t, err)
-	c := platform.NewClient(srv.Address(), platform.Options{MaxValueBytes: 2_000_000, CallTimeout: time.Minute})
+	c := kvstore.NewClient(srv.Address(), kvstore.Options{MaxValueBytes: 2_000_000, CallTimeout: time.Minute})
 	defer func() {
 		c.Close()
 		srv.Stop()
--- a/standin/store_test.go
+++ b/standin/store_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/stretchr/testify/require"
 )
@@ -142,13 +142,13 @@
 // answers late and has outages. The store's change log is the judge.
 func TestWriteDocumentTellsTheTruth(t *testing.T) {
 	type document struct{ WriteID uuid.UUID }
-	told := map[platform.Effect]int{}
+	told := map[kvstore.Effect]int{}
 	for seed := range uint64(40) {
 		synctest.Test(t, func(t *testing.T) {
 			s := standin.NewStore(standin.StoreOptions{WritesPerS: -1, ReadsPerS: -1})
 			rng := rand.New(rand.NewPCG(seed, 1))
 			var mu sync.Mutex
-			results := map[uuid.UUID]platform.WriteResult{}
+			results := map[uuid.UUID]kvstore.WriteResult{}
 			var wg sync.WaitGroup
 			for writer := range 4 {
 				wg.Go(func() {
@@ -157,7 +157,7 @@
 						it, _ := s.Get(t.Context(), "k")
 						id := uuid.MustParse(fmt.Sprintf("00000000-0000-7000-8000-%06x%06x", writer+1, n))
 						ctx, cancel := context.WithTimeout(t.Context(), time.Duration(10+rng.IntN(400))*time.Millisecond)
-						r := platform.WriteDocument(ctx, hasty{s}, platform.Write{Key: "k", Document: document{id}, WriteID: id, Version: it.Version})
+						r := kvstore.WriteDocument(ctx, hasty{s}, kvstore.Write{Key: "k", Document: document{id}, WriteID: id, Version: it.Version})
 						cancel()
 						mu.Lock()
 						results[id] = r
@@ -184,14 +184,14 @@
 			require.Len(t, results, 100)
 			for id, r := range results {
 				told[r.Effect]++
-				if r.Effect != platform.Unresolved {
+				if r.Effect != kvstore.Unresolved {
 					require.Equal(t, r.Version, effects[id], "seed %d: write %s: %s: %v", seed, id, r.Effect, r.Err)
 				}
 			}
 		})
 	}
 	t.Log(told)
-	for _, e := range []platform.Effect{platform.TookEffect, platform.NoEffect, platform.Unresolved} {
+	for _, e := range []kvstore.Effect{kvstore.TookEffect, kvstore.NoEffect, kvstore.Unresolved} {
 		require.Positive(t, told[e])
 	}
 }
