--- a/cmd/rosemarysill/main.go
+++ b/cmd/rosemarysill/main.go
@@ -103,6 +103,7 @@
 	all = append(all, callerCommands()...)
 	all = append(all, operatorCommands()...)
 	all = append(all, processCommands()...)
+	all = append(all, nodeCommands()...)
 	all = append(all, checkCommands()...)
 	all = append(all, demoCommands()...)
 	return all
--- a/code.go
+++ b/code.go
@@ -35,6 +35,7 @@
 	ShuttingDown       Code = 29
 	QuotaExceeded      Code = 30
 	Unreachable        Code = 31
+	UnknownQueue       Code = 32
 
 	// 40-49: the request ran and did not finish well.
 
@@ -90,6 +91,7 @@
 	ShuttingDown:        "ShuttingDown",
 	QuotaExceeded:       "QuotaExceeded",
 	Unreachable:         "Unreachable",
+	UnknownQueue:        "UnknownQueue",
 	UpstreamFailed:      "UpstreamFailed",
 	TaskFailed:          "TaskFailed",
 	AnswerTooLarge:      "AnswerTooLarge",
--- /dev/null
+++ b/control/message.go
@@ -0,0 +1,93 @@
+// Package control is the protocol between the leader, which places tasks, and
+// the agents beside the workers. An agent opens a stream to the leader. It
+// sends the whole state of its worker, and the leader answers with all orders
+// that the state does not show yet, so a message that is lost or repeated
+// changes nothing.
+package control
+
+import (
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Protocol times.
+const (
+	// ReportEvery is the longest time between two reports of an agent.
+	ReportEvery = 400 * time.Millisecond
+	// SilentAfter ends a stream on which nothing arrives. It is three reports
+	// and a half, so one that is late ends no stream.
+	SilentAfter = 1400 * time.Millisecond
+	// Lease is the time for which the runs of a worker are leased after a
+	// report that the leader has answered. It outlasts a cut of 4 s, and a
+	// change of the leader.
+	Lease = 5 * time.Second
+	// ClockDrift is the largest relative error of a worker's clock.
+	ClockDrift = 0.02
+	// LapseMargin is added to a lease before its runs are taken for ended.
+	LapseMargin = 300 * time.Millisecond
+	// OrderValid is the age of the echoed report after which the orders of a
+	// message are not carried out.
+	OrderValid = 2 * time.Second
+)
+
+// LapsedAfter is the time from the receipt of a worker's last report until all
+// of its runs have ended.
+func LapsedAfter() time.Duration {
+	return time.Duration(float64(Lease)*(1+2*ClockDrift)) + LapseMargin
+}
+
+// Worker is the incarnation of a worker beside an agent.
+type Worker struct {
+	Incarnation string
+	Service     string
+	Domain      string
+	Rack        string
+	Labels      []string
+	Capacity    work.Shape
+	Draining    bool
+	Remaining   time.Duration // least time until a draining worker leaves
+	Silent      bool          // the worker does not answer the agent
+	Lapsed      bool          // it has not for so long that the leases of all its runs have lapsed
+}
+
+// Refused is an order that the worker will not carry out.
+type Refused struct {
+	Key work.RunKey
+	Why work.Refusal
+}
+
+// Report is the state of a worker.
+type Report struct {
+	Agent   string
+	Stamp   time.Time // when the report was made, by the agent's clock
+	Worker  *Worker   // nil until a worker has announced itself and answered
+	Gone    []string  // incarnations that have ended
+	Running []work.RunStatus
+	Ended   []work.RunEnd
+	Refused []Refused
+}
+
+// Start is an order to start a run.
+type Start struct {
+	work.Start
+	Shape work.Shape
+}
+
+// Pace is an order that a run works at a share of its speed.
+type Pace struct {
+	Key     work.RunKey
+	Percent int
+}
+
+// Orders are the orders of the leader for one worker.
+type Orders struct {
+	Epoch       uint64
+	Echo        time.Time // stamp of the latest report that has arrived
+	Leased      bool      // the lease runs from Echo; otherwise it is not extended
+	Incarnation string    // what the orders are for
+	Seen        uint64    // ends up to this one are recorded
+	Starts      []Start
+	Stops       []work.RunKey
+	Paces       []Pace
+}
--- /dev/null
+++ b/control/stream.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding"
+	"google.golang.org/grpc/peer"
+)
+
+// connectTimeout ends the opening of a connection to a silent host.
+const connectTimeout = 600 * time.Millisecond
+
+// codecName is the content subtype of the messages.
+const codecName = "json"
+
+type codec struct{}
+
+func (codec) Marshal(v any) ([]byte, error)      { return json.Marshal(v) }
+func (codec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+func (codec) Name() string                       { return codecName }
+
+func init() { encoding.RegisterCodec(codec{}) }
+
+// AgentStream is the leader's end of a stream.
+type AgentStream interface {
+	Context() context.Context
+	Receive() (Report, error)
+	Send(Orders) error
+}
+
+// Leader takes the streams of agents.
+type Leader interface {
+	// Attach serves a stream until it ends.
+	Attach(AgentStream) error
+}
+
+var description = grpc.ServiceDesc{
+	ServiceName: "rosemarysill.Control",
+	HandlerType: (*Leader)(nil),
+	Streams: []grpc.StreamDesc{{
+		StreamName: "Attach", ServerStreams: true, ClientStreams: true,
+		Handler: func(srv any, s grpc.ServerStream) error { return srv.(Leader).Attach(serverStream{s}) },
+	}},
+}
+
+// Register adds the leader's service to a server.
+func Register(s *grpc.Server, l Leader) { s.RegisterService(&description, l) }
+
+type serverStream struct{ grpc.ServerStream }
+
+func (s serverStream) Receive() (Report, error) {
+	var r Report
+	err := s.RecvMsg(&r)
+	return r, err
+}
+
+func (s serverStream) Send(o Orders) error { return s.SendMsg(&o) }
+
+// PeerOf returns the address of the other end of a stream, for logs.
+func PeerOf(ctx context.Context) string {
+	if p, ok := peer.FromContext(ctx); ok {
+		return p.Addr.String()
+	}
+	return ""
+}
+
+// Connection is an agent's connection to the leader.
+type Connection struct {
+	conn   *grpc.ClientConn
+	stream grpc.ClientStream
+}
+
+// Dial opens a stream to the leader at the address. The stream ends with ctx.
+func Dial(ctx context.Context, address netip.AddrPort) (*Connection, error) {
+	retry := backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: time.Second}
+	conn, err := grpc.NewClient("passthrough:///"+address.String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(), grpc.WithDisableServiceConfig(),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: connectTimeout}),
+		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName)))
+	if err != nil {
+		return nil, err
+	}
+	stream, err := conn.NewStream(ctx, &description.Streams[0], "/"+description.ServiceName+"/Attach")
+	if err != nil {
+		_ = conn.Close() // the error of the stream is the one that counts
+		return nil, err
+	}
+	return &Connection{conn, stream}, nil
+}
+
+// Send sends a report.
+func (c *Connection) Send(r Report) error { return c.stream.SendMsg(&r) }
+
+// Receive returns the next orders.
+func (c *Connection) Receive() (Orders, error) {
+	var o Orders
+	err := c.stream.RecvMsg(&o)
+	return o, err
+}
+
+// Close ends the stream and the connection.
+func (c *Connection) Close() error { return c.conn.Close() }
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,315 @@
+// Package gateway serves callers at an entry: it accepts, shows and cancels
+// jobs. A job is recorded before it is accepted, under the condition that the
+// configuration that allows it is still the newest.
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/queue"
+	"github.com/rosemarysill/rosemarysill/uptime"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+const (
+	// identifierLen is the length of a job's identifier in hexadecimal digits.
+	identifierLen = 16
+	// answerReserve is the part of a caller's time that is left for the answer.
+	answerReserve = 200 * time.Millisecond
+	// retryPause is the pause before a call to the store is repeated.
+	retryPause = 40 * time.Millisecond
+	// defaultBody bounds bodies until a configuration says otherwise.
+	defaultBody = 256 << 10
+	// revokeShare is the part of the time in which a revoked key must end to be
+	// valid after which an entry that does not hear from the store serves no
+	// keys. The users count no request as owed from there on.
+	revokeShare = 0.6
+)
+
+// Desk is the operators' documents.
+type Desk interface {
+	Configuration() *queue.Configuration
+	Fresh() time.Time
+}
+
+// Config is what a gateway is told.
+type Config struct {
+	Store  rosemarysill.TransactionalStore
+	Copy   *jobstore.Copy
+	Desk   Desk
+	Revoke time.Duration // in which a revoked key ends to be valid
+	Log    zerolog.Logger
+}
+
+// Gateway is a queue.Jobs.
+type Gateway struct{ cfg Config }
+
+var _ queue.Jobs = (*Gateway)(nil)
+
+// New returns a gateway.
+func New(cfg Config) *Gateway { return &Gateway{cfg} }
+
+// MaxBody implements queue.Jobs.
+func (g *Gateway) MaxBody() int64 {
+	if cfg := g.cfg.Desk.Configuration(); cfg != nil && cfg.Limits.BodyBytes > 0 {
+		return cfg.Limits.BodyBytes
+	}
+	return defaultBody
+}
+
+// IsQueue implements queue.Jobs.
+func (g *Gateway) IsQueue(c queue.Call) bool {
+	cfg := g.cfg.Desk.Configuration()
+	if cfg == nil {
+		return false
+	}
+	_, rest := cfg.Find(c.Host, c.Path)
+	return rest == ""
+}
+
+// Ready reports whether this entry can serve callers.
+func (g *Gateway) Ready() bool {
+	return g.cfg.Desk.Configuration() != nil && g.fresh()
+}
+
+// fresh reports whether the configuration is recent enough to honour keys.
+func (g *Gateway) fresh() bool {
+	limit := time.Duration(float64(g.cfg.Revoke) * revokeShare)
+	return uptime.Now().Sub(g.cfg.Desk.Fresh()) < limit
+}
+
+// admit finds the queue and the client account of a call.
+func (g *Gateway) admit(c queue.Call) (*queue.Configuration, *queue.Queue, string, string, error) {
+	cfg := g.cfg.Desk.Configuration()
+	if cfg == nil {
+		return nil, nil, "", "", rosemarysill.NewError(rosemarysill.StaleConfiguration, "no configuration yet")
+	}
+	if !g.fresh() {
+		return nil, nil, "", "", rosemarysill.NewError(rosemarysill.StaleConfiguration, "the configuration of version %d is not known to be the newest", cfg.Version)
+	}
+	q, rest := cfg.Find(c.Host, c.Path)
+	if q == nil {
+		return nil, nil, "", "", rosemarysill.NewError(rosemarysill.UnknownQueue, "no such queue")
+	}
+	account, ok := cfg.Account(c.Key)
+	if !ok && !q.Public {
+		return nil, nil, "", "", rosemarysill.NewError(rosemarysill.UnknownAccount, "unknown key")
+	}
+	return cfg, q, account, rest, nil
+}
+
+func validID(id string) bool {
+	return len(id) == identifierLen && strings.Trim(strings.ToLower(id), "0123456789abcdef") == ""
+}
+
+// Submit implements queue.Jobs.
+func (g *Gateway) Submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) error {
+	id, version, err := g.submit(ctx, c, decode)
+	g.log(event.QueueAccepted, id, version, err)
+	return err
+}
+
+func (g *Gateway) submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) (string, int64, error) {
+	cfg, q, account, id, err := g.admit(c)
+	if err != nil {
+		return lastPart(c.Path), 0, err
+	}
+	if !validID(id) {
+		return id, cfg.Version, rosemarysill.NewError(rosemarysill.InvalidRequest, "%q is not an identifier of 16 hexadecimal digits", id)
+	}
+	draft, err := decode()
+	if err != nil {
+		return id, cfg.Version, err
+	}
+	if fault := draft.Check(); fault != "" {
+		return id, cfg.Version, rosemarysill.NewError(rosemarysill.InvalidRequest, "%s", fault)
+	}
+	uncertain := false
+	for {
+		j := *draft
+		fill(&j, id, account, q)
+		err := g.record(ctx, cfg, &j)
+		if errors.Is(err, rosemarysill.ErrStoreUnavailable) {
+			uncertain = true
+		}
+		if err == nil || !g.again(ctx, c, err) {
+			return id, cfg.Version, submitError(err, uncertain)
+		}
+		if cfg, q, account, _, err = g.admit(c); err != nil {
+			if uncertain {
+				return id, 0, rosemarysill.NewError(rosemarysill.OutcomeUnknown, "%v", err)
+			}
+			return id, 0, err
+		}
+	}
+}
+
+// fill adds what the queue says about its jobs.
+func fill(j *work.Job, id, account string, q *queue.Queue) {
+	j.ID, j.Account, j.Queue, j.Service = id, account, q.Name, q.Service
+	j.Priority, j.Attempts, j.Stretch, j.Objective = q.Priority, q.Attempts, q.Stretch, q.Objective
+	j.Accepted = time.Now()
+	if a := q.Advice; a != nil {
+		j.Advised, j.Decide, j.DecideEach = true, a.Decide, a.Each
+	}
+}
+
+// record writes a job under the condition that the configuration is the
+// newest. A job that is there already is an earlier try of the same request.
+func (g *Gateway) record(ctx context.Context, cfg *queue.Configuration, j *work.Job) error {
+	value, err := jobstore.EncodeJob(j)
+	if err != nil {
+		return rosemarysill.NewError(rosemarysill.InternalError, "encode job: %v", err)
+	}
+	key := jobstore.JobKey(j.ID)
+	_, items, err := g.cfg.Store.Commit(ctx, rosemarysill.Commit{
+		Guards: []rosemarysill.Guard{{Key: cfg.Key, Version: cfg.Revision}, {Key: key}},
+		Writes: []rosemarysill.Write{{Key: key, Value: value}},
+	})
+	if errors.Is(err, rosemarysill.ErrVersion) {
+		for _, i := range items {
+			if i.Key == key && i.Version != 0 {
+				return nil
+			}
+		}
+	}
+	return err
+}
+
+// again waits before a repetition, unless the caller's time is over.
+func (g *Gateway) again(ctx context.Context, c queue.Call, _ error) bool {
+	if time.Until(c.Deadline) < answerReserve+retryPause {
+		return false
+	}
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// submitError says whether the request is known to have had no effect.
+func submitError(err error, uncertain bool) error {
+	switch {
+	case err == nil:
+		return nil
+	case uncertain || errors.Is(err, rosemarysill.ErrStoreUnavailable):
+		return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "the store did not answer: %v", err)
+	default:
+		return rosemarysill.NewError(rosemarysill.StoreUnavailable, "%v", err)
+	}
+}
+
+// State implements queue.Jobs.
+func (g *Gateway) State(ctx context.Context, c queue.Call) (work.State, error) {
+	_, _, _, id, err := g.admit(c)
+	if err != nil {
+		return "", err
+	}
+	e, err := g.find(ctx, c, id)
+	if err != nil {
+		return "", err
+	}
+	return e.State(), nil
+}
+
+// find returns a job from the copy, or from the store if the copy has not got
+// it.
+func (g *Gateway) find(ctx context.Context, c queue.Call, id string) (jobstore.Entry, error) {
+	if !validID(id) {
+		return jobstore.Entry{}, rosemarysill.NewError(rosemarysill.UnknownJob, "no such job")
+	}
+	for {
+		if e, ok := g.cfg.Copy.Job(id); ok {
+			return e, nil
+		}
+		i, err := g.cfg.Store.Get(ctx, jobstore.JobKey(id))
+		switch {
+		case errors.Is(err, rosemarysill.ErrNotFound):
+			return jobstore.Entry{}, rosemarysill.NewError(rosemarysill.UnknownJob, "no such job")
+		case err == nil:
+			j, err := jobstore.DecodeJob(i.Value)
+			if err != nil {
+				return jobstore.Entry{}, rosemarysill.NewError(rosemarysill.InternalError, "%v", err)
+			}
+			return jobstore.Entry{Job: j, JobVersion: i.Version}, nil
+		case !g.again(ctx, c, err):
+			return jobstore.Entry{}, rosemarysill.NewError(rosemarysill.StoreUnavailable, "%v", err)
+		}
+	}
+}
+
+// Cancel implements queue.Jobs.
+func (g *Gateway) Cancel(ctx context.Context, c queue.Call) error {
+	_, _, _, id, err := g.admit(c)
+	if err == nil {
+		err = g.cancel(ctx, c, id)
+	}
+	g.log(event.QueueCancelled, lastPart(c.Path), 0, err)
+	return err
+}
+
+func (g *Gateway) cancel(ctx context.Context, c queue.Call, id string) error {
+	uncertain := false
+	for {
+		e, err := g.find(ctx, c, id)
+		if err != nil {
+			return err
+		}
+		if e.Cancelled || e.State().Final() {
+			return nil
+		}
+		key := jobstore.CancelKey(id)
+		_, items, err := g.cfg.Store.Commit(ctx, rosemarysill.Commit{
+			Guards: []rosemarysill.Guard{{Key: jobstore.JobKey(id), Version: e.JobVersion}, {Key: key}},
+			Writes: []rosemarysill.Write{{Key: key, Value: []byte("{}")}},
+		})
+		if errors.Is(err, rosemarysill.ErrVersion) {
+			for _, i := range items {
+				if i.Key == key && i.Version != 0 {
+					return nil
+				}
+			}
+		}
+		uncertain = uncertain || errors.Is(err, rosemarysill.ErrStoreUnavailable)
+		if err == nil || !g.again(ctx, c, err) {
+			return submitError(err, uncertain)
+		}
+	}
+}
+
+// Pending implements queue.Jobs.
+func (g *Gateway) Pending(_ context.Context, c queue.Call) (int, error) {
+	_, q, _, _, err := g.admit(c)
+	if err != nil {
+		return 0, err
+	}
+	return g.cfg.Copy.Pending(q.Name), nil
+}
+
+// log notes the outcome of a request.
+func (g *Gateway) log(done event.Event, id string, version int64, err error) {
+	e := done
+	switch rosemarysill.CodeOf(err).Truth() {
+	case rosemarysill.TruthDone:
+	case rosemarysill.TruthUnknown:
+		e = event.QueueUnknown
+	default:
+		e = event.QueueRefused
+	}
+	e.Log(g.cfg.Log).Str("Job", id).Str("Code", rosemarysill.CodeOf(err).String()).Int64("Version", version).
+		Dur("ConfigurationAge", uptime.Now().Sub(g.cfg.Desk.Fresh())).Str("Detail", rosemarysill.DetailOf(err)).Send()
+}
+
+func lastPart(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
--- /dev/null
+++ b/jobstore/copy.go
@@ -0,0 +1,242 @@
+package jobstore
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Entry is what the store holds of one job.
+type Entry struct {
+	Job             *work.Job
+	JobVersion      uint64
+	Progress        *work.Progress // nil until the leader has written it
+	ProgressVersion uint64
+	Cancelled       bool
+}
+
+// State is the state that callers see.
+func (e Entry) State() work.State {
+	switch {
+	case e.Progress != nil && e.Progress.State.Final():
+		return e.Progress.State
+	case e.Cancelled:
+		return work.Cancelled
+	case e.Progress == nil:
+		return work.Queued
+	default:
+		return e.Progress.State
+	}
+}
+
+// Copy is an entry's copy of the records.
+type Copy struct {
+	*Follower
+	log zerolog.Logger
+
+	mu        sync.Mutex
+	jobs      map[string]*Entry
+	seat      Seat
+	seatAt    uint64 // version of the leader's record, 0 if there is none
+	epoch     uint64
+	epochAt   uint64
+	changed   map[string]bool // jobs that the leader has not looked at
+	notifying chan struct{}
+}
+
+// NewCopy returns an empty copy.
+func NewCopy(s rosemarysill.TransactionalStore, log zerolog.Logger) *Copy {
+	c := &Copy{
+		log: log, jobs: make(map[string]*Entry), changed: make(map[string]bool), notifying: make(chan struct{}, 1),
+	}
+	c.Follower = NewFollower(s, Prefix, c.applyChange, func(err error) {
+		event.QueueStoreLost.Log(log).Str("Prefix", Prefix).Err(err).Send()
+	}, func() {
+		event.QueueStoreBack.Log(log).Str("Prefix", Prefix).Send()
+	})
+	return c
+}
+
+// Changed receives a value after changes.
+func (c *Copy) Changed() <-chan struct{} { return c.notifying }
+
+// Job returns what is known of a job.
+func (c *Copy) Job(id string) (Entry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.jobs[id]
+	if !ok || e.Job == nil {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Pending returns the number of jobs of a queue that have not begun. Jobs that
+// wait for a time are not counted.
+func (c *Copy) Pending(queue string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, e := range c.jobs {
+		if e.Job != nil && e.Job.Queue == queue && !e.State().Final() && (e.Progress == nil || !e.Progress.Started()) {
+			n++
+		}
+	}
+	return n
+}
+
+// All returns all jobs and forgets which of them have changed.
+func (c *Copy) All() map[string]Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.changed)
+	all := make(map[string]Entry, len(c.jobs))
+	for id, e := range c.jobs {
+		if e.Job != nil {
+			all[id] = *e
+		}
+	}
+	return all
+}
+
+// Drain returns the jobs that have changed since the last call.
+func (c *Copy) Drain() map[string]Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]Entry, len(c.changed))
+	for id := range c.changed {
+		if e, ok := c.jobs[id]; ok && e.Job != nil {
+			out[id] = *e
+		}
+	}
+	clear(c.changed)
+	return out
+}
+
+// Seat returns the leader and the version of its record, 0 if there is none.
+func (c *Copy) Seat() (Seat, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seat, c.seatAt
+}
+
+// Epoch returns the latest epoch and the version of its record.
+func (c *Copy) Epoch() (uint64, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.epoch, c.epochAt
+}
+
+// Len returns the number of jobs.
+func (c *Copy) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.jobs)
+}
+
+// applyChange takes a change of a record. A record that cannot be read is
+// passed over.
+func (c *Copy) applyChange(ch rosemarysill.Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.apply(ch); err != nil {
+		event.QueueRecordBad.Log(c.log).Str("Key", ch.Item.Key).Err(err).Send()
+	}
+	select {
+	case c.notifying <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Copy) apply(ch rosemarysill.Change) error {
+	key, value := ch.Item.Key, ch.Item.Value
+	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
+		return c.applyJob(id, ch)
+	}
+	if id, ok := strings.CutPrefix(key, progressPrefix); ok {
+		return c.applyProgress(id, ch)
+	}
+	if id, ok := strings.CutPrefix(key, cancelPrefix); ok {
+		c.entry(id).Cancelled = !ch.Deleted
+		return nil
+	}
+	switch {
+	case key == LeaderKey && ch.Deleted:
+		c.seat, c.seatAt = Seat{}, 0
+	case key == LeaderKey:
+		seat, err := decodeSeat(value)
+		c.seat, c.seatAt = seat, ch.Item.Version
+		return err
+	case key == EpochKey && !ch.Deleted:
+		e, err := DecodeEpoch(value)
+		if err != nil {
+			return err
+		}
+		c.epoch, c.epochAt = e, ch.Item.Version
+	}
+	return nil
+}
+
+func (c *Copy) entry(id string) *Entry {
+	e, ok := c.jobs[id]
+	if !ok {
+		e = &Entry{}
+		c.jobs[id] = e
+	}
+	c.changed[id] = true
+	return e
+}
+
+func (c *Copy) applyJob(id string, ch rosemarysill.Change) error {
+	if ch.Deleted {
+		delete(c.jobs, id)
+		return nil
+	}
+	j, err := DecodeJob(ch.Item.Value)
+	if err != nil {
+		return err
+	}
+	e := c.entry(id)
+	e.Job, e.JobVersion = j, ch.Item.Version
+	return nil
+}
+
+func (c *Copy) applyProgress(id string, ch rosemarysill.Change) error {
+	if ch.Deleted {
+		return nil // the job is deleted with it
+	}
+	var p work.Progress
+	if err := json.Unmarshal(ch.Item.Value, &p); err != nil {
+		return errors.Wrap(err, "progress")
+	}
+	e := c.entry(id)
+	e.Progress, e.ProgressVersion = &p, ch.Item.Version
+	return nil
+}
+
+// Wait waits until the copy is as new as the store was at a time, or ctx ends.
+func (c *Copy) Wait(ctx context.Context, at time.Time) bool {
+	for c.Fresh().Before(at) && ctx.Err() == nil {
+		pause(ctx, 20*time.Millisecond)
+	}
+	return ctx.Err() == nil
+}
+
+// Clone returns a deep copy of a job's progress, or a new one.
+func (e Entry) Clone() *work.Progress {
+	if e.Progress == nil || !e.Progress.Valid(e.Job) {
+		return work.NewProgress(e.Job)
+	}
+	p := *e.Progress
+	p.Tasks = append([]work.Task(nil), e.Progress.Tasks...)
+	return &p
+}
--- /dev/null
+++ b/jobstore/record.go
@@ -0,0 +1,142 @@
+// Package jobstore holds the records that the entries keep in the store: jobs,
+// their progress, their cancellations, and who leads. Each entry follows them
+// in a copy.
+package jobstore
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Keys of the records.
+const (
+	Prefix         = "rs/"
+	LeaderKey      = "rs/leader" // under a lease
+	EpochKey       = "rs/epoch"  // outlives the lease
+	jobPrefix      = "rs/job/"
+	progressPrefix = "rs/progress/"
+	cancelPrefix   = "rs/cancel/"
+)
+
+// JobKey is the key of a job.
+func JobKey(id string) string { return jobPrefix + id }
+
+// ProgressKey is the key of a job's progress. The leader writes it.
+func ProgressKey(id string) string { return progressPrefix + id }
+
+// CancelKey is the key of a job's cancellation. It exists once the job is
+// cancelled.
+func CancelKey(id string) string { return cancelPrefix + id }
+
+// Seat is the record of the leader.
+type Seat struct {
+	Name    string
+	Address netip.AddrPort // for the streams of agents
+	Epoch   uint64
+}
+
+// EncodeJob returns the record of a job.
+func EncodeJob(j *work.Job) ([]byte, error) { return json.Marshal(j) }
+
+// EncodeProgress returns the record of a job's progress.
+func EncodeProgress(p *work.Progress) ([]byte, error) { return json.Marshal(p) }
+
+// EncodeSeat returns the record of the leader.
+func EncodeSeat(s Seat) ([]byte, error) { return json.Marshal(s) }
+
+// DecodeEpoch returns the epoch of a record under EpochKey.
+func DecodeEpoch(value []byte) (uint64, error) {
+	var e uint64
+	err := json.Unmarshal(value, &e)
+	return e, errors.Wrap(err, "epoch")
+}
+
+// EncodeEpoch returns the record of an epoch.
+func EncodeEpoch(e uint64) ([]byte, error) { return json.Marshal(e) }
+
+const (
+	// seatWait is how long a watch for the leader waits at the store. The
+	// stream to the leader shows sooner that it is gone.
+	seatWait = 10 * time.Second
+	// retryPause is the pause after a call that failed.
+	retryPause = 150 * time.Millisecond
+)
+
+// ReadSeat returns the record of the leader. Without a leader it is empty.
+func ReadSeat(ctx context.Context, s rosemarysill.TransactionalStore) (Seat, error) {
+	i, err := s.Get(ctx, LeaderKey)
+	if errors.Is(err, rosemarysill.ErrNotFound) {
+		return Seat{}, nil
+	}
+	if err != nil {
+		return Seat{}, err
+	}
+	return decodeSeat(i.Value)
+}
+
+func decodeSeat(value []byte) (Seat, error) {
+	var seat Seat
+	err := json.Unmarshal(value, &seat)
+	return seat, errors.Wrap(err, "record of the leader")
+}
+
+// FollowLeader tells each new leader to seated until ctx ends, and each
+// failure to failed.
+func FollowLeader(ctx context.Context, s rosemarysill.TransactionalStore, seated func(Seat), failed func(error)) {
+	for ctx.Err() == nil {
+		items, revision, err := s.List(ctx, LeaderKey)
+		for _, i := range items {
+			seatOf(i, seated, failed)
+		}
+		for err == nil && ctx.Err() == nil {
+			var changes []rosemarysill.Change
+			changes, revision, err = s.Watch(ctx, LeaderKey, revision, seatWait)
+			for _, c := range changes {
+				if !c.Deleted {
+					seatOf(c.Item, seated, failed)
+				}
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if !errors.Is(err, rosemarysill.ErrCompacted) {
+			failed(err)
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+func seatOf(i rosemarysill.Item, seated func(Seat), failed func(error)) {
+	seat, err := decodeSeat(i.Value)
+	if err != nil {
+		failed(err)
+		return
+	}
+	seated(seat)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// DecodeJob returns the job of a record.
+func DecodeJob(value []byte) (*work.Job, error) {
+	var j work.Job
+	if err := json.Unmarshal(value, &j); err != nil {
+		return nil, errors.Wrap(err, "job")
+	}
+	return &j, nil
+}
--- /dev/null
+++ b/leader/health.go
@@ -0,0 +1,53 @@
+package leader
+
+import (
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+const (
+	// failuresToAvoid is the number of failed runs in a row, of different jobs,
+	// after which a worker is avoided.
+	failuresToAvoid = 2
+	// avoidFor is how long a worker is avoided at first; it doubles up to
+	// avoidMost.
+	avoidFor  = 4 * time.Second
+	avoidMost = 30 * time.Second
+)
+
+// health is what the ends of runs say about a worker.
+type health struct {
+	failed map[string]bool // jobs that failed in a row
+	until  time.Time
+	next   time.Duration
+}
+
+func (h *health) avoided(now time.Time) bool { return now.Before(h.until) }
+
+// judge takes the end of a run into account.
+func (t *term) judge(w *workerState, k work.RunKey, how work.Outcome, now time.Time) {
+	h := &w.health
+	switch how {
+	case work.OutcomeDone:
+		h.failed, h.next = nil, 0
+	case work.OutcomeFailed:
+		if h.failed == nil {
+			h.failed = make(map[string]bool)
+		}
+		h.failed[k.Task.Job] = true
+		if len(h.failed) >= failuresToAvoid {
+			h.next = min(max(avoidFor, 2*h.next), avoidMost)
+			h.until, h.failed = now.Add(h.next), nil
+			event.LeaderWorkerAvoided.Log(t.cfg.Log).Str("Worker", w.Incarnation).Str("Why", "runs of several jobs failed").Dur("For", h.next).Send()
+		}
+	}
+}
+
+// watchRun looks at the progress of a run.
+func (t *term) watchRun(*workerState, work.RunStatus, time.Time) {}
+
+// paces adds the orders that set the speed of runs.
+func (t *term) paces(*control.Orders, *workerState, time.Time) {}
--- /dev/null
+++ b/leader/leader.go
@@ -0,0 +1,192 @@
+// Package leader is the entry that places tasks. One entry leads at a time: it
+// holds a key of the store under a lease. Every commit of the leader has that
+// key as a guard, so one that was deposed can record nothing, and nothing is
+// ordered that is not recorded.
+package leader
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/queue"
+	"github.com/rosemarysill/rosemarysill/uptime"
+)
+
+const (
+	// leaseTTL is the time after which another entry may lead when the leader
+	// is silent. It bounds the delay of urgent jobs after a crash.
+	leaseTTL = 2 * time.Second
+	// renewEvery leaves three tries before the lease lapses.
+	renewEvery = 500 * time.Millisecond
+	// electPause is the pause between two tries to lead.
+	electPause = 200 * time.Millisecond
+	// tick is the longest time between two decisions.
+	tick = 100 * time.Millisecond
+)
+
+// Desk is the operators' documents that are in force.
+type Desk interface {
+	// Configuration returns the newest configuration, or nil.
+	Configuration() *queue.Configuration
+	// DomainOut reports whether a failure domain is taken out.
+	DomainOut(domain string) bool
+	// Fresh returns the time as of which the documents are complete.
+	Fresh() time.Time
+}
+
+// Config is what a leader is told.
+type Config struct {
+	Name      string
+	Address   netip.AddrPort // for the streams of agents
+	Store     rosemarysill.TransactionalStore
+	Copy      *jobstore.Copy
+	Desk      Desk
+	LeaseMin  time.Duration // shortest lease of the store
+	StatusFor time.Duration // for which final jobs are kept at least
+	Log       zerolog.Logger
+}
+
+// Leader takes part in the election and leads while it is elected.
+type Leader struct {
+	cfg  Config
+	ttl  time.Duration
+	done chan struct{}
+
+	mu   sync.Mutex
+	term *term // nil while another entry leads
+}
+
+var _ control.Leader = (*Leader)(nil)
+
+// New returns an entry's part in the election.
+func New(cfg Config) *Leader {
+	return &Leader{cfg: cfg, ttl: max(leaseTTL, cfg.LeaseMin), done: make(chan struct{})}
+}
+
+// Done is closed when the leader has ended.
+func (l *Leader) Done() <-chan struct{} { return l.done }
+
+// Run takes part in the election until ctx ends, and gives the lead up then.
+func (l *Leader) Run(ctx context.Context) {
+	defer close(l.done)
+	for ctx.Err() == nil {
+		if _, version := l.cfg.Copy.Seat(); version == 0 && isListed(l.cfg.Copy) {
+			if t, err := l.elect(ctx); err == nil {
+				l.lead(ctx, t)
+				continue
+			} else if !errors.Is(err, rosemarysill.ErrVersion) && ctx.Err() == nil {
+				l.cfg.Log.Debug().Err(err).Msg("election failed")
+			}
+			wait(ctx, electPause)
+			continue
+		}
+		wait(ctx, electPause/4)
+	}
+}
+
+func isListed(c *jobstore.Copy) bool {
+	select {
+	case <-c.Listed():
+		return true
+	default:
+		return false
+	}
+}
+
+// elect tries to take the seat.
+func (l *Leader) elect(ctx context.Context) (*term, error) {
+	asked := uptime.Now()
+	lease, err := l.cfg.Store.Grant(ctx, l.ttl)
+	if err != nil {
+		return nil, err
+	}
+	epoch, epochAt := l.cfg.Copy.Epoch()
+	seat := jobstore.Seat{Name: l.cfg.Name, Address: l.cfg.Address, Epoch: epoch + 1}
+	seatValue, err := jobstore.EncodeSeat(seat)
+	if err != nil {
+		return nil, err
+	}
+	epochValue, err := jobstore.EncodeEpoch(seat.Epoch)
+	if err != nil {
+		return nil, err
+	}
+	revision, _, err := l.cfg.Store.Commit(ctx, rosemarysill.Commit{
+		Guards: []rosemarysill.Guard{{Key: jobstore.LeaderKey}, {Key: jobstore.EpochKey, Version: epochAt}},
+		Writes: []rosemarysill.Write{{Key: jobstore.LeaderKey, Value: seatValue, Lease: lease}, {Key: jobstore.EpochKey, Value: epochValue}},
+	})
+	if err != nil {
+		l.release(lease)
+		return nil, err
+	}
+	return newTerm(l.cfg, seat, revision, lease, asked.Add(l.ttl)), nil
+}
+
+// release ends a lease, so that another entry need not wait for its end.
+func (l *Leader) release(lease rosemarysill.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := l.cfg.Store.Revoke(ctx, lease); err != nil {
+		l.cfg.Log.Debug().Err(err).Msg("lease not released; it lapses")
+	}
+}
+
+// lead serves one term.
+func (l *Leader) lead(ctx context.Context, t *term) {
+	event.LeaderElected.Log(l.cfg.Log).Uint64("Epoch", t.seat.Epoch).Send()
+	termCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var parts sync.WaitGroup
+	parts.Go(func() { defer cancel(); t.renew(termCtx) })
+	if t.load(termCtx) {
+		l.mu.Lock()
+		l.term = t
+		l.mu.Unlock()
+		parts.Go(func() { defer cancel(); t.run(termCtx) })
+	}
+	<-termCtx.Done()
+	l.mu.Lock()
+	l.term = nil
+	l.mu.Unlock()
+	parts.Wait()
+	t.close()
+	if ctx.Err() != nil {
+		l.release(t.lease)
+		event.LeaderResigned.Log(l.cfg.Log).Uint64("Epoch", t.seat.Epoch).Send()
+		return
+	}
+	event.LeaderLost.Log(l.cfg.Log).Uint64("Epoch", t.seat.Epoch).AnErr("Cause", t.cause()).Send()
+	// The record lapses with the lease. Until the copy shows it, this entry
+	// would only see its own seat.
+	wait(ctx, electPause)
+}
+
+var errNotLeader = errors.New("this entry does not lead")
+
+// Attach implements control.Leader.
+func (l *Leader) Attach(s control.AgentStream) error {
+	l.mu.Lock()
+	t := l.term
+	l.mu.Unlock()
+	if t == nil {
+		return errNotLeader
+	}
+	return t.attach(s)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/leader/place.go
@@ -0,0 +1,220 @@
+package leader
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/schedule"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// place decides which tasks start, and which runs make room.
+func (t *term) place(now time.Time) {
+	reserved := t.reserved()
+	units := t.units(reserved)
+	if len(units) == 0 {
+		return
+	}
+	plan := schedule.Decide(t.fleet(reserved, now), units)
+	for _, k := range plan.Stops {
+		_, task := t.task(k)
+		t.stop(k, task, "room for a more urgent job")
+	}
+	runs := make(map[stepKey]int)
+	for _, p := range plan.Places {
+		t.placeTask(p, runs, now)
+	}
+}
+
+// stepKey names a step of an occurrence.
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+// placeTask records one place. The members of a gang get the same run number.
+func (t *term) placeTask(p schedule.Place, runs map[stepKey]int, now time.Time) {
+	k := work.RunKey{Task: p.Task}
+	s, task := t.task(k)
+	k.Run = task.Run + 1
+	if step := s.job.Steps[p.Task.Step]; step.Gang {
+		key := stepKey{p.Task.Job, p.Task.Occurrence, p.Task.Step}
+		if runs[key] == 0 {
+			for _, m := range s.progress.Step(s.job, p.Task.Occurrence, p.Task.Step) {
+				runs[key] = max(runs[key], m.Run+1)
+			}
+		}
+		k.Run = runs[key]
+	}
+	s.progress.Place(task, p.Worker, p.Ticket, k.Run)
+	s.dirty = true
+	t.workers[p.Worker].placed[k] = now
+	event.LeaderPlaced.Log(t.cfg.Log).Str("Job", p.Task.Job).Any("Run", k).Str("Worker", p.Worker).Int("Priority", s.job.Priority).
+		Dur("Waited", time.Since(s.job.Accepted)).Uint64("Epoch", t.seat.Epoch).Send()
+}
+
+// reserved returns the jobs of priority 0 that are within the guarantees of
+// their client accounts, oldest first.
+func (t *term) reserved() map[string]bool {
+	cfg := t.cfg.Desk.Configuration()
+	if cfg == nil {
+		return nil
+	}
+	var urgent []*jobState
+	for _, s := range t.jobs {
+		if s.job.Priority == 0 && !s.progress.State.Final() {
+			urgent = append(urgent, s)
+		}
+	}
+	slices.SortFunc(urgent, func(a, b *jobState) int { return a.job.Accepted.Compare(b.job.Accepted) })
+	used := make(map[string]int64)
+	in := make(map[string]bool)
+	for _, s := range urgent {
+		n := used[s.job.Account] + accelerators(s.job)
+		if n <= cfg.Accounts[s.job.Account].Guaranteed {
+			used[s.job.Account] = n
+			in[s.job.ID] = true
+		}
+	}
+	return in
+}
+
+// accelerators is what the widest step of a job needs.
+func accelerators(j *work.Job) int64 {
+	var n int64
+	for _, s := range j.Steps {
+		n = max(n, int64(s.Count)*s.Shape.Accelerators)
+	}
+	return n
+}
+
+// units returns what waits to be placed.
+func (t *term) units(reserved map[string]bool) []*schedule.Unit {
+	var units []*schedule.Unit
+	now := time.Now()
+	for _, s := range t.jobs {
+		if s.progress.State.Final() {
+			continue
+		}
+		for o := range s.job.Runs() {
+			for step := range s.job.Steps {
+				if s.progress.Ready(s.job, o, step, now) {
+					units = append(units, t.stepUnits(s, o, step, reserved[s.job.ID])...)
+				}
+			}
+		}
+	}
+	return units
+}
+
+// stepUnits returns the units of a step whose turn has come. A gang waits
+// until all runs of its members have ended.
+func (t *term) stepUnits(s *jobState, occurrence, step int, reserved bool) []*schedule.Unit {
+	tasks := s.progress.Step(s.job, occurrence, step)
+	var waiting []int
+	beside := make(map[string]int)
+	for i := range tasks {
+		switch {
+		case tasks[i].Placed():
+			beside[tasks[i].Worker]++
+		case !tasks[i].Done:
+			waiting = append(waiting, i)
+		}
+	}
+	gang := s.job.Steps[step].Gang
+	if len(waiting) == 0 || (gang && len(waiting) < len(tasks)) {
+		return nil
+	}
+	unit := schedule.Unit{
+		Job: s.job, Occurrence: occurrence, Step: step, Reserved: reserved, Due: due(s.job, occurrence), Beside: beside,
+	}
+	if gang {
+		unit.Indexes = waiting
+		return []*schedule.Unit{&unit}
+	}
+	units := make([]*schedule.Unit, 0, len(waiting))
+	for _, i := range waiting {
+		u := unit
+		u.Indexes = []int{i}
+		units = append(units, &u)
+	}
+	return units
+}
+
+// due is when an occurrence of a job should be done.
+func due(j *work.Job, occurrence int) time.Time {
+	from := j.Accepted
+	if d := j.Due(occurrence); d.After(from) {
+		from = d
+	}
+	chain := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, s := range j.Steps {
+		for _, a := range s.After {
+			chain[i] = max(chain[i], chain[a])
+		}
+		chain[i] += s.Estimate
+		longest = max(longest, chain[i])
+	}
+	return from.Add(j.Objective + time.Duration(j.Stretch*float64(longest)))
+}
+
+// fleet returns the workers as the policy sees them.
+func (t *term) fleet(reserved map[string]bool, now time.Time) []*schedule.Worker {
+	fleet := make([]*schedule.Worker, 0, len(t.workers))
+	for _, w := range t.workers {
+		if !w.attached {
+			continue
+		}
+		sw := &schedule.Worker{
+			ID: w.Incarnation, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
+			Open: t.open(w, now),
+		}
+		for k := range w.placed {
+			if run, ok := t.occupant(w, k, reserved, now); ok {
+				sw.Runs = append(sw.Runs, run)
+			}
+		}
+		for k := range w.strays {
+			if s, ok := t.jobs[k.Task.Job]; ok && s.progress.Task(s.job, k.Task) != nil {
+				sw.Runs = append(sw.Runs, schedule.Run{Key: k, Demand: schedule.Demand(s.job.Steps[k.Task.Step]), Stopping: true})
+			}
+		}
+		fleet = append(fleet, sw)
+	}
+	return fleet
+}
+
+// heardWithin is the age of the last report beyond which a worker gets no
+// tasks.
+const heardWithin = time.Second
+
+// open reports whether a worker takes tasks.
+func (t *term) open(w *workerState, now time.Time) bool {
+	_, streaming := t.streams[w.Incarnation]
+	return streaming && !w.Draining && !w.Silent && now.After(w.closed) && now.Sub(w.heard) < heardWithin &&
+		!t.cfg.Desk.DomainOut(w.Domain) && !w.health.avoided(now)
+}
+
+// occupant describes a run that is ordered on a worker.
+func (t *term) occupant(w *workerState, k work.RunKey, reserved map[string]bool, now time.Time) (schedule.Run, bool) {
+	s, task := t.task(k)
+	if task == nil || task.Worker != w.Incarnation || task.Run != k.Run {
+		delete(w.placed, k)
+		return schedule.Run{}, false
+	}
+	step := s.job.Steps[k.Task.Step]
+	run := schedule.Run{
+		Key: k, Demand: schedule.Demand(step), Priority: s.job.Priority, Reserved: reserved[s.job.ID], Stopping: task.Stop,
+		Cost: step.Shape.Cores() * now.Sub(w.placed[k]).Seconds(),
+	}
+	if step.Checkpointing {
+		run.Cost = step.Shape.Cores()
+	}
+	if step.Gang {
+		run.Group = fmt.Sprint(k.Task.Job, "/", k.Task.Occurrence, "/", k.Task.Step)
+	}
+	return run, true
+}
--- /dev/null
+++ b/leader/term.go
@@ -0,0 +1,255 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/uptime"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// jobState is a job during a term.
+type jobState struct {
+	job       *work.Job
+	progress  *work.Progress // as decided
+	recorded  []work.Task    // as last committed
+	version   uint64         // of the record of the progress, 0 if there is none
+	dirty     bool           // progress differs from the record
+	announced bool           // the final state was logged
+}
+
+// workerState is an incarnation of a worker during a term.
+type workerState struct {
+	control.Worker
+	agent     string
+	heard     time.Time // receipt of the last report
+	attached  bool      // known from a report, not only from records
+	running   []work.RunStatus
+	applied   uint64 // ends up to this one are in the progress of jobs
+	recorded  uint64 // and are committed
+	closed    time.Time
+	strays    map[work.RunKey]bool
+	placed    map[work.RunKey]time.Time // runs ordered here, and when
+	health    health
+}
+
+// term is the time in which this entry leads.
+type term struct {
+	cfg   Config
+	seat  jobstore.Seat
+	at    uint64 // version of the leader's record
+	lease rosemarysill.LeaseID
+
+	elected time.Time
+	ended   chan struct{}
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	valid   time.Time // the lease holds until then
+	jobs    map[string]*jobState
+	workers map[string]*workerState
+	streams map[string]chan struct{} // wakes the sender of a worker's stream
+	gone    map[string]bool          // incarnations that have ended
+	why     error
+}
+
+func newTerm(cfg Config, seat jobstore.Seat, at uint64, lease rosemarysill.LeaseID, valid time.Time) *term {
+	return &term{
+		cfg: cfg, seat: seat, at: at, lease: lease, valid: valid, elected: uptime.Now(),
+		ended: make(chan struct{}), wake: make(chan struct{}, 1),
+		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
+		streams: make(map[string]chan struct{}), gone: make(map[string]bool),
+	}
+}
+
+// close ends the streams of agents.
+func (t *term) close() { close(t.ended) }
+
+func (t *term) cause() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.why
+}
+
+func (t *term) end(why error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.why == nil {
+		t.why = why
+	}
+}
+
+var errLeaseLapsed = errors.New("the lease of the seat has lapsed")
+
+// renew keeps the lease until it lapses or ctx ends.
+func (t *term) renew(ctx context.Context) {
+	for {
+		wait(ctx, renewEvery)
+		if ctx.Err() != nil {
+			return
+		}
+		asked := uptime.Now()
+		callCtx, cancel := context.WithTimeout(ctx, renewEvery)
+		err := t.cfg.Store.Renew(callCtx, t.lease)
+		cancel()
+		t.mu.Lock()
+		if err == nil {
+			t.valid = asked.Add(max(leaseTTL, t.cfg.LeaseMin))
+		}
+		lapsed := uptime.Now().After(t.valid)
+		t.mu.Unlock()
+		if errors.Is(err, rosemarysill.ErrLeaseLapsed) || lapsed {
+			t.end(errors.CombineErrors(errLeaseLapsed, err))
+			return
+		}
+	}
+}
+
+// load reads the records once the copy shows this entry's seat: the changes
+// come in order, so it then has everything that earlier leaders wrote.
+func (t *term) load(ctx context.Context) bool {
+	for {
+		if _, at := t.cfg.Copy.Seat(); at == t.at {
+			break
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		wait(ctx, 5*time.Millisecond)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.cfg.Copy.All() {
+		t.merge(id, e)
+	}
+	for _, s := range t.jobs {
+		forEachTask(s, func(k work.TaskKey, task *work.Task) {
+			if !task.Placed() {
+				return
+			}
+			w := t.workers[task.Worker]
+			if w == nil {
+				w = newWorkerState(control.Worker{Incarnation: task.Worker}, "", t.elected)
+				t.workers[task.Worker] = w
+			}
+			w.placed[work.RunKey{Task: k, Run: task.Run}] = t.elected
+		})
+		if s.progress.State.Final() {
+			s.announced = true
+			t.stopAll(s, "the job is "+string(s.progress.State))
+		}
+	}
+	return true
+}
+
+func newWorkerState(w control.Worker, agent string, heard time.Time) *workerState {
+	return &workerState{
+		Worker: w, agent: agent, heard: heard,
+		strays: make(map[work.RunKey]bool), placed: make(map[work.RunKey]time.Time),
+	}
+}
+
+// merge takes a job, or its cancellation, from the copy.
+func (t *term) merge(id string, e jobstore.Entry) {
+	s, ok := t.jobs[id]
+	if !ok {
+		p := e.Clone()
+		s = &jobState{job: e.Job, progress: p, version: e.ProgressVersion}
+		s.recorded = append(s.recorded, p.Tasks...)
+		t.jobs[id] = s
+	}
+	if e.Cancelled && s.progress.Cancel(time.Now()) {
+		s.dirty = true
+		t.stopAll(s, "cancelled")
+	}
+}
+
+// stopAll stops all runs of a job.
+func (t *term) stopAll(s *jobState, why string) {
+	forEachTask(s, func(k work.TaskKey, task *work.Task) {
+		if task.Placed() {
+			t.stop(work.RunKey{Task: k, Run: task.Run}, task, why)
+		}
+	})
+}
+
+// stop marks a run as being stopped and wakes its agent.
+func (t *term) stop(k work.RunKey, task *work.Task, why string) {
+	if task.Stop {
+		return
+	}
+	task.Stop = true
+	event.LeaderStopped.Log(t.cfg.Log).Str("Job", k.Task.Job).Any("Run", k).Str("Worker", task.Worker).Str("Why", why).Send()
+	t.poke(task.Worker)
+}
+
+// poke wakes the sender of a worker's stream.
+func (t *term) poke(incarnation string) {
+	if c, ok := t.streams[incarnation]; ok {
+		notify(c)
+	}
+}
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// forEachTask calls f for each task of a job with its key.
+func forEachTask(s *jobState, f func(work.TaskKey, *work.Task)) {
+	i := 0
+	for o := range s.job.Runs() {
+		for step, st := range s.job.Steps {
+			for n := range st.Count {
+				f(work.TaskKey{Job: s.job.ID, Occurrence: o, Step: step, Index: n}, &s.progress.Tasks[i])
+				i++
+			}
+		}
+	}
+}
+
+// run decides and commits until ctx ends or the seat is lost.
+func (t *term) run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		b := t.decide()
+		if b != nil {
+			if err := t.commit(ctx, b); err != nil {
+				t.end(err)
+				return
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+		case <-t.cfg.Copy.Changed():
+		case <-ticker.C:
+		}
+	}
+}
+
+// decide takes what is new, places tasks, and returns what is to be committed,
+// or nil if nothing is.
+func (t *term) decide() *batch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := uptime.Now()
+	for id, e := range t.cfg.Copy.Drain() {
+		t.merge(id, e)
+	}
+	t.loseWorkers(now)
+	t.place(now)
+	return t.gather()
+}
--- /dev/null
+++ b/runner/ledger.go
@@ -0,0 +1,262 @@
+// Package runner is the agent beside a worker. It keeps the leases of the
+// worker's runs, carries out the leader's orders, and reports what runs and
+// what has ended.
+package runner
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+const (
+	// silentAfter is the time without an answer after which a worker gets no
+	// more tasks.
+	silentAfter = 1500 * time.Millisecond
+	// rememberGone bounds the incarnations that are reported as ended.
+	rememberGone = 16
+)
+
+// ledger is what an agent knows about its worker. It is pure: the caller gives
+// the time.
+type ledger struct {
+	instance work.Announcement
+	known    bool // instance has announced itself
+	answered bool // and has answered since with the present fence
+	left     bool
+	gone     []string
+
+	fence      int64 // of the next call
+	fenceSeen  int64 // highest fence with which the worker has answered
+	clock      time.Duration
+	clockAt    time.Time // when the answer with clock arrived
+	answerAt   time.Time
+	until      time.Time // latest end of a lease that the worker may have
+	leaseFrom  time.Time // stamp of the report that the leader has answered
+	epoch      uint64
+	seen       uint64 // ends that the leader has recorded
+	running    []work.RunStatus
+	ended      []work.RunEnd
+	refused    []control.Refused
+	unanswered map[work.RunKey]int64 // highest fence of an unanswered start
+	stopped    map[work.RunKey]int64 // stops that the worker has answered, and their fences
+}
+
+func newLedger(fence int64) *ledger {
+	return &ledger{fence: fence, unanswered: make(map[work.RunKey]int64), stopped: make(map[work.RunKey]int64)}
+}
+
+// incarnation names the present life of the worker.
+func (l *ledger) incarnation() string { return incarnationOf(l.instance.ID, l.instance.Born) }
+
+func incarnationOf(id string, born int64) string { return id + "/" + strconv.FormatInt(born, 10) }
+
+// announce takes a status report of the worker and reports whether it began a
+// new incarnation. Reports of earlier incarnations, and reports that were
+// overtaken, change nothing.
+func (l *ledger) announce(a work.Announcement, now time.Time) bool {
+	if l.known && a.Born < l.instance.Born {
+		return false
+	}
+	if slices.Contains(l.gone, incarnationOf(a.ID, a.Born)) {
+		return false
+	}
+	if l.known && a.ID == l.instance.ID && a.Born == l.instance.Born {
+		if a.Sequence > l.instance.Sequence {
+			l.instance = a
+		}
+		return false
+	}
+	l.renew(a, now)
+	return true
+}
+
+// renew begins a new incarnation. The fence rises, so calls meant for the
+// earlier one that arrive late have no effect after the first answer.
+func (l *ledger) renew(a work.Announcement, now time.Time) {
+	if l.known {
+		l.end(l.incarnation())
+	}
+	l.instance, l.known, l.left, l.answered = a, true, false, false
+	l.fence++
+	l.fenceSeen, l.seen, l.running, l.ended, l.refused = 0, 0, nil, nil, nil
+	l.clock, l.clockAt, l.answerAt = 0, time.Time{}, now
+	// An earlier process of this agent may have leased runs until then.
+	l.until = now.Add(control.Lease)
+	clear(l.unanswered)
+	clear(l.stopped)
+}
+
+func (l *ledger) end(incarnation string) {
+	l.gone = append(l.gone, incarnation)
+	if len(l.gone) > rememberGone {
+		l.gone = l.gone[1:]
+	}
+}
+
+// leave notes that the worker has gone.
+func (l *ledger) leave(id string) {
+	if l.known && l.instance.ID == id {
+		l.end(l.incarnation())
+		l.known, l.answered, l.left = false, false, true
+		l.running, l.ended, l.refused = nil, nil, nil
+	}
+}
+
+// lease takes the leader's answer to a report.
+func (l *ledger) lease(o control.Orders) bool {
+	if o.Epoch < l.epoch {
+		return false
+	}
+	l.epoch = o.Epoch
+	if o.Leased && o.Echo.After(l.leaseFrom) {
+		l.leaseFrom = o.Echo
+	}
+	if o.Incarnation == l.incarnation() && o.Seen > l.seen {
+		l.seen = o.Seen
+		l.ended = slices.DeleteFunc(l.ended, func(e work.RunEnd) bool { return e.Seq <= l.seen })
+	}
+	return true
+}
+
+// deadline returns the time of the worker's clock until which runs may be
+// leased, or 0 if no lease may be given. The worker's clock may be slow, so
+// the lease is shorter on it.
+func (l *ledger) deadline(now time.Time) time.Duration {
+	until := l.leaseFrom.Add(control.Lease)
+	if l.clockAt.IsZero() || !until.After(now) {
+		return 0
+	}
+	left := until.Sub(l.clockAt)
+	if until.After(l.until) {
+		l.until = until
+	}
+	return l.clock + time.Duration(float64(left)*(1-control.ClockDrift))
+}
+
+// answer takes what the worker says and reports whether it changed anything
+// that the leader should know at once.
+func (l *ledger) answer(look work.Look, fence int64, now time.Time) bool {
+	if look.Refusal == work.RefusedInstance {
+		return false
+	}
+	if look.Refusal == work.RefusedFence {
+		l.raise(fence + fenceLeap)
+		return false
+	}
+	if look.Refusal != work.RefusedOther {
+		l.fenceSeen = max(l.fenceSeen, fence)
+		l.answerAt = now
+	}
+	if look.Clock > 0 {
+		l.clock, l.clockAt = look.Clock, now
+	}
+	return true
+}
+
+// fenceLeap passes the fences of an earlier agent whose clock was ahead.
+const fenceLeap = 60_000
+
+// raise makes the fence at least n.
+func (l *ledger) raise(n int64) { l.fence = max(l.fence, n) }
+
+// look takes the lists of a hold and reports whether they changed.
+func (l *ledger) look(look work.Look, fence int64, now time.Time) bool {
+	if !l.answer(look, fence, now) || look.Refusal != work.Accepted {
+		return false
+	}
+	if look.Born > l.instance.Born {
+		a := l.instance
+		a.Born, a.Sequence = look.Born, 0
+		l.renew(a, now)
+		return true
+	}
+	changed := !l.answered
+	l.answered = l.answered || fence >= l.fence
+	changed = changed && l.answered
+	changed = changed || !sameRuns(l.running, look.Running)
+	l.running = look.Running
+	for _, e := range look.Ended {
+		known := slices.ContainsFunc(l.ended, func(o work.RunEnd) bool { return o.Seq == e.Seq })
+		if e.Seq > l.seen && !known {
+			l.ended = append(l.ended, e)
+			changed = true
+		}
+	}
+	return l.resolveStops(fence) || changed
+}
+
+// resolveStops refuses the starts of runs that were stopped before they came:
+// the worker has answered the stop and then lists them neither as running nor
+// as ended.
+func (l *ledger) resolveStops(fence int64) bool {
+	changed := false
+	for k, f := range l.stopped {
+		switch {
+		case l.listed(k):
+			delete(l.stopped, k)
+		case fence >= f && l.refuse(k, work.RefusedOld):
+			delete(l.stopped, k)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func sameRuns(a, b []work.RunStatus) bool {
+	return slices.EqualFunc(a, b, func(x, y work.RunStatus) bool { return x.Key == y.Key && x.Saved == y.Saved })
+}
+
+// listed reports whether the run is known as running or ended.
+func (l *ledger) listed(k work.RunKey) bool {
+	return slices.ContainsFunc(l.running, func(s work.RunStatus) bool { return s.Key == k }) ||
+		slices.ContainsFunc(l.ended, func(e work.RunEnd) bool { return e.Key == k })
+}
+
+// refuse notes an order that will never be carried out. A start with a lower
+// fence that got no answer may still be carried out until the worker has seen
+// a higher one.
+func (l *ledger) refuse(k work.RunKey, why work.Refusal) bool {
+	if f, ok := l.unanswered[k]; ok && f >= l.fenceSeen {
+		return false
+	}
+	delete(l.unanswered, k)
+	if !slices.ContainsFunc(l.refused, func(r control.Refused) bool { return r.Key == k }) {
+		l.refused = append(l.refused, control.Refused{Key: k, Why: why})
+	}
+	return true
+}
+
+// lost notes a start that got no answer.
+func (l *ledger) lost(k work.RunKey, fence int64) {
+	l.unanswered[k] = max(l.unanswered[k], fence)
+	l.raise(fence + 1)
+}
+
+// settle forgets refusals that the leader has taken note of: it no longer
+// orders them.
+func (l *ledger) settle(o control.Orders) {
+	l.refused = slices.DeleteFunc(l.refused, func(r control.Refused) bool {
+		return !slices.Contains(o.Stops, r.Key) && !slices.ContainsFunc(o.Starts, func(s control.Start) bool { return s.Key == r.Key })
+	})
+}
+
+// report describes the worker for the leader.
+func (l *ledger) report(agent string, now time.Time) control.Report {
+	r := control.Report{Agent: agent, Stamp: now, Gone: slices.Clone(l.gone)}
+	if !l.known || !l.answered {
+		return r
+	}
+	a := l.instance
+	r.Worker = &control.Worker{
+		Incarnation: l.incarnation(), Service: a.Service, Domain: a.Domain, Rack: a.Rack, Labels: a.Labels,
+		Capacity: a.Capacity, Draining: a.State == work.WorkerDraining, Remaining: a.Remaining,
+		Silent: now.Sub(l.answerAt) > silentAfter,
+	}
+	r.Worker.Lapsed = r.Worker.Silent && now.After(l.until.Add(control.LapseMargin))
+	r.Running, r.Ended, r.Refused = slices.Clone(l.running), slices.Clone(l.ended), slices.Clone(l.refused)
+	return r
+}
--- /dev/null
+++ b/schedule/fleet.go
@@ -0,0 +1,85 @@
+// Package schedule decides which tasks run on which workers, and which runs
+// make room for them. It is pure.
+package schedule
+
+import (
+	"slices"
+
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Run is a run that occupies a worker.
+type Run struct {
+	Key      work.RunKey
+	Demand   work.Shape
+	Priority int
+	Reserved bool    // within the guarantee of its client account
+	Group    string  // runs of one gang, which end together; empty for others
+	Cost     float64 // core-seconds that are lost if it is stopped
+	Stopping bool
+}
+
+// Worker is a worker that is in touch.
+type Worker struct {
+	ID       string // incarnation
+	Service  string
+	Domain   string
+	Rack     string
+	Labels   []string
+	Capacity work.Shape
+	Open     bool // takes tasks
+	Runs     []Run
+}
+
+// Demand is what a task of the step takes of its worker. A step that fills
+// uses processor time that is left over.
+func Demand(s work.Step) work.Shape {
+	d := s.Shape
+	if s.Fills {
+		d.MilliCPU = 0
+	}
+	return d
+}
+
+// room is what is free at a worker.
+type room struct {
+	*Worker
+	free work.Shape // now
+	soon work.Shape // once all runs that are being stopped have ended
+}
+
+func newRoom(w *Worker) *room {
+	r := &room{Worker: w, free: w.Capacity, soon: w.Capacity}
+	for _, run := range w.Runs {
+		r.free = r.free.Sub(run.Demand)
+		if !run.Stopping {
+			r.soon = r.soon.Sub(run.Demand)
+		}
+	}
+	return r
+}
+
+// take reserves a demand, which others can use neither now nor soon.
+func (r *room) take(d work.Shape) {
+	r.soon = r.soon.Sub(d)
+	r.free = minShape(r.free, r.soon)
+}
+
+// place uses a demand now.
+func (r *room) place(d work.Shape) {
+	r.soon = r.soon.Sub(d)
+	r.free = r.free.Sub(d)
+}
+
+func minShape(a, b work.Shape) work.Shape {
+	return work.Shape{
+		MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMB: min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+// allows reports whether the step may ever run on the worker.
+func (r *room) allows(j *work.Job, s work.Step) bool {
+	return r.Service == j.Service && Demand(s).Fits(r.Capacity) &&
+		(s.Requirement == "" || slices.Contains(r.Labels, s.Requirement))
+}
--- /dev/null
+++ b/schedule/pass.go
@@ -0,0 +1,171 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// pass is the state of one decision.
+type pass struct {
+	rooms []*room
+	plan  Plan
+}
+
+// Decide places as many units as fit, and stops runs for urgent ones.
+func Decide(workers []*Worker, units []*Unit) Plan {
+	p := &pass{}
+	for _, w := range workers {
+		p.rooms = append(p.rooms, newRoom(w))
+	}
+	slices.SortFunc(p.rooms, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
+	order(units)
+	for _, u := range units {
+		p.decide(u)
+	}
+	return p.plan
+}
+
+func (p *pass) decide(u *Unit) {
+	for _, set := range p.candidates(u) {
+		if chosen := fit(u, set, func(r *room) work.Shape { return r.free }); chosen != nil {
+			p.start(u, chosen)
+			return
+		}
+	}
+	if u.Job.Priority > 0 {
+		return
+	}
+	for _, set := range p.candidates(u) {
+		if chosen := fit(u, set, func(r *room) work.Shape { return r.soon }); chosen != nil {
+			for _, r := range chosen {
+				r.take(Demand(u.step()))
+			}
+			return
+		}
+	}
+	for _, set := range p.candidates(u) {
+		if p.preempt(u, set) {
+			return
+		}
+	}
+}
+
+func (p *pass) start(u *Unit, chosen []*room) {
+	for i, r := range chosen {
+		r.place(Demand(u.step()))
+		p.plan.Places = append(p.plan.Places, Place{
+			Task:   work.TaskKey{Job: u.Job.ID, Occurrence: u.Occurrence, Step: u.Step, Index: u.Indexes[i]},
+			Worker: r.ID, Ticket: u.Advised[r.ID],
+		})
+	}
+}
+
+// candidates returns the sets of workers to try in turn: those of one rack for
+// a step that is slower elsewhere, and then all if the step can run in no
+// single rack.
+func (p *pass) candidates(u *Unit) [][]*room {
+	s := u.step()
+	var open, possible []*room
+	for _, r := range p.rooms {
+		if !r.allows(u.Job, s) {
+			continue
+		}
+		if _, ok := u.Advised[r.ID]; u.Job.Advised && !ok {
+			continue
+		}
+		possible = append(possible, r)
+		if r.Open {
+			open = append(open, r)
+		}
+	}
+	near := ""
+	switch {
+	case s.DataRack != "":
+		near = s.DataRack
+	case !s.Gang || !s.SameRack:
+		return [][]*room{open}
+	}
+	racks := byRack(open)
+	var sets [][]*room
+	for _, rack := range racks {
+		if near == "" || rack[0].Rack == near {
+			sets = append(sets, rack)
+		}
+	}
+	if u.Job.Priority == 0 || !holdsInRack(u, racks, near) {
+		sets = append(sets, open)
+	}
+	return sets
+}
+
+// holdsInRack reports whether a rack could hold the whole unit if it were
+// empty.
+func holdsInRack(u *Unit, racks [][]*room, near string) bool {
+	for _, rack := range racks {
+		if near != "" && rack[0].Rack != near {
+			continue
+		}
+		if fit(u, rack, func(r *room) work.Shape { return r.Capacity }) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func byRack(rooms []*room) [][]*room {
+	index := make(map[string]int)
+	var racks [][]*room
+	for _, r := range rooms {
+		i, ok := index[r.Rack]
+		if !ok {
+			i = len(racks)
+			index[r.Rack] = i
+			racks = append(racks, nil)
+		}
+		racks[i] = append(racks[i], r)
+	}
+	// The rack with the least free accelerators comes first, so that whole
+	// racks stay free for large gangs.
+	slices.SortStableFunc(racks, func(a, b []*room) int { return cmp.Compare(freeCores(a), freeCores(b)) })
+	return racks
+}
+
+func freeCores(rooms []*room) float64 {
+	var n float64
+	for _, r := range rooms {
+		n += r.free.Cores()
+	}
+	return n
+}
+
+// fit chooses a worker for each task of the unit, or returns nil if they do
+// not all fit.
+func fit(u *Unit, rooms []*room, available func(*room) work.Shape) []*room {
+	d, s := Demand(u.step()), u.step()
+	left := make([]work.Shape, len(rooms))
+	beside := make([]int, len(rooms))
+	for i, r := range rooms {
+		left[i], beside[i] = available(r), u.Beside[r.ID]
+	}
+	chosen := make([]*room, 0, len(u.Indexes))
+	for range u.Indexes {
+		best := -1
+		for i := range rooms {
+			if !d.Fits(left[i]) || (s.MaxPerWorker > 0 && beside[i] >= s.MaxPerWorker) {
+				continue
+			}
+			if best < 0 || left[i].Cores() < left[best].Cores() {
+				best = i
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		left[best] = left[best].Sub(d)
+		beside[best]++
+		chosen = append(chosen, rooms[best])
+	}
+	return chosen
+}
--- /dev/null
+++ b/schedule/unit.go
@@ -0,0 +1,60 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Unit is what is placed as a whole: a gang, or one task.
+type Unit struct {
+	Job        *work.Job
+	Occurrence int
+	Step       int
+	Indexes    []int
+	Reserved   bool           // within the guarantee of the client account
+	Due        time.Time      // when the job should be done
+	Beside     map[string]int // tasks of the step that each worker has
+	Advised    map[string]string
+}
+
+func (u *Unit) step() work.Step { return u.Job.Steps[u.Step] }
+
+// Place is the decision to start a task.
+type Place struct {
+	Task   work.TaskKey
+	Worker string
+	Ticket string
+}
+
+// Plan is what a pass decides.
+type Plan struct {
+	Places []Place
+	Stops  []work.RunKey
+}
+
+// order sorts units by what is served first: priority, then guarantees, then
+// the time at which the job should be done.
+func order(units []*Unit) {
+	slices.SortStableFunc(units, func(a, b *Unit) int {
+		return cmp.Or(
+			cmp.Compare(a.Job.Priority, b.Job.Priority),
+			compareBool(b.Reserved, a.Reserved),
+			a.Due.Compare(b.Due),
+			cmp.Compare(a.Job.ID, b.Job.ID),
+		)
+	})
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/station/agent.go
@@ -0,0 +1,24 @@
+package station
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/runner"
+)
+
+// Agent runs the agent beside a worker until ctx ends. It ends at once: the
+// worker keeps its runs until their leases lapse.
+func Agent(ctx context.Context, n platform.Node, log zerolog.Logger) error {
+	store := platform.NewStore(n.Store, storeTimeout)
+	defer store.Close()
+	w := platform.NewWorker(n.Worker)
+	defer w.Close()
+	listeners, err := listen(n.Control)
+	if err != nil {
+		return err
+	}
+	return runner.New(runner.Config{Name: n.Name, Store: store, Runtime: w, Register: platform.Register, Log: log}).Run(ctx, listeners[0])
+}
--- /dev/null
+++ b/station/entry.go
@@ -0,0 +1,125 @@
+// Package station builds the two processes that run on the users' platform: an
+// entry, which serves callers and takes part in the election of the leader,
+// and the agent beside a worker.
+package station
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/desk"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/gateway"
+	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/leader"
+	"github.com/rosemarysill/rosemarysill/platform"
+)
+
+const (
+	// storeTimeout ends a call to the store, which answers in a few
+	// milliseconds; one that is 60 times slower still answers in time.
+	storeTimeout = 800 * time.Millisecond
+	// headerBytes, headerWait and idleWait bound a caller's connection.
+	headerBytes = 16 << 10
+	headerWait  = 3 * time.Second
+	idleWait    = 15 * time.Second
+	// drainShare is the part of the time between SIGTERM and SIGKILL in which
+	// an entry still takes requests: the balancer needs two misses of a look a
+	// second, and callers with open connections send on.
+	drainShare = 0.6
+)
+
+// Entry runs an entry until ctx ends, and then for as long as requests may
+// still arrive.
+func Entry(ctx context.Context, n platform.Node, log zerolog.Logger) error {
+	store := platform.NewStore(n.Store, storeTimeout)
+	defer store.Close()
+	copied := jobstore.NewCopy(store, log)
+	documents := desk.New(store, platform.Documents{}, log)
+	gate := gateway.New(gateway.Config{Store: store, Copy: copied, Desk: documents, Revoke: n.Revoke, Log: log})
+	lead := leader.New(leader.Config{
+		Name: n.Name, Address: n.Internal, Store: store, Copy: copied, Desk: documents,
+		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, Log: log,
+	})
+	listeners, err := listen(n.Callers, n.Ready, n.Internal)
+	if err != nil {
+		return err
+	}
+	callers := &http.Server{
+		Handler: platform.NewCallers(gate), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes,
+	}
+	ready := &http.Server{Handler: readiness(ctx, gate), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
+	streams := grpc.NewServer()
+	control.Register(streams, lead)
+
+	event.QueueStarted.Log(log).Str("Entry", n.Name).Str("Domain", n.Domain).Send()
+	follow, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var parts sync.WaitGroup
+	parts.Go(func() { copied.Run(follow) })
+	parts.Go(func() { documents.Run(follow) })
+	parts.Go(func() { lead.Run(ctx) })
+	failed := make(chan error, 3)
+	parts.Go(func() { failed <- served(callers.Serve(listeners[0])) })
+	parts.Go(func() { failed <- served(ready.Serve(listeners[1])) })
+	parts.Go(func() { failed <- streams.Serve(listeners[2]) })
+
+	select {
+	case <-ctx.Done():
+		event.QueueStopping.Log(log).Str("Entry", n.Name).Send()
+		err = drain(callers, n.ShutdownGrace)
+	case err = <-failed:
+	}
+	stop()
+	streams.Stop()
+	err = errors.CombineErrors(err, errors.CombineErrors(callers.Close(), ready.Close()))
+	if ctx.Err() != nil {
+		parts.Wait()
+	}
+	event.QueueStopped.Log(log).Str("Entry", n.Name).AnErr("Cause", err).Send()
+	return err
+}
+
+// drain serves on for a while and then finishes the requests in progress.
+func drain(callers *http.Server, grace time.Duration) error {
+	time.Sleep(time.Duration(float64(grace) * drainShare))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(grace)*(1-drainShare)/2))
+	defer cancel()
+	return callers.Shutdown(ctx)
+}
+
+// readiness tells the balancer whether this entry takes callers.
+func readiness(ctx context.Context, g *gateway.Gateway) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if ctx.Err() != nil || !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func listen(addresses ...netip.AddrPort) ([]net.Listener, error) {
+	var all []net.Listener
+	for _, a := range addresses {
+		l, err := net.Listen("tcp4", a.String())
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen at %s", a)
+		}
+		all = append(all, l)
+	}
+	return all, nil
+}
