schedule: units of one step share their count by worker

Ruled out: stale reports; the count was wrong inside one pass. The test failed before with 8 places on three workers.

--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -41,6 +41,7 @@
 		if chosen := fit(u, set, func(r *room) work.Shape { return r.soon }); chosen != nil {
 			for _, r := range chosen {
 				r.take(Demand(u.step()))
+				u.Beside[r.ID]++
 			}
 			return
 		}
@@ -55,6 +56,7 @@
 func (p *pass) start(u *Unit, chosen []*room) {
 	for i, r := range chosen {
 		r.place(Demand(u.step()))
+		u.Beside[r.ID]++
 		p.plan.Places = append(p.plan.Places, Place{
 			Task:   work.TaskKey{Job: u.Job.ID, Occurrence: u.Occurrence, Step: u.Step, Index: u.Indexes[i]},
 			Worker: r.ID, Ticket: u.Advised[r.ID],
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -21,9 +21,6 @@
 	for _, r := range p.rooms {
 		t.soon[r] = r.soon
 	}
-	if t.beside == nil {
-		t.beside = make(map[string]int)
-	}
 	chosen := make([]*room, 0, len(u.Indexes))
 	for range u.Indexes {
 		r := t.cheapest(rooms)
@@ -50,6 +47,7 @@
 	}
 	for _, r := range chosen {
 		r.take(Demand(t.unit.step()))
+		t.unit.Beside[r.ID]++
 	}
 }
 
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -14,10 +14,10 @@
 	Occurrence int
 	Step       int
 	Indexes    []int
-	Reserved   bool           // within the guarantee of the client account
-	Due        time.Time      // when the job should be done
-	Beside     map[string]int // tasks of the step that each worker has
-	Advised    map[string]string
+	Reserved   bool              // within the guarantee of the client account
+	Due        time.Time         // when the job should be done
+	Beside     map[string]int    // tasks of the step that each worker has; shared by the units of the step
+	Advised    map[string]string // tickets of the workers that may run the step, if the job is advised
 }
 
 func (u *Unit) step() work.Step { return u.Job.Steps[u.Step] }
