leader, runner: stops once, earlier lives of a worker end with a report of the next, stalled runs and leaving workers are left

Cause: (1) a finished order made the agent report at once, and the leader repeated the stop in its answer: up to 400 stops a second of one run. (2) After all machines lost power, the runs of the earlier workers were waited for until their leases had lapsed, 5.5 s, though the same machines had new workers. (3) A run of 10 s on a leaving worker ran to its loss. (4) A run that stood still was never moved. Ruled out: the stop itself (the worker listed the end within its grace).

--- /dev/null
+++ b/cmd/rosemarysill/explain.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/history"
+)
+
+func explainCommands() []command {
+	return []command{
+		{name: "explain", short: "Print the life of a job from logs", data: &explainCommand{},
+			long: "Reads logs of entries and agents and prints the lines about one job in the order of their times. docs/OPERATIONS.md tells how to read them."},
+	}
+}
+
+type explainCommand struct {
+	Args struct {
+		ID    string   `positional-arg-name:"ID" required:"true" description:"Identifier of the job"`
+		Files []string `positional-arg-name:"FILE" required:"1" description:"Log files"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute prints the lines about the job.
+func (c *explainCommand) Execute([]string) error {
+	r := history.Reader{ID: c.Args.ID}
+	for _, name := range c.Args.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return rosemarysill.NewError(rosemarysill.InvalidArguments, "%v", err)
+		}
+		err = r.Read(name, f)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return rosemarysill.NewError(rosemarysill.InvalidArguments, "%v", err)
+		}
+	}
+	if r.Bad > 0 {
+		fmt.Fprintf(os.Stderr, "%d lines cannot be read\n", r.Bad)
+	}
+	if len(r.Lines) == 0 {
+		return rosemarysill.NewError(rosemarysill.UnknownJob, "no line about job %s", c.Args.ID)
+	}
+	return r.Print(os.Stdout)
+}
--- a/cmd/rosemarysill/main.go
+++ b/cmd/rosemarysill/main.go
@@ -104,6 +104,7 @@
 	all = append(all, operatorCommands()...)
 	all = append(all, processCommands()...)
 	all = append(all, nodeCommands()...)
+	all = append(all, explainCommands()...)
 	all = append(all, checkCommands()...)
 	all = append(all, demoCommands()...)
 	return all
--- a/cmd/rosemarysill/node.go
+++ b/cmd/rosemarysill/node.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return rosemarysill.NewError(rosemarysill.InvalidArguments, "%v", err)
 	}
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" // lines of several processes are put in order
 	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
 	path := os.Getenv(platform.BootVariable)
 	n, err := platform.ReadNode(path)
--- a/control/message.go
+++ b/control/message.go
@@ -6,6 +6,7 @@
 package control
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/work"
@@ -37,6 +38,13 @@
 	return time.Duration(float64(Lease)*(1+2*ClockDrift)) + LapseMargin
 }
 
+// Incarnation names one life of the worker beside an agent. A machine has one
+// worker at a time, so a later life shows that the earlier ones have ended.
+func Incarnation(agent, life string) string { return agent + "/" + life }
+
+// IsOf reports whether an incarnation is of the worker beside an agent.
+func IsOf(incarnation, agent string) bool { return strings.HasPrefix(incarnation, agent+"/") }
+
 // Worker is the incarnation of a worker beside an agent.
 type Worker struct {
 	Incarnation string
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -80,7 +80,7 @@
 		w = t.worker(s, r, now)
 		t.adopt(w, r, now)
 	}
-	for _, g := range r.Gone {
+	for _, g := range t.predecessors(r) {
 		t.lose(g, "ended", now)
 	}
 	if w == nil {
@@ -114,12 +114,26 @@
 	return w
 }
 
+// predecessors returns the incarnations that a report shows to have ended.
+func (t *term) predecessors(r control.Report) []string {
+	ended := slices.Clone(r.Gone)
+	if r.Worker == nil {
+		return ended
+	}
+	for id := range t.workers {
+		if id != r.Worker.Incarnation && control.IsOf(id, r.Agent) {
+			ended = append(ended, id)
+		}
+	}
+	return ended
+}
+
 // adopt moves runs that an order for an earlier incarnation has started on its
 // successor at the same agent.
 func (t *term) adopt(w *workerState, r control.Report, now time.Time) {
 	for _, run := range r.Running {
 		s, task := t.task(run.Key)
-		if task != nil && task.Run == run.Key.Run && task.Worker != w.Incarnation && slices.Contains(r.Gone, task.Worker) {
+		if task != nil && task.Run == run.Key.Run && task.Worker != w.Incarnation && control.IsOf(task.Worker, r.Agent) {
 			task.Worker = w.Incarnation
 			w.placed[run.Key] = now
 			s.dirty = true
@@ -153,6 +167,7 @@
 	if w := t.workers[worker]; w != nil {
 		delete(w.placed, k)
 		delete(w.strays, k)
+		delete(w.pacers, k)
 	}
 	if task == nil {
 		return
@@ -171,17 +186,17 @@
 		return
 	}
 	if step := s.job.Steps[k.Task.Step]; step.Gang && how != work.OutcomeDone {
-		t.stopGang(s, k.Task)
+		t.stopGang(s, k.Task, "another member has ended")
 	}
 }
 
 // stopGang stops the members of a gang of which one has ended.
-func (t *term) stopGang(s *jobState, k work.TaskKey) {
+func (t *term) stopGang(s *jobState, k work.TaskKey, why string) {
 	members := s.progress.Step(s.job, k.Occurrence, k.Step)
 	for i := range members {
 		if members[i].Placed() {
 			k.Index = i
-			t.stop(work.RunKey{Task: k, Run: members[i].Run}, &members[i], "another member has ended")
+			t.stop(work.RunKey{Task: k, Run: members[i].Run}, &members[i], why)
 		}
 	}
 }
@@ -219,10 +234,11 @@
 		if s.job.Steps[run.Key.Task.Step].Gang {
 			members = s.progress.Step(s.job, run.Key.Task.Occurrence, run.Key.Task.Step)
 		}
-		s.progress.Save(task, members, run.Saved)
+		saved := s.progress.Save(task, members, run.Saved)
 		task.Percent = run.Percent
-		t.watchRun(w, run, now)
+		t.watchRun(w, run, saved, now)
 	}
+	t.leaveWorker(w, now)
 }
 
 // loseWorkers takes the runs of workers for ended whose leases have lapsed.
--- a/leader/health.go
+++ b/leader/health.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -45,9 +44,3 @@
 		}
 	}
 }
-
-// watchRun looks at the progress of a run.
-func (t *term) watchRun(*workerState, work.RunStatus, time.Time) {}
-
-// paces adds the orders that set the speed of runs.
-func (t *term) paces(*control.Orders, *workerState, time.Time) {}
--- a/leader/term.go
+++ b/leader/term.go
@@ -28,16 +28,17 @@
 // workerState is an incarnation of a worker during a term.
 type workerState struct {
 	control.Worker
-	agent     string
-	heard     time.Time // receipt of the last report
-	attached  bool      // known from a report, not only from records
-	running   []work.RunStatus
-	applied   uint64 // ends up to this one are in the progress of jobs
-	recorded  uint64 // and are committed
-	closed    time.Time
-	strays    map[work.RunKey]bool
-	placed    map[work.RunKey]time.Time // runs ordered here, and when
-	health    health
+	agent    string
+	heard    time.Time // receipt of the last report
+	attached bool      // known from a report, not only from records
+	running  []work.RunStatus
+	applied  uint64 // ends up to this one are in the progress of jobs
+	recorded uint64 // and are committed
+	closed   time.Time
+	strays   map[work.RunKey]bool
+	placed   map[work.RunKey]time.Time // runs ordered here, and when
+	pacers   map[work.RunKey]*pacer
+	health   health
 }
 
 // term is the time in which this entry leads.
@@ -152,7 +153,7 @@
 func newWorkerState(w control.Worker, agent string, heard time.Time) *workerState {
 	return &workerState{
 		Worker: w, agent: agent, heard: heard,
-		strays: make(map[work.RunKey]bool), placed: make(map[work.RunKey]time.Time),
+		strays: make(map[work.RunKey]bool), placed: make(map[work.RunKey]time.Time), pacers: make(map[work.RunKey]*pacer),
 	}
 }
 
--- /dev/null
+++ b/leader/watch.go
@@ -0,0 +1,144 @@
+package leader
+
+import (
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+const (
+	// stallAtLeast is the time without progress after which a run counts as
+	// stalled, and stallSteps the number of average steps of one percent: a run
+	// of hours makes a percent in a minute.
+	stallAtLeast = 1500 * time.Millisecond
+	stallSteps   = 8
+	// estimateSlack allows for estimates that are far too low.
+	estimateSlack = 4
+	// avoidStalled is how long a worker with a stalled run gets no others.
+	avoidStalled = 2 * time.Second
+)
+
+// pacer follows the progress of a run.
+type pacer struct {
+	began   time.Time // first report of the run
+	first   int       // percent then
+	percent int
+	moved   time.Time // when percent last rose
+	saved   time.Time // when the checkpoint last changed
+}
+
+// observe takes a report of the run's progress.
+func (p *pacer) observe(percent int, saved bool, now time.Time) {
+	if p.began.IsZero() {
+		p.began, p.first, p.percent, p.moved, p.saved = now, percent, percent, now, now
+		return
+	}
+	if percent > p.percent {
+		p.percent, p.moved = percent, now
+	}
+	if saved {
+		p.saved = now
+	}
+}
+
+// perPercent is the average time of a percent, or the declared one before any
+// progress.
+func (p *pacer) perPercent(estimate time.Duration) time.Duration {
+	if n := p.percent - p.first; n > 0 {
+		return p.moved.Sub(p.began) / time.Duration(n)
+	}
+	return estimateSlack * estimate / 100
+}
+
+// stalled returns how long the run has made no progress, or 0 if that is
+// within what its speed explains.
+func (p *pacer) stalled(estimate time.Duration, now time.Time) time.Duration {
+	since := now.Sub(p.moved)
+	if since < stallAtLeast || since < stallSteps*p.perPercent(estimate) {
+		return 0
+	}
+	return since
+}
+
+// unsaved is the time of work that is lost if the run is stopped.
+func (p *pacer) unsaved(checkpointing bool) time.Duration {
+	if checkpointing {
+		return 0 // a stop makes a checkpoint
+	}
+	return p.moved.Sub(p.began)
+}
+
+// left estimates the time until the run is done.
+func (p *pacer) left(estimate time.Duration, now time.Time) time.Duration {
+	if n := p.percent - p.first; n >= 3 {
+		return time.Duration(100-p.percent) * now.Sub(p.began) / time.Duration(n)
+	}
+	return max(0, estimate-now.Sub(p.began))
+}
+
+// watchRun looks at the progress of a run. A run that stands still is stopped
+// once it has stood for longer than the work that a new start repeats.
+func (t *term) watchRun(w *workerState, run work.RunStatus, saved bool, now time.Time) {
+	s, task := t.task(run.Key)
+	step := s.job.Steps[run.Key.Task.Step]
+	if step.LongRunning || step.Fills {
+		return
+	}
+	p := w.pacers[run.Key]
+	if p == nil {
+		p = &pacer{}
+		w.pacers[run.Key] = p
+	}
+	p.observe(run.Percent, saved, now)
+	stalled := p.stalled(step.Estimate, now)
+	if stalled == 0 || task.Stop {
+		return
+	}
+	if w.health.until.Before(now) {
+		event.LeaderWorkerAvoided.Log(t.cfg.Log).Str("Worker", w.Incarnation).Str("Why", "a run stands still").Dur("For", avoidStalled).Send()
+	}
+	w.health.until = now.Add(avoidStalled)
+	if stalled > p.unsaved(step.Checkpointing) {
+		t.stopRun(s, run.Key, "it stands still")
+	}
+}
+
+// stopRun stops a run, with the other members of its gang.
+func (t *term) stopRun(s *jobState, k work.RunKey, why string) {
+	if !s.job.Steps[k.Task.Step].Gang {
+		t.stop(k, s.progress.Task(s.job, k.Task), why)
+		return
+	}
+	t.stopGang(s, k.Task, why)
+}
+
+// leaveMargin is kept between the end of a run and the least time until its
+// worker leaves.
+const leaveMargin = 300 * time.Millisecond
+
+// leaveWorker stops the runs that will not be done before their worker leaves,
+// so that they begin elsewhere sooner, from a checkpoint if they make one.
+func (t *term) leaveWorker(w *workerState, now time.Time) {
+	if !w.Draining {
+		return
+	}
+	for k := range w.placed {
+		s, task := t.task(k)
+		if task == nil || task.Worker != w.Incarnation || task.Run != k.Run || task.Stop {
+			continue
+		}
+		step := s.job.Steps[k.Task.Step]
+		left := step.Estimate
+		if p := w.pacers[k]; p != nil {
+			left = p.left(step.Estimate, now)
+		}
+		if step.LongRunning || left+leaveMargin > w.Remaining {
+			t.stopRun(s, k, "its worker is leaving")
+		}
+	}
+}
+
+// paces adds the orders that set the speed of runs.
+func (t *term) paces(*control.Orders, *workerState, time.Time) {}
--- a/runner/ledger.go
+++ b/runner/ledger.go
@@ -20,12 +20,24 @@
 	rememberGone = 16
 )
 
+// stopAgain is how long a stop that was answered is not repeated. The worker
+// needs up to a second to carry it out.
+const stopAgain = 1500 * time.Millisecond
+
+// stopped is a stop that the worker has answered.
+type stopped struct {
+	fence int64
+	at    time.Time
+}
+
 // ledger is what an agent knows about its worker. It is pure: the caller gives
 // the time.
 type ledger struct {
+	agent    string
 	instance work.Announcement
-	known    bool // instance has announced itself
-	answered bool // and has answered since with the present fence
+	heard    time.Time // when instance arrived
+	known    bool      // instance has announced itself
+	answered bool      // and has answered since with the present fence
 	left     bool
 	gone     []string
 
@@ -41,18 +53,20 @@
 	running    []work.RunStatus
 	ended      []work.RunEnd
 	refused    []control.Refused
-	unanswered map[work.RunKey]int64 // highest fence of an unanswered start
-	stopped    map[work.RunKey]int64 // stops that the worker has answered, and their fences
+	unanswered map[work.RunKey]int64   // highest fence of an unanswered start
+	stopped    map[work.RunKey]stopped // stops that the worker has answered
 }
 
-func newLedger(fence int64) *ledger {
-	return &ledger{fence: fence, unanswered: make(map[work.RunKey]int64), stopped: make(map[work.RunKey]int64)}
+func newLedger(agent string, fence int64) *ledger {
+	return &ledger{agent: agent, fence: fence, unanswered: make(map[work.RunKey]int64), stopped: make(map[work.RunKey]stopped)}
 }
 
 // incarnation names the present life of the worker.
-func (l *ledger) incarnation() string { return incarnationOf(l.instance.ID, l.instance.Born) }
+func (l *ledger) incarnation() string { return l.incarnationOf(l.instance) }
 
-func incarnationOf(id string, born int64) string { return id + "/" + strconv.FormatInt(born, 10) }
+func (l *ledger) incarnationOf(a work.Announcement) string {
+	return control.Incarnation(l.agent, a.ID+"/"+strconv.FormatInt(a.Born, 10))
+}
 
 // announce takes a status report of the worker and reports whether it began a
 // new incarnation. Reports of earlier incarnations, and reports that were
@@ -61,12 +75,12 @@
 	if l.known && a.Born < l.instance.Born {
 		return false
 	}
-	if slices.Contains(l.gone, incarnationOf(a.ID, a.Born)) {
+	if slices.Contains(l.gone, l.incarnationOf(a)) {
 		return false
 	}
 	if l.known && a.ID == l.instance.ID && a.Born == l.instance.Born {
 		if a.Sequence > l.instance.Sequence {
-			l.instance = a
+			l.instance, l.heard = a, now
 		}
 		return false
 	}
@@ -80,7 +94,7 @@
 	if l.known {
 		l.end(l.incarnation())
 	}
-	l.instance, l.known, l.left, l.answered = a, true, false, false
+	l.instance, l.heard, l.known, l.left, l.answered = a, now, true, false, false
 	l.fence++
 	l.fenceSeen, l.seen, l.running, l.ended, l.refused = 0, 0, nil, nil, nil
 	l.clock, l.clockAt, l.answerAt = 0, time.Time{}, now
@@ -194,11 +208,11 @@
 // as ended.
 func (l *ledger) resolveStops(fence int64) bool {
 	changed := false
-	for k, f := range l.stopped {
+	for k, st := range l.stopped {
 		switch {
-		case l.listed(k):
+		case l.ends(k):
 			delete(l.stopped, k)
-		case fence >= f && l.refuse(k, work.RefusedOld):
+		case !l.listed(k) && fence >= st.fence && l.refuse(k, work.RefusedOld):
 			delete(l.stopped, k)
 			changed = true
 		}
@@ -210,10 +224,20 @@
 	return slices.EqualFunc(a, b, func(x, y work.RunStatus) bool { return x.Key == y.Key && x.Saved == y.Saved })
 }
 
+// ends reports whether the run is known as ended.
+func (l *ledger) ends(k work.RunKey) bool {
+	return slices.ContainsFunc(l.ended, func(e work.RunEnd) bool { return e.Key == k })
+}
+
+// mayStop reports whether a stop of the run is to be sent.
+func (l *ledger) mayStop(k work.RunKey, now time.Time) bool {
+	st, ok := l.stopped[k]
+	return !l.ends(k) && (!ok || now.Sub(st.at) > stopAgain)
+}
+
 // listed reports whether the run is known as running or ended.
 func (l *ledger) listed(k work.RunKey) bool {
-	return slices.ContainsFunc(l.running, func(s work.RunStatus) bool { return s.Key == k }) ||
-		slices.ContainsFunc(l.ended, func(e work.RunEnd) bool { return e.Key == k })
+	return l.ends(k) || slices.ContainsFunc(l.running, func(s work.RunStatus) bool { return s.Key == k })
 }
 
 // refuse notes an order that will never be carried out. A start with a lower
@@ -245,15 +269,15 @@
 }
 
 // report describes the worker for the leader.
-func (l *ledger) report(agent string, now time.Time) control.Report {
-	r := control.Report{Agent: agent, Stamp: now, Gone: slices.Clone(l.gone)}
+func (l *ledger) report(now time.Time) control.Report {
+	r := control.Report{Agent: l.agent, Stamp: now, Gone: slices.Clone(l.gone)}
 	if !l.known || !l.answered {
 		return r
 	}
 	a := l.instance
 	r.Worker = &control.Worker{
 		Incarnation: l.incarnation(), Service: a.Service, Domain: a.Domain, Rack: a.Rack, Labels: a.Labels,
-		Capacity: a.Capacity, Draining: a.State == work.WorkerDraining, Remaining: a.Remaining,
+		Capacity: a.Capacity, Draining: a.State == work.WorkerDraining, Remaining: max(0, a.Remaining-now.Sub(l.heard)),
 		Silent: now.Sub(l.answerAt) > silentAfter,
 	}
 	r.Worker.Lapsed = r.Worker.Silent && now.After(l.until.Add(control.LapseMargin))
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -63,7 +63,7 @@
 	return &Runner{
 		cfg: cfg, done: make(chan struct{}), report: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		orders: make(chan struct{}, maxOrders), moved: make(chan struct{}),
-		ledger: newLedger(time.Now().UnixMilli()), inFlight: make(map[work.RunKey]bool),
+		ledger: newLedger(cfg.Name, time.Now().UnixMilli()), inFlight: make(map[work.RunKey]bool),
 	}
 }
 
@@ -200,7 +200,7 @@
 	defer tick.Stop()
 	for {
 		r.mu.Lock()
-		report := r.ledger.report(r.cfg.Name, uptime.Now())
+		report := r.ledger.report(uptime.Now())
 		r.mu.Unlock()
 		if err := conn.Send(report); err != nil {
 			cancel()
@@ -247,7 +247,7 @@
 		r.order(s.Key, !r.ledger.listed(s.Key), func() { r.start(ctx, s) })
 	}
 	for _, k := range o.Stops {
-		r.order(k, true, func() { r.stop(ctx, k) })
+		r.order(k, r.ledger.mayStop(k, now), func() { r.stop(ctx, k) })
 	}
 	for _, p := range o.Paces {
 		r.order(p.Key, true, func() { r.pace(ctx, p) })
@@ -338,7 +338,7 @@
 	}
 	event.RunnerStop.Log(r.cfg.Log).Str("Job", k.Task.Job).Any("Run", k).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
 	if l.answer(look, fence, uptime.Now()) && look.Refusal == work.Accepted {
-		l.stopped[k] = fence
+		l.stopped[k] = stopped{fence, uptime.Now()}
 	}
 	notify(r.wake)
 }
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -69,7 +69,7 @@
 // single rack.
 func (p *pass) candidates(u *Unit) [][]*room {
 	s := u.step()
-	var open, possible []*room
+	var open []*room
 	for _, r := range p.rooms {
 		if !r.allows(u.Job, s) {
 			continue
@@ -77,7 +77,6 @@
 		if _, ok := u.Advised[r.ID]; u.Job.Advised && !ok {
 			continue
 		}
-		possible = append(possible, r)
 		if r.Open {
 			open = append(open, r)
 		}
--- a/work/progress.go
+++ b/work/progress.go
@@ -150,7 +150,7 @@
 		return true
 	}
 	step := j.Steps[k.Task.Step]
-	members := p.Tasks[:0]
+	var members []Task
 	if step.Gang {
 		members = p.Step(j, k.Task.Occurrence, k.Task.Step)
 	}
