--- a/runner/runner.go
+++ b/runner/runner.go
@@ -303,7 +303,7 @@
 	if err != nil {
 		l.lost(s.Key, fence)
 		notify(r.wake)
-		r.failed("run-start", s.Key, err)
+		r.failed("start", s.Key, err)
 		return
 	}
 	event.RunnerStart.Log(r.cfg.Log).Str("Job", s.Key.Task.Job).Any("Run", s.Key).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
@@ -333,7 +333,7 @@
 	}
 	if err != nil {
 		l.raise(fence + 1)
-		r.failed("run-stop", k, err)
+		r.failed("stop", k, err)
 		return
 	}
 	event.RunnerStop.Log(r.cfg.Log).Str("Job", k.Task.Job).Any("Run", k).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
--- /dev/null
+++ b/station/path_test.go
@@ -0,0 +1,246 @@
+package station_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/standin"
+	"github.com/rosemarysill/rosemarysill/station"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+const configuration = `{"version":%d,"routes":[
+ {"name":"checks","hostname":"a.example","prefix":"/checks/","timeout-ms":3000,"target-latency-ms":250,"priority":0,"service":"svc","attempts":2,"stretch":1.5,"public":false},
+ {"name":"scans","hostname":"a.example","prefix":"/checks/scans/","timeout-ms":3000,"target-latency-ms":250,"priority":2,"service":"svc","attempts":2,"stretch":3,"public":false}],
+ "services":[{"name":"svc","rejects-overload":false}],"limits":{"max-body-bytes":4500},
+ "tenants":[{"name":"t1","api-keys":[%s],"guaranteed":{"gpu":8}}]}`
+
+// site is a deployment on loopback: stand-ins on the wire, two entries and
+// some agents.
+type site struct {
+	store   *standin.Transactions
+	steps   *standin.Steps
+	clients []*platform.Client
+	entries []platform.Node
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func addressOf(s *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func newSite(t *testing.T, agents int) *site {
+	s := &site{store: standin.NewTransactions(), steps: standin.NewSteps()}
+	storeServer := httptest.NewServer(platform.StoreHandler(s.store.View("all")))
+	t.Cleanup(func() { storeServer.CloseClientConnections(); storeServer.Close() })
+	s.configure(1, `"k1"`)
+	ctx, cancel := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	t.Cleanup(func() { cancel(); parts.Wait() })
+	run := func(f func(context.Context, platform.Node, zerolog.Logger) error, n platform.Node) {
+		parts.Go(func() { _ = f(ctx, n, zerolog.Nop()) }) // the tests see what does not work
+	}
+	for i := range 2 {
+		n := platform.Node{
+			Name: fmt.Sprintf("entry%d", i), Callers: freeAddress(t), Ready: freeAddress(t), Internal: freeAddress(t),
+			Metrics: freeAddress(t), Store: addressOf(storeServer), Revoke: 5 * time.Second, ShutdownGrace: 200 * time.Millisecond,
+			LeaseMin: time.Second, StatusFor: time.Minute, Entry: true,
+		}
+		run(station.Entry, n)
+		s.entries = append(s.entries, n)
+		c := platform.NewClient(n.Callers, "a.example", "k1")
+		t.Cleanup(c.Close)
+		s.clients = append(s.clients, c)
+	}
+	for i := range agents {
+		s.addAgent(t, ctx, &parts, i, addressOf(storeServer), run)
+	}
+	require.Eventually(t, func() bool { return s.ready(0) && s.ready(1) }, 20*time.Second, 20*time.Millisecond)
+	return s
+}
+
+func (s *site) addAgent(t *testing.T, ctx context.Context, parts *sync.WaitGroup, i int, store netip.AddrPort, run func(func(context.Context, platform.Node, zerolog.Logger) error, platform.Node)) {
+	id := fmt.Sprintf("i-%d", i)
+	worker := s.steps.Add(id)
+	server := httptest.NewServer(platform.WorkerHandler(worker))
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	n := platform.Node{
+		Name: fmt.Sprintf("agent%d", i), Control: freeAddress(t), Worker: addressOf(server), Metrics: freeAddress(t), Store: store, Agent: true,
+	}
+	run(station.Agent, n)
+	a := platform.NewAnnouncer(n.Control)
+	parts.Go(func() {
+		defer a.Close()
+		w := work.Announcement{
+			ID: id, Born: worker.Born(), Service: "svc", Address: n.Worker, Domain: "d", State: work.WorkerReady,
+			Capacity: work.Shape{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}, Labels: []string{"a", "r1-1"},
+		}
+		for ctx.Err() == nil {
+			w.Sequence++
+			_ = a.Announce(ctx, w) // it is repeated
+			select {
+			case <-ctx.Done():
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	})
+}
+
+func (s *site) configure(version int, keys string) {
+	s.store.Put("op/config", fmt.Appendf(nil, configuration, version, keys))
+}
+
+func (s *site) ready(i int) bool {
+	resp, err := http.Get("http://" + s.entries[i].Ready.String() + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // it has no body
+	return resp.StatusCode == http.StatusOK
+}
+
+const limit = 3 * time.Second
+
+func newJob(spec string, steps ...work.Step) *work.Job { return &work.Job{Spec: spec, Steps: steps} }
+
+func oneStep(n int) work.Step {
+	return work.Step{Count: n, Shape: work.Shape{MilliCPU: 1000, MemoryMB: 10, Accelerators: 1}, Estimate: 100 * time.Millisecond}
+}
+
+// Guards against a path that is broken anywhere between a caller and a worker,
+// and against states that differ from entry to entry.
+func TestWholePath(t *testing.T) {
+	s := newSite(t, 2)
+	ctx := context.Background()
+	gang := oneStep(4)
+	gang.Gang = true
+	a, err := s.clients[0].Submit(ctx, limit, "/checks/", "00000000000000a1", newJob("for=150ms gang=4", gang))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, a.Status)
+	for _, c := range s.clients {
+		require.Eventually(t, func() bool {
+			a, err := c.State(ctx, limit, "/checks/", "00000000000000a1")
+			return err == nil && a.Status == http.StatusOK && a.State == work.Completed
+		}, 30*time.Second, 20*time.Millisecond)
+	}
+	a, err = s.clients[1].Submit(ctx, limit, "/checks/", "00000000000000a1", newJob("for=150ms gang=4", gang))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, a.Status, "the same request again is the same job")
+	a, err = s.clients[1].Pending(ctx, limit, "/checks/")
+	require.NoError(t, err)
+	require.Equal(t, platform.Answer{Status: http.StatusOK}, a)
+	a, err = s.clients[1].Submit(ctx, limit, "/checks/scans/", "00000000000000a2", newJob("for=60s", oneStep(2)))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, a.Status)
+	require.Eventually(t, func() bool { return s.steps.Runs() == 2 }, 20*time.Second, 20*time.Millisecond)
+	a, err = s.clients[0].Cancel(ctx, limit, "/checks/scans/", "00000000000000a2")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, a.Status)
+	require.Eventually(t, func() bool { return s.steps.Runs() == 0 }, 20*time.Second, 20*time.Millisecond)
+	require.Empty(t, s.steps.Breaches())
+}
+
+// Guards against answers that are not those of the protocol.
+func TestRefusals(t *testing.T) {
+	s := newSite(t, 1)
+	ctx := context.Background()
+	waits := oneStep(1)
+	waits.After = []int{0}
+	for name, tc := range map[string]struct {
+		host, key, prefix, id string
+		job                   *work.Job
+		want                  int
+	}{
+		"unknown queue":       {"a.example", "k1", "/none/", "00000000000000b1", newJob("", oneStep(1)), http.StatusNotFound},
+		"unknown host":        {"b.example", "k1", "/checks/", "00000000000000b1", newJob("", oneStep(1)), http.StatusNotFound},
+		"unknown key":         {"a.example", "k2", "/checks/", "00000000000000b1", newJob("", oneStep(1)), http.StatusUnauthorized},
+		"no key":              {"a.example", "", "/checks/", "00000000000000b1", newJob("", oneStep(1)), http.StatusUnauthorized},
+		"bad identifier":      {"a.example", "k1", "/checks/", "b1", newJob("", oneStep(1)), http.StatusBadRequest},
+		"no steps":            {"a.example", "k1", "/checks/", "00000000000000b1", newJob(""), http.StatusBadRequest},
+		"waits for itself":    {"a.example", "k1", "/checks/", "00000000000000b1", newJob("", waits), http.StatusBadRequest},
+		"specification large": {"a.example", "k1", "/checks/", "00000000000000b1", newJob(strings.Repeat("x", 4001), oneStep(1)), http.StatusBadRequest},
+		"body large":          {"a.example", "k1", "/checks/", "00000000000000b1", newJob(strings.Repeat("x", 5000), oneStep(1)), http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := platform.NewClient(s.entries[0].Callers, tc.host, tc.key)
+			defer c.Close()
+			a, err := c.Submit(ctx, limit, tc.prefix, tc.id, tc.job)
+			require.NoError(t, err)
+			require.Equal(t, tc.want, a.Status)
+		})
+	}
+	require.Empty(t, s.store.Keys("rs/job/"), "a refused request leaves nothing behind")
+	a, err := s.clients[0].State(ctx, limit, "/checks/", "00000000000000b1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGone, a.Status)
+}
+
+// Guards against bodies that stop an entry, or that are taken for jobs.
+func TestBadBodies(t *testing.T) {
+	s := newSite(t, 0)
+	for name, body := range map[string]string{
+		"not JSON": `{`, "a list": `[]`, "no specification": `{"steps":[{"count":1}]}`, "count is text": `{"task-spec":"","steps":[{"count":"1"}]}`,
+		"negative": `{"task-spec":"","steps":[{"count":-1}]}`, "huge": `{"task-spec":"","steps":[{"count":1e9}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			req, err := http.NewRequest(http.MethodPost, "http://"+s.entries[0].Callers.String()+"/checks/00000000000000c1", strings.NewReader(body))
+			require.NoError(t, err)
+			req.Host = "a.example"
+			req.Header.Set("Rosemarysill-Credential", "k1")
+			resp, err := http.DefaultClient.Do(req)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, http.StatusBadRequest, resp.StatusCode)
+		})
+	}
+	require.Empty(t, s.store.Keys("rs/job/"))
+}
+
+// Guards against a key that is honoured after it was taken away, at an entry
+// that hears from the store and at one that does not.
+func TestRevokedKey(t *testing.T) {
+	s := newSite(t, 0)
+	ctx := context.Background()
+	status := func() int {
+		a, err := s.clients[0].Pending(ctx, limit, "/checks/")
+		require.NoError(t, err)
+		return a.Status
+	}
+	require.Equal(t, http.StatusOK, status())
+	s.configure(2, `"k9"`)
+	require.Eventually(t, func() bool { return status() == http.StatusUnauthorized }, 2*time.Second, 10*time.Millisecond)
+	s.configure(3, `"k1"`)
+	require.Eventually(t, func() bool { return status() == http.StatusOK }, 2*time.Second, 10*time.Millisecond)
+	s.store.SetFault("all", standin.Silent)
+	require.Eventually(t, func() bool { return status() == http.StatusServiceUnavailable }, 5*time.Second, 10*time.Millisecond)
+	require.False(t, s.ready(0))
+}
+
+// Guards against a job that is accepted under a configuration that is no
+// longer the newest: the entry has not heard of the change yet.
+func TestAcceptedUnderNewestConfiguration(t *testing.T) {
+	s := newSite(t, 0)
+	s.configure(2, `"k9"`)
+	a, err := s.clients[0].Submit(context.Background(), limit, "/checks/", "00000000000000d1", newJob("", oneStep(1)))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusUnauthorized, a.Status)
+	require.Empty(t, s.store.Keys("rs/job/"))
+}
--- a/work/job.go
+++ b/work/job.go
@@ -125,7 +125,7 @@
 	}
 	tasks := 0
 	for i, s := range j.Steps {
-		if s.Count < 1 || s.Count > MaxTasks || s.Shape.MilliCPU < 0 || s.Shape.MemoryMB < 0 || s.Shape.Accelerators < 0 || s.MaxPerWorker < 0 || s.MayMiss < 0 {
+		if s.Count < 1 || s.Count > MaxTasks || s.Shape.MilliCPU < 0 || s.Shape.MemoryMB < 0 || s.Shape.Accelerators < 0 || s.MaxPerWorker < 0 || s.MayMiss < 0 || s.Estimate < 0 || s.TargetLatency < 0 {
 			return "a number of a step is out of range"
 		}
 		for _, a := range s.After {
