schedule: urgent gangs make room in one rack before they are spread; cheapest work yields; runs about to end are waited for

Ruled out: orders carried out late (no start waited for one), slow workers. Six tests fail before the change.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -52,6 +52,7 @@
 	Desk      Desk
 	LeaseMin  time.Duration // shortest lease of the store
 	StatusFor time.Duration // for which final jobs are kept at least
+	StopGrace time.Duration // longest time that the stop of a run takes
 	Log       zerolog.Logger
 }
 
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -15,7 +15,9 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func spec(d time.Duration, more string) string { return fmt.Sprintf("%s%s %s", standin.SpecFor, d, more) }
+func spec(d time.Duration, more string) string {
+	return fmt.Sprintf("%s%s %s", standin.SpecFor, d, more)
+}
 
 // Guards against tasks that start before the steps that they wait for, gangs
 // that begin in part, and ends that are lost on the way to the record.
--- a/leader/place.go
+++ b/leader/place.go
@@ -90,6 +90,10 @@
 	return n
 }
 
+// lateFactor is the multiple of its objective after which a job does not count
+// any more, as the users measure it.
+const lateFactor = 3
+
 // units returns what waits to be placed.
 func (t *term) units(reserved map[string]bool) []*schedule.Unit {
 	var units []*schedule.Unit
@@ -101,7 +105,7 @@
 		for o := range s.job.Runs() {
 			for step := range s.job.Steps {
 				if s.progress.Ready(s.job, o, step, now) {
-					units = append(units, t.stepUnits(s, o, step, reserved[s.job.ID])...)
+					units = append(units, t.stepUnits(s, o, step, reserved[s.job.ID], now)...)
 				}
 			}
 		}
@@ -111,7 +115,7 @@
 
 // stepUnits returns the units of a step whose turn has come. A gang waits
 // until all runs of its members have ended.
-func (t *term) stepUnits(s *jobState, occurrence, step int, reserved bool) []*schedule.Unit {
+func (t *term) stepUnits(s *jobState, occurrence, step int, reserved bool, now time.Time) []*schedule.Unit {
 	tasks := s.progress.Step(s.job, occurrence, step)
 	var waiting []int
 	beside := make(map[string]int)
@@ -129,6 +133,7 @@
 	}
 	unit := schedule.Unit{
 		Job: s.job, Occurrence: occurrence, Step: step, Reserved: reserved, Due: due(s.job, occurrence), Beside: beside,
+		Late: now.After(begin(s.job, occurrence).Add(lateFactor * objective(s.job))),
 	}
 	if gang {
 		unit.Indexes = waiting
@@ -145,10 +150,19 @@
 
 // due is when an occurrence of a job should be done.
 func due(j *work.Job, occurrence int) time.Time {
-	from := j.Accepted
-	if d := j.Due(occurrence); d.After(from) {
-		from = d
+	return begin(j, occurrence).Add(objective(j))
+}
+
+// begin is when the time of an occurrence begins to count.
+func begin(j *work.Job, occurrence int) time.Time {
+	if d := j.Due(occurrence); d.After(j.Accepted) {
+		return d
 	}
+	return j.Accepted
+}
+
+// objective is the time in which an occurrence should be done.
+func objective(j *work.Job) time.Duration {
 	chain := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, s := range j.Steps {
@@ -158,7 +172,7 @@
 		chain[i] += s.Estimate
 		longest = max(longest, chain[i])
 	}
-	return from.Add(j.Objective + time.Duration(j.Stretch*float64(longest)))
+	return j.Objective + time.Duration(j.Stretch*float64(longest))
 }
 
 // fleet returns the workers as the policy sees them.
@@ -210,6 +224,9 @@
 		Key: k, Demand: schedule.Demand(step), Priority: s.job.Priority, Reserved: reserved[s.job.ID], Stopping: task.Stop,
 		Cost: step.Shape.Cores() * now.Sub(w.placed[k]).Seconds(),
 	}
+	if p := w.pacers[k]; p != nil && !step.LongRunning {
+		run.Ending = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
+	}
 	if step.Checkpointing {
 		run.Cost = step.Shape.Cores()
 	}
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -70,9 +70,18 @@
 	return p.moved.Sub(p.began)
 }
 
+// endsWithin reports whether the run will have ended after d. Its speed must be
+// known for that.
+func (p *pacer) endsWithin(d, estimate time.Duration, now time.Time) bool {
+	return p.percent-p.first >= knownPercent && p.stalled(estimate, now) == 0 && p.left(estimate, now) <= d
+}
+
+// knownPercent is the progress after which the speed of a run counts as known.
+const knownPercent = 3
+
 // left estimates the time until the run is done.
 func (p *pacer) left(estimate time.Duration, now time.Time) time.Duration {
-	if n := p.percent - p.first; n >= 3 {
+	if n := p.percent - p.first; n >= knownPercent {
 		return time.Duration(100-p.percent) * now.Sub(p.began) / time.Duration(n)
 	}
 	return max(0, estimate-now.Sub(p.began))
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -17,6 +17,7 @@
 	Group    string  // runs of one gang, which end together; empty for others
 	Cost     float64 // core-seconds that are lost if it is stopped
 	Stopping bool
+	Ending   bool // will have ended by the time that a stop takes
 }
 
 // Worker is a worker that is in touch.
@@ -52,7 +53,7 @@
 	r := &room{Worker: w, free: w.Capacity, soon: w.Capacity}
 	for _, run := range w.Runs {
 		r.free = r.free.Sub(run.Demand)
-		if !run.Stopping {
+		if !run.Stopping && !run.Ending {
 			r.soon = r.soon.Sub(run.Demand)
 		}
 	}
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -28,29 +28,47 @@
 }
 
 func (p *pass) decide(u *Unit) {
-	for _, set := range p.candidates(u) {
+	sets, spread := p.candidates(u)
+	if p.startIn(u, sets) {
+		return
+	}
+	// Room is made where the unit runs at its full speed before it is started
+	// where it is slow: that takes as long as a stop.
+	urgent := u.Job.Priority == 0
+	if urgent && (p.reserveIn(u, sets) || p.preemptIn(u, sets)) {
+		return
+	}
+	if spread == nil || p.startIn(u, spread) || !urgent {
+		return
+	}
+	if !p.reserveIn(u, spread) {
+		p.preemptIn(u, spread)
+	}
+}
+
+// startIn starts the unit in the first set of workers in which it fits now.
+func (p *pass) startIn(u *Unit, sets [][]*room) bool {
+	for _, set := range sets {
 		if chosen := fit(u, set, func(r *room) work.Shape { return r.free }); chosen != nil {
 			p.start(u, chosen)
-			return
+			return true
 		}
 	}
-	if u.Job.Priority > 0 {
-		return
-	}
-	for _, set := range p.candidates(u) {
+	return false
+}
+
+// reserveIn keeps room for the unit in the first set in which it fits soon.
+func (p *pass) reserveIn(u *Unit, sets [][]*room) bool {
+	for _, set := range sets {
 		if chosen := fit(u, set, func(r *room) work.Shape { return r.soon }); chosen != nil {
 			for _, r := range chosen {
 				r.take(Demand(u.step()))
 				u.Beside[r.ID]++
 			}
-			return
-		}
-	}
-	for _, set := range p.candidates(u) {
-		if p.preempt(u, set) {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 func (p *pass) start(u *Unit, chosen []*room) {
@@ -65,40 +83,29 @@
 }
 
 // candidates returns the sets of workers to try in turn: those of one rack for
-// a step that is slower elsewhere, and then all if the step can run in no
-// single rack.
-func (p *pass) candidates(u *Unit) [][]*room {
+// a step that is slower elsewhere. The second result is tried when no rack has
+// room, for work that cannot wait or that no rack could ever hold.
+func (p *pass) candidates(u *Unit) (sets, spread [][]*room) {
 	s := u.step()
 	var open []*room
 	for _, r := range p.rooms {
-		if !r.allows(u.Job, s) {
-			continue
-		}
-		if _, ok := u.Advised[r.ID]; u.Job.Advised && !ok {
-			continue
-		}
-		if r.Open {
+		if _, ok := u.Advised[r.ID]; (ok || !u.Job.Advised) && r.Open && r.allows(u.Job, s) {
 			open = append(open, r)
 		}
 	}
-	near := ""
-	switch {
-	case s.DataRack != "":
-		near = s.DataRack
-	case !s.Gang || !s.SameRack:
-		return [][]*room{open}
+	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
+		return [][]*room{open}, nil
 	}
 	racks := byRack(open)
-	var sets [][]*room
 	for _, rack := range racks {
-		if near == "" || rack[0].Rack == near {
+		if s.DataRack == "" || rack[0].Rack == s.DataRack {
 			sets = append(sets, rack)
 		}
 	}
-	if u.Job.Priority == 0 || !holdsInRack(u, racks, near) {
-		sets = append(sets, open)
+	if u.Job.Priority == 0 || !holdsInRack(u, racks, s.DataRack) {
+		spread = [][]*room{open}
 	}
-	return sets
+	return sets, spread
 }
 
 // holdsInRack reports whether a rack could hold the whole unit if it were
--- a/schedule/pass_test.go
+++ b/schedule/pass_test.go
@@ -63,3 +63,106 @@
 		require.LessOrEqual(t, n, 2, w)
 	}
 }
+
+// occupy puts a run on a worker.
+func occupy(w *schedule.Worker, id string, priority int, demand work.Shape, cost float64) {
+	w.Runs = append(w.Runs, schedule.Run{
+		Key: work.RunKey{Task: work.TaskKey{Job: id}, Run: 1}, Demand: demand, Priority: priority, Cost: cost,
+	})
+}
+
+func racks(f []*schedule.Worker, plan schedule.Plan) map[string]int {
+	rack := make(map[string]string)
+	for _, w := range f {
+		rack[w.ID] = w.Rack
+	}
+	n := make(map[string]int)
+	for _, p := range plan.Places {
+		n[rack[p.Worker]]++
+	}
+	return n
+}
+
+// An urgent gang that is slow on several racks is not spread over what happens
+// to be free there, as long as a rack can make room for it: spread, it takes
+// three times as long.
+func TestUrgentGangWaitsForARack(t *testing.T) {
+	f := fleet(6)
+	for i, w := range f {
+		if i%3 != 0 { // one worker of each rack is free
+			occupy(w, fmt.Sprintf("batch%d", i), 2, accelerators(8), 10)
+		}
+	}
+	j := newJob("urgent", 0, work.Step{Count: 2, Shape: accelerators(8), Gang: true, SameRack: true})
+	plan := schedule.Decide(f, units(j))
+	require.Empty(t, plan.Places)
+	require.Len(t, plan.Stops, 1, "one worker beside the free one is enough")
+}
+
+// A gang that no rack could ever hold is spread at once.
+func TestGangLargerThanARackIsSpread(t *testing.T) {
+	f := fleet(6)
+	j := newJob("wide", 1, work.Step{Count: 5, Shape: accelerators(8), Gang: true, SameRack: true})
+	plan := schedule.Decide(f, units(j))
+	require.Len(t, plan.Places, 5)
+	require.Len(t, racks(f, plan), 2)
+}
+
+// The run that is stopped is the one whose stop repeats least work, whatever
+// its priority below the urgent one.
+func TestCheapestWorkMakesRoom(t *testing.T) {
+	f := fleet(2)
+	occupy(f[0], "unsaved", 2, accelerators(8), 500)
+	occupy(f[1], "saved", 1, accelerators(8), 20)
+	plan := schedule.Decide(f, units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})))
+	require.Equal(t, []work.RunKey{{Task: work.TaskKey{Job: "saved"}, Run: 1}}, plan.Stops)
+}
+
+// Nothing is stopped for an urgent job if a run will have ended by the time
+// that a stop takes.
+func TestRunAboutToEndIsWaitedFor(t *testing.T) {
+	f := fleet(2)
+	occupy(f[0], "ending", 1, accelerators(8), 500)
+	f[0].Runs[0].Ending = true
+	occupy(f[1], "young", 2, accelerators(8), 1)
+	plan := schedule.Decide(f, units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})))
+	require.Empty(t, plan.Stops)
+	require.Empty(t, plan.Places)
+}
+
+// Work within a guarantee yields to nothing, and urgent work beyond one yields
+// to a guarantee only.
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	f := fleet(2)
+	occupy(f[0], "reserved", 0, accelerators(8), 1)
+	f[0].Runs[0].Reserved = true
+	occupy(f[1], "borrowed", 0, accelerators(8), 100)
+	j := newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})
+	require.Empty(t, schedule.Decide(f, units(j)).Stops)
+	u := units(j)
+	u[0].Reserved = true
+	require.Equal(t, "borrowed", schedule.Decide(f, u).Stops[0].Task.Job)
+}
+
+// Small work that comes later does not take the room that urgent work waits
+// for.
+func TestRoomOfUrgentWorkIsKept(t *testing.T) {
+	f := fleet(1)
+	occupy(f[0], "stopping", 2, accelerators(4), 1)
+	f[0].Runs[0].Stopping = true
+	all := append(units(newJob("small", 2, work.Step{Count: 4, Shape: accelerators(1)})),
+		units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)}))...)
+	require.Empty(t, schedule.Decide(f, all).Places)
+}
+
+// A job that is too late to count waits behind those that are not, of the same
+// priority.
+func TestHopelesslyLateWorkComesLast(t *testing.T) {
+	f := fleet(1)
+	late := units(newJob("a-late", 1, work.Step{Count: 1, Shape: accelerators(8)}))
+	late[0].Late = true
+	now := units(newJob("b-now", 1, work.Step{Count: 1, Shape: accelerators(8)}))
+	now[0].Due = time.Unix(100, 0)
+	plan := schedule.Decide(f, append(late, now...))
+	require.Equal(t, "b-now", plan.Places[0].Task.Job)
+}
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -11,30 +11,44 @@
 // yields reports whether a run makes room for the unit. Work within a
 // guarantee yields to none, and other work of priority 0 only to a guarantee.
 func yields(run Run, u *Unit) bool {
-	return !run.Stopping && !run.Reserved && (run.Priority > 0 || u.Reserved)
+	return !run.Stopping && !run.Ending && !run.Reserved && (run.Priority > 0 || u.Reserved)
 }
 
-// preempt stops the runs that cost least so that the unit fits soon, and
-// reserves the room for it.
-func (p *pass) preempt(u *Unit, rooms []*room) bool {
+// preemptIn makes room for the unit where that stops least work, and reserves
+// it.
+func (p *pass) preemptIn(u *Unit, sets [][]*room) bool {
+	var best *trade
+	for _, set := range sets {
+		if t := p.trade(u, set); t != nil && (best == nil || t.total < best.total) {
+			best = t
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.commit(best)
+	return true
+}
+
+// trade finds the runs of a set of workers to stop for the unit, or returns
+// nil if the unit does not fit even so.
+func (p *pass) trade(u *Unit, rooms []*room) *trade {
 	t := &trade{pass: p, unit: u, soon: make(map[*room]work.Shape), beside: maps.Clone(u.Beside), stopped: make(map[work.RunKey]bool)}
 	for _, r := range p.rooms {
 		t.soon[r] = r.soon
 	}
-	chosen := make([]*room, 0, len(u.Indexes))
 	for range u.Indexes {
 		r := t.cheapest(rooms)
 		if r == nil {
-			return false
+			return nil
 		}
-		chosen = append(chosen, r)
+		t.chosen = append(t.chosen, r)
 	}
-	p.commit(t, chosen)
-	return true
+	return t
 }
 
 // commit carries a trade out.
-func (p *pass) commit(t *trade, chosen []*room) {
+func (p *pass) commit(t *trade) {
 	for _, r := range p.rooms {
 		for i := range r.Runs {
 			run := &r.Runs[i]
@@ -45,7 +59,7 @@
 			}
 		}
 	}
-	for _, r := range chosen {
+	for _, r := range t.chosen {
 		r.take(Demand(t.unit.step()))
 		t.unit.Beside[r.ID]++
 	}
@@ -58,6 +72,8 @@
 	soon    map[*room]work.Shape
 	beside  map[string]int
 	stopped map[work.RunKey]bool
+	chosen  []*room
+	total   float64 // cost of the runs that are stopped
 }
 
 // cheapest takes room for one task at the worker where that stops least work.
@@ -81,6 +97,7 @@
 	for _, v := range bestVictims {
 		t.stop(v)
 	}
+	t.total += bestCost
 	t.soon[best] = t.soon[best].Sub(d)
 	t.beside[best.ID]++
 	return best
@@ -90,7 +107,7 @@
 func (t *trade) stop(v Run) {
 	for _, r := range t.rooms {
 		for _, run := range r.Runs {
-			if !run.Stopping && !t.stopped[run.Key] && (run.Key == v.Key || (v.Group != "" && run.Group == v.Group)) {
+			if !run.Stopping && !run.Ending && !t.stopped[run.Key] && (run.Key == v.Key || (v.Group != "" && run.Group == v.Group)) {
 				t.stopped[run.Key] = true
 				t.soon[r] = t.soon[r].Add(run.Demand)
 			}
@@ -99,7 +116,7 @@
 }
 
 // victims returns the runs of one worker whose end makes room for the demand,
-// lowest priority and cheapest first, and their cost.
+// cheapest first, and their cost.
 func (t *trade) victims(r *room, d work.Shape) ([]Run, float64, bool) {
 	left := t.soon[r]
 	if d.Fits(left) {
@@ -112,7 +129,7 @@
 		}
 	}
 	slices.SortStableFunc(runs, func(a, b Run) int {
-		return cmp.Or(-cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Cost, b.Cost))
+		return cmp.Or(cmp.Compare(t.cost([]Run{a}), t.cost([]Run{b})), -cmp.Compare(a.Priority, b.Priority))
 	})
 	var chosen []Run
 	for _, run := range runs {
@@ -147,7 +164,7 @@
 	for _, v := range victims {
 		for _, r := range t.rooms {
 			for _, run := range r.Runs {
-				if run.Key == v.Key || (v.Group != "" && run.Group == v.Group) {
+				if !t.stopped[run.Key] && (run.Key == v.Key || (v.Group != "" && run.Group == v.Group)) {
 					total += run.Cost + each
 				}
 			}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -16,6 +16,7 @@
 	Indexes    []int
 	Reserved   bool              // within the guarantee of the client account
 	Due        time.Time         // when the job should be done
+	Late       bool              // so late that it does not count any more when it is done
 	Beside     map[string]int    // tasks of the step that each worker has; shared by the units of the step
 	Advised    map[string]string // tickets of the workers that may run the step, if the job is advised
 }
@@ -36,12 +37,14 @@
 }
 
 // order sorts units by what is served first: priority, then guarantees, then
-// the time at which the job should be done.
+// the time at which the job should be done. A job that is too late to count
+// comes last in its priority.
 func order(units []*Unit) {
 	slices.SortStableFunc(units, func(a, b *Unit) int {
 		return cmp.Or(
 			cmp.Compare(a.Job.Priority, b.Job.Priority),
 			compareBool(b.Reserved, a.Reserved),
+			compareBool(a.Late, b.Late),
 			a.Due.Compare(b.Due),
 			cmp.Compare(a.Job.ID, b.Job.ID),
 		)
--- a/station/entry.go
+++ b/station/entry.go
@@ -48,7 +48,7 @@
 	gate := gateway.New(gateway.Config{Store: store, Copy: copied, Desk: documents, Revoke: n.Revoke, Log: log})
 	lead := leader.New(leader.Config{
 		Name: n.Name, Address: n.Internal, Store: store, Copy: copied, Desk: documents,
-		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, Log: log,
+		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, StopGrace: n.StopGrace, Log: log,
 	})
 	listeners, err := listen(n.Callers, n.Ready, n.Internal)
 	if err != nil {
