leader: checkpoints are recorded once a second

Cause: checkpoints stood in the records only when something else changed, so loss of all power threw away work that had been saved. Ruled out: the restore itself (a run after a stop resumed from its checkpoint). TestCheckpointsOutliveAllMachines fails without the change.

--- a/leader/attach.go
+++ b/leader/attach.go
@@ -235,6 +235,7 @@
 			members = s.progress.Step(s.job, run.Key.Task.Occurrence, run.Key.Task.Step)
 		}
 		saved := s.progress.Save(task, members, run.Saved)
+		s.stale = s.stale || saved
 		task.Percent = run.Percent
 		t.watchRun(w, run, saved, now)
 	}
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -53,7 +53,7 @@
 			s.dirty = false
 			continue
 		}
-		s.dirty = false
+		s.dirty, s.stale = false, false
 		b.changes = append(b.changes, change{s, value, slices.Clone(s.progress.Tasks)})
 	}
 	for id, w := range t.workers {
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -214,6 +214,23 @@
 	w.sound()
 }
 
+// Guards against checkpoints that are lost with the leader and the workers.
+func TestCheckpointsOutliveAllMachines(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, 1)
+	s := step(1, 20*time.Second)
+	s.Checkpointing = true
+	w.record(&work.Job{ID: "saves", Service: "s", Attempts: 2, Accepted: time.Now(), Steps: []work.Step{s}, Spec: spec(20*time.Second, standin.SpecSaves)})
+	require.Eventually(t, func() bool {
+		for _, e := range w.entries {
+			if got, ok := e.copy.Job("saves"); ok && got.Progress != nil && got.Progress.Tasks[0].Saved != "" {
+				return true
+			}
+		}
+		return false
+	}, 20*time.Second, 10*time.Millisecond)
+}
+
 // Guards against a task that stands still for good on one worker.
 func TestStalledRunIsMoved(t *testing.T) {
 	t.Parallel()
--- a/leader/term.go
+++ b/leader/term.go
@@ -22,6 +22,7 @@
 	recorded  []work.Task    // as last committed
 	version   uint64         // of the record of the progress, 0 if there is none
 	dirty     bool           // progress differs from the record
+	stale     bool           // the record lacks newer checkpoints
 	announced bool           // the final state was logged
 }
 
@@ -58,6 +59,7 @@
 	workers map[string]*workerState
 	streams map[string]chan struct{} // wakes the sender of a worker's stream
 	gone    map[string]bool          // incarnations that have ended
+	savedAt time.Time                // when checkpoints were last recorded
 	why     error
 }
 
@@ -241,6 +243,22 @@
 	}
 }
 
+// saveEvery is the time between two records of checkpoints, which would else be
+// lost with the leader and the workers. One commit takes those of 15 jobs.
+const saveEvery = time.Second
+
+// saveCheckpoints has newer checkpoints recorded.
+func (t *term) saveCheckpoints(now time.Time) {
+	if now.Sub(t.savedAt) < saveEvery {
+		return
+	}
+	for _, s := range t.jobs {
+		if s.stale && !s.progress.State.Final() {
+			s.dirty, t.savedAt = true, now
+		}
+	}
+}
+
 // decide takes what is new, places tasks, and returns what is to be committed,
 // or nil if nothing is.
 func (t *term) decide() *batch {
@@ -252,5 +270,6 @@
 	}
 	t.loseWorkers(now)
 	t.place(now)
+	t.saveCheckpoints(now)
 	return t.gather()
 }
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -19,6 +19,7 @@
 	SpecGang  = "gang=" // members of its gang: gang=3
 	SpecFails = "fails" // each run fails at its end
 	SpecHangs = "hangs" // a run makes no progress
+	SpecSaves = "saves" // a run makes a checkpoint in each tenth of its duration
 )
 
 // Steps is a set of workers that run steps. Members of a gang wait for each
@@ -194,12 +195,30 @@
 	now := time.Now()
 	l := work.Look{Refusal: why, Clock: w.clock(now), Born: w.born.UnixMilli()}
 	for k, r := range w.runs {
-		l.Running = append(l.Running, work.RunStatus{Key: k, Saved: r.saved, Percent: r.percent(now)})
+		l.Running = append(l.Running, work.RunStatus{Key: k, Saved: r.checkpoint(now), Percent: r.percent(now)})
 	}
 	l.Ended = append(l.Ended, w.ended...)
 	return l
 }
 
+// checkpoint returns the tenths of the work that are saved.
+func (r *stepRun) checkpoint(now time.Time) string {
+	if !r.has(SpecSaves) || r.began.IsZero() {
+		return r.saved
+	}
+	return fmt.Sprintf("%02d", r.savedTenths()+int(10*now.Sub(r.began)/max(1, r.duration())))
+}
+
+func (r *stepRun) savedTenths() int {
+	n := 0
+	_, _ = fmt.Sscan(r.saved, &n) // without a checkpoint there is none
+	return n
+}
+
+// left is the duration of the work after the checkpoint that the run began
+// with.
+func (r *stepRun) left() time.Duration { return r.duration() * time.Duration(10-r.savedTenths()) / 10 }
+
 func (r *stepRun) percent(now time.Time) int {
 	if r.began.IsZero() || r.has(SpecHangs) {
 		return 0
@@ -358,7 +377,7 @@
 	switch {
 	case !r.stopped.IsZero() && now.Sub(r.stopped) >= w.set.StopGrace:
 		w.end(k, work.OutcomeStopped)
-	case r.began.IsZero() || r.has(SpecHangs) || now.Sub(r.began) < r.duration():
+	case r.began.IsZero() || r.has(SpecHangs) || now.Sub(r.began) < r.left():
 	case r.has(SpecFails):
 		w.end(k, work.OutcomeFailed)
 	default:
@@ -387,7 +406,7 @@
 func (w *StepWorker) end(k work.RunKey, how work.Outcome) {
 	saved := ""
 	if r := w.runs[k]; r != nil {
-		saved = r.saved
+		saved = r.checkpoint(time.Now())
 	}
 	delete(w.runs, k)
 	w.latest[k.Task] = max(w.latest[k.Task], k.Run)
