--- a/control/message.go
+++ b/control/message.go
@@ -48,6 +48,7 @@
 // Worker is the incarnation of a worker beside an agent.
 type Worker struct {
 	Incarnation string
+	ID          string // as it announced itself
 	Service     string
 	Domain      string
 	Rack        string
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -23,6 +23,7 @@
 	jobPrefix      = "rs/job/"
 	progressPrefix = "rs/progress/"
 	cancelPrefix   = "rs/cancel/"
+	wavePrefix     = "rs/wave/"
 )
 
 // JobKey is the key of a job.
@@ -35,6 +36,9 @@
 // cancelled.
 func CancelKey(id string) string { return cancelPrefix + id }
 
+// WaveKey is the key of the machines of a wave that have had their upkeep.
+func WaveKey(id string) string { return wavePrefix + id }
+
 // Seat is the record of the leader.
 type Seat struct {
 	Name    string
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -240,6 +240,7 @@
 		t.watchRun(w, run, saved, now)
 	}
 	t.leaveWorker(w, now)
+	t.setPace(w, now)
 }
 
 // loseWorkers takes the runs of workers for ended whose leases have lapsed.
@@ -301,7 +302,7 @@
 	for k := range w.strays {
 		o.Stops = append(o.Stops, k)
 	}
-	t.paces(&o, w, now)
+	t.paces(&o, w)
 	return o, true
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -15,10 +15,12 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/desk"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/queue"
 	"github.com/rosemarysill/rosemarysill/uptime"
+	"github.com/rosemarysill/rosemarysill/work"
 )
 
 const (
@@ -39,6 +41,8 @@
 	Configuration() *queue.Configuration
 	// DomainOut reports whether a failure domain is taken out.
 	DomainOut(domain string) bool
+	// Waves returns the waves of upkeep by key.
+	Waves() map[string]desk.Wave
 	// Fresh returns the time as of which the documents are complete.
 	Fresh() time.Time
 }
@@ -50,9 +54,12 @@
 	Store     rosemarysill.TransactionalStore
 	Copy      *jobstore.Copy
 	Desk      Desk
-	LeaseMin  time.Duration // shortest lease of the store
-	StatusFor time.Duration // for which final jobs are kept at least
-	StopGrace time.Duration // longest time that the stop of a run takes
+	LeaseMin  time.Duration  // shortest lease of the store
+	StatusFor time.Duration  // for which final jobs are kept at least
+	StopGrace time.Duration  // longest time that the stop of a run takes
+	Adviser   work.Adviser   // nil if there is no advice service
+	Machinery work.Machinery // nil if machines cannot be ordered
+	WaveForm  WaveForm
 	Log       zerolog.Logger
 }
 
@@ -152,6 +159,8 @@
 		l.term = t
 		l.mu.Unlock()
 		parts.Go(func() { defer cancel(); t.run(termCtx) })
+		parts.Go(func() { t.askAdvice(termCtx) })
+		parts.Go(func() { t.keepUp(termCtx) })
 	}
 	<-termCtx.Done()
 	l.mu.Lock()
--- a/leader/place.go
+++ b/leader/place.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/schedule"
+	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -135,6 +136,9 @@
 		Job: s.job, Occurrence: occurrence, Step: step, Reserved: reserved, Due: due(s.job, occurrence), Beside: beside,
 		Late: now.After(begin(s.job, occurrence).Add(lateFactor * objective(s.job))),
 	}
+	if s.job.Advised {
+		unit.Advised = t.advice(s, occurrence, step, uptime.Now())
+	}
 	if gang {
 		unit.Indexes = waiting
 		return []*schedule.Unit{&unit}
@@ -201,6 +205,20 @@
 	return fleet
 }
 
+// mayMiss returns how many of the first tasks of a long-running step may be
+// stopped now: those that may be away less those that are. Fixed places keep
+// one pass from stopping more.
+func (t *term) mayMiss(s *jobState, k work.TaskKey) int {
+	tasks := s.progress.Step(s.job, k.Occurrence, k.Step)
+	away := 0
+	for i := range tasks {
+		if !tasks[i].Placed() || tasks[i].Stop || tasks[i].Percent < 100 {
+			away++
+		}
+	}
+	return s.job.Steps[k.Step].MayMiss - away
+}
+
 // heardWithin is the age of the last report beyond which a worker gets no
 // tasks.
 const heardWithin = time.Second
@@ -221,12 +239,13 @@
 	}
 	step := s.job.Steps[k.Task.Step]
 	run := schedule.Run{
-		Key: k, Demand: schedule.Demand(step), Priority: s.job.Priority, Reserved: reserved[s.job.ID], Stopping: task.Stop,
+		Key: k, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Priority: s.job.Priority, Reserved: reserved[s.job.ID], Stopping: task.Stop,
 		Cost: step.Shape.Cores() * now.Sub(w.placed[k]).Seconds(),
 	}
 	if p := w.pacers[k]; p != nil && !step.LongRunning {
 		run.Ending = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
 	}
+	run.Pinned = step.LongRunning && k.Task.Index >= t.mayMiss(s, k.Task)
 	if step.Checkpointing {
 		run.Cost = step.Shape.Cores()
 	}
--- a/leader/term.go
+++ b/leader/term.go
@@ -40,6 +40,7 @@
 	placed   map[work.RunKey]time.Time // runs ordered here, and when
 	pacers   map[work.RunKey]*pacer
 	health   health
+	speed    speed
 }
 
 // term is the time in which this entry leads.
@@ -59,7 +60,11 @@
 	workers map[string]*workerState
 	streams map[string]chan struct{} // wakes the sender of a worker's stream
 	gone    map[string]bool          // incarnations that have ended
-	savedAt time.Time                // when checkpoints were last recorded
+	advised map[stepKey]*advised
+	asking  chan struct{}         // a step waits for advice
+	waves   map[string]*waveState // used by keepUp alone
+	fenced  bool                  // a later leader has ordered machines; used by keepUp alone
+	savedAt time.Time             // when checkpoints were last recorded
 	why     error
 }
 
@@ -68,7 +73,7 @@
 		cfg: cfg, seat: seat, at: at, lease: lease, valid: valid, elected: uptime.Now(),
 		ended: make(chan struct{}), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
-		streams: make(map[string]chan struct{}), gone: make(map[string]bool),
+		streams: make(map[string]chan struct{}), gone: make(map[string]bool), advised: make(map[stepKey]*advised), asking: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
 }
 
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -148,6 +147,3 @@
 		}
 	}
 }
-
-// paces adds the orders that set the speed of runs.
-func (t *term) paces(*control.Orders, *workerState, time.Time) {}
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,6 +17,7 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
+	operators "github.com/rosemarysill/rosemarysill/desk"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/leader"
 	"github.com/rosemarysill/rosemarysill/queue"
@@ -30,10 +32,18 @@
 	mu  sync.Mutex
 	out map[string]bool
 	cfg queue.Configuration
+
+	waves map[string]operators.Wave
 }
 
 func (d *desk) Configuration() *queue.Configuration { return &d.cfg }
 
+func (d *desk) Waves() map[string]operators.Wave {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.waves)
+}
+
 func (d *desk) Fresh() time.Time { return uptime.Now() }
 
 func (d *desk) DomainOut(domain string) bool {
@@ -76,6 +86,9 @@
 	desk    *desk
 	entries map[string]*entry
 	agents  map[string]*agent
+
+	adviser   *adviser   // of entries that are added later
+	machinery *machinery // the same
 }
 
 func newWorld(t *testing.T, entries, agents int) *world {
@@ -107,10 +120,23 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	view := w.store.View(name)
 	e := &entry{process: process{cancel, make(chan struct{})}, copy: jobstore.NewCopy(view, zerolog.Nop())}
-	lead := leader.New(leader.Config{
+	cfg := leader.Config{
 		Name: name, Address: netip.MustParseAddrPort(l.Addr().String()), Store: view, Copy: e.copy, Desk: w.desk,
-		StatusFor: time.Minute, Log: zerolog.Nop(),
-	})
+		StatusFor: time.Minute, StopGrace: 50 * time.Millisecond, Log: zerolog.Nop(),
+		WaveForm: func(id string, completed bool) (string, []byte) {
+			if completed {
+				return "status/" + id, []byte("completed")
+			}
+			return "status/" + id, []byte("running")
+		},
+	}
+	if w.adviser != nil {
+		cfg.Adviser = w.adviser
+	}
+	if w.machinery != nil {
+		cfg.Machinery = w.machinery
+	}
+	lead := leader.New(cfg)
 	server := grpc.NewServer()
 	control.Register(server, lead)
 	go func() {
--- a/runner/ledger.go
+++ b/runner/ledger.go
@@ -55,10 +55,11 @@
 	refused    []control.Refused
 	unanswered map[work.RunKey]int64   // highest fence of an unanswered start
 	stopped    map[work.RunKey]stopped // stops that the worker has answered
+	paced      map[work.RunKey]int     // shares that the worker has taken
 }
 
 func newLedger(agent string, fence int64) *ledger {
-	return &ledger{agent: agent, fence: fence, unanswered: make(map[work.RunKey]int64), stopped: make(map[work.RunKey]stopped)}
+	return &ledger{agent: agent, fence: fence, unanswered: make(map[work.RunKey]int64), stopped: make(map[work.RunKey]stopped), paced: make(map[work.RunKey]int)}
 }
 
 // incarnation names the present life of the worker.
@@ -102,6 +103,7 @@
 	l.until = now.Add(control.Lease)
 	clear(l.unanswered)
 	clear(l.stopped)
+	clear(l.paced)
 }
 
 func (l *ledger) end(incarnation string) {
@@ -193,6 +195,7 @@
 	changed = changed && l.answered
 	changed = changed || !sameRuns(l.running, look.Running)
 	l.running = look.Running
+	l.forgetPaces()
 	for _, e := range look.Ended {
 		known := slices.ContainsFunc(l.ended, func(o work.RunEnd) bool { return o.Seq == e.Seq })
 		if e.Seq > l.seen && !known {
@@ -235,6 +238,27 @@
 	return !l.ends(k) && (!ok || now.Sub(st.at) > stopAgain)
 }
 
+// fullPace is the share at which a run begins.
+const fullPace = 100
+
+// mayPace reports whether an order for the speed of a run says anything new.
+func (l *ledger) mayPace(k work.RunKey, percent int) bool {
+	at, ok := l.paced[k]
+	if !ok {
+		at = fullPace
+	}
+	return at != percent && l.listed(k) && !l.ends(k)
+}
+
+// forgetPaces drops the speeds of runs that have ended.
+func (l *ledger) forgetPaces() {
+	for k := range l.paced {
+		if !l.listed(k) {
+			delete(l.paced, k)
+		}
+	}
+}
+
 // listed reports whether the run is known as running or ended.
 func (l *ledger) listed(k work.RunKey) bool {
 	return l.ends(k) || slices.ContainsFunc(l.running, func(s work.RunStatus) bool { return s.Key == k })
@@ -276,7 +300,7 @@
 	}
 	a := l.instance
 	r.Worker = &control.Worker{
-		Incarnation: l.incarnation(), Service: a.Service, Domain: a.Domain, Rack: a.Rack, Labels: a.Labels,
+		Incarnation: l.incarnation(), ID: a.ID, Service: a.Service, Domain: a.Domain, Rack: a.Rack, Labels: a.Labels,
 		Capacity: a.Capacity, Draining: a.State == work.WorkerDraining, Remaining: max(0, a.Remaining-now.Sub(l.heard)),
 		Silent: now.Sub(l.answerAt) > silentAfter,
 	}
--- /dev/null
+++ b/runner/ledger_test.go
@@ -0,0 +1,115 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func announced(born int64) *ledger {
+	l := newLedger("a", 100)
+	l.announce(work.Announcement{ID: "i", Born: born, Sequence: 1, State: work.WorkerReady}, at(0))
+	l.look(work.Look{Clock: time.Second}, l.fence, at(0))
+	return l
+}
+
+func key(n int) work.RunKey { return work.RunKey{Task: work.TaskKey{Job: "j", Index: n}, Run: 1} }
+
+// Guards against a lease that outlives what the leader counts with: the stamp
+// of the report that it has echoed, and a worker's clock that is slow.
+func TestLeaseEndsInTime(t *testing.T) {
+	l := announced(1)
+	require.Zero(t, l.deadline(at(0)), "no lease before the leader has answered")
+	require.True(t, l.lease(control.Orders{Epoch: 2, Echo: at(0), Leased: true}))
+	d := l.deadline(at(0))
+	slowest := time.Duration(float64(d-time.Second) / (1 - control.ClockDrift))
+	require.LessOrEqual(t, slowest, control.Lease)
+	require.False(t, l.lease(control.Orders{Epoch: 1, Echo: at(3000), Leased: true}), "an earlier leader extends nothing")
+	require.True(t, l.lease(control.Orders{Epoch: 2, Echo: at(3000)}))
+	require.Equal(t, d, l.deadline(at(3000)), "nor one whose seat may have lapsed")
+	require.Zero(t, l.deadline(at(6000)), "nor a lease that is over")
+}
+
+// Guards against a refusal that is taken for final while an earlier start
+// without an answer may still be carried out.
+func TestRefusalAfterUnansweredStart(t *testing.T) {
+	l := announced(1)
+	fence := l.fence
+	l.lost(key(0), fence)
+	require.Greater(t, l.fence, fence)
+	require.False(t, l.refuse(key(0), work.RefusedRoom), "the worker has not seen a higher fence")
+	l.look(work.Look{Clock: time.Second}, l.fence, at(10))
+	require.True(t, l.refuse(key(0), work.RefusedRoom))
+}
+
+// Guards against a stop that is repeated while it is carried out, and a start
+// that is never resolved because its stop came first.
+func TestStopBeforeStart(t *testing.T) {
+	l := announced(1)
+	require.True(t, l.mayStop(key(0), at(0)))
+	l.stopped[key(0)] = stopped{l.fence, at(0)}
+	require.False(t, l.mayStop(key(0), at(100)))
+	require.True(t, l.look(work.Look{Clock: time.Second}, l.fence, at(100)))
+	require.Equal(t, []control.Refused{{Key: key(0), Why: work.RefusedOld}}, l.refused)
+}
+
+// Guards against status reports of an earlier life that arrive late, and of a
+// later life under the same identifier.
+func TestIncarnations(t *testing.T) {
+	l := announced(10)
+	l.running = []work.RunStatus{{Key: key(0)}}
+	require.False(t, l.announce(work.Announcement{ID: "i", Born: 5, Sequence: 9}, at(0)))
+	require.False(t, l.announce(work.Announcement{ID: "old", Born: 5, Sequence: 9}, at(0)))
+	first, fence := l.incarnation(), l.fence
+	require.True(t, l.look(work.Look{Clock: time.Second, Born: 20}, l.fence, at(0)), "its lists show a later life")
+	require.NotEqual(t, first, l.incarnation())
+	require.Greater(t, l.fence, fence)
+	require.Contains(t, l.gone, first)
+	require.Nil(t, l.report(at(0)).Worker, "not before it has answered the new fence")
+	require.False(t, l.announce(work.Announcement{ID: "i", Born: 10, Sequence: 10}, at(0)))
+}
+
+// Guards against ends that are forgotten before they are recorded, or reported
+// again after.
+func TestEnds(t *testing.T) {
+	l := announced(1)
+	ended := []work.RunEnd{{Seq: 1, Key: key(0), How: work.OutcomeDone}, {Seq: 2, Key: key(1), How: work.OutcomeDone}}
+	require.True(t, l.look(work.Look{Ended: ended}, l.fence, at(0)))
+	require.Zero(t, l.seen)
+	l.lease(control.Orders{Incarnation: l.incarnation(), Seen: 1})
+	require.Equal(t, uint64(1), l.seen)
+	require.False(t, l.look(work.Look{Ended: ended}, l.fence, at(0)))
+	require.Len(t, l.report(at(0)).Ended, 1)
+	l.lease(control.Orders{Incarnation: "another", Seen: 2})
+	require.Equal(t, uint64(1), l.seen)
+}
+
+// Guards against a silent worker that gets tasks, and runs that are taken for
+// ended before their leases have lapsed.
+func TestSilentWorker(t *testing.T) {
+	l := announced(1)
+	l.lease(control.Orders{Epoch: 1, Echo: at(0), Leased: true})
+	l.deadline(at(0))
+	require.False(t, l.report(at(1000)).Worker.Silent)
+	w := l.report(at(2000)).Worker
+	require.True(t, w.Silent)
+	require.False(t, w.Lapsed)
+	require.True(t, l.report(at(5400)).Worker.Lapsed)
+}
+
+// Guards against fences below those of an earlier process of the agent whose
+// clock was ahead.
+func TestFenceOfAnEarlierAgent(t *testing.T) {
+	l := announced(1)
+	fence := l.fence
+	l.answer(work.Look{Refusal: work.RefusedFence}, fence, at(0))
+	require.Greater(t, l.fence, fence+1000)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -250,7 +250,7 @@
 		r.order(k, r.ledger.mayStop(k, now), func() { r.stop(ctx, k) })
 	}
 	for _, p := range o.Paces {
-		r.order(p.Key, true, func() { r.pace(ctx, p) })
+		r.order(p.Key, r.ledger.mayPace(p.Key, p.Percent), func() { r.pace(ctx, p) })
 	}
 	if o.Seen > 0 {
 		notify(r.wake)
@@ -361,7 +361,9 @@
 		return
 	}
 	event.RunnerPace.Log(r.cfg.Log).Str("Job", p.Key.Task.Job).Any("Run", p.Key).Int("Percent", p.Percent).Str("Refusal", string(look.Refusal)).Send()
-	l.answer(look, fence, uptime.Now())
+	if l.answer(look, fence, uptime.Now()) && look.Refusal == work.Accepted {
+		l.paced[p.Key] = p.Percent
+	}
 }
 
 func (r *Runner) failed(call string, k work.RunKey, err error) {
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -12,10 +12,12 @@
 type Run struct {
 	Key      work.RunKey
 	Demand   work.Shape
+	MilliCPU int64 // declared need, also of a run that fills
 	Priority int
 	Reserved bool    // within the guarantee of its client account
 	Group    string  // runs of one gang, which end together; empty for others
 	Cost     float64 // core-seconds that are lost if it is stopped
+	Pinned   bool    // may not be stopped for others
 	Stopping bool
 	Ending   bool // will have ended by the time that a stop takes
 }
@@ -47,12 +49,14 @@
 	*Worker
 	free work.Shape // now
 	soon work.Shape // once all runs that are being stopped have ended
+	idle int64      // processor time that the declared needs of all runs leave, filling ones included
 }
 
 func newRoom(w *Worker) *room {
-	r := &room{Worker: w, free: w.Capacity, soon: w.Capacity}
+	r := &room{Worker: w, free: w.Capacity, soon: w.Capacity, idle: w.Capacity.MilliCPU}
 	for _, run := range w.Runs {
 		r.free = r.free.Sub(run.Demand)
+		r.idle -= run.MilliCPU
 		if !run.Stopping && !run.Ending {
 			r.soon = r.soon.Sub(run.Demand)
 		}
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -74,6 +74,7 @@
 func (p *pass) start(u *Unit, chosen []*room) {
 	for i, r := range chosen {
 		r.place(Demand(u.step()))
+		r.idle -= u.step().Shape.MilliCPU
 		u.Beside[r.ID]++
 		p.plan.Places = append(p.plan.Places, Place{
 			Task:   work.TaskKey{Job: u.Job.ID, Occurrence: u.Occurrence, Step: u.Step, Index: u.Indexes[i]},
@@ -164,7 +165,7 @@
 			if !d.Fits(left[i]) || (s.MaxPerWorker > 0 && beside[i] >= s.MaxPerWorker) {
 				continue
 			}
-			if best < 0 || left[i].Cores() < left[best].Cores() {
+			if best < 0 || better(s, rooms[i], rooms[best], left[i], left[best]) {
 				best = i
 			}
 		}
@@ -177,3 +178,13 @@
 	}
 	return chosen
 }
+
+// better reports whether a is a better place than b. A task that fills gets
+// the most idle processor time; others go where least is left, so that whole
+// workers stay free.
+func better(s work.Step, a, b *room, leftA, leftB work.Shape) bool {
+	if s.Fills {
+		return a.idle > b.idle
+	}
+	return leftA.Cores() < leftB.Cores()
+}
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -11,7 +11,7 @@
 // yields reports whether a run makes room for the unit. Work within a
 // guarantee yields to none, and other work of priority 0 only to a guarantee.
 func yields(run Run, u *Unit) bool {
-	return !run.Stopping && !run.Ending && !run.Reserved && (run.Priority > 0 || u.Reserved)
+	return !run.Stopping && !run.Ending && !run.Pinned && !run.Reserved && (run.Priority > 0 || u.Reserved)
 }
 
 // preemptIn makes room for the unit where that stops least work, and reserves
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -52,6 +52,7 @@
 	dark   bool // answers nothing
 	mute   bool // carries calls out late, and answers nothing
 	late   time.Duration
+	starts int
 	fence  int64
 	until  time.Duration
 	seq    uint64
@@ -150,6 +151,21 @@
 	return s.started[k]
 }
 
+// Runs returns the number of runs in progress at this worker.
+func (w *StepWorker) Runs() int {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.set.advance(time.Now())
+	return len(w.runs)
+}
+
+// Started returns the number of starts at this worker.
+func (w *StepWorker) Started() int {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	return w.starts
+}
+
 func (w *StepWorker) clock(now time.Time) time.Duration { return now.Sub(w.born) + time.Second }
 
 // call carries f out with its fence, at once or late.
@@ -268,6 +284,7 @@
 		}
 		w.set.check(s.Key)
 		w.set.started[s.Key]++
+		w.starts++
 		w.runs[s.Key] = &stepRun{spec: s.Spec, come: now, saved: s.Saved}
 		w.set.advance(now)
 		return work.Accepted
--- a/station/entry.go
+++ b/station/entry.go
@@ -46,10 +46,21 @@
 	copied := jobstore.NewCopy(store, log)
 	documents := desk.New(store, platform.Documents{}, log)
 	gate := gateway.New(gateway.Config{Store: store, Copy: copied, Desk: documents, Revoke: n.Revoke, Log: log})
-	lead := leader.New(leader.Config{
+	cfg := leader.Config{
 		Name: n.Name, Address: n.Internal, Store: store, Copy: copied, Desk: documents,
-		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, StopGrace: n.StopGrace, Log: log,
-	})
+		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, StopGrace: n.StopGrace, WaveForm: platform.WaveStatus, Log: log,
+	}
+	if n.Advice.IsValid() {
+		advice := platform.NewAdvice(n.Advice)
+		defer advice.Close()
+		cfg.Adviser = advice
+	}
+	if n.Machines.IsValid() {
+		machines := platform.NewMachines(n.Machines)
+		defer machines.Close()
+		cfg.Machinery = machines
+	}
+	lead := leader.New(cfg)
 	listeners, err := listen(n.Callers, n.Ready, n.Internal)
 	if err != nil {
 		return err
