runner: leases of a worker that is gone lapse; failed orders pause; meter, logbook: figures and bounded logs

A refused connection was tried again at once: 300 calls a second and 115 MB between domains. Ruled out: the leader's own bound (the agent still reported). A worker whose machine refuses connections for 400 ms is taken for ended.

--- a/cmd/rosemarysill/node.go
+++ b/cmd/rosemarysill/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/logbook"
 	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/station"
 )
@@ -23,7 +24,8 @@
 }
 
 type nodeCommand struct {
-	Level string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"Least level that is logged"`
+	Metrics uint16 `long:"metrics-port" default:"9464" description:"Port of the figures, under /metrics"`
+	Level   string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"Least level that is logged"`
 }
 
 // Execute runs the process until a signal arrives.
@@ -32,20 +34,21 @@
 	if err != nil {
 		return rosemarysill.NewError(rosemarysill.InvalidArguments, "%v", err)
 	}
-	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" // lines of several processes are put in order
-	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
+	log := logbook.New(os.Stdout, level)
+	defer func() { _ = log.Close() }() // there is nowhere to report it
 	path := os.Getenv(platform.BootVariable)
 	n, err := platform.ReadNode(path)
 	if err != nil {
 		return rosemarysill.NewError(rosemarysill.InvalidSettings, "%s: %v", path, err)
 	}
 	limitMemory(n)
+	n.MetricsPort = c.Metrics
 	ctx := untilSignal()
-	go reload(ctx, path, log)
+	go reload(ctx, path, log.Logger)
 	if n.Entry {
-		return station.Entry(ctx, n, log)
+		return station.Entry(ctx, n, log.Logger)
 	}
-	return station.Agent(ctx, n, log)
+	return station.Agent(ctx, n, log.Logger)
 }
 
 // memoryShare is the part of the machine's memory that the garbage collector
--- a/event/leader.go
+++ b/event/leader.go
@@ -19,6 +19,7 @@
 	QueueStoreBack       Event = 1131
 	QueueRecordBad       Event = 1132
 	QueueReload          Event = 1133
+	NodeNoFigures        Event = 1134
 	LeaderElected        Event = 1150
 	LeaderLost           Event = 1151
 	LeaderResigned       Event = 1152
@@ -54,6 +55,7 @@
 	QueueStoreBack:       {"QueueStoreBack", zerolog.InfoLevel, "The copy of the store is up to date again."},
 	QueueRecordBad:       {"QueueRecordBad", zerolog.ErrorLevel, "A record in the store cannot be read and is passed over."},
 	QueueReload:          {"QueueReload", zerolog.InfoLevel, "SIGHUP: the settings file was read again."},
+	NodeNoFigures:        {"NodeNoFigures", zerolog.WarnLevel, "The figures of a process cannot be served."},
 	LeaderElected:        {"LeaderElected", zerolog.InfoLevel, "This entry has become the leader."},
 	LeaderLost:           {"LeaderLost", zerolog.WarnLevel, "This entry is not the leader any more."},
 	LeaderResigned:       {"LeaderResigned", zerolog.InfoLevel, "This entry has given the lead up."},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/meter"
 	"github.com/rosemarysill/rosemarysill/queue"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
@@ -46,6 +47,7 @@
 	Copy   *jobstore.Copy
 	Desk   Desk
 	Revoke time.Duration // in which a revoked key ends to be valid
+	Meter  *meter.Meter
 	Log    zerolog.Logger
 }
 
@@ -112,7 +114,9 @@
 
 // Submit implements queue.Jobs.
 func (g *Gateway) Submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) error {
+	began := time.Now()
 	id, version, err := g.submit(ctx, c, decode)
+	g.cfg.Meter.Answered("Submit", rosemarysill.CodeOf(err), time.Since(began))
 	g.log(event.QueueAccepted, id, version, err)
 	return err
 }
@@ -213,6 +217,13 @@
 
 // State implements queue.Jobs.
 func (g *Gateway) State(ctx context.Context, c queue.Call) (work.State, error) {
+	began := time.Now()
+	state, err := g.state(ctx, c)
+	g.cfg.Meter.Answered("State", rosemarysill.CodeOf(err), time.Since(began))
+	return state, err
+}
+
+func (g *Gateway) state(ctx context.Context, c queue.Call) (work.State, error) {
 	_, _, _, id, err := g.admit(c)
 	if err != nil {
 		return "", err
@@ -252,10 +263,12 @@
 
 // Cancel implements queue.Jobs.
 func (g *Gateway) Cancel(ctx context.Context, c queue.Call) error {
+	began := time.Now()
 	_, _, _, id, err := g.admit(c)
 	if err == nil {
 		err = g.cancel(ctx, c, id)
 	}
+	g.cfg.Meter.Answered("Cancel", rosemarysill.CodeOf(err), time.Since(began))
 	g.log(event.QueueCancelled, lastPart(c.Path), 0, err)
 	return err
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -18,6 +18,7 @@
 	"github.com/rosemarysill/rosemarysill/desk"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/meter"
 	"github.com/rosemarysill/rosemarysill/queue"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
@@ -60,6 +61,7 @@
 	Adviser   work.Adviser   // nil if there is no advice service
 	Machinery work.Machinery // nil if machines cannot be ordered
 	WaveForm  WaveForm
+	Meter     *meter.Meter
 	Log       zerolog.Logger
 }
 
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -256,3 +256,21 @@
 	w.desk.mu.Unlock()
 	w.reaches("out", work.Completed)
 }
+
+// Guards against orders that are repeated without a pause to a worker that
+// does not answer, and against its runs being waited for after their leases.
+func TestWorkerGoneWithoutAWord(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, 2)
+	w.record(&work.Job{ID: "gone", Service: "s", Attempts: 2, Accepted: time.Now(), Steps: []work.Step{step(10, time.Second)}, Spec: spec(time.Second, "")})
+	require.Eventually(t, func() bool { return w.steps.Runs() == 10 }, 20*time.Second, 10*time.Millisecond)
+	a := w.agents["agent0"].worker
+	a.SetDark(true)
+	w.submit("next", step(12, 100*time.Millisecond))
+	before, began := a.Calls(), time.Now()
+	w.reaches("gone", work.Completed)
+	w.reaches("next", work.Completed)
+	w.sound()
+	perS := float64(a.Calls()-before) / time.Since(began).Seconds()
+	require.Less(t, perS, 150.0, "calls a second to a worker that does not answer: ten holds and ten tries of each of its runs")
+}
--- a/leader/place.go
+++ b/leader/place.go
@@ -49,6 +49,9 @@
 		}
 		k.Run = runs[key]
 	}
+	if !s.progress.Started() {
+		t.cfg.Meter.Began(s.job.Account, s.job.Priority, time.Since(begin(s.job, p.Task.Occurrence)))
+	}
 	s.progress.Place(task, p.Worker, p.Ticket, k.Run)
 	s.dirty = true
 	t.workers[p.Worker].placed[k] = now
--- a/runner/ledger.go
+++ b/runner/ledger.go
@@ -40,6 +40,8 @@
 	answered bool      // and has answered since with the present fence
 	left     bool
 	gone     []string
+	presumed string    // incarnation that was taken for ended without a word of its own
+	refusing time.Time // since when nothing listens at the worker's address
 
 	fence      int64 // of the next call
 	fenceSeen  int64 // highest fence with which the worker has answered
@@ -76,6 +78,10 @@
 	if l.known && a.Born < l.instance.Born {
 		return false
 	}
+	if l.presumed != "" && l.presumed == l.incarnationOf(a) {
+		l.gone = slices.DeleteFunc(l.gone, func(g string) bool { return g == l.presumed })
+		l.presumed = ""
+	}
 	if slices.Contains(l.gone, l.incarnationOf(a)) {
 		return false
 	}
@@ -122,6 +128,25 @@
 	}
 }
 
+// absentAfter is the time in which nothing listens at a worker's address after
+// which its process has ended. It is several tries.
+const absentAfter = 400 * time.Millisecond
+
+// absent notes that nothing listens at the worker's address and reports
+// whether the worker is taken for ended. If it reports again it is back, and
+// the leader stops what still runs there.
+func (l *ledger) absent(now time.Time) bool {
+	if l.refusing.IsZero() {
+		l.refusing = now
+	}
+	if !l.known || now.Sub(l.refusing) < absentAfter {
+		return false
+	}
+	l.refusing, l.presumed = time.Time{}, l.incarnation()
+	l.leave(l.instance.ID)
+	return true
+}
+
 // lease takes the leader's answer to a report.
 func (l *ledger) lease(o control.Orders) bool {
 	if o.Epoch < l.epoch {
@@ -140,10 +165,11 @@
 
 // deadline returns the time of the worker's clock until which runs may be
 // leased, or 0 if no lease may be given. The worker's clock may be slow, so
-// the lease is shorter on it.
+// the lease is shorter on it. A silent worker gets no lease: a call without an
+// answer may have been carried out, so its leases would never be over.
 func (l *ledger) deadline(now time.Time) time.Duration {
 	until := l.leaseFrom.Add(control.Lease)
-	if l.clockAt.IsZero() || !until.After(now) {
+	if l.clockAt.IsZero() || !until.After(now) || now.Sub(l.answerAt) > silentAfter {
 		return 0
 	}
 	left := until.Sub(l.clockAt)
@@ -156,6 +182,7 @@
 // answer takes what the worker says and reports whether it changed anything
 // that the leader should know at once.
 func (l *ledger) answer(look work.Look, fence int64, now time.Time) bool {
+	l.refusing = time.Time{}
 	if look.Refusal == work.RefusedInstance {
 		return false
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -29,6 +29,8 @@
 	holdPause = 100 * time.Millisecond
 	// redialPause is the pause before a stream is opened again.
 	redialPause = 100 * time.Millisecond
+	// orderPause is the pause before an order that got no answer is repeated.
+	orderPause = 100 * time.Millisecond
 	// maxOrders bounds the orders that are being carried out at a time.
 	maxOrders = 64
 )
@@ -244,13 +246,13 @@
 	}
 	r.ledger.settle(o)
 	for _, s := range o.Starts {
-		r.order(s.Key, !r.ledger.listed(s.Key), func() { r.start(ctx, s) })
+		r.order(ctx, s.Key, !r.ledger.listed(s.Key), func() bool { return r.start(ctx, s) })
 	}
 	for _, k := range o.Stops {
-		r.order(k, r.ledger.mayStop(k, now), func() { r.stop(ctx, k) })
+		r.order(ctx, k, r.ledger.mayStop(k, now), func() bool { return r.stop(ctx, k) })
 	}
 	for _, p := range o.Paces {
-		r.order(p.Key, r.ledger.mayPace(p.Key, p.Percent), func() { r.pace(ctx, p) })
+		r.order(ctx, p.Key, r.ledger.mayPace(p.Key, p.Percent), func() bool { return r.pace(ctx, p) })
 	}
 	if o.Seen > 0 {
 		notify(r.wake)
@@ -258,8 +260,9 @@
 }
 
 // order runs f unless an order for the run is in progress, or too many are.
-// The leader repeats orders that were passed over. The caller holds mu.
-func (r *Runner) order(k work.RunKey, wanted bool, f func()) {
+// The leader repeats orders that were passed over. If f reports that the order
+// has no effect yet, a pause keeps the repetitions apart. The caller holds mu.
+func (r *Runner) order(ctx context.Context, k work.RunKey, wanted bool, f func() bool) {
 	if !wanted || r.inFlight[k] {
 		return
 	}
@@ -270,7 +273,9 @@
 	}
 	r.inFlight[k] = true
 	go func() {
-		f()
+		if !f() {
+			sleep(ctx, orderPause)
+		}
 		<-r.orders
 		r.mu.Lock()
 		delete(r.inFlight, k)
@@ -279,8 +284,8 @@
 	}()
 }
 
-// start orders a run at the worker.
-func (r *Runner) start(ctx context.Context, s control.Start) {
+// start orders a run at the worker and reports whether it has decided.
+func (r *Runner) start(ctx context.Context, s control.Start) bool {
 	r.mu.Lock()
 	l := r.ledger
 	id, incarnation, fence := l.instance.ID, l.incarnation(), l.fence
@@ -291,36 +296,37 @@
 			l.refuse(s.Key, work.RefusedDraining)
 		}
 		r.mu.Unlock()
-		return
+		return false
 	}
 	r.mu.Unlock()
 	look, err := r.cfg.Runtime.Start(ctx, callTimeout, id, fence, s.Start, until)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l.incarnation() != incarnation {
-		return
+		return false
 	}
 	if err != nil {
 		l.lost(s.Key, fence)
 		notify(r.wake)
 		r.failed("start", s.Key, err)
-		return
+		return false
 	}
 	event.RunnerStart.Log(r.cfg.Log).Str("Job", s.Key.Task.Job).Any("Run", s.Key).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
 	if !l.answer(look, fence, uptime.Now()) {
-		return
+		return false
 	}
 	if look.Refusal == work.Accepted {
 		delete(l.unanswered, s.Key)
 		l.running = append(l.running, work.RunStatus{Key: s.Key})
-		return
+		return true
 	}
 	l.refuse(s.Key, look.Refusal)
+	return true
 }
 
 // stop orders the end of a run at the worker. The run is listed as ended when
 // it has stopped.
-func (r *Runner) stop(ctx context.Context, k work.RunKey) {
+func (r *Runner) stop(ctx context.Context, k work.RunKey) bool {
 	r.mu.Lock()
 	l := r.ledger
 	id, incarnation, fence := l.instance.ID, l.incarnation(), l.fence
@@ -329,22 +335,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l.incarnation() != incarnation {
-		return
+		return false
 	}
 	if err != nil {
 		l.raise(fence + 1)
 		r.failed("stop", k, err)
-		return
+		return false
 	}
 	event.RunnerStop.Log(r.cfg.Log).Str("Job", k.Task.Job).Any("Run", k).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
 	if l.answer(look, fence, uptime.Now()) && look.Refusal == work.Accepted {
 		l.stopped[k] = stopped{fence, uptime.Now()}
 	}
 	notify(r.wake)
+	return true
 }
 
-// pace orders the share at which a run works.
-func (r *Runner) pace(ctx context.Context, p control.Pace) {
+// pace orders the share at which a run works and reports whether the worker
+// has answered.
+func (r *Runner) pace(ctx context.Context, p control.Pace) bool {
 	r.mu.Lock()
 	l := r.ledger
 	id, incarnation, fence := l.instance.ID, l.incarnation(), l.fence
@@ -353,17 +361,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l.incarnation() != incarnation {
-		return
+		return false
 	}
 	if err != nil {
 		l.raise(fence + 1)
 		r.failed("pace", p.Key, err)
-		return
+		return false
 	}
 	event.RunnerPace.Log(r.cfg.Log).Str("Job", p.Key.Task.Job).Any("Run", p.Key).Int("Percent", p.Percent).Str("Refusal", string(look.Refusal)).Send()
 	if l.answer(look, fence, uptime.Now()) && look.Refusal == work.Accepted {
 		l.paced[p.Key] = p.Percent
 	}
+	return true
 }
 
 func (r *Runner) failed(call string, k work.RunKey, err error) {
@@ -409,6 +418,10 @@
 	if err != nil {
 		l.raise(fence + 1)
 		event.RunnerCallFailed.Log(r.cfg.Log).Str("Call", "hold").Str("Worker", incarnation).Err(err).Send()
+		if errors.Is(err, work.ErrNoListener) && l.absent(uptime.Now()) {
+			event.RunnerWorkerLeft.Log(r.cfg.Log).Str("Worker", incarnation).Str("Why", "nothing listens at its address").Send()
+			notify(r.report)
+		}
 		return
 	}
 	before := len(l.ended)
--- a/station/agent.go
+++ b/station/agent.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync"
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarysill/rosemarysill/meter"
 	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/runner"
 )
@@ -20,5 +23,10 @@
 	if err != nil {
 		return err
 	}
+	var figures sync.WaitGroup
+	defer figures.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	figures.Go(func() { serveFigures(ctx, netip.AddrPortFrom(n.IP, n.MetricsPort), meter.New(), log) })
 	return runner.New(runner.Config{Name: n.Name, Store: store, Runtime: w, Register: platform.Register, Log: log}).Run(ctx, listeners[0])
 }
--- a/station/entry.go
+++ b/station/entry.go
@@ -21,6 +21,7 @@
 	"github.com/rosemarysill/rosemarysill/gateway"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/leader"
+	"github.com/rosemarysill/rosemarysill/meter"
 	"github.com/rosemarysill/rosemarysill/platform"
 )
 
@@ -45,10 +46,11 @@
 	defer store.Close()
 	copied := jobstore.NewCopy(store, log)
 	documents := desk.New(store, platform.Documents{}, log)
-	gate := gateway.New(gateway.Config{Store: store, Copy: copied, Desk: documents, Revoke: n.Revoke, Log: log})
+	figures := meter.New()
+	gate := gateway.New(gateway.Config{Store: store, Copy: copied, Desk: documents, Revoke: n.Revoke, Meter: figures, Log: log})
 	cfg := leader.Config{
 		Name: n.Name, Address: n.Internal, Store: store, Copy: copied, Desk: documents,
-		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, StopGrace: n.StopGrace, WaveForm: platform.WaveStatus, Log: log,
+		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, StopGrace: n.StopGrace, WaveForm: platform.WaveStatus, Meter: figures, Log: log,
 	}
 	if n.Advice.IsValid() {
 		advice := platform.NewAdvice(n.Advice)
@@ -78,6 +80,7 @@
 	parts.Go(func() { copied.Run(follow) })
 	parts.Go(func() { documents.Run(follow) })
 	parts.Go(func() { lead.Run(ctx) })
+	parts.Go(func() { serveFigures(follow, netip.AddrPortFrom(n.IP, n.MetricsPort), figures, log) })
 	failed := make(chan error, 3)
 	parts.Go(func() { failed <- served(callers.Serve(listeners[0])) })
 	parts.Go(func() { failed <- served(ready.Serve(listeners[1])) })
--- a/work/runtime.go
+++ b/work/runtime.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/netip"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Refusal is why a worker did not carry out an order.
@@ -63,6 +65,10 @@
 	Wait     time.Duration // for an end
 }
 
+// ErrNoListener marks a call that failed because no process listens at the
+// worker's address.
+var ErrNoListener = errors.New("no process listens")
+
 // Runtime is the worker beside an agent. Each call names the incarnation it is
 // meant for and a fence: the worker ignores calls with a lower fence than it
 // has seen. An error leaves open whether the call is or will be carried out.
