--- a/leader/attach.go
+++ b/leader/attach.go
@@ -168,6 +168,7 @@
 		delete(w.placed, k)
 		delete(w.strays, k)
 		delete(w.pacers, k)
+		delete(w.stops, k)
 	}
 	if task == nil {
 		return
@@ -237,7 +238,7 @@
 		saved := s.progress.Save(task, members, run.Saved)
 		s.stale = s.stale || saved
 		task.Percent = run.Percent
-		t.watchRun(w, run, saved, now)
+		t.watchRun(w, run, now)
 	}
 	t.leaveWorker(w, now)
 	t.setPace(w, now)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -27,9 +27,9 @@
 const (
 	// leaseTTL is the time after which another entry may lead when the leader
 	// is silent. It bounds the delay of urgent jobs after a crash.
-	leaseTTL = 2 * time.Second
+	leaseTTL = 1200 * time.Millisecond
 	// renewEvery leaves three tries before the lease lapses.
-	renewEvery = 500 * time.Millisecond
+	renewEvery = 300 * time.Millisecond
 	// electPause is the pause between two tries to lead.
 	electPause = 200 * time.Millisecond
 	// tick is the longest time between two decisions.
@@ -58,6 +58,7 @@
 	LeaseMin  time.Duration  // shortest lease of the store
 	StatusFor time.Duration  // for which final jobs are kept at least
 	StopGrace time.Duration  // longest time that the stop of a run takes
+	Reclaim   time.Duration  // in which guaranteed work begins
 	Adviser   work.Adviser   // nil if there is no advice service
 	Machinery work.Machinery // nil if machines cannot be ordered
 	WaveForm  WaveForm
--- a/leader/place.go
+++ b/leader/place.go
@@ -94,6 +94,10 @@
 	return n
 }
 
+// patience is the multiple of its declared duration that a job keeps in hand
+// before it counts as one that can wait. Estimates are often far too low.
+const patience = 2
+
 // lateFactor is the multiple of its objective after which a job does not count
 // any more, as the users measure it.
 const lateFactor = 3
@@ -136,8 +140,10 @@
 		return nil
 	}
 	unit := schedule.Unit{
-		Job: s.job, Occurrence: occurrence, Step: step, Reserved: reserved, Due: due(s.job, occurrence), Beside: beside,
-		Late: now.After(begin(s.job, occurrence).Add(lateFactor * objective(s.job))),
+		Job: s.job, Occurrence: occurrence, Step: step, Reserved: reserved, Since: begin(s.job, occurrence), Due: due(s.job, occurrence), Beside: beside,
+		Pressed: reserved && now.Sub(begin(s.job, occurrence)) > t.cfg.Reclaim/2,
+		Patient: s.job.Priority > 0 && now.Add(patience*chain(s.job)).Before(due(s.job, occurrence)),
+		Late:    now.After(begin(s.job, occurrence).Add(lateFactor * objective(s.job))),
 	}
 	if s.job.Advised {
 		unit.Advised = t.advice(s, occurrence, step, uptime.Now())
@@ -170,16 +176,21 @@
 
 // objective is the time in which an occurrence should be done.
 func objective(j *work.Job) time.Duration {
-	chain := make([]time.Duration, len(j.Steps))
+	return j.Objective + time.Duration(j.Stretch*float64(chain(j)))
+}
+
+// chain is the declared duration of the longest chain of steps.
+func chain(j *work.Job) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, s := range j.Steps {
 		for _, a := range s.After {
-			chain[i] = max(chain[i], chain[a])
+			ends[i] = max(ends[i], ends[a])
 		}
-		chain[i] += s.Estimate
-		longest = max(longest, chain[i])
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
 	}
-	return j.Objective + time.Duration(j.Stretch*float64(longest))
+	return longest
 }
 
 // fleet returns the workers as the policy sees them.
@@ -222,6 +233,10 @@
 	return s.job.Steps[k.Step].MayMiss - away
 }
 
+// stuckFactor is the multiple of the time that a stop takes after which the
+// run's end is not waited for any more.
+const stuckFactor = 2
+
 // heardWithin is the age of the last report beyond which a worker gets no
 // tasks.
 const heardWithin = time.Second
@@ -245,6 +260,9 @@
 		Key: k, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Priority: s.job.Priority, Reserved: reserved[s.job.ID], Stopping: task.Stop,
 		Cost: step.Shape.Cores() * now.Sub(w.placed[k]).Seconds(),
 	}
+	if since, ok := w.stops[k]; ok {
+		run.Stuck = now.Sub(since) > stuckFactor*t.cfg.StopGrace
+	}
 	if p := w.pacers[k]; p != nil && !step.LongRunning {
 		run.Ending = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
 	}
--- a/leader/pure_test.go
+++ b/leader/pure_test.go
@@ -34,7 +34,7 @@
 			p := &pacer{}
 			for ms := 0; ms <= tc.now; ms += 100 {
 				if percent, ok := tc.progress[ms]; ok {
-					p.observe(percent, false, at(ms))
+					p.observe(percent, at(ms))
 				}
 			}
 			require.Equal(t, tc.want, p.stalled(tc.estimate, at(tc.now)) > 0)
@@ -45,12 +45,15 @@
 // Guards against runs on a leaving worker whose remaining time is misjudged.
 func TestTimeLeft(t *testing.T) {
 	p := &pacer{}
-	p.observe(20, false, at(0)) // resumed from a checkpoint
+	p.observe(20, at(0)) // resumed from a checkpoint
 	require.Equal(t, 4*time.Second, p.left(5*time.Second, at(1000)))
-	p.observe(40, false, at(1000))
+	p.observe(40, at(1000))
 	require.Equal(t, 3*time.Second, p.left(time.Minute, at(1000)))
-	require.True(t, p.endsWithin(3*time.Second, time.Minute, at(1000)))
 	require.False(t, p.endsWithin(2*time.Second, time.Minute, at(1000)))
+	require.True(t, p.endsWithin(3*time.Second, time.Minute, at(1000)))
+	p.observe(42, at(3900))
+	require.True(t, p.endsWithin(3*time.Second, time.Minute, at(3900)))
+	require.False(t, p.endsWithin(3*time.Second, time.Minute, at(4100)), "the forecast has passed")
 }
 
 // Guards against filling runs that keep a serving task over its target, and
--- a/leader/term.go
+++ b/leader/term.go
@@ -38,6 +38,7 @@
 	closed   time.Time
 	strays   map[work.RunKey]bool
 	placed   map[work.RunKey]time.Time // runs ordered here, and when
+	stops    map[work.RunKey]time.Time // runs that are being stopped, and since when
 	pacers   map[work.RunKey]*pacer
 	health   health
 	speed    speed
@@ -160,7 +161,7 @@
 func newWorkerState(w control.Worker, agent string, heard time.Time) *workerState {
 	return &workerState{
 		Worker: w, agent: agent, heard: heard,
-		strays: make(map[work.RunKey]bool), placed: make(map[work.RunKey]time.Time), pacers: make(map[work.RunKey]*pacer),
+		strays: make(map[work.RunKey]bool), placed: make(map[work.RunKey]time.Time), pacers: make(map[work.RunKey]*pacer), stops: make(map[work.RunKey]time.Time),
 	}
 }
 
@@ -194,6 +195,9 @@
 		return
 	}
 	task.Stop = true
+	if w := t.workers[task.Worker]; w != nil {
+		w.stops[k] = uptime.Now()
+	}
 	event.LeaderStopped.Log(t.cfg.Log).Str("Job", k.Task.Job).Any("Run", k).Str("Worker", task.Worker).Str("Why", why).Send()
 	t.poke(task.Worker)
 }
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -25,21 +25,18 @@
 	first   int       // percent then
 	percent int
 	moved   time.Time // when percent last rose
-	saved   time.Time // when the checkpoint last changed
+	ends    time.Time // when the run is expected to have ended, once that is near
 }
 
 // observe takes a report of the run's progress.
-func (p *pacer) observe(percent int, saved bool, now time.Time) {
+func (p *pacer) observe(percent int, now time.Time) {
 	if p.began.IsZero() {
-		p.began, p.first, p.percent, p.moved, p.saved = now, percent, percent, now, now
+		p.began, p.first, p.percent, p.moved = now, percent, percent, now
 		return
 	}
 	if percent > p.percent {
 		p.percent, p.moved = percent, now
 	}
-	if saved {
-		p.saved = now
-	}
 }
 
 // perPercent is the average time of a percent, or the declared one before any
@@ -70,9 +67,17 @@
 }
 
 // endsWithin reports whether the run will have ended after d. Its speed must be
-// known for that.
+// known for that. The first such forecast holds: once it has passed, the run is
+// not expected to end any more.
 func (p *pacer) endsWithin(d, estimate time.Duration, now time.Time) bool {
-	return p.percent-p.first >= knownPercent && p.stalled(estimate, now) == 0 && p.left(estimate, now) <= d
+	if !p.ends.IsZero() {
+		return now.Before(p.ends)
+	}
+	if p.percent-p.first < knownPercent || p.stalled(estimate, now) > 0 || p.left(estimate, now) > d {
+		return false
+	}
+	p.ends = now.Add(d)
+	return true
 }
 
 // knownPercent is the progress after which the speed of a run counts as known.
@@ -88,7 +93,7 @@
 
 // watchRun looks at the progress of a run. A run that stands still is stopped
 // once it has stood for longer than the work that a new start repeats.
-func (t *term) watchRun(w *workerState, run work.RunStatus, saved bool, now time.Time) {
+func (t *term) watchRun(w *workerState, run work.RunStatus, now time.Time) {
 	s, task := t.task(run.Key)
 	step := s.job.Steps[run.Key.Task.Step]
 	if step.LongRunning || step.Fills {
@@ -99,7 +104,7 @@
 		p = &pacer{}
 		w.pacers[run.Key] = p
 	}
-	p.observe(run.Percent, saved, now)
+	p.observe(run.Percent, now)
 	stalled := p.stalled(step.Estimate, now)
 	if stalled == 0 || task.Stop {
 		return
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -19,6 +19,7 @@
 	Cost     float64 // core-seconds that are lost if it is stopped
 	Pinned   bool    // may not be stopped for others
 	Stopping bool
+	Stuck    bool // should have ended by now
 	Ending   bool // will have ended by the time that a stop takes
 }
 
@@ -57,7 +58,7 @@
 	for _, run := range w.Runs {
 		r.free = r.free.Sub(run.Demand)
 		r.idle -= run.MilliCPU
-		if !run.Stopping && !run.Ending {
+		if run.Stuck || (!run.Stopping && !run.Ending) {
 			r.soon = r.soon.Sub(run.Demand)
 		}
 	}
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/rosemarysill/rosemarysill/work"
@@ -13,6 +14,9 @@
 	plan  Plan
 }
 
+// keepRacks is the part of the racks that patient work leaves to urgent work.
+const keepRacks = 0.15
+
 // Decide places as many units as fit, and stops runs for urgent ones.
 func Decide(workers []*Worker, units []*Unit) Plan {
 	p := &pass{}
@@ -29,7 +33,7 @@
 
 func (p *pass) decide(u *Unit) {
 	sets, spread := p.candidates(u)
-	if p.startIn(u, sets) {
+	if p.startIn(u, sets) || (u.Pressed && p.startIn(u, spread)) {
 		return
 	}
 	// Room is made where the unit runs at its full speed before it is started
@@ -94,10 +98,14 @@
 			open = append(open, r)
 		}
 	}
+	racks := byRack(open)
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
+		if u.Patient && !s.Gang {
+			racks = racks[:len(racks)-int(math.Ceil(keepRacks*float64(len(racks)-1)))]
+			return [][]*room{slices.Concat(racks...)}, nil
+		}
 		return [][]*room{open}, nil
 	}
-	racks := byRack(open)
 	for _, rack := range racks {
 		if s.DataRack == "" || rack[0].Rack == s.DataRack {
 			sets = append(sets, rack)
--- a/schedule/pass_test.go
+++ b/schedule/pass_test.go
@@ -166,3 +166,68 @@
 	plan := schedule.Decide(f, append(late, now...))
 	require.Equal(t, "b-now", plan.Places[0].Task.Job)
 }
+
+// Room that is made for an urgent job is not taken by one that came later and
+// is shorter: each would have runs stopped and wait for them in turn.
+func TestUrgentWorkKeepsItsTurn(t *testing.T) {
+	f := fleet(1)
+	first := units(newJob("first", 0, work.Step{Count: 1, Shape: accelerators(8)}))
+	first[0].Since, first[0].Due = time.Unix(1, 0), time.Unix(100, 0)
+	second := units(newJob("second", 0, work.Step{Count: 1, Shape: accelerators(8)}))
+	second[0].Since, second[0].Due = time.Unix(2, 0), time.Unix(50, 0)
+	require.Equal(t, "first", schedule.Decide(f, append(second, first...)).Places[0].Task.Job)
+}
+
+// Work that can wait leaves the emptiest racks to urgent gangs, which would
+// else wait for the stops of runs, and takes them when its time runs out.
+func TestPatientWorkLeavesRacksFree(t *testing.T) {
+	f := fleet(12)
+	patient := units(newJob("patient", 2, work.Step{Count: 12, Shape: accelerators(8)}))
+	for _, u := range patient {
+		u.Patient = true
+	}
+	plan := schedule.Decide(f, patient)
+	require.Len(t, plan.Places, 9)
+	require.Len(t, racks(f, plan), 3)
+	for _, u := range patient {
+		u.Patient, u.Beside = false, make(map[string]int)
+	}
+	require.Len(t, schedule.Decide(fleet(12), patient).Places, 12)
+}
+
+// A gang that fits in no other rack is not kept waiting for urgent work that
+// may come.
+func TestPatientGangTakesAnEmptyRack(t *testing.T) {
+	f := fleet(12)
+	for i := range 9 {
+		occupy(f[i], fmt.Sprintf("r%d", i), 1, accelerators(4), 1)
+	}
+	u := units(newJob("gang", 1, work.Step{Count: 3, Shape: accelerators(8), Gang: true, SameRack: true}))
+	u[0].Patient = true
+	require.Len(t, schedule.Decide(f, u).Places, 3)
+}
+
+// Guaranteed work does not wait for a run that was told to stop and does not.
+func TestStuckRunIsNotWaitedFor(t *testing.T) {
+	f := fleet(2)
+	occupy(f[0], "stuck", 2, accelerators(8), 1)
+	f[0].Runs[0].Stopping, f[0].Runs[0].Stuck = true, true
+	occupy(f[1], "other", 1, accelerators(8), 100)
+	plan := schedule.Decide(f, units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})))
+	require.Len(t, plan.Stops, 1)
+	require.Equal(t, "other", plan.Stops[0].Task.Job)
+}
+
+// A guaranteed gang whose time to start runs out is spread rather than made to
+// wait for a rack.
+func TestPressedGangIsSpread(t *testing.T) {
+	f := fleet(6)
+	for i, w := range f {
+		if i%3 != 0 {
+			occupy(w, fmt.Sprintf("batch%d", i), 2, accelerators(8), 10)
+		}
+	}
+	u := units(newJob("urgent", 0, work.Step{Count: 2, Shape: accelerators(8), Gang: true, SameRack: true}))
+	u[0].Reserved, u[0].Pressed = true, true
+	require.Len(t, schedule.Decide(f, u).Places, 2)
+}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -15,6 +15,9 @@
 	Step       int
 	Indexes    []int
 	Reserved   bool              // within the guarantee of the client account
+	Since      time.Time         // when the job was accepted, or its time came
+	Pressed    bool              // has to start now, at any speed
+	Patient    bool              // can wait and still be done in time
 	Due        time.Time         // when the job should be done
 	Late       bool              // so late that it does not count any more when it is done
 	Beside     map[string]int    // tasks of the step that each worker has; shared by the units of the step
@@ -37,20 +40,30 @@
 }
 
 // order sorts units by what is served first: priority, then guarantees, then
-// the time at which the job should be done. A job that is too late to count
-// comes last in its priority.
+// the turn of the job. A job that is too late to count comes last in its
+// priority.
 func order(units []*Unit) {
 	slices.SortStableFunc(units, func(a, b *Unit) int {
 		return cmp.Or(
 			cmp.Compare(a.Job.Priority, b.Job.Priority),
 			compareBool(b.Reserved, a.Reserved),
 			compareBool(a.Late, b.Late),
-			a.Due.Compare(b.Due),
+			a.turn().Compare(b.turn()),
 			cmp.Compare(a.Job.ID, b.Job.ID),
 		)
 	})
 }
 
+// turn is what jobs of one priority are ordered by. Urgent ones come in the
+// order of their arrival, so that room which is made for one is not taken by
+// another; the rest by the time at which they should be done.
+func (u *Unit) turn() time.Time {
+	if u.Job.Priority == 0 {
+		return u.Since
+	}
+	return u.Due
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
