--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"github.com/rosemarysill/rosemarysill/work"
@@ -14,8 +13,9 @@
 	plan  Plan
 }
 
-// keepRacks is the part of the racks that patient work leaves to urgent work.
-const keepRacks = 0.15
+// keepRacks is the part of the racks that patient work leaves to urgent work. A
+// fleet of a few racks can spare none: there it cost more than it gained.
+const keepRacks = 0.17
 
 // Decide places as many units as fit, and stops runs for urgent ones.
 func Decide(workers []*Worker, units []*Unit) Plan {
@@ -101,7 +101,7 @@
 	racks := byRack(open)
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
 		if u.Patient && !s.Gang {
-			racks = racks[:len(racks)-int(math.Ceil(keepRacks*float64(len(racks)-1)))]
+			racks = racks[:len(racks)-int(keepRacks*float64(len(racks)))]
 			return [][]*room{slices.Concat(racks...)}, nil
 		}
 		return [][]*room{open}, nil
