relay: an entry that does not reach the store has another serve its callers

Ruled out: placement (jobs that were accepted were in time). TestEntryCutOffFromStore fails without the relay.

--- a/control/stream.go
+++ b/control/stream.go
@@ -76,13 +76,19 @@
 	stream grpc.ClientStream
 }
 
-// Dial opens a stream to the leader at the address. The stream ends with ctx.
-func Dial(ctx context.Context, address netip.AddrPort) (*Connection, error) {
+// NewConn returns a connection to another process of the system. It connects
+// when it is used.
+func NewConn(address netip.AddrPort) (*grpc.ClientConn, error) {
 	retry := backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: time.Second}
-	conn, err := grpc.NewClient("passthrough:///"+address.String(),
+	return grpc.NewClient("passthrough:///"+address.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(), grpc.WithDisableServiceConfig(),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: connectTimeout}),
 		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName)))
+}
+
+// Dial opens a stream to the leader at the address. The stream ends with ctx.
+func Dial(ctx context.Context, address netip.AddrPort) (*Connection, error) {
+	conn, err := NewConn(address)
 	if err != nil {
 		return nil, err
 	}
--- a/event/leader.go
+++ b/event/leader.go
@@ -11,6 +11,7 @@
 	QueueRefused         Event = 1111
 	QueueCancelled       Event = 1112
 	QueueUnknown         Event = 1113
+	QueueRelayed         Event = 1114
 	QueueConfigured      Event = 1120
 	QueueConfigBad       Event = 1121
 	QueueDomainOut       Event = 1122
@@ -47,6 +48,7 @@
 	QueueRefused:         {"QueueRefused", zerolog.InfoLevel, "A request was refused; nothing has run."},
 	QueueCancelled:       {"QueueCancelled", zerolog.InfoLevel, "The cancellation of a job is recorded."},
 	QueueUnknown:         {"QueueUnknown", zerolog.WarnLevel, "It is not known whether a request took effect."},
+	QueueRelayed:         {"QueueRelayed", zerolog.InfoLevel, "A request was passed to another entry, because this one does not reach the store."},
 	QueueConfigured:      {"QueueConfigured", zerolog.InfoLevel, "A configuration is in force at this entry."},
 	QueueConfigBad:       {"QueueConfigBad", zerolog.ErrorLevel, "An operators' document cannot be read; the earlier one stays in force."},
 	QueueDomainOut:       {"QueueDomainOut", zerolog.InfoLevel, "A failure domain is taken out."},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,8 +23,8 @@
 const (
 	// identifierLen is the length of a job's identifier in hexadecimal digits.
 	identifierLen = 16
-	// answerReserve is the part of a caller's time that is left for the answer.
-	answerReserve = 200 * time.Millisecond
+	// answerReserve is the part of a call's time that is left for the answer.
+	answerReserve = 50 * time.Millisecond
 	// retryPause is the pause before a call to the store is repeated.
 	retryPause = 40 * time.Millisecond
 	// defaultBody bounds bodies until a configuration says otherwise.
@@ -82,6 +82,15 @@
 	return g.cfg.Desk.Configuration() != nil && g.fresh()
 }
 
+// soundWithin is the age of the latest news of the store beyond which this
+// entry is taken not to reach it. A watch returns once a second.
+const soundWithin = 1800 * time.Millisecond
+
+// Sound reports whether this entry hears from the store.
+func (g *Gateway) Sound() bool {
+	return g.cfg.Desk.Configuration() != nil && uptime.Now().Sub(g.cfg.Desk.Fresh()) < soundWithin
+}
+
 // fresh reports whether the configuration is recent enough to honour keys.
 func (g *Gateway) fresh() bool {
 	limit := time.Duration(float64(g.cfg.Revoke) * revokeShare)
--- a/jobstore/copy.go
+++ b/jobstore/copy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -46,7 +47,8 @@
 	mu        sync.Mutex
 	jobs      map[string]*Entry
 	seat      Seat
-	seatAt    uint64 // version of the leader's record, 0 if there is none
+	seatAt    uint64          // version of the leader's record, 0 if there is none
+	entries   map[string]Seat // present entries by name
 	epoch     uint64
 	epochAt   uint64
 	changed   map[string]bool // jobs that the leader has not looked at
@@ -56,7 +58,7 @@
 // NewCopy returns an empty copy.
 func NewCopy(s rosemarysill.TransactionalStore, log zerolog.Logger) *Copy {
 	c := &Copy{
-		log: log, jobs: make(map[string]*Entry), changed: make(map[string]bool), notifying: make(chan struct{}, 1),
+		log: log, jobs: make(map[string]*Entry), changed: make(map[string]bool), entries: make(map[string]Seat), notifying: make(chan struct{}, 1),
 	}
 	c.Follower = NewFollower(s, Prefix, c.applyChange, func(err error) {
 		event.QueueStoreLost.Log(log).Str("Prefix", Prefix).Err(err).Send()
@@ -169,6 +171,9 @@
 		c.entry(id).Cancelled = !ch.Deleted
 		return nil
 	}
+	if name, ok := strings.CutPrefix(key, entryPrefix); ok {
+		return c.applyEntry(name, ch)
+	}
 	switch {
 	case key == LeaderKey && ch.Deleted:
 		c.seat, c.seatAt = Seat{}, 0
@@ -186,6 +191,38 @@
 	return nil
 }
 
+func (c *Copy) applyEntry(name string, ch rosemarysill.Change) error {
+	if ch.Deleted {
+		delete(c.entries, name)
+		return nil
+	}
+	seat, err := decodeSeat(ch.Item.Value)
+	if err == nil {
+		c.entries[name] = seat
+	}
+	return err
+}
+
+// Entries returns the present entries, the leader first.
+func (c *Copy) Entries() []Seat {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := make([]Seat, 0, len(c.entries))
+	for _, s := range c.entries {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b Seat) int {
+		if lead := c.seat.Name; a.Name == lead || b.Name == lead {
+			if a.Name == lead {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return all
+}
+
 func (c *Copy) entry(id string) *Entry {
 	e, ok := c.jobs[id]
 	if !ok {
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -24,6 +24,7 @@
 	progressPrefix = "rs/progress/"
 	cancelPrefix   = "rs/cancel/"
 	wavePrefix     = "rs/wave/"
+	entryPrefix    = "rs/entry/" // under leases
 )
 
 // JobKey is the key of a job.
@@ -39,6 +40,9 @@
 // WaveKey is the key of the machines of a wave that have had their upkeep.
 func WaveKey(id string) string { return wavePrefix + id }
 
+// EntryKey is the key of a present entry.
+func EntryKey(name string) string { return entryPrefix + name }
+
 // Seat is the record of the leader.
 type Seat struct {
 	Name    string
@@ -144,3 +148,52 @@
 	}
 	return &j, nil
 }
+
+// Lease times of the record of an entry.
+const (
+	entryTTL   = 10 * time.Second
+	entryRenew = 3 * time.Second
+)
+
+// Attend keeps the record of an entry in the store until ctx ends, and removes
+// it then.
+func Attend(ctx context.Context, s rosemarysill.TransactionalStore, seat Seat, failed func(error)) {
+	for ctx.Err() == nil {
+		lease, err := enter(ctx, s, seat)
+		for err == nil && ctx.Err() == nil {
+			pause(ctx, entryRenew)
+			if renewErr := s.Renew(ctx, lease); errors.Is(renewErr, rosemarysill.ErrLeaseLapsed) {
+				err = renewErr
+			}
+		}
+		if ctx.Err() != nil {
+			leave(s, lease, failed)
+			return
+		}
+		failed(err)
+		pause(ctx, retryPause)
+	}
+}
+
+// enter writes the record of an entry under a new lease. An earlier record of
+// the same name is replaced.
+func enter(ctx context.Context, s rosemarysill.TransactionalStore, seat Seat) (rosemarysill.LeaseID, error) {
+	lease, err := s.Grant(ctx, entryTTL)
+	if err != nil {
+		return 0, err
+	}
+	value, err := EncodeSeat(seat)
+	if err != nil {
+		return lease, err
+	}
+	_, _, err = s.Commit(ctx, rosemarysill.Commit{Writes: []rosemarysill.Write{{Key: EntryKey(seat.Name), Value: value, Lease: lease}}})
+	return lease, err
+}
+
+func leave(s rosemarysill.TransactionalStore, lease rosemarysill.LeaseID, failed func(error)) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := s.Revoke(ctx, lease); lease != 0 && err != nil {
+		failed(err)
+	}
+}
--- a/station/entry.go
+++ b/station/entry.go
@@ -23,6 +23,7 @@
 	"github.com/rosemarysill/rosemarysill/leader"
 	"github.com/rosemarysill/rosemarysill/meter"
 	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/relay"
 )
 
 const (
@@ -63,16 +64,19 @@
 		cfg.Machinery = machines
 	}
 	lead := leader.New(cfg)
+	relayed := relay.New(relay.Config{Local: gate, Peers: func() []relay.Peer { return peers(copied, n.Name) }, Log: log})
+	defer relayed.Close()
 	listeners, err := listen(n.Callers, n.Ready, n.Internal)
 	if err != nil {
 		return err
 	}
 	callers := &http.Server{
-		Handler: platform.NewCallers(gate), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes,
+		Handler: platform.NewCallers(relayed), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes,
 	}
 	ready := &http.Server{Handler: readiness(ctx, gate), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
 	streams := grpc.NewServer()
 	control.Register(streams, lead)
+	relay.Register(streams, gate)
 
 	event.QueueStarted.Log(log).Str("Entry", n.Name).Str("Domain", n.Domain).Send()
 	follow, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -80,6 +84,11 @@
 	parts.Go(func() { copied.Run(follow) })
 	parts.Go(func() { documents.Run(follow) })
 	parts.Go(func() { lead.Run(ctx) })
+	parts.Go(func() {
+		jobstore.Attend(ctx, store, jobstore.Seat{Name: n.Name, Address: n.Internal}, func(err error) {
+			event.QueueStoreLost.Log(log).Str("Entry", n.Name).Err(err).Send()
+		})
+	})
 	parts.Go(func() { serveFigures(follow, netip.AddrPortFrom(n.IP, n.MetricsPort), figures, log) })
 	failed := make(chan error, 3)
 	parts.Go(func() { failed <- served(callers.Serve(listeners[0])) })
@@ -102,6 +111,17 @@
 	return err
 }
 
+// peers returns the other entries, the leader first.
+func peers(c *jobstore.Copy, own string) []relay.Peer {
+	var all []relay.Peer
+	for _, e := range c.Entries() {
+		if e.Name != own {
+			all = append(all, relay.Peer{Name: e.Name, Address: e.Address})
+		}
+	}
+	return all
+}
+
 // drain serves on for a while and then finishes the requests in progress.
 func drain(callers *http.Server, grace time.Duration) error {
 	time.Sleep(time.Duration(float64(grace) * drainShare))
--- a/station/path_test.go
+++ b/station/path_test.go
@@ -51,8 +51,6 @@
 
 func newSite(t *testing.T, agents int) *site {
 	s := &site{store: standin.NewTransactions(), steps: standin.NewSteps()}
-	storeServer := httptest.NewServer(platform.StoreHandler(s.store.View("all")))
-	t.Cleanup(func() { storeServer.CloseClientConnections(); storeServer.Close() })
 	s.configure(1, `"k1"`)
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
@@ -63,7 +61,7 @@
 	for i := range 2 {
 		n := platform.Node{
 			Name: fmt.Sprintf("entry%d", i), Callers: freeAddress(t), Ready: freeAddress(t), Internal: freeAddress(t),
-			IP: loopback, MetricsPort: freeAddress(t).Port(), Store: addressOf(storeServer), Revoke: 5 * time.Second, ShutdownGrace: 200 * time.Millisecond,
+			IP: loopback, MetricsPort: freeAddress(t).Port(), Store: s.storeFor(t, fmt.Sprintf("entry%d", i)), Revoke: 5 * time.Second, ShutdownGrace: 200 * time.Millisecond,
 			LeaseMin: time.Second, StatusFor: time.Minute, Entry: true,
 		}
 		run(station.Entry, n)
@@ -73,12 +71,20 @@
 		s.clients = append(s.clients, c)
 	}
 	for i := range agents {
-		s.addAgent(t, ctx, &parts, i, addressOf(storeServer), run)
+		s.addAgent(t, ctx, &parts, i, s.storeFor(t, "agents"), run)
 	}
 	require.Eventually(t, func() bool { return s.ready(0) && s.ready(1) }, 20*time.Second, 20*time.Millisecond)
 	return s
 }
 
+// storeFor returns the address of the store for one process, whose faults are
+// set by the name of the process.
+func (s *site) storeFor(t *testing.T, name string) netip.AddrPort {
+	server := httptest.NewServer(platform.StoreHandler(s.store.View(name)))
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	return addressOf(server)
+}
+
 func (s *site) addAgent(t *testing.T, ctx context.Context, parts *sync.WaitGroup, i int, store netip.AddrPort, run func(func(context.Context, platform.Node, zerolog.Logger) error, platform.Node)) {
 	id := fmt.Sprintf("i-%d", i)
 	worker := s.steps.Add(id)
@@ -231,7 +237,7 @@
 	require.Eventually(t, func() bool { return status() == http.StatusUnauthorized }, 2*time.Second, 10*time.Millisecond)
 	s.configure(3, `"k1"`)
 	require.Eventually(t, func() bool { return status() == http.StatusOK }, 2*time.Second, 10*time.Millisecond)
-	s.store.SetFault("all", standin.Silent)
+	s.store.SetFault(standin.Everyone, standin.Silent)
 	require.Eventually(t, func() bool { return status() == http.StatusServiceUnavailable }, 5*time.Second, 10*time.Millisecond)
 	require.False(t, s.ready(0))
 }
@@ -246,3 +252,29 @@
 	require.Equal(t, http.StatusUnauthorized, a.Status)
 	require.Empty(t, s.store.Keys("rs/job/"))
 }
+
+// Guards against callers who are refused at an entry that alone does not reach
+// the store, while others do.
+func TestEntryCutOffFromStore(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{"silent": standin.Silent, "refusing": standin.Refusing, "losing answers": standin.Losing} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1)
+			ctx := context.Background()
+			s.store.SetFault("entry0", fault)
+			for i := range 4 { // at once, and when the entry has noticed
+				id := fmt.Sprintf("00000000000000e%d", i)
+				a, err := s.clients[0].Submit(ctx, limit, "/checks/", id, newJob("for=50ms", oneStep(1)))
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, a.Status)
+				a, err = s.clients[0].State(ctx, limit, "/checks/", id)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, a.Status)
+				time.Sleep(700 * time.Millisecond)
+			}
+			a, err := s.clients[0].State(ctx, limit, "/checks/", "00000000000000ff")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusGone, a.Status)
+			require.Empty(t, s.steps.Breaches())
+		})
+	}
+}
