--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,26 +124,26 @@
 // Submit implements queue.Jobs.
 func (g *Gateway) Submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) error {
 	began := time.Now()
-	id, version, err := g.submit(ctx, c, decode)
+	id, err := g.submit(ctx, c, decode)
 	g.cfg.Meter.Answered("Submit", rosemarysill.CodeOf(err), time.Since(began))
-	g.log(event.QueueAccepted, id, version, err)
+	g.log(event.QueueAccepted, id, err)
 	return err
 }
 
-func (g *Gateway) submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) (string, int64, error) {
+func (g *Gateway) submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) (string, error) {
 	cfg, q, account, id, err := g.admit(c)
 	if err != nil {
-		return lastPart(c.Path), 0, err
+		return lastPart(c.Path), err
 	}
 	if !validID(id) {
-		return id, cfg.Version, rosemarysill.NewError(rosemarysill.InvalidRequest, "%q is not an identifier of 16 hexadecimal digits", id)
+		return id, rosemarysill.NewError(rosemarysill.InvalidRequest, "%q is not an identifier of 16 hexadecimal digits", id)
 	}
 	draft, err := decode()
 	if err != nil {
-		return id, cfg.Version, err
+		return id, err
 	}
 	if fault := draft.Check(); fault != "" {
-		return id, cfg.Version, rosemarysill.NewError(rosemarysill.InvalidRequest, "%s", fault)
+		return id, rosemarysill.NewError(rosemarysill.InvalidRequest, "%s", fault)
 	}
 	uncertain := false
 	for {
@@ -154,13 +154,13 @@
 			uncertain = true
 		}
 		if err == nil || !g.again(ctx, c, err) {
-			return id, cfg.Version, submitError(err, uncertain)
+			return id, submitError(err, uncertain)
 		}
 		if cfg, q, account, _, err = g.admit(c); err != nil {
 			if uncertain {
-				return id, 0, rosemarysill.NewError(rosemarysill.OutcomeUnknown, "%v", err)
+				return id, rosemarysill.NewError(rosemarysill.OutcomeUnknown, "%v", err)
 			}
-			return id, 0, err
+			return id, err
 		}
 	}
 }
@@ -278,7 +278,7 @@
 		err = g.cancel(ctx, c, id)
 	}
 	g.cfg.Meter.Answered("Cancel", rosemarysill.CodeOf(err), time.Since(began))
-	g.log(event.QueueCancelled, lastPart(c.Path), 0, err)
+	g.log(event.QueueCancelled, lastPart(c.Path), err)
 	return err
 }
 
@@ -321,7 +321,11 @@
 }
 
 // log notes the outcome of a request.
-func (g *Gateway) log(done event.Event, id string, version int64, err error) {
+func (g *Gateway) log(done event.Event, id string, err error) {
+	var version int64
+	if cfg := g.cfg.Desk.Configuration(); cfg != nil {
+		version = cfg.Version
+	}
 	e := done
 	switch rosemarysill.CodeOf(err).Truth() {
 	case rosemarysill.TruthDone:
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -181,7 +181,7 @@
 	if w := t.workers[worker]; w != nil && !stopped {
 		t.judge(w, k, how, now)
 	}
-	event.LeaderRunEnded.Log(t.cfg.Log).Str("Job", k.Task.Job).Any("Run", k).Str("Worker", worker).Str("How", string(how)).Int("Fails", task.Fails).Send()
+	event.LeaderRunEnded.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", worker).Str("How", string(how)).Int("Fails", task.Fails).Send()
 	if s.progress.State.Final() {
 		t.stopAll(s, "the job is "+string(s.progress.State))
 		return
@@ -212,7 +212,7 @@
 		if task == nil || task.Run != f.Key.Run || task.Worker != w.Incarnation {
 			continue
 		}
-		event.LeaderRefused.Log(t.cfg.Log).Str("Job", f.Key.Task.Job).Any("Run", f.Key).Str("Worker", w.Incarnation).Str("Why", string(f.Why)).Send()
+		event.LeaderRefused.Log(t.cfg.Log).Str("Job", f.Key.Task.Job).Stringer("Run", f.Key).Str("Worker", w.Incarnation).Str("Why", string(f.Why)).Send()
 		if !task.Stop {
 			w.closed = now.Add(refusedPause)
 		}
@@ -228,7 +228,7 @@
 		s, task := t.task(run.Key)
 		if task == nil || task.Run != run.Key.Run || task.Worker != w.Incarnation {
 			w.strays[run.Key] = true
-			event.LeaderStray.Log(t.cfg.Log).Str("Job", run.Key.Task.Job).Any("Run", run.Key).Str("Worker", w.Incarnation).Send()
+			event.LeaderStray.Log(t.cfg.Log).Str("Job", run.Key.Task.Job).Stringer("Run", run.Key).Str("Worker", w.Incarnation).Send()
 			continue
 		}
 		var members []work.Task
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -274,3 +274,16 @@
 	perS := float64(a.Calls()-before) / time.Since(began).Seconds()
 	require.Less(t, perS, 150.0, "calls a second to a worker that does not answer: ten holds and ten tries of each of its runs")
 }
+
+// Guards against a store that fills with the records of jobs that ended long
+// ago, and against records that go while callers may still ask.
+func TestOldRecordsAreRemoved(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 0, 1)
+	w.statusFor = 200 * time.Millisecond
+	w.addEntry("entry0")
+	w.submit("short", step(1, 50*time.Millisecond))
+	w.reaches("short", work.Completed)
+	require.NotEmpty(t, w.store.Keys(jobstore.JobKey("short")))
+	require.Eventually(t, func() bool { return len(w.store.Keys("rs/job/"))+len(w.store.Keys("rs/progress/")) == 0 }, 30*time.Second, 50*time.Millisecond)
+}
--- a/leader/place.go
+++ b/leader/place.go
@@ -55,7 +55,7 @@
 	s.progress.Place(task, p.Worker, p.Ticket, k.Run)
 	s.dirty = true
 	t.workers[p.Worker].placed[k] = now
-	event.LeaderPlaced.Log(t.cfg.Log).Str("Job", p.Task.Job).Any("Run", k).Str("Worker", p.Worker).Int("Priority", s.job.Priority).
+	event.LeaderPlaced.Log(t.cfg.Log).Str("Job", p.Task.Job).Stringer("Run", k).Str("Worker", p.Worker).Int("Priority", s.job.Priority).
 		Dur("Waited", time.Since(s.job.Accepted)).Uint64("Epoch", t.seat.Epoch).Send()
 }
 
--- a/leader/term.go
+++ b/leader/term.go
@@ -66,6 +66,7 @@
 	waves   map[string]*waveState // used by keepUp alone
 	fenced  bool                  // a later leader has ordered machines; used by keepUp alone
 	savedAt time.Time             // when checkpoints were last recorded
+	sweptAt time.Time             // when old records were last looked for; used by run alone
 	why     error
 }
 
@@ -198,7 +199,7 @@
 	if w := t.workers[task.Worker]; w != nil {
 		w.stops[k] = uptime.Now()
 	}
-	event.LeaderStopped.Log(t.cfg.Log).Str("Job", k.Task.Job).Any("Run", k).Str("Worker", task.Worker).Str("Why", why).Send()
+	event.LeaderStopped.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", task.Worker).Str("Why", why).Send()
 	t.poke(task.Worker)
 }
 
@@ -242,6 +243,7 @@
 			}
 			continue
 		}
+		t.sweep(ctx, uptime.Now())
 		select {
 		case <-ctx.Done():
 			return
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -89,12 +89,14 @@
 
 	adviser   *adviser   // of entries that are added later
 	machinery *machinery // the same
+	statusFor time.Duration
 }
 
 func newWorld(t *testing.T, entries, agents int) *world {
 	w := &world{
 		t: t, store: standin.NewTransactions(), steps: standin.NewSteps(),
 		desk: &desk{out: make(map[string]bool)}, entries: make(map[string]*entry), agents: make(map[string]*agent),
+		statusFor: time.Minute,
 	}
 	for i := range entries {
 		w.addEntry(fmt.Sprintf("entry%d", i))
@@ -122,7 +124,7 @@
 	e := &entry{process: process{cancel, make(chan struct{})}, copy: jobstore.NewCopy(view, zerolog.Nop())}
 	cfg := leader.Config{
 		Name: name, Address: netip.MustParseAddrPort(l.Addr().String()), Store: view, Copy: e.copy, Desk: w.desk,
-		StatusFor: time.Minute, StopGrace: 50 * time.Millisecond, Log: zerolog.Nop(),
+		StatusFor: w.statusFor, StopGrace: 50 * time.Millisecond, Log: zerolog.Nop(),
 		WaveForm: func(id string, completed bool) (string, []byte) {
 			if completed {
 				return "status/" + id, []byte("completed")
--- a/logbook/logbook.go
+++ b/logbook/logbook.go
@@ -14,9 +14,9 @@
 // they take 600 KB.
 const held = 2048
 
-// timeFormat has milliseconds, so that the lines of several processes can be
+// TimeFormat has milliseconds, so that the lines of several processes can be
 // put in order.
-const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
 
 // Log is a logger with the lines that it had to drop.
 type Log struct {
@@ -27,7 +27,7 @@
 
 // New returns a logger to w.
 func New(w io.Writer, level zerolog.Level) *Log {
-	zerolog.TimeFieldFormat = timeFormat
+	zerolog.TimeFieldFormat = TimeFormat
 	l := &Log{}
 	l.writer = diode.NewWriter(w, held, 0, func(n int) { l.dropped.Add(int64(n)) })
 	l.Logger = zerolog.New(l.writer).Level(level).With().Timestamp().Logger()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -311,7 +311,7 @@
 		r.failed("start", s.Key, err)
 		return false
 	}
-	event.RunnerStart.Log(r.cfg.Log).Str("Job", s.Key.Task.Job).Any("Run", s.Key).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
+	event.RunnerStart.Log(r.cfg.Log).Str("Job", s.Key.Task.Job).Stringer("Run", s.Key).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
 	if !l.answer(look, fence, uptime.Now()) {
 		return false
 	}
@@ -342,7 +342,7 @@
 		r.failed("stop", k, err)
 		return false
 	}
-	event.RunnerStop.Log(r.cfg.Log).Str("Job", k.Task.Job).Any("Run", k).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
+	event.RunnerStop.Log(r.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
 	if l.answer(look, fence, uptime.Now()) && look.Refusal == work.Accepted {
 		l.stopped[k] = stopped{fence, uptime.Now()}
 	}
@@ -368,7 +368,7 @@
 		r.failed("pace", p.Key, err)
 		return false
 	}
-	event.RunnerPace.Log(r.cfg.Log).Str("Job", p.Key.Task.Job).Any("Run", p.Key).Int("Percent", p.Percent).Str("Refusal", string(look.Refusal)).Send()
+	event.RunnerPace.Log(r.cfg.Log).Str("Job", p.Key.Task.Job).Stringer("Run", p.Key).Int("Percent", p.Percent).Str("Refusal", string(look.Refusal)).Send()
 	if l.answer(look, fence, uptime.Now()) && look.Refusal == work.Accepted {
 		l.paced[p.Key] = p.Percent
 	}
@@ -376,7 +376,7 @@
 }
 
 func (r *Runner) failed(call string, k work.RunKey, err error) {
-	event.RunnerCallFailed.Log(r.cfg.Log).Str("Call", call).Str("Job", k.Task.Job).Any("Run", k).Err(err).Send()
+	event.RunnerCallFailed.Log(r.cfg.Log).Str("Call", call).Str("Job", k.Task.Job).Stringer("Run", k).Err(err).Send()
 }
 
 // hold extends the lease of the worker's runs and reads its lists.
@@ -427,7 +427,7 @@
 	before := len(l.ended)
 	if l.look(look, fence, uptime.Now()) {
 		for _, e := range l.ended[min(before, len(l.ended)):] {
-			event.RunnerEnded.Log(r.cfg.Log).Str("Job", e.Key.Task.Job).Any("Run", e.Key).Str("How", string(e.How)).Uint64("Seq", e.Seq).Send()
+			event.RunnerEnded.Log(r.cfg.Log).Str("Job", e.Key.Task.Job).Stringer("Run", e.Key).Str("How", string(e.How)).Uint64("Seq", e.Seq).Send()
 		}
 		notify(r.report)
 	}
--- a/station/path_test.go
+++ b/station/path_test.go
@@ -1,6 +1,7 @@
 package station_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rosemarysill/rosemarysill/history"
 	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/rosemarysill/rosemarysill/station"
@@ -34,6 +36,44 @@
 	steps   *standin.Steps
 	clients []*platform.Client
 	entries []platform.Node
+	workers []*standin.StepWorker
+	logs    logs
+}
+
+// logs collects what the processes write, by process.
+type logs struct {
+	mu   sync.Mutex
+	text map[string]*bytes.Buffer
+}
+
+type logWriter struct {
+	logs *logs
+	name string
+}
+
+func (w logWriter) Write(p []byte) (int, error) {
+	w.logs.mu.Lock()
+	defer w.logs.mu.Unlock()
+	b, ok := w.logs.text[w.name]
+	if !ok {
+		b = &bytes.Buffer{}
+		w.logs.text[w.name] = b
+	}
+	return b.Write(p)
+}
+
+// explain returns the life of a job as the command of that name prints it.
+func (l *logs) explain(t *testing.T, id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := history.Reader{ID: id}
+	for name, text := range l.text {
+		require.NoError(t, r.Read(name, bytes.NewReader(text.Bytes())))
+	}
+	require.Zero(t, r.Bad)
+	var out strings.Builder
+	require.NoError(t, r.Print(&out))
+	return out.String()
 }
 
 var loopback = netip.MustParseAddr("127.0.0.1")
@@ -50,13 +90,14 @@
 }
 
 func newSite(t *testing.T, agents int) *site {
-	s := &site{store: standin.NewTransactions(), steps: standin.NewSteps()}
+	s := &site{store: standin.NewTransactions(), steps: standin.NewSteps(), logs: logs{text: make(map[string]*bytes.Buffer)}}
 	s.configure(1, `"k1"`)
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	t.Cleanup(func() { cancel(); parts.Wait() })
 	run := func(f func(context.Context, platform.Node, zerolog.Logger) error, n platform.Node) {
-		parts.Go(func() { _ = f(ctx, n, zerolog.Nop()) }) // the tests see what does not work
+		log := zerolog.New(logWriter{&s.logs, n.Name}).With().Timestamp().Logger()
+		parts.Go(func() { _ = f(ctx, n, log) }) // the tests see what does not work
 	}
 	for i := range 2 {
 		n := platform.Node{
@@ -88,6 +129,7 @@
 func (s *site) addAgent(t *testing.T, ctx context.Context, parts *sync.WaitGroup, i int, store netip.AddrPort, run func(func(context.Context, platform.Node, zerolog.Logger) error, platform.Node)) {
 	id := fmt.Sprintf("i-%d", i)
 	worker := s.steps.Add(id)
+	s.workers = append(s.workers, worker)
 	server := httptest.NewServer(platform.WorkerHandler(worker))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	n := platform.Node{
--- a/work/job.go
+++ b/work/job.go
@@ -3,7 +3,10 @@
 // pure: it uses no clock, network or logger.
 package work
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Shape is what one task needs of a worker.
 type Shape struct {
@@ -140,3 +143,9 @@
 	}
 	return ""
 }
+
+// String returns the occurrence, the step and the index of the task, and the
+// number of the run. The job stands beside it in logs.
+func (k RunKey) String() string {
+	return fmt.Sprintf("%d.%d.%d/%d", k.Task.Occurrence, k.Task.Step, k.Task.Index, k.Run)
+}
