runner: an answer that was overtaken says nothing about later starts and stops

By the code there is one way to it: the lists of a hold that was answered before a run was started, and that arrived after its stop had been answered, counted as the proof that the run never came; its room was free while it stopped. A second way is closed too: an earlier life was told to have ended before it was known whether a late order had started its run in the next life. Ruled out by reading the records: two leaders (the seat guards commits), ends taken twice, a start without a record. TestOvertakenAnswer and TestGoneIsToldWithTheNextLife fail before the change.

--- a/runner/ledger.go
+++ b/runner/ledger.go
@@ -55,13 +55,14 @@
 	running    []work.RunStatus
 	ended      []work.RunEnd
 	refused    []control.Refused
-	unanswered map[work.RunKey]int64   // highest fence of an unanswered start
-	stopped    map[work.RunKey]stopped // stops that the worker has answered
-	paced      map[work.RunKey]int     // shares that the worker has taken
+	unanswered map[work.RunKey]int64     // highest fence of an unanswered start
+	started    map[work.RunKey]time.Time // starts that the worker has accepted, and when
+	stopped    map[work.RunKey]stopped   // stops that the worker has answered
+	paced      map[work.RunKey]int       // shares that the worker has taken
 }
 
 func newLedger(agent string, fence int64) *ledger {
-	return &ledger{agent: agent, fence: fence, unanswered: make(map[work.RunKey]int64), stopped: make(map[work.RunKey]stopped), paced: make(map[work.RunKey]int)}
+	return &ledger{agent: agent, fence: fence, unanswered: make(map[work.RunKey]int64), stopped: make(map[work.RunKey]stopped), started: make(map[work.RunKey]time.Time), paced: make(map[work.RunKey]int)}
 }
 
 // incarnation names the present life of the worker.
@@ -109,6 +110,7 @@
 	l.until = now.Add(control.Lease)
 	clear(l.unanswered)
 	clear(l.stopped)
+	clear(l.started)
 	clear(l.paced)
 }
 
@@ -206,8 +208,24 @@
 // raise makes the fence at least n.
 func (l *ledger) raise(n int64) { l.fence = max(l.fence, n) }
 
-// look takes the lists of a hold and reports whether they changed.
+// starting notes that the worker has accepted a start.
+func (l *ledger) starting(k work.RunKey, now time.Time) {
+	delete(l.unanswered, k)
+	l.started[k] = now
+	if !l.listed(k) {
+		l.running = append(l.running, work.RunStatus{Key: k})
+	}
+}
+
+// look takes the lists of a hold that was sent just now.
 func (l *ledger) look(look work.Look, fence int64, now time.Time) bool {
+	return l.lookSent(look, fence, now, now)
+}
+
+// lookSent takes the lists of a hold and reports whether they changed. Answers
+// on different connections overtake each other, so the lists say nothing about
+// what was answered after the hold was sent.
+func (l *ledger) lookSent(look work.Look, fence int64, sent, now time.Time) bool {
 	if !l.answer(look, fence, now) || look.Refusal != work.Accepted {
 		return false
 	}
@@ -220,8 +238,9 @@
 	changed := !l.answered
 	l.answered = l.answered || fence >= l.fence
 	changed = changed && l.answered
-	changed = changed || !sameRuns(l.running, look.Running)
-	l.running = look.Running
+	running := l.newer(look.Running, sent)
+	changed = changed || !sameRuns(l.running, running)
+	l.running = running
 	l.forgetPaces()
 	for _, e := range look.Ended {
 		known := slices.ContainsFunc(l.ended, func(o work.RunEnd) bool { return o.Seq == e.Seq })
@@ -230,19 +249,33 @@
 			changed = true
 		}
 	}
-	return l.resolveStops(fence) || changed
+	return l.resolveStops(fence, sent) || changed
+}
+
+// newer adds the runs to a list that were started after it was asked for.
+func (l *ledger) newer(running []work.RunStatus, sent time.Time) []work.RunStatus {
+	running = slices.Clone(running)
+	for k, at := range l.started {
+		switch {
+		case at.Before(sent):
+			delete(l.started, k)
+		case !l.ends(k) && !slices.ContainsFunc(running, func(s work.RunStatus) bool { return s.Key == k }):
+			running = append(running, work.RunStatus{Key: k})
+		}
+	}
+	return running
 }
 
 // resolveStops refuses the starts of runs that were stopped before they came:
 // the worker has answered the stop and then lists them neither as running nor
 // as ended.
-func (l *ledger) resolveStops(fence int64) bool {
+func (l *ledger) resolveStops(fence int64, sent time.Time) bool {
 	changed := false
 	for k, st := range l.stopped {
 		switch {
 		case l.ends(k):
 			delete(l.stopped, k)
-		case !l.listed(k) && fence >= st.fence && l.refuse(k, work.RefusedOld):
+		case !l.listed(k) && fence >= st.fence && sent.After(st.at) && l.refuse(k, work.RefusedOld):
 			delete(l.stopped, k)
 			changed = true
 		}
@@ -321,8 +354,12 @@
 
 // report describes the worker for the leader.
 func (l *ledger) report(now time.Time) control.Report {
-	r := control.Report{Agent: l.agent, Stamp: now, Gone: slices.Clone(l.gone)}
-	if !l.known || !l.answered {
+	r := control.Report{Agent: l.agent, Stamp: now}
+	if l.known && !l.answered {
+		return r // an order for an earlier life may have started a run in this one
+	}
+	r.Gone = slices.Clone(l.gone)
+	if !l.known {
 		return r
 	}
 	a := l.instance
--- a/runner/ledger_test.go
+++ b/runner/ledger_test.go
@@ -140,3 +140,30 @@
 	require.True(t, l.announce(work.Announcement{ID: "i", Born: 1, Sequence: 2, State: work.WorkerReady}, at(1100)), "it was there after all")
 	require.NotContains(t, l.report(at(1100)).Gone, first)
 }
+
+// Guards against an answer that was overtaken: it was made before a run was
+// started and stopped, so it says nothing about the run. Taking it for a
+// refusal frees room that the run still uses while it is being stopped.
+func TestOvertakenAnswer(t *testing.T) {
+	l := announced(1)
+	l.starting(key(0), at(100))
+	l.stopped[key(0)] = stopped{l.fence, at(120)}
+	l.lookSent(work.Look{Clock: time.Second}, l.fence, at(50), at(130))
+	require.Empty(t, l.refused)
+	require.True(t, l.listed(key(0)))
+	l.lookSent(work.Look{Clock: time.Second}, l.fence, at(110), at(140))
+	require.Empty(t, l.refused, "sent before the stop was answered")
+	l.lookSent(work.Look{Clock: time.Second}, l.fence, at(130), at(150))
+	require.Len(t, l.refused, 1)
+}
+
+// Guards against runs that are taken for ended with an earlier life before it
+// is known whether a late order has started them in the next one.
+func TestGoneIsToldWithTheNextLife(t *testing.T) {
+	l := announced(1)
+	first := l.incarnation()
+	l.announce(work.Announcement{ID: "i", Born: 2, Sequence: 1, State: work.WorkerReady}, at(100))
+	require.Empty(t, l.report(at(110)).Gone)
+	l.look(work.Look{Clock: time.Second}, l.fence, at(120))
+	require.Contains(t, l.report(at(130)).Gone, first)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -316,8 +316,7 @@
 		return false
 	}
 	if look.Refusal == work.Accepted {
-		delete(l.unanswered, s.Key)
-		l.running = append(l.running, work.RunStatus{Key: s.Key})
+		l.starting(s.Key, uptime.Now())
 		return true
 	}
 	l.refuse(s.Key, look.Refusal)
@@ -396,8 +395,9 @@
 			r.pause(ctx, holdWait)
 			continue
 		}
+		sent := uptime.Now()
 		look, err := r.cfg.Runtime.Hold(ctx, callTimeout, id, fence, h)
-		r.held(ctx, incarnation, fence, look, err)
+		r.held(ctx, incarnation, fence, sent, look, err)
 		if h.Wait == 0 || err != nil || look.Refusal != work.Accepted {
 			r.pause(ctx, holdPause)
 		}
@@ -405,7 +405,7 @@
 }
 
 // held takes the answer to a hold.
-func (r *Runner) held(ctx context.Context, incarnation string, fence int64, look work.Look, err error) {
+func (r *Runner) held(ctx context.Context, incarnation string, fence int64, sent time.Time, look work.Look, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -425,7 +425,7 @@
 		return
 	}
 	before := len(l.ended)
-	if l.look(look, fence, uptime.Now()) {
+	if l.lookSent(look, fence, sent, uptime.Now()) {
 		for _, e := range l.ended[min(before, len(l.ended)):] {
 			event.RunnerEnded.Log(r.cfg.Log).Str("Job", e.Key.Task.Job).Stringer("Run", e.Key).Str("How", string(e.How)).Uint64("Seq", e.Seq).Send()
 		}
