--- a/leader/health.go
+++ b/leader/health.go
@@ -20,6 +20,7 @@
 // health is what the ends of runs say about a worker.
 type health struct {
 	failed map[string]bool // jobs that failed in a row
+	last   work.Outcome    // of the latest run that ended by itself
 	until  time.Time
 	next   time.Duration
 }
@@ -29,6 +30,9 @@
 // judge takes the end of a run into account.
 func (t *term) judge(w *workerState, k work.RunKey, how work.Outcome, now time.Time) {
 	h := &w.health
+	if how == work.OutcomeDone || how == work.OutcomeFailed {
+		h.last = how
+	}
 	switch how {
 	case work.OutcomeDone:
 		h.failed, h.next = nil, 0
--- a/leader/place.go
+++ b/leader/place.go
@@ -149,13 +149,13 @@
 		unit.Advised = t.advice(s, occurrence, step, uptime.Now())
 	}
 	if gang {
-		unit.Indexes = waiting
+		unit.Indexes, unit.Failed = waiting, tasks[0].Fails > 0
 		return []*schedule.Unit{&unit}
 	}
 	units := make([]*schedule.Unit, 0, len(waiting))
 	for _, i := range waiting {
 		u := unit
-		u.Indexes = []int{i}
+		u.Indexes, u.Failed = []int{i}, tasks[i].Fails > 0
 		units = append(units, &u)
 	}
 	return units
@@ -202,7 +202,7 @@
 		}
 		sw := &schedule.Worker{
 			ID: w.Incarnation, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
-			Open: t.open(w, now),
+			Open: t.open(w, now), Suspect: w.health.last == work.OutcomeFailed,
 		}
 		for k := range w.placed {
 			if run, ok := t.occupant(w, k, reserved, now); ok {
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -32,6 +32,7 @@
 	Labels   []string
 	Capacity work.Shape
 	Open     bool // takes tasks
+	Suspect  bool // its latest run that ended by itself has failed
 	Runs     []Run
 }
 
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -98,6 +98,9 @@
 			open = append(open, r)
 		}
 	}
+	if u.Failed {
+		open = trusted(open)
+	}
 	racks := byRack(open)
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
 		if u.Patient && !s.Gang {
@@ -117,6 +120,15 @@
 	return sets, spread
 }
 
+// trusted leaves suspect workers out, unless all are.
+func trusted(rooms []*room) []*room {
+	sound := slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return r.Suspect })
+	if len(sound) == 0 {
+		return rooms
+	}
+	return sound
+}
+
 // holdsInRack reports whether a rack could hold the whole unit if it were
 // empty.
 func holdsInRack(u *Unit, racks [][]*room, near string) bool {
@@ -187,10 +199,14 @@
 	return chosen
 }
 
-// better reports whether a is a better place than b. A task that fills gets
+// better reports whether a is a better place than b. A suspect worker comes
+// last. A task that fills gets
 // the most idle processor time; others go where least is left, so that whole
 // workers stay free.
 func better(s work.Step, a, b *room, leftA, leftB work.Shape) bool {
+	if a.Suspect != b.Suspect {
+		return b.Suspect
+	}
 	if s.Fills {
 		return a.idle > b.idle
 	}
--- a/schedule/pass_test.go
+++ b/schedule/pass_test.go
@@ -231,3 +231,24 @@
 	u[0].Reserved, u[0].Pressed = true, true
 	require.Len(t, schedule.Decide(f, u).Places, 2)
 }
+
+// A job with few attempts does not spend them all on workers that fail what
+// they start: a task that has failed goes where runs end well, and others go
+// to a suspect worker last.
+func TestSuspectWorkers(t *testing.T) {
+	f := fleet(3)
+	f[0].Suspect, f[1].Suspect = true, true
+	again := units(newJob("again", 1, work.Step{Count: 2, Shape: accelerators(8)}))
+	for _, u := range again {
+		u.Failed = true
+	}
+	plan := schedule.Decide(f, again)
+	require.Len(t, plan.Places, 1)
+	require.Equal(t, "w02", plan.Places[0].Worker)
+
+	first := schedule.Decide(f, units(newJob("first", 1, work.Step{Count: 1, Shape: accelerators(1)})))
+	require.Equal(t, "w02", first.Places[0].Worker)
+
+	f[2].Suspect = true
+	require.Len(t, schedule.Decide(f, again).Places, 2, "if all are suspect, none is avoided for it")
+}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -17,6 +17,7 @@
 	Reserved   bool              // within the guarantee of the client account
 	Since      time.Time         // when the job was accepted, or its time came
 	Pressed    bool              // has to start now, at any speed
+	Failed     bool              // a run of the unit has failed
 	Patient    bool              // can wait and still be done in time
 	Due        time.Time         // when the job should be done
 	Late       bool              // so late that it does not count any more when it is done
