--- /dev/null
+++ b/meter/meter_test.go
@@ -0,0 +1,41 @@
+package meter_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/meter"
+)
+
+// Guards against figures that a standard tool cannot read, and labels without
+// a bound.
+func TestFigures(t *testing.T) {
+	m := meter.New()
+	m.Answered("Submit", rosemarysill.Done, 3*time.Millisecond)
+	for i := range 300 {
+		m.Began(fmt.Sprintf("account%d", i), 0, time.Second)
+	}
+	m.Ended("account0", 0, "completed", time.Minute)
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	body := w.Body.String()
+	require.Contains(t, body, `rosemarysill_answer_seconds_count{call="Submit",code="Done"} 1`)
+	require.Contains(t, body, `rosemarysill_start_wait_seconds_count{account="Rest",priority="0"} 172`)
+	require.Contains(t, body, `rosemarysill_job_seconds_count{account="account0",priority="0",state="completed"} 1`)
+	require.NotContains(t, body, `account="account200"`)
+}
+
+// Guards against a part without a meter that stops.
+func TestNoMeter(t *testing.T) {
+	var m *meter.Meter
+	require.NotPanics(t, func() {
+		m.Answered("Submit", rosemarysill.Done, 0)
+		m.Began("a", 0, 0)
+		m.Ended("a", 0, "failed", 0)
+	})
+}
