--- a/cmd/rosemarysill/main.go
+++ b/cmd/rosemarysill/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	flags "github.com/jessevdk/go-flags"
@@ -25,6 +27,8 @@
 var global globalOptions
 
 func main() {
+	// A reload that comes while a process starts must not end it.
+	signal.Ignore(syscall.SIGHUP)
 	os.Exit(int(run(os.Args[1:])))
 }
 
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -48,16 +48,17 @@
 
 var faults = []fault{
 	{"kill", func(_ context.Context, s *site, r *rand.Rand) {
-		report(pick(r, s.nodes).restart(s.program, syscall.SIGKILL, between(r, 100, 2500)))
+		pick(r, s.nodes).alone(func(n *node) { report(n.restart(s.program, syscall.SIGKILL, between(r, 100, 2500))) })
 	}},
 	{"stop", func(_ context.Context, s *site, r *rand.Rand) {
-		report(pick(r, s.nodes).restart(s.program, syscall.SIGTERM, between(r, 50, 500)))
+		pick(r, s.nodes).alone(func(n *node) { report(n.restart(s.program, syscall.SIGTERM, between(r, 50, 500))) })
 	}},
 	{"pause", func(ctx context.Context, s *site, r *rand.Rand) {
-		n := pick(r, s.nodes)
-		report(n.signal(syscall.SIGSTOP))
-		pause(ctx, between(r, 300, 7000))
-		report(n.signal(syscall.SIGCONT))
+		pick(r, s.nodes).alone(func(n *node) {
+			report(n.signal(syscall.SIGSTOP))
+			pause(ctx, between(r, 300, 7000))
+			report(n.signal(syscall.SIGCONT))
+		})
 	}},
 	{"reload", func(_ context.Context, s *site, r *rand.Rand) { report(pick(r, s.nodes).signal(syscall.SIGHUP)) }},
 	{"store slow", func(ctx context.Context, s *site, r *rand.Rand) {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -70,6 +70,9 @@
 	defer cancel()
 	var parts sync.WaitGroup
 	parts.Go(func() { s.announce(ctx) })
+	if err := s.ready(); err != nil {
+		return "", nil, err
+	}
 	c := newCallers(s)
 	log, err := os.Create(filepath.Join(dir, "faults.log"))
 	if err != nil {
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -39,7 +39,8 @@
 	settings string
 	log      *os.File
 	store    *proxy
-	worker   *proxy // of an agent
+	worker   *proxy     // of an agent
+	signals  sync.Mutex // held by the fault that sends signals
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 }
@@ -194,6 +195,40 @@
 	return errors.Wrap(n.cmd.Start(), n.Name)
 }
 
+// alone runs a fault that sends signals, unless another one is running.
+func (n *node) alone(f func(*node)) {
+	if n.signals.TryLock() {
+		defer n.signals.Unlock()
+		f(n)
+	}
+}
+
+// readyWithin is the time in which the entries take callers after their start.
+const readyWithin = 10 * time.Second
+
+// ready waits until all entries take callers.
+func (s *site) ready() error {
+	for _, n := range s.nodes[:entries] {
+		until := time.Now().Add(readyWithin)
+		for !isReady(n) {
+			if time.Now().After(until) {
+				return errors.Newf("%s does not get ready", n.Name)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func isReady(n *node) bool {
+	resp, err := http.Get("http://" + n.Node.Ready.String() + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // it has no body
+	return resp.StatusCode == http.StatusOK
+}
+
 // signal sends a signal to the process of a node.
 func (n *node) signal(sig syscall.Signal) error {
 	n.mu.Lock()
