--- a/cmd/rosemarysill/main.go
+++ b/cmd/rosemarysill/main.go
@@ -27,8 +27,10 @@
 var global globalOptions
 
 func main() {
-	// A reload that comes while a process starts must not end it.
-	signal.Ignore(syscall.SIGHUP)
+	if len(os.Args) > 1 && os.Args[1] == nodeCommandName {
+		// A reload that comes while a process starts must not end it.
+		signal.Ignore(syscall.SIGHUP)
+	}
 	os.Exit(int(run(os.Args[1:])))
 }
 
--- a/cmd/rosemarysill/node.go
+++ b/cmd/rosemarysill/node.go
@@ -16,9 +16,11 @@
 	"github.com/rosemarysill/rosemarysill/station"
 )
 
+const nodeCommandName = "node"
+
 func nodeCommands() []command {
 	return []command{
-		{name: "node", short: "Run a process on the users' platform", data: &nodeCommand{},
+		{name: nodeCommandName, short: "Run a process on the users' platform", data: &nodeCommand{},
 			long: "Runs an entry or an agent, as the settings file says that the variable " + platform.BootVariable + " names. SIGTERM begins a graceful shutdown, SIGHUP reads the settings file again."},
 	}
 }
