--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -92,7 +93,7 @@
 		c.requests = append(c.requests, q)
 		c.mu.Unlock()
 		parts.Go(func() { c.submit(q, first, cancel) })
-		pause(ctx, callEvery)
+		uptime.Sleep(ctx, callEvery)
 	}
 	parts.Wait()
 }
@@ -137,7 +138,7 @@
 func (c *callers) changeKeys(ctx context.Context, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 98))
 	for n := 1; ctx.Err() == nil; n++ {
-		pause(ctx, between(r, 3000, 6000))
+		uptime.Sleep(ctx, between(r, 3000, 6000))
 		old, next := c.good(), fmt.Sprintf("k%d", n)
 		if err := c.site.configure(next); err != nil {
 			c.breach("configuration: %v", err)
@@ -164,7 +165,7 @@
 		if err == nil && a.Status == http.StatusOK && sent.Sub(taken) > revoke+revokeSlack {
 			c.breach("entry %d honours a key %s after it was taken away", i, sent.Sub(taken))
 		}
-		pause(ctx, 100*time.Millisecond)
+		uptime.Sleep(ctx, 100*time.Millisecond)
 	}
 }
 
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/standin"
+	"github.com/rosemarysill/rosemarysill/uptime"
 )
 
 // fault is one kind of trouble. It returns when the trouble is over.
@@ -35,14 +36,14 @@
 // proxied holds a proxy in a mode for a while.
 func proxied(ctx context.Context, p *proxy, m mode, d time.Duration) {
 	p.set(m)
-	pause(ctx, d)
+	uptime.Sleep(ctx, d)
 	p.set(passing)
 }
 
 // stored holds the store in a state for a view for a while.
 func stored(ctx context.Context, s *site, view string, f standin.Fault, d time.Duration) {
 	s.store.SetFault(view, f)
-	pause(ctx, d)
+	uptime.Sleep(ctx, d)
 	s.store.SetFault(view, standin.Healthy)
 }
 
@@ -56,7 +57,7 @@
 	{"pause", func(ctx context.Context, s *site, r *rand.Rand) {
 		pick(r, s.nodes).alone(func(n *node) {
 			report(n.signal(syscall.SIGSTOP))
-			pause(ctx, between(r, 300, 7000))
+			uptime.Sleep(ctx, between(r, 300, 7000))
 			report(n.signal(syscall.SIGCONT))
 		})
 	}},
@@ -87,13 +88,13 @@
 	{"worker orders late", func(ctx context.Context, s *site, r *rand.Rand) {
 		w := s.workers[r.IntN(agents)]
 		w.SetLate(between(r, 300, 3000))
-		pause(ctx, between(r, 300, 3000))
+		uptime.Sleep(ctx, between(r, 300, 3000))
 		w.SetLate(0)
 	}},
 	{"worker silent", func(ctx context.Context, s *site, r *rand.Rand) {
 		w := s.workers[r.IntN(agents)]
 		w.SetDark(true)
-		pause(ctx, between(r, 300, 9000))
+		uptime.Sleep(ctx, between(r, 300, 9000))
 		w.SetDark(false)
 	}},
 	{"worker born again", func(_ context.Context, s *site, r *rand.Rand) { s.workers[r.IntN(agents)].Restart() }},
@@ -104,7 +105,7 @@
 	{"domain out", func(ctx context.Context, s *site, r *rand.Rand) {
 		key := platform.DomainKey(fmt.Sprintf("d%d", r.IntN(2)))
 		s.store.Put(key, []byte("{}"))
-		pause(ctx, between(r, 500, 5000))
+		uptime.Sleep(ctx, between(r, 500, 5000))
 		s.store.Remove(key)
 	}},
 }
@@ -123,7 +124,7 @@
 				f := faults[r.IntN(len(faults))]
 				log(f.name)
 				f.inject(ctx, s, r)
-				pause(ctx, between(r, 100, 1200))
+				uptime.Sleep(ctx, between(r, 100, 1200))
 			}
 		})
 	}
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -18,6 +18,7 @@
 	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/queue"
 	"github.com/rosemarysill/rosemarysill/standin"
+	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -262,7 +263,7 @@
 					Domain: n.Domain, State: work.WorkerReady, Labels: []string{"a", fmt.Sprintf("r%d-1", i%2)},
 					Capacity: work.Shape{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8},
 				})
-				pause(ctx, announceEvery)
+				uptime.Sleep(ctx, announceEvery)
 			}
 		})
 	}
@@ -285,12 +286,3 @@
 		_ = server.Close()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,82 +121,6 @@
 	return len(id) == identifierLen && strings.Trim(strings.ToLower(id), "0123456789abcdef") == ""
 }
 
-// Submit implements queue.Jobs.
-func (g *Gateway) Submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) error {
-	began := time.Now()
-	id, err := g.submit(ctx, c, decode)
-	g.cfg.Meter.Answered("Submit", rosemarysill.CodeOf(err), time.Since(began))
-	g.log(event.QueueAccepted, id, err)
-	return err
-}
-
-func (g *Gateway) submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) (string, error) {
-	cfg, q, account, id, err := g.admit(c)
-	if err != nil {
-		return lastPart(c.Path), err
-	}
-	if !validID(id) {
-		return id, rosemarysill.NewError(rosemarysill.InvalidRequest, "%q is not an identifier of 16 hexadecimal digits", id)
-	}
-	draft, err := decode()
-	if err != nil {
-		return id, err
-	}
-	if fault := draft.Check(); fault != "" {
-		return id, rosemarysill.NewError(rosemarysill.InvalidRequest, "%s", fault)
-	}
-	uncertain := false
-	for {
-		j := *draft
-		fill(&j, id, account, q)
-		err := g.record(ctx, cfg, &j)
-		if errors.Is(err, rosemarysill.ErrStoreUnavailable) {
-			uncertain = true
-		}
-		if err == nil || !g.again(ctx, c, err) {
-			return id, submitError(err, uncertain)
-		}
-		if cfg, q, account, _, err = g.admit(c); err != nil {
-			if uncertain {
-				return id, rosemarysill.NewError(rosemarysill.OutcomeUnknown, "%v", err)
-			}
-			return id, err
-		}
-	}
-}
-
-// fill adds what the queue says about its jobs.
-func fill(j *work.Job, id, account string, q *queue.Queue) {
-	j.ID, j.Account, j.Queue, j.Service = id, account, q.Name, q.Service
-	j.Priority, j.Attempts, j.Stretch, j.Objective = q.Priority, q.Attempts, q.Stretch, q.Objective
-	j.Accepted = time.Now()
-	if a := q.Advice; a != nil {
-		j.Advised, j.Decide, j.DecideEach = true, a.Decide, a.Each
-	}
-}
-
-// record writes a job under the condition that the configuration is the
-// newest. A job that is there already is an earlier try of the same request.
-func (g *Gateway) record(ctx context.Context, cfg *queue.Configuration, j *work.Job) error {
-	value, err := jobstore.EncodeJob(j)
-	if err != nil {
-		return rosemarysill.NewError(rosemarysill.InternalError, "encode job: %v", err)
-	}
-	key := jobstore.JobKey(j.ID)
-	_, items, err := g.cfg.Store.Commit(ctx, rosemarysill.Commit{
-		Guards: []rosemarysill.Guard{{Key: cfg.Key, Version: cfg.Revision}, {Key: key}},
-		Writes: []rosemarysill.Write{{Key: key, Value: value}},
-	})
-	if errors.Is(err, rosemarysill.ErrVersion) {
-		for _, i := range items {
-			if i.Key == key && i.Version != 0 {
-				return nil
-			}
-		}
-	}
-	return err
-}
-
 // again waits before a repetition, unless the caller's time is over.
 func (g *Gateway) again(ctx context.Context, c queue.Call, _ error) bool {
 	if time.Until(c.Deadline) < answerReserve+retryPause {
@@ -212,18 +136,6 @@
 	}
 }
 
-// submitError says whether the request is known to have had no effect.
-func submitError(err error, uncertain bool) error {
-	switch {
-	case err == nil:
-		return nil
-	case uncertain || errors.Is(err, rosemarysill.ErrStoreUnavailable):
-		return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "the store did not answer: %v", err)
-	default:
-		return rosemarysill.NewError(rosemarysill.StoreUnavailable, "%v", err)
-	}
-}
-
 // State implements queue.Jobs.
 func (g *Gateway) State(ctx context.Context, c queue.Call) (work.State, error) {
 	began := time.Now()
--- a/jobstore/copy.go
+++ b/jobstore/copy.go
@@ -13,6 +13,7 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -263,7 +264,7 @@
 // Wait waits until the copy is as new as the store was at a time, or ctx ends.
 func (c *Copy) Wait(ctx context.Context, at time.Time) bool {
 	for c.Fresh().Before(at) && ctx.Err() == nil {
-		pause(ctx, 20*time.Millisecond)
+		uptime.Sleep(ctx, 20*time.Millisecond)
 	}
 	return ctx.Err() == nil
 }
--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -57,7 +57,7 @@
 			revision, err = f.watch(ctx, revision)
 		}
 		if ctx.Err() == nil && !errors.Is(err, rosemarysill.ErrCompacted) {
-			pause(ctx, retryPause)
+			uptime.Sleep(ctx, retryPause)
 		}
 	}
 }
@@ -100,7 +100,7 @@
 	}
 	if err != nil {
 		f.fail(ctx, err)
-		pause(ctx, retryPause)
+		uptime.Sleep(ctx, retryPause)
 		return revision, nil
 	}
 	for _, c := range changes {
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -117,7 +118,7 @@
 		}
 		if !errors.Is(err, rosemarysill.ErrCompacted) {
 			failed(err)
-			pause(ctx, retryPause)
+			uptime.Sleep(ctx, retryPause)
 		}
 	}
 }
@@ -131,15 +132,6 @@
 	seated(seat)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // DecodeJob returns the job of a record.
 func DecodeJob(value []byte) (*work.Job, error) {
 	var j work.Job
@@ -161,7 +153,7 @@
 	for ctx.Err() == nil {
 		lease, err := enter(ctx, s, seat)
 		for err == nil && ctx.Err() == nil {
-			pause(ctx, entryRenew)
+			uptime.Sleep(ctx, entryRenew)
 			if renewErr := s.Renew(ctx, lease); errors.Is(renewErr, rosemarysill.ErrLeaseLapsed) {
 				err = renewErr
 			}
@@ -171,7 +163,7 @@
 			return
 		}
 		failed(err)
-		pause(ctx, retryPause)
+		uptime.Sleep(ctx, retryPause)
 	}
 }
 
--- a/leader/advice.go
+++ b/leader/advice.go
@@ -132,7 +132,7 @@
 		answer, err := t.cfg.Adviser.Advise(ctx, q.timeout, step, q.workers)
 		event.LeaderAdvice.Log(t.cfg.Log).Str("Job", q.key.job).Int("Step", q.key.step).Int("Asked", len(q.workers)).Int("Good", len(answer.Tickets)).AnErr("Cause", err).Send()
 		if err != nil {
-			wait(ctx, advicePause)
+			uptime.Sleep(ctx, advicePause)
 			continue
 		}
 		t.mu.Lock()
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -106,7 +107,7 @@
 			}
 		default:
 			event.LeaderCommitFailed.Log(t.cfg.Log).Int("Jobs", len(b.changes)).Err(err).Send()
-			wait(ctx, commitPause)
+			uptime.Sleep(ctx, commitPause)
 		}
 	}
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -97,10 +97,10 @@
 			} else if !errors.Is(err, rosemarysill.ErrVersion) && ctx.Err() == nil {
 				l.cfg.Log.Debug().Err(err).Msg("election failed")
 			}
-			wait(ctx, electPause)
+			uptime.Sleep(ctx, electPause)
 			continue
 		}
-		wait(ctx, electPause/4)
+		uptime.Sleep(ctx, electPause/4)
 	}
 }
 
@@ -179,7 +179,7 @@
 	event.LeaderLost.Log(l.cfg.Log).Uint64("Epoch", t.seat.Epoch).AnErr("Cause", t.cause()).Send()
 	// The record lapses with the lease. Until the copy shows it, this entry
 	// would only see its own seat.
-	wait(ctx, electPause)
+	uptime.Sleep(ctx, electPause)
 }
 
 var errNotLeader = errors.New("this entry does not lead")
@@ -194,12 +194,3 @@
 	}
 	return t.attach(s)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/leader/report.go
@@ -0,0 +1,223 @@
+package leader
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/uptime"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// report takes a report of an agent.
+func (t *term) report(s *stream, r control.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := uptime.Now()
+	s.stamp = r.Stamp
+	var w *workerState
+	if r.Worker != nil {
+		w = t.worker(s, r, now)
+		t.adopt(w, r, now)
+	}
+	for _, g := range t.predecessors(r) {
+		t.lose(g, "ended", now)
+	}
+	if w == nil {
+		notify(t.wake)
+		return
+	}
+	t.takeEnds(w, r, now)
+	t.takeRefusals(w, r, now)
+	t.takeRuns(w, r, now)
+	if r.Worker.Lapsed {
+		t.endRuns(w.Incarnation, now)
+	}
+	notify(t.wake)
+}
+
+// worker returns the state of the reported incarnation.
+func (t *term) worker(s *stream, r control.Report, now time.Time) *workerState {
+	id := r.Worker.Incarnation
+	w, ok := t.workers[id]
+	if !ok {
+		w = newWorkerState(*r.Worker, r.Agent, now)
+		t.workers[id] = w
+	}
+	if !w.attached {
+		event.LeaderWorkerSeen.Log(t.cfg.Log).Str("Worker", id).Str("Agent", r.Agent).Str("Domain", r.Worker.Domain).Send()
+	}
+	delete(t.gone, id)
+	w.Worker, w.agent, w.attached, w.heard, w.running = *r.Worker, r.Agent, true, now, r.Running
+	s.incarnation = id
+	t.streams[id] = s.wake
+	return w
+}
+
+// predecessors returns the incarnations that a report shows to have ended.
+func (t *term) predecessors(r control.Report) []string {
+	ended := slices.Clone(r.Gone)
+	if r.Worker == nil {
+		return ended
+	}
+	for id := range t.workers {
+		if id != r.Worker.Incarnation && control.IsOf(id, r.Agent) {
+			ended = append(ended, id)
+		}
+	}
+	return ended
+}
+
+// adopt moves runs that an order for an earlier incarnation has started on its
+// successor at the same agent.
+func (t *term) adopt(w *workerState, r control.Report, now time.Time) {
+	for _, run := range r.Running {
+		s, task := t.task(run.Key)
+		if task != nil && task.Run == run.Key.Run && task.Worker != w.Incarnation && control.IsOf(task.Worker, r.Agent) {
+			task.Worker = w.Incarnation
+			w.placed[run.Key] = now
+			s.dirty = true
+		}
+	}
+}
+
+// task returns the task of a run, or nil.
+func (t *term) task(k work.RunKey) (*jobState, *work.Task) {
+	s, ok := t.jobs[k.Task.Job]
+	if !ok {
+		return nil, nil
+	}
+	return s, s.progress.Task(s.job, k.Task)
+}
+
+// takeEnds applies the ends that the worker lists.
+func (t *term) takeEnds(w *workerState, r control.Report, now time.Time) {
+	for _, e := range r.Ended {
+		if e.Seq <= w.applied {
+			continue
+		}
+		w.applied = e.Seq
+		t.endRun(w.Incarnation, e.Key, e.How, e.Saved, now)
+	}
+}
+
+// endRun applies the end of a run.
+func (t *term) endRun(worker string, k work.RunKey, how work.Outcome, saved string, now time.Time) {
+	s, task := t.task(k)
+	if w := t.workers[worker]; w != nil {
+		delete(w.placed, k)
+		delete(w.strays, k)
+		delete(w.pacers, k)
+		delete(w.stops, k)
+	}
+	if task == nil {
+		return
+	}
+	stopped := task.Stop
+	if !s.progress.End(s.job, k, worker, how, saved, time.Now()) {
+		return
+	}
+	s.dirty = true
+	if w := t.workers[worker]; w != nil && !stopped {
+		t.judge(w, k, how, now)
+	}
+	event.LeaderRunEnded.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", worker).Str("How", string(how)).Int("Fails", task.Fails).Send()
+	if s.progress.State.Final() {
+		t.stopAll(s, "the job is "+string(s.progress.State))
+		return
+	}
+	if step := s.job.Steps[k.Task.Step]; step.Gang && how != work.OutcomeDone {
+		t.stopGang(s, k.Task, "another member has ended")
+	}
+}
+
+// stopGang stops the members of a gang of which one has ended.
+func (t *term) stopGang(s *jobState, k work.TaskKey, why string) {
+	members := s.progress.Step(s.job, k.Occurrence, k.Step)
+	for i := range members {
+		if members[i].Placed() {
+			k.Index = i
+			t.stop(work.RunKey{Task: k, Run: members[i].Run}, &members[i], why)
+		}
+	}
+}
+
+// refusedPause is how long a worker that refused a start gets no others.
+const refusedPause = 500 * time.Millisecond
+
+// takeRefusals applies the orders that the worker will not carry out.
+func (t *term) takeRefusals(w *workerState, r control.Report, now time.Time) {
+	for _, f := range r.Refused {
+		s, task := t.task(f.Key)
+		if task == nil || task.Run != f.Key.Run || task.Worker != w.Incarnation {
+			continue
+		}
+		event.LeaderRefused.Log(t.cfg.Log).Str("Job", f.Key.Task.Job).Stringer("Run", f.Key).Str("Worker", w.Incarnation).Str("Why", string(f.Why)).Send()
+		if !task.Stop {
+			w.closed = now.Add(refusedPause)
+		}
+		s.dirty = true
+		t.endRun(w.Incarnation, f.Key, work.OutcomeLost, "", now)
+	}
+}
+
+// takeRuns applies what the worker lists as running.
+func (t *term) takeRuns(w *workerState, r control.Report, now time.Time) {
+	clear(w.strays)
+	for _, run := range r.Running {
+		s, task := t.task(run.Key)
+		if task == nil || task.Run != run.Key.Run || task.Worker != w.Incarnation {
+			w.strays[run.Key] = true
+			event.LeaderStray.Log(t.cfg.Log).Str("Job", run.Key.Task.Job).Stringer("Run", run.Key).Str("Worker", w.Incarnation).Send()
+			continue
+		}
+		var members []work.Task
+		if s.job.Steps[run.Key.Task.Step].Gang {
+			members = s.progress.Step(s.job, run.Key.Task.Occurrence, run.Key.Task.Step)
+		}
+		saved := s.progress.Save(task, members, run.Saved)
+		s.stale = s.stale || saved
+		task.Percent = run.Percent
+		t.watchRun(w, run, now)
+	}
+	t.leaveWorker(w, now)
+	t.setPace(w, now)
+}
+
+// loseWorkers takes the runs of workers for ended whose leases have lapsed.
+func (t *term) loseWorkers(now time.Time) {
+	for id, w := range t.workers {
+		if now.Sub(w.heard) > control.LapsedAfter() {
+			t.lose(id, "no report", now)
+		}
+	}
+}
+
+// lose ends an incarnation.
+func (t *term) lose(id, why string, now time.Time) {
+	if t.gone[id] {
+		return
+	}
+	t.gone[id] = true
+	if w, ok := t.workers[id]; ok {
+		event.LeaderWorkerLost.Log(t.cfg.Log).Str("Worker", id).Str("Agent", w.agent).Str("Why", why).Send()
+	}
+	t.endRuns(id, now)
+	delete(t.workers, id)
+}
+
+// endRuns takes all runs of an incarnation for ended.
+func (t *term) endRuns(id string, now time.Time) {
+	var lost []work.RunKey
+	for _, s := range t.jobs {
+		forEachTask(s, func(k work.TaskKey, task *work.Task) {
+			if task.Worker == id {
+				lost = append(lost, work.RunKey{Task: k, Run: task.Run})
+			}
+		})
+	}
+	for _, k := range lost {
+		t.endRun(id, k, work.OutcomeLost, "", now)
+	}
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -101,7 +101,7 @@
 // renew keeps the lease until it lapses or ctx ends.
 func (t *term) renew(ctx context.Context) {
 	for {
-		wait(ctx, renewEvery)
+		uptime.Sleep(ctx, renewEvery)
 		if ctx.Err() != nil {
 			return
 		}
@@ -132,7 +132,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		wait(ctx, 5*time.Millisecond)
+		uptime.Sleep(ctx, 5*time.Millisecond)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/leader/wave.go
+++ b/leader/wave.go
@@ -48,7 +48,7 @@
 	for ctx.Err() == nil {
 		waves := t.openWaves(ctx)
 		if len(waves) == 0 {
-			wait(ctx, wavePause)
+			uptime.Sleep(ctx, wavePause)
 			continue
 		}
 		machines, err := t.cfg.Machinery.List(ctx)
@@ -60,7 +60,7 @@
 				t.advance(ctx, w, machines)
 			}
 		}
-		wait(ctx, upkeepEvery)
+		uptime.Sleep(ctx, upkeepEvery)
 	}
 }
 
--- a/uptime/uptime.go
+++ b/uptime/uptime.go
@@ -4,6 +4,7 @@
 package uptime
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -19,3 +20,13 @@
 	}
 	return time.Unix(ts.Sec, ts.Nsec)
 }
+
+// Sleep waits for d or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
