--- a/runner/ledger_test.go
+++ b/runner/ledger_test.go
@@ -182,3 +182,22 @@
 	l.lost(key(0), l.fence)
 	require.Zero(t, l.lastSeen())
 }
+
+// Guards against a start that is refused because its run has ended already,
+// and that is told before the end is known: the end may say that the task is
+// done. Found by the soak (seed 315).
+func TestRefusedAsOldWaitsForTheEnd(t *testing.T) {
+	l := announced(1)
+	l.lost(key(0), l.fence)
+	l.refusedOld(key(0), l.fence, at(10))
+	require.Empty(t, l.report(at(10)).Refused)
+	ended := []work.RunEnd{{Seq: 1, Key: key(0), How: work.OutcomeDone}}
+	l.lookSent(work.Look{Clock: time.Second, Ended: ended}, l.fence, at(20), at(21))
+	r := l.report(at(22))
+	require.Len(t, r.Ended, 1)
+	require.Empty(t, r.Refused)
+
+	l.refusedOld(key(1), l.fence, at(30))
+	l.lookSent(work.Look{Clock: time.Second, Ended: ended}, l.fence, at(40), at(41))
+	require.Equal(t, []control.Refused{{Key: key(1), Why: work.RefusedOld}}, l.report(at(42)).Refused, "its end was forgotten before")
+}
--- a/runner/lists.go
+++ b/runner/lists.go
@@ -77,6 +77,15 @@
 	return running
 }
 
+// refusedOld notes that the worker refuses a start because the run has ended or
+// was stopped there. The next lists tell how; without an end in them the start
+// is refused for good.
+func (l *ledger) refusedOld(k work.RunKey, fence int64, now time.Time) {
+	if _, ok := l.stopped[k]; !ok {
+		l.stopped[k] = stopped{fence, now}
+	}
+}
+
 // resolveStops refuses the starts of runs that were stopped before they came:
 // the worker has answered the stop and then lists them neither as running nor
 // as ended.
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -92,6 +92,11 @@
 		l.starting(s.Key, uptime.Now())
 		return true
 	}
+	if look.Refusal == work.RefusedOld {
+		l.refusedOld(s.Key, fence, uptime.Now())
+		notify(r.wake)
+		return false
+	}
 	l.refuse(s.Key, look.Refusal)
 	return true
 }
