--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -68,15 +68,6 @@
 	return s, netip.MustParseAddrPort(l.Addr().String()), nil
 }
 
-// reserve returns a free address.
-func reserve() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	return netip.MustParseAddrPort(l.Addr().String()), l.Close()
-}
-
 func newSite(program, dir string) (*site, error) {
 	s := &site{program: program, dir: dir, store: standin.NewTransactions(), steps: standin.NewSteps()}
 	if err := s.configure("k0"); err != nil {
@@ -128,7 +119,7 @@
 		return nil, err
 	}
 	n.Store = n.store.address()
-	if n.Internal, err = reserve(); err != nil {
+	if n.Internal, err = standin.FreeAddress(); err != nil {
 		return nil, err
 	}
 	n.settings = filepath.Join(s.dir, name+".json")
@@ -142,10 +133,10 @@
 		return err
 	}
 	n.Entry, n.Domain = true, "d0"
-	if n.Callers, err = reserve(); err != nil {
+	if n.Callers, err = standin.FreeAddress(); err != nil {
 		return err
 	}
-	if n.Ready, err = reserve(); err != nil {
+	if n.Ready, err = standin.FreeAddress(); err != nil {
 		return err
 	}
 	return s.start(n)
@@ -167,7 +158,7 @@
 		return err
 	}
 	n.Agent, n.Domain, n.Worker = true, fmt.Sprintf("d%d", i%2), n.worker.address()
-	if n.Control, err = reserve(); err != nil {
+	if n.Control, err = standin.FreeAddress(); err != nil {
 		return err
 	}
 	return s.start(n)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -35,6 +36,10 @@
 	revokeShare = 0.6
 )
 
+// DefaultMaxJobs is six times the jobs of a day at the target size. In memory
+// they take about 60 MB.
+const DefaultMaxJobs = 10_000
+
 // Desk is the operators' documents.
 type Desk interface {
 	Configuration() *queue.Configuration
@@ -47,8 +52,10 @@
 	Copy   *jobstore.Copy
 	Desk   Desk
 	Revoke time.Duration // in which a revoked key ends to be valid
-	Meter  *meter.Meter
-	Log    zerolog.Logger
+	// MaxJobs bounds the jobs on record; 0 is DefaultMaxJobs.
+	MaxJobs int
+	Meter   *meter.Meter
+	Log     zerolog.Logger
 }
 
 // Gateway is a queue.Jobs.
@@ -57,7 +64,10 @@
 var _ queue.Jobs = (*Gateway)(nil)
 
 // New returns a gateway.
-func New(cfg Config) *Gateway { return &Gateway{cfg} }
+func New(cfg Config) *Gateway {
+	cfg.MaxJobs = cmp.Or(cfg.MaxJobs, DefaultMaxJobs)
+	return &Gateway{cfg}
+}
 
 // MaxBody implements queue.Jobs.
 func (g *Gateway) MaxBody() int64 {
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -37,6 +37,9 @@
 	if fault := draft.Check(); fault != "" {
 		return id, rosemarysill.NewError(rosemarysill.InvalidRequest, "%s", fault)
 	}
+	if _, known := g.cfg.Copy.Job(id); !known && g.cfg.Copy.Len() >= g.cfg.MaxJobs {
+		return id, rosemarysill.NewError(rosemarysill.QueueFull, "%d jobs are on record", g.cfg.MaxJobs)
+	}
 	uncertain := false
 	for {
 		j := *draft
--- a/leader/report.go
+++ b/leader/report.go
@@ -194,11 +194,17 @@
 	}
 }
 
+// maxGone bounds the incarnations that are remembered as ended.
+const maxGone = 4096
+
 // lose ends an incarnation.
 func (t *term) lose(id, why string, now time.Time) {
 	if t.gone[id] {
 		return
 	}
+	if len(t.gone) >= maxGone {
+		clear(t.gone) // it only keeps an end from being logged twice
+	}
 	t.gone[id] = true
 	if w, ok := t.workers[id]; ok {
 		event.LeaderWorkerLost.Log(t.cfg.Log).Str("Worker", id).Str("Agent", w.agent).Str("Why", why).Send()
