leader: ends of a worker's later life are taken over like its runs

Cause: a start meant for a worker's earlier life ran to its end as done in the later one; the report that told the earlier life as gone had that end, and the leader took the run for lost and started another (soak seed 431). Ruled out: leases and late orders (the log shows the end in the same report). TestRunsOfALaterLife fails before the change.

--- a/cmd/soak/regressions.go
+++ b/cmd/soak/regressions.go
@@ -17,4 +17,5 @@
 	{150, "the same"},
 	{203, "the same"},
 	{315, "a start was refused as old before the end of its run was known"},
+	{431, "a run that had ended in a worker's later life was taken for lost with the earlier one"},
 }
--- a/leader/report.go
+++ b/leader/report.go
@@ -70,18 +70,27 @@
 }
 
 // adopt moves runs that an order for an earlier incarnation has started on its
-// successor at the same agent.
+// successor at the same agent, whether they run or have ended there.
 func (t *term) adopt(w *workerState, r control.Report, now time.Time) {
 	for _, run := range r.Running {
-		s, task := t.task(run.Key)
-		if task != nil && task.Run == run.Key.Run && task.Worker != w.Incarnation && control.IsOf(task.Worker, r.Agent) {
-			task.Worker = w.Incarnation
-			w.placed[run.Key] = now
-			s.dirty = true
+		t.adoptRun(w, r.Agent, run.Key, now)
+	}
+	for _, end := range r.Ended {
+		if end.Seq > w.applied {
+			t.adoptRun(w, r.Agent, end.Key, now)
 		}
 	}
 }
 
+func (t *term) adoptRun(w *workerState, agent string, k work.RunKey, now time.Time) {
+	s, task := t.task(k)
+	if task != nil && task.Run == k.Run && task.Worker != w.Incarnation && control.IsOf(task.Worker, agent) {
+		task.Worker = w.Incarnation
+		w.placed[k] = now
+		s.dirty = true
+	}
+}
+
 // task returns the task of a run, or nil.
 func (t *term) task(k work.RunKey) (*jobState, *work.Task) {
 	s, ok := t.jobs[k.Task.Job]
--- /dev/null
+++ b/leader/report_test.go
@@ -0,0 +1,39 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/uptime"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Guards against runs of a later life of a worker that are taken for lost with
+// the earlier one, because the order to start them was meant for that. Found by
+// the soak (seed 431): the run had ended as done in the later life.
+func TestRunsOfALaterLife(t *testing.T) {
+	const before, after = "a/i/1", "a/i/2"
+	j := &work.Job{ID: "j", Attempts: 2, Steps: []work.Step{{Count: 2}}}
+	p := work.NewProgress(j)
+	runs := make([]work.RunKey, 2)
+	for i := range runs {
+		runs[i] = work.RunKey{Task: work.TaskKey{Job: "j", Index: i}, Run: 1}
+		p.Place(&p.Tasks[i], before, "", 1)
+	}
+	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.Seat{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
+	term.jobs["j"] = &jobState{job: j, progress: p, recorded: append([]work.Task(nil), p.Tasks...)}
+	term.workers[before] = newWorkerState(control.Worker{Incarnation: before}, "a", uptime.Now())
+
+	term.report(&stream{term: term, wake: make(chan struct{}, 1)}, control.Report{
+		Agent: "a", Stamp: uptime.Now(), Worker: &control.Worker{Incarnation: after}, Gone: []string{before},
+		Running: []work.RunStatus{{Key: runs[0]}},
+		Ended:   []work.RunEnd{{Seq: 1, Key: runs[1], How: work.OutcomeDone}},
+	})
+	require.Equal(t, after, p.Tasks[0].Worker)
+	require.True(t, p.Tasks[1].Done)
+}
