--- a/cmd/rosemarysill/node.go
+++ b/cmd/rosemarysill/node.go
@@ -12,8 +12,8 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/logbook"
+	"github.com/rosemarysill/rosemarysill/node"
 	"github.com/rosemarysill/rosemarysill/platform"
-	"github.com/rosemarysill/rosemarysill/station"
 )
 
 const nodeCommandName = "node"
@@ -48,9 +48,9 @@
 	ctx := untilSignal()
 	go reload(ctx, path, log.Logger)
 	if n.Entry {
-		return station.Entry(ctx, n, log.Logger)
+		return node.Entry(ctx, n, log.Logger)
 	}
-	return station.Agent(ctx, n, log.Logger)
+	return node.Agent(ctx, n, log.Logger)
 }
 
 // memoryShare is the part of the machine's memory that the garbage collector
--- a/desk/desk.go
+++ b/declaration/declarations.go
@@ -1,6 +1,6 @@
-// Package desk follows the documents that operators write: the configuration,
+// Package declaration follows the documents that operators write: the configuration,
 // the failure domains that are taken out, and the waves of upkeep.
-package desk
+package declaration
 
 import (
 	"context"
@@ -38,8 +38,8 @@
 	Wave(i rosemarysill.Item) (Wave, bool, error)
 }
 
-// Desk is an entry's copy of the documents.
-type Desk struct {
+// Declarations are an entry's copy of the documents.
+type Declarations struct {
 	*jobstore.Follower
 	form Form
 	log  zerolog.Logger
@@ -50,9 +50,9 @@
 	waves map[string]Wave // by key
 }
 
-// New returns an empty desk.
-func New(s rosemarysill.TransactionalStore, form Form, log zerolog.Logger) *Desk {
-	d := &Desk{form: form, log: log, out: make(map[string]bool), waves: make(map[string]Wave)}
+// New returns an empty copy.
+func New(s rosemarysill.TransactionalStore, form Form, log zerolog.Logger) *Declarations {
+	d := &Declarations{form: form, log: log, out: make(map[string]bool), waves: make(map[string]Wave)}
 	d.Follower = jobstore.NewFollower(s, form.Prefix(), d.apply, func(err error) {
 		event.QueueStoreLost.Log(log).Str("Prefix", form.Prefix()).Err(err).Send()
 	}, func() {
@@ -62,30 +62,30 @@
 }
 
 // Run follows the documents until ctx ends.
-func (d *Desk) Run(ctx context.Context) { d.Follower.Run(ctx) }
+func (d *Declarations) Run(ctx context.Context) { d.Follower.Run(ctx) }
 
 // Configuration returns the newest configuration, or nil.
-func (d *Desk) Configuration() *queue.Configuration {
+func (d *Declarations) Configuration() *queue.Configuration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.cfg
 }
 
 // DomainOut reports whether a failure domain is taken out.
-func (d *Desk) DomainOut(domain string) bool {
+func (d *Declarations) DomainOut(domain string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.out[domain]
 }
 
 // Waves returns the waves by key.
-func (d *Desk) Waves() map[string]Wave {
+func (d *Declarations) Waves() map[string]Wave {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return maps.Clone(d.waves)
 }
 
-func (d *Desk) apply(c rosemarysill.Change) {
+func (d *Declarations) apply(c rosemarysill.Change) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := c.Item.Key
@@ -115,7 +115,7 @@
 	}
 }
 
-func (d *Desk) applyDomain(domain string, out bool) {
+func (d *Declarations) applyDomain(domain string, out bool) {
 	if out == d.out[domain] {
 		return
 	}
@@ -129,7 +129,7 @@
 }
 
 // applyConfiguration takes a configuration unless a newer one is in force.
-func (d *Desk) applyConfiguration(cfg *queue.Configuration) {
+func (d *Declarations) applyConfiguration(cfg *queue.Configuration) {
 	if d.cfg != nil && cfg.Version <= d.cfg.Version {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,18 +40,18 @@
 // they take about 60 MB.
 const DefaultMaxJobs = 10_000
 
-// Desk is the operators' documents.
-type Desk interface {
+// Declarations are the operators' documents.
+type Declarations interface {
 	Configuration() *queue.Configuration
 	Fresh() time.Time
 }
 
 // Config is what a gateway is told.
 type Config struct {
-	Store  rosemarysill.TransactionalStore
-	Copy   *jobstore.Copy
-	Desk   Desk
-	Revoke time.Duration // in which a revoked key ends to be valid
+	Store    rosemarysill.TransactionalStore
+	Copy     *jobstore.Copy
+	Declared Declarations
+	Revoke   time.Duration // in which a revoked key ends to be valid
 	// MaxJobs bounds the jobs on record; 0 is DefaultMaxJobs.
 	MaxJobs int
 	Meter   *meter.Meter
@@ -71,7 +71,7 @@
 
 // MaxBody implements queue.Jobs.
 func (g *Gateway) MaxBody() int64 {
-	if cfg := g.cfg.Desk.Configuration(); cfg != nil && cfg.Limits.BodyBytes > 0 {
+	if cfg := g.cfg.Declared.Configuration(); cfg != nil && cfg.Limits.BodyBytes > 0 {
 		return cfg.Limits.BodyBytes
 	}
 	return defaultBody
@@ -79,7 +79,7 @@
 
 // IsQueue implements queue.Jobs.
 func (g *Gateway) IsQueue(c queue.Call) bool {
-	cfg := g.cfg.Desk.Configuration()
+	cfg := g.cfg.Declared.Configuration()
 	if cfg == nil {
 		return false
 	}
@@ -89,7 +89,7 @@
 
 // Ready reports whether this entry can serve callers.
 func (g *Gateway) Ready() bool {
-	return g.cfg.Desk.Configuration() != nil && g.fresh()
+	return g.cfg.Declared.Configuration() != nil && g.fresh()
 }
 
 // soundWithin is the age of the latest news of the store beyond which this
@@ -98,18 +98,18 @@
 
 // Sound reports whether this entry hears from the store.
 func (g *Gateway) Sound() bool {
-	return g.cfg.Desk.Configuration() != nil && uptime.Now().Sub(g.cfg.Desk.Fresh()) < soundWithin
+	return g.cfg.Declared.Configuration() != nil && uptime.Now().Sub(g.cfg.Declared.Fresh()) < soundWithin
 }
 
 // fresh reports whether the configuration is recent enough to honour keys.
 func (g *Gateway) fresh() bool {
 	limit := time.Duration(float64(g.cfg.Revoke) * revokeShare)
-	return uptime.Now().Sub(g.cfg.Desk.Fresh()) < limit
+	return uptime.Now().Sub(g.cfg.Declared.Fresh()) < limit
 }
 
 // admit finds the queue and the client account of a call.
 func (g *Gateway) admit(c queue.Call) (*queue.Configuration, *queue.Queue, string, string, error) {
-	cfg := g.cfg.Desk.Configuration()
+	cfg := g.cfg.Declared.Configuration()
 	if cfg == nil {
 		return nil, nil, "", "", rosemarysill.NewError(rosemarysill.StaleConfiguration, "no configuration yet")
 	}
@@ -245,7 +245,7 @@
 // log notes the outcome of a request.
 func (g *Gateway) log(done event.Event, id string, err error) {
 	var version int64
-	if cfg := g.cfg.Desk.Configuration(); cfg != nil {
+	if cfg := g.cfg.Declared.Configuration(); cfg != nil {
 		version = cfg.Version
 	}
 	e := done
@@ -257,7 +257,7 @@
 		e = event.QueueRefused
 	}
 	e.Log(g.cfg.Log).Str("Job", id).Str("Code", rosemarysill.CodeOf(err).String()).Int64("Version", version).
-		Dur("ConfigurationAge", uptime.Now().Sub(g.cfg.Desk.Fresh())).Str("Detail", rosemarysill.DetailOf(err)).Send()
+		Dur("ConfigurationAge", uptime.Now().Sub(g.cfg.Declared.Fresh())).Str("Detail", rosemarysill.DetailOf(err)).Send()
 }
 
 func lastPart(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,33 +18,33 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// desk is a gateway.Desk whose documents are of a given age.
-type desk struct {
+// declared is a gateway.Declarations whose documents are of a given age.
+type declared struct {
 	cfg *queue.Configuration
 	age atomic.Int64
 }
 
-func (d *desk) Configuration() *queue.Configuration { return d.cfg }
+func (d *declared) Configuration() *queue.Configuration { return d.cfg }
 
-func (d *desk) Fresh() time.Time { return uptime.Now().Add(-time.Duration(d.age.Load())) }
+func (d *declared) Fresh() time.Time { return uptime.Now().Add(-time.Duration(d.age.Load())) }
 
 const configKey = "operators/config"
 
 type world struct {
-	store *standin.Transactions
-	desk  *desk
-	gate  *gateway.Gateway
+	store    *standin.Transactions
+	declared *declared
+	gate     *gateway.Gateway
 }
 
 func newWorld(t *testing.T, maxJobs int) *world {
 	w := &world{store: standin.NewTransactions()}
 	revision := w.store.Put(configKey, []byte("1"))
-	w.desk = &desk{cfg: &queue.Configuration{
+	w.declared = &declared{cfg: &queue.Configuration{
 		Version: 1, Key: configKey, Revision: revision,
 		Queues:   []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s"}, {Name: "open", Host: "h", Prefix: "/q/open/", Service: "s", Public: true}},
 		Accounts: map[string]queue.Account{"a": {Name: "a", Keys: []string{"k"}}},
 	}}
-	w.desk.cfg.Index()
+	w.declared.cfg.Index()
 	view := w.store.View("entry")
 	c := jobstore.NewCopy(view, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -52,7 +52,7 @@
 	go func() { defer close(done); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
 	<-c.Listed()
-	w.gate = gateway.New(gateway.Config{Store: view, Copy: c, Desk: w.desk, Revoke: 5 * time.Second, MaxJobs: maxJobs, Log: zerolog.Nop()})
+	w.gate = gateway.New(gateway.Config{Store: view, Copy: c, Declared: w.declared, Revoke: 5 * time.Second, MaxJobs: maxJobs, Log: zerolog.Nop()})
 	return w
 }
 
@@ -90,10 +90,10 @@
 func TestAgeOfConfiguration(t *testing.T) {
 	w := newWorld(t, 0)
 	require.Equal(t, rosemarysill.Done, w.submit("/q/0000000000000001", time.Second))
-	w.desk.age.Store(int64(3100 * time.Millisecond))
+	w.declared.age.Store(int64(3100 * time.Millisecond))
 	require.False(t, w.gate.Ready())
 	require.Equal(t, rosemarysill.StaleConfiguration, w.submit("/q/0000000000000002", time.Second))
-	w.desk.age.Store(0)
+	w.declared.age.Store(0)
 	w.store.Put(configKey, []byte("2"))
 	require.Equal(t, rosemarysill.StoreUnavailable, w.submit("/q/0000000000000003", 300*time.Millisecond), "the entry has not heard of the newest yet")
 	require.Len(t, w.store.Keys("rs/job/"), 1)
--- a/jobstore/copy.go
+++ b/jobstore/copy.go
@@ -47,9 +47,9 @@
 
 	mu        sync.Mutex
 	jobs      map[string]*Entry
-	seat      Seat
-	seatAt    uint64          // version of the leader's record, 0 if there is none
-	entries   map[string]Seat // present entries by name
+	rec       LeaderRecord
+	recAt     uint64                  // version of the leader's record, 0 if there is none
+	entries   map[string]LeaderRecord // present entries by name
 	epoch     uint64
 	epochAt   uint64
 	changed   map[string]bool // jobs that the leader has not looked at
@@ -59,7 +59,7 @@
 // NewCopy returns an empty copy.
 func NewCopy(s rosemarysill.TransactionalStore, log zerolog.Logger) *Copy {
 	c := &Copy{
-		log: log, jobs: make(map[string]*Entry), changed: make(map[string]bool), entries: make(map[string]Seat), notifying: make(chan struct{}, 1),
+		log: log, jobs: make(map[string]*Entry), changed: make(map[string]bool), entries: make(map[string]LeaderRecord), notifying: make(chan struct{}, 1),
 	}
 	c.Follower = NewFollower(s, Prefix, c.applyChange, func(err error) {
 		event.QueueStoreLost.Log(log).Str("Prefix", Prefix).Err(err).Send()
@@ -125,11 +125,11 @@
 	return out
 }
 
-// Seat returns the leader and the version of its record, 0 if there is none.
-func (c *Copy) Seat() (Seat, uint64) {
+// LeaderRecord returns the leader and the version of its record, 0 if there is none.
+func (c *Copy) LeaderRecord() (LeaderRecord, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.seat, c.seatAt
+	return c.rec, c.recAt
 }
 
 // Epoch returns the latest epoch and the version of its record.
@@ -177,10 +177,10 @@
 	}
 	switch {
 	case key == LeaderKey && ch.Deleted:
-		c.seat, c.seatAt = Seat{}, 0
+		c.rec, c.recAt = LeaderRecord{}, 0
 	case key == LeaderKey:
-		seat, err := decodeSeat(value)
-		c.seat, c.seatAt = seat, ch.Item.Version
+		rec, err := decodeLeader(value)
+		c.rec, c.recAt = rec, ch.Item.Version
 		return err
 	case key == EpochKey && !ch.Deleted:
 		e, err := DecodeEpoch(value)
@@ -197,23 +197,23 @@
 		delete(c.entries, name)
 		return nil
 	}
-	seat, err := decodeSeat(ch.Item.Value)
+	rec, err := decodeLeader(ch.Item.Value)
 	if err == nil {
-		c.entries[name] = seat
+		c.entries[name] = rec
 	}
 	return err
 }
 
 // Entries returns the present entries, the leader first.
-func (c *Copy) Entries() []Seat {
+func (c *Copy) Entries() []LeaderRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := make([]Seat, 0, len(c.entries))
+	all := make([]LeaderRecord, 0, len(c.entries))
 	for _, s := range c.entries {
 		all = append(all, s)
 	}
-	slices.SortFunc(all, func(a, b Seat) int {
-		if lead := c.seat.Name; a.Name == lead || b.Name == lead {
+	slices.SortFunc(all, func(a, b LeaderRecord) int {
+		if lead := c.rec.Name; a.Name == lead || b.Name == lead {
 			if a.Name == lead {
 				return -1
 			}
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -44,8 +44,8 @@
 // EntryKey is the key of a present entry.
 func EntryKey(name string) string { return entryPrefix + name }
 
-// Seat is the record of the leader.
-type Seat struct {
+// LeaderRecord is the record of the leader.
+type LeaderRecord struct {
 	Name    string
 	Address netip.AddrPort // for the streams of agents
 	Epoch   uint64
@@ -57,8 +57,8 @@
 // EncodeProgress returns the record of a job's progress.
 func EncodeProgress(p *work.Progress) ([]byte, error) { return json.Marshal(p) }
 
-// EncodeSeat returns the record of the leader.
-func EncodeSeat(s Seat) ([]byte, error) { return json.Marshal(s) }
+// EncodeLeader returns the record of the leader.
+func EncodeLeader(s LeaderRecord) ([]byte, error) { return json.Marshal(s) }
 
 // DecodeEpoch returns the epoch of a record under EpochKey.
 func DecodeEpoch(value []byte) (uint64, error) {
@@ -71,45 +71,45 @@
 func EncodeEpoch(e uint64) ([]byte, error) { return json.Marshal(e) }
 
 const (
-	// seatWait is how long a watch for the leader waits at the store. The
+	// leaderWait is how long a watch for the leader waits at the store. The
 	// stream to the leader shows sooner that it is gone.
-	seatWait = 10 * time.Second
+	leaderWait = 10 * time.Second
 	// retryPause is the pause after a call that failed.
 	retryPause = 150 * time.Millisecond
 )
 
-// ReadSeat returns the record of the leader. Without a leader it is empty.
-func ReadSeat(ctx context.Context, s rosemarysill.TransactionalStore) (Seat, error) {
+// ReadLeader returns the record of the leader. Without a leader it is empty.
+func ReadLeader(ctx context.Context, s rosemarysill.TransactionalStore) (LeaderRecord, error) {
 	i, err := s.Get(ctx, LeaderKey)
 	if errors.Is(err, rosemarysill.ErrNotFound) {
-		return Seat{}, nil
+		return LeaderRecord{}, nil
 	}
 	if err != nil {
-		return Seat{}, err
+		return LeaderRecord{}, err
 	}
-	return decodeSeat(i.Value)
+	return decodeLeader(i.Value)
 }
 
-func decodeSeat(value []byte) (Seat, error) {
-	var seat Seat
-	err := json.Unmarshal(value, &seat)
-	return seat, errors.Wrap(err, "record of the leader")
+func decodeLeader(value []byte) (LeaderRecord, error) {
+	var rec LeaderRecord
+	err := json.Unmarshal(value, &rec)
+	return rec, errors.Wrap(err, "record of the leader")
 }
 
-// FollowLeader tells each new leader to seated until ctx ends, and each
+// FollowLeader tells each new leader to leaded until ctx ends, and each
 // failure to failed.
-func FollowLeader(ctx context.Context, s rosemarysill.TransactionalStore, seated func(Seat), failed func(error)) {
+func FollowLeader(ctx context.Context, s rosemarysill.TransactionalStore, led func(LeaderRecord), failed func(error)) {
 	for ctx.Err() == nil {
 		items, revision, err := s.List(ctx, LeaderKey)
 		for _, i := range items {
-			seatOf(i, seated, failed)
+			recordOf(i, led, failed)
 		}
 		for err == nil && ctx.Err() == nil {
 			var changes []rosemarysill.Change
-			changes, revision, err = s.Watch(ctx, LeaderKey, revision, seatWait)
+			changes, revision, err = s.Watch(ctx, LeaderKey, revision, leaderWait)
 			for _, c := range changes {
 				if !c.Deleted {
-					seatOf(c.Item, seated, failed)
+					recordOf(c.Item, led, failed)
 				}
 			}
 		}
@@ -123,13 +123,13 @@
 	}
 }
 
-func seatOf(i rosemarysill.Item, seated func(Seat), failed func(error)) {
-	seat, err := decodeSeat(i.Value)
+func recordOf(i rosemarysill.Item, led func(LeaderRecord), failed func(error)) {
+	rec, err := decodeLeader(i.Value)
 	if err != nil {
 		failed(err)
 		return
 	}
-	seated(seat)
+	led(rec)
 }
 
 // DecodeJob returns the job of a record.
@@ -149,9 +149,9 @@
 
 // Attend keeps the record of an entry in the store until ctx ends, and removes
 // it then.
-func Attend(ctx context.Context, s rosemarysill.TransactionalStore, seat Seat, failed func(error)) {
+func Attend(ctx context.Context, s rosemarysill.TransactionalStore, rec LeaderRecord, failed func(error)) {
 	for ctx.Err() == nil {
-		lease, err := enter(ctx, s, seat)
+		lease, err := enter(ctx, s, rec)
 		for err == nil && ctx.Err() == nil {
 			uptime.Sleep(ctx, entryRenew)
 			if renewErr := s.Renew(ctx, lease); errors.Is(renewErr, rosemarysill.ErrLeaseLapsed) {
@@ -169,16 +169,16 @@
 
 // enter writes the record of an entry under a new lease. An earlier record of
 // the same name is replaced.
-func enter(ctx context.Context, s rosemarysill.TransactionalStore, seat Seat) (rosemarysill.LeaseID, error) {
+func enter(ctx context.Context, s rosemarysill.TransactionalStore, rec LeaderRecord) (rosemarysill.LeaseID, error) {
 	lease, err := s.Grant(ctx, entryTTL)
 	if err != nil {
 		return 0, err
 	}
-	value, err := EncodeSeat(seat)
+	value, err := EncodeLeader(rec)
 	if err != nil {
 		return lease, err
 	}
-	_, _, err = s.Commit(ctx, rosemarysill.Commit{Writes: []rosemarysill.Write{{Key: EntryKey(seat.Name), Value: value, Lease: lease}}})
+	_, _, err = s.Commit(ctx, rosemarysill.Commit{Writes: []rosemarysill.Write{{Key: EntryKey(rec.Name), Value: value, Lease: lease}}})
 	return lease, err
 }
 
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -73,7 +73,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
-	o := control.Orders{Epoch: t.seat.Epoch, Echo: s.stamp, Leased: now.Before(t.valid), Incarnation: s.incarnation}
+	o := control.Orders{Epoch: t.rec.Epoch, Echo: s.stamp, Leased: now.Before(t.valid), Incarnation: s.incarnation}
 	w, ok := t.workers[s.incarnation]
 	if !ok || !w.attached {
 		return o, true
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -17,7 +17,7 @@
 
 const (
 	// maxBatch is the number of jobs in a commit. The store takes 32 entries:
-	// a guard for the seat, and a guard and a write for each job.
+	// a guard for the lead, and a guard and a write for each job.
 	maxBatch = 15
 	// commitPause is the pause before a commit is repeated.
 	commitPause = 30 * time.Millisecond
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -15,7 +15,7 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
-	"github.com/rosemarysill/rosemarysill/desk"
+	"github.com/rosemarysill/rosemarysill/declaration"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/meter"
@@ -36,14 +36,14 @@
 	tick = 100 * time.Millisecond
 )
 
-// Desk is the operators' documents that are in force.
-type Desk interface {
+// Declarations are the operators' documents that are in force.
+type Declarations interface {
 	// Configuration returns the newest configuration, or nil.
 	Configuration() *queue.Configuration
 	// DomainOut reports whether a failure domain is taken out.
 	DomainOut(domain string) bool
 	// Waves returns the waves of upkeep by key.
-	Waves() map[string]desk.Wave
+	Waves() map[string]declaration.Wave
 	// Fresh returns the time as of which the documents are complete.
 	Fresh() time.Time
 }
@@ -54,7 +54,7 @@
 	Address   netip.AddrPort // for the streams of agents
 	Store     rosemarysill.TransactionalStore
 	Copy      *jobstore.Copy
-	Desk      Desk
+	Declared  Declarations
 	LeaseMin  time.Duration  // shortest lease of the store
 	StatusFor time.Duration  // for which final jobs are kept at least
 	StopGrace time.Duration  // longest time that the stop of a run takes
@@ -90,7 +90,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	defer close(l.done)
 	for ctx.Err() == nil {
-		if _, version := l.cfg.Copy.Seat(); version == 0 && isListed(l.cfg.Copy) {
+		if _, version := l.cfg.Copy.LeaderRecord(); version == 0 && isListed(l.cfg.Copy) {
 			if t, err := l.elect(ctx); err == nil {
 				l.lead(ctx, t)
 				continue
@@ -113,7 +113,7 @@
 	}
 }
 
-// elect tries to take the seat.
+// elect tries to take the lead.
 func (l *Leader) elect(ctx context.Context) (*term, error) {
 	asked := uptime.Now()
 	lease, err := l.cfg.Store.Grant(ctx, l.ttl)
@@ -121,24 +121,24 @@
 		return nil, err
 	}
 	epoch, epochAt := l.cfg.Copy.Epoch()
-	seat := jobstore.Seat{Name: l.cfg.Name, Address: l.cfg.Address, Epoch: epoch + 1}
-	seatValue, err := jobstore.EncodeSeat(seat)
+	rec := jobstore.LeaderRecord{Name: l.cfg.Name, Address: l.cfg.Address, Epoch: epoch + 1}
+	recValue, err := jobstore.EncodeLeader(rec)
 	if err != nil {
 		return nil, err
 	}
-	epochValue, err := jobstore.EncodeEpoch(seat.Epoch)
+	epochValue, err := jobstore.EncodeEpoch(rec.Epoch)
 	if err != nil {
 		return nil, err
 	}
 	revision, _, err := l.cfg.Store.Commit(ctx, rosemarysill.Commit{
 		Guards: []rosemarysill.Guard{{Key: jobstore.LeaderKey}, {Key: jobstore.EpochKey, Version: epochAt}},
-		Writes: []rosemarysill.Write{{Key: jobstore.LeaderKey, Value: seatValue, Lease: lease}, {Key: jobstore.EpochKey, Value: epochValue}},
+		Writes: []rosemarysill.Write{{Key: jobstore.LeaderKey, Value: recValue, Lease: lease}, {Key: jobstore.EpochKey, Value: epochValue}},
 	})
 	if err != nil {
 		l.release(lease)
 		return nil, err
 	}
-	return newTerm(l.cfg, seat, revision, lease, asked.Add(l.ttl)), nil
+	return newTerm(l.cfg, rec, revision, lease, asked.Add(l.ttl)), nil
 }
 
 // release ends a lease, so that another entry need not wait for its end.
@@ -152,7 +152,7 @@
 
 // lead serves one term.
 func (l *Leader) lead(ctx context.Context, t *term) {
-	event.LeaderElected.Log(l.cfg.Log).Uint64("Epoch", t.seat.Epoch).Send()
+	event.LeaderElected.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).Send()
 	termCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var parts sync.WaitGroup
@@ -173,12 +173,12 @@
 	t.close()
 	if ctx.Err() != nil {
 		l.release(t.lease)
-		event.LeaderResigned.Log(l.cfg.Log).Uint64("Epoch", t.seat.Epoch).Send()
+		event.LeaderResigned.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).Send()
 		return
 	}
-	event.LeaderLost.Log(l.cfg.Log).Uint64("Epoch", t.seat.Epoch).AnErr("Cause", t.cause()).Send()
+	event.LeaderLost.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).AnErr("Cause", t.cause()).Send()
 	// The record lapses with the lease. Until the copy shows it, this entry
-	// would only see its own seat.
+	// would only see its own record.
 	uptime.Sleep(ctx, electPause)
 }
 
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -69,7 +69,7 @@
 }
 
 // Guards against a deposed leader that still records: it is cut off from the
-// store while it holds the seat, and another is elected.
+// store while it holds the lead, and another is elected.
 func TestLeaderCutOffFromStore(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 2, 2)
@@ -90,16 +90,16 @@
 	w.sound()
 }
 
-// Guards against two leaders: the record of the seat is gone while its holder
+// Guards against two leaders: the record of the lead is gone while its holder
 // still renews the lease, so only the guard of its commits can stop it.
-func TestSeatTakenAway(t *testing.T) {
+func TestLeaderRecordTakenAway(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 2, 2)
 	old := w.leads()
 	w.store.Remove(jobstore.LeaderKey)
 	require.Eventually(t, func() bool {
-		seat, at := w.entries[old].copy.Seat()
-		return at != 0 && seat.Epoch == 2
+		rec, at := w.entries[old].copy.LeaderRecord()
+		return at != 0 && rec.Epoch == 2
 	}, 20*time.Second, 10*time.Millisecond)
 	for i := range 10 {
 		w.submit(fmt.Sprintf("job%d", i), step(3, 100*time.Millisecond))
@@ -270,15 +270,15 @@
 func TestDomainOut(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 1, 2)
-	w.desk.mu.Lock()
-	w.desk.out["d-agent0"], w.desk.out["d-agent1"] = true, true
-	w.desk.mu.Unlock()
+	w.declared.mu.Lock()
+	w.declared.out["d-agent0"], w.declared.out["d-agent1"] = true, true
+	w.declared.mu.Unlock()
 	w.submit("out", step(1, 50*time.Millisecond))
 	time.Sleep(500 * time.Millisecond) // a start would come within milliseconds
 	require.Zero(t, w.steps.Starts(work.RunKey{Task: work.TaskKey{Job: "out"}, Run: 1}))
-	w.desk.mu.Lock()
-	delete(w.desk.out, "d-agent1")
-	w.desk.mu.Unlock()
+	w.declared.mu.Lock()
+	delete(w.declared.out, "d-agent1")
+	w.declared.mu.Unlock()
 	w.reaches("out", work.Completed)
 }
 
--- a/leader/place.go
+++ b/leader/place.go
@@ -56,13 +56,13 @@
 	s.dirty = true
 	t.workers[p.Worker].placed[k] = now
 	event.LeaderPlaced.Log(t.cfg.Log).Str("Job", p.Task.Job).Stringer("Run", k).Str("Worker", p.Worker).Int("Priority", s.job.Priority).
-		Dur("Waited", time.Since(s.job.Accepted)).Uint64("Epoch", t.seat.Epoch).Send()
+		Dur("Waited", time.Since(s.job.Accepted)).Uint64("Epoch", t.rec.Epoch).Send()
 }
 
 // reserved returns the jobs of priority 0 that are within the guarantees of
 // their client accounts, oldest first.
 func (t *term) reserved() map[string]bool {
-	cfg := t.cfg.Desk.Configuration()
+	cfg := t.cfg.Declared.Configuration()
 	if cfg == nil {
 		return nil
 	}
@@ -245,7 +245,7 @@
 func (t *term) open(w *workerState, now time.Time) bool {
 	_, streaming := t.streams[w.Incarnation]
 	return streaming && !w.Draining && !w.Silent && now.After(w.closed) && now.Sub(w.heard) < heardWithin &&
-		!t.cfg.Desk.DomainOut(w.Domain) && !w.health.avoided(now)
+		!t.cfg.Declared.DomainOut(w.Domain) && !w.health.avoided(now)
 }
 
 // occupant describes a run that is ordered on a worker.
@@ -263,7 +263,7 @@
 	if since, ok := w.stops[k]; ok {
 		run.Stuck = now.Sub(since) > stuckFactor*t.cfg.StopGrace
 	}
-	if p := w.pacers[k]; p != nil && !step.LongRunning {
+	if p := w.trackers[k]; p != nil && !step.LongRunning {
 		run.Ending = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
 	}
 	run.Pinned = step.LongRunning && k.Task.Index >= t.mayMiss(s, k.Task)
--- a/leader/pure_test.go
+++ b/leader/pure_test.go
@@ -31,7 +31,7 @@
 		"slower than it was estimated": {time.Second, map[int]int{0: 0, 2000: 1, 4000: 2}, 7000, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := &pacer{}
+			p := &tracker{}
 			for ms := 0; ms <= tc.now; ms += 100 {
 				if percent, ok := tc.progress[ms]; ok {
 					p.observe(percent, at(ms))
@@ -44,7 +44,7 @@
 
 // Guards against runs on a leaving worker whose remaining time is misjudged.
 func TestTimeLeft(t *testing.T) {
-	p := &pacer{}
+	p := &tracker{}
 	p.observe(20, at(0)) // resumed from a checkpoint
 	require.Equal(t, 4*time.Second, p.left(5*time.Second, at(1000)))
 	p.observe(40, at(1000))
--- a/leader/report.go
+++ b/leader/report.go
@@ -117,7 +117,7 @@
 	if w := t.workers[worker]; w != nil {
 		delete(w.placed, k)
 		delete(w.strays, k)
-		delete(w.pacers, k)
+		delete(w.trackers, k)
 		delete(w.stops, k)
 	}
 	if task == nil {
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -25,7 +25,7 @@
 		runs[i] = work.RunKey{Task: work.TaskKey{Job: "j", Index: i}, Run: 1}
 		p.Place(&p.Tasks[i], before, "", 1)
 	}
-	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.Seat{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
+	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
 	term.jobs["j"] = &jobState{job: j, progress: p, recorded: append([]work.Task(nil), p.Tasks...)}
 	term.workers[before] = newWorkerState(control.Worker{Incarnation: before}, "a", uptime.Now())
 
--- a/leader/service_test.go
+++ b/leader/service_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	operators "github.com/rosemarysill/rosemarysill/desk"
+	operators "github.com/rosemarysill/rosemarysill/declaration"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -110,9 +110,9 @@
 	w.addEntry("entry0")
 	w.record(&work.Job{ID: "busy", Service: "s", Attempts: 2, Accepted: time.Now(), Steps: []work.Step{step(12, 200*time.Millisecond)}, Spec: spec(700*time.Millisecond, "")})
 	require.Eventually(t, func() bool { return w.steps.Runs() == 12 }, 20*time.Second, 10*time.Millisecond)
-	w.desk.mu.Lock()
-	w.desk.waves = map[string]operators.Wave{"1": {ID: "1", Number: 1, Machines: []string{"m-agent0", "m-agent1", "m-agent2", "m-gone"}, Within: 20 * time.Second, Most: 1}}
-	w.desk.mu.Unlock()
+	w.declared.mu.Lock()
+	w.declared.waves = map[string]operators.Wave{"1": {ID: "1", Number: 1, Machines: []string{"m-agent0", "m-agent1", "m-agent2", "m-gone"}, Within: 20 * time.Second, Most: 1}}
+	w.declared.mu.Unlock()
 	state := func() string {
 		for _, key := range w.store.Keys("status/1") {
 			i, err := w.store.View("operator").Get(context.Background(), key)
--- a/leader/term.go
+++ b/leader/term.go
@@ -39,7 +39,7 @@
 	strays   map[work.RunKey]bool
 	placed   map[work.RunKey]time.Time // runs ordered here, and when
 	stops    map[work.RunKey]time.Time // runs that are being stopped, and since when
-	pacers   map[work.RunKey]*pacer
+	trackers map[work.RunKey]*tracker
 	health   health
 	speed    speed
 }
@@ -47,7 +47,7 @@
 // term is the time in which this entry leads.
 type term struct {
 	cfg   Config
-	seat  jobstore.Seat
+	rec   jobstore.LeaderRecord
 	at    uint64 // version of the leader's record
 	lease rosemarysill.LeaseID
 
@@ -70,9 +70,9 @@
 	why     error
 }
 
-func newTerm(cfg Config, seat jobstore.Seat, at uint64, lease rosemarysill.LeaseID, valid time.Time) *term {
+func newTerm(cfg Config, rec jobstore.LeaderRecord, at uint64, lease rosemarysill.LeaseID, valid time.Time) *term {
 	return &term{
-		cfg: cfg, seat: seat, at: at, lease: lease, valid: valid, elected: uptime.Now(),
+		cfg: cfg, rec: rec, at: at, lease: lease, valid: valid, elected: uptime.Now(),
 		ended: make(chan struct{}), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
 		streams: make(map[string]chan struct{}), gone: make(map[string]bool), advised: make(map[stepKey]*advised), asking: make(chan struct{}, 1), waves: make(map[string]*waveState),
@@ -96,7 +96,7 @@
 	}
 }
 
-var errLeaseLapsed = errors.New("the lease of the seat has lapsed")
+var errLeaseLapsed = errors.New("the lease of the lead has lapsed")
 
 // renew keeps the lease until it lapses or ctx ends.
 func (t *term) renew(ctx context.Context) {
@@ -122,11 +122,11 @@
 	}
 }
 
-// load reads the records once the copy shows this entry's seat: the changes
+// load reads the records once the copy shows this entry's record: the changes
 // come in order, so it then has everything that earlier leaders wrote.
 func (t *term) load(ctx context.Context) bool {
 	for {
-		if _, at := t.cfg.Copy.Seat(); at == t.at {
+		if _, at := t.cfg.Copy.LeaderRecord(); at == t.at {
 			break
 		}
 		if ctx.Err() != nil {
@@ -162,7 +162,7 @@
 func newWorkerState(w control.Worker, agent string, heard time.Time) *workerState {
 	return &workerState{
 		Worker: w, agent: agent, heard: heard,
-		strays: make(map[work.RunKey]bool), placed: make(map[work.RunKey]time.Time), pacers: make(map[work.RunKey]*pacer), stops: make(map[work.RunKey]time.Time),
+		strays: make(map[work.RunKey]bool), placed: make(map[work.RunKey]time.Time), trackers: make(map[work.RunKey]*tracker), stops: make(map[work.RunKey]time.Time),
 	}
 }
 
@@ -230,7 +230,7 @@
 	}
 }
 
-// run decides and commits until ctx ends or the seat is lost.
+// run decides and commits until ctx ends or the lead is lost.
 func (t *term) run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -19,8 +19,8 @@
 	avoidStalled = 2 * time.Second
 )
 
-// pacer follows the progress of a run.
-type pacer struct {
+// tracker follows the progress of a run.
+type tracker struct {
 	began   time.Time // first report of the run
 	first   int       // percent then
 	percent int
@@ -29,7 +29,7 @@
 }
 
 // observe takes a report of the run's progress.
-func (p *pacer) observe(percent int, now time.Time) {
+func (p *tracker) observe(percent int, now time.Time) {
 	if p.began.IsZero() {
 		p.began, p.first, p.percent, p.moved = now, percent, percent, now
 		return
@@ -41,7 +41,7 @@
 
 // perPercent is the average time of a percent, or the declared one before any
 // progress.
-func (p *pacer) perPercent(estimate time.Duration) time.Duration {
+func (p *tracker) perPercent(estimate time.Duration) time.Duration {
 	if n := p.percent - p.first; n > 0 {
 		return p.moved.Sub(p.began) / time.Duration(n)
 	}
@@ -50,7 +50,7 @@
 
 // stalled returns how long the run has made no progress, or 0 if that is
 // within what its speed explains.
-func (p *pacer) stalled(estimate time.Duration, now time.Time) time.Duration {
+func (p *tracker) stalled(estimate time.Duration, now time.Time) time.Duration {
 	since := now.Sub(p.moved)
 	if since < stallAtLeast || since < stallSteps*p.perPercent(estimate) {
 		return 0
@@ -59,7 +59,7 @@
 }
 
 // unsaved is the time of work that is lost if the run is stopped.
-func (p *pacer) unsaved(checkpointing bool) time.Duration {
+func (p *tracker) unsaved(checkpointing bool) time.Duration {
 	if checkpointing {
 		return 0 // a stop makes a checkpoint
 	}
@@ -69,7 +69,7 @@
 // endsWithin reports whether the run will have ended after d. Its speed must be
 // known for that. The first such forecast holds: once it has passed, the run is
 // not expected to end any more.
-func (p *pacer) endsWithin(d, estimate time.Duration, now time.Time) bool {
+func (p *tracker) endsWithin(d, estimate time.Duration, now time.Time) bool {
 	if !p.ends.IsZero() {
 		return now.Before(p.ends)
 	}
@@ -84,7 +84,7 @@
 const knownPercent = 3
 
 // left estimates the time until the run is done.
-func (p *pacer) left(estimate time.Duration, now time.Time) time.Duration {
+func (p *tracker) left(estimate time.Duration, now time.Time) time.Duration {
 	if n := p.percent - p.first; n >= knownPercent {
 		return time.Duration(100-p.percent) * now.Sub(p.began) / time.Duration(n)
 	}
@@ -99,10 +99,10 @@
 	if step.LongRunning || step.Fills {
 		return
 	}
-	p := w.pacers[run.Key]
+	p := w.trackers[run.Key]
 	if p == nil {
-		p = &pacer{}
-		w.pacers[run.Key] = p
+		p = &tracker{}
+		w.trackers[run.Key] = p
 	}
 	p.observe(run.Percent, now)
 	stalled := p.stalled(step.Estimate, now)
@@ -144,7 +144,7 @@
 		}
 		step := s.job.Steps[k.Task.Step]
 		left := step.Estimate
-		if p := w.pacers[k]; p != nil {
+		if p := w.trackers[k]; p != nil {
 			left = p.left(step.Estimate, now)
 		}
 		if step.LongRunning || left+leaveMargin > w.Remaining {
--- a/leader/wave.go
+++ b/leader/wave.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosemarysill/rosemarysill"
-	"github.com/rosemarysill/rosemarysill/desk"
+	"github.com/rosemarysill/rosemarysill/declaration"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/uptime"
@@ -32,7 +32,7 @@
 
 // waveState is a wave during a term.
 type waveState struct {
-	desk.Wave
+	declaration.Wave
 	began  time.Time       // when this leader first saw it
 	done   map[string]bool // machines that have had their upkeep, or are gone
 	chosen map[string]time.Time
@@ -67,7 +67,7 @@
 // openWaves returns the waves that are not completed.
 func (t *term) openWaves(ctx context.Context) []*waveState {
 	var open []*waveState
-	for _, w := range t.cfg.Desk.Waves() {
+	for _, w := range t.cfg.Declared.Waves() {
 		s := t.waves[w.ID]
 		if s == nil {
 			var err error
@@ -89,7 +89,7 @@
 
 // readWave reads which machines of a wave have had their upkeep under earlier
 // leaders.
-func (t *term) readWave(ctx context.Context, w desk.Wave) (*waveState, error) {
+func (t *term) readWave(ctx context.Context, w declaration.Wave) (*waveState, error) {
 	s := &waveState{Wave: w, began: uptime.Now(), done: make(map[string]bool), chosen: make(map[string]time.Time)}
 	i, err := t.cfg.Store.Get(ctx, jobstore.WaveKey(w.ID))
 	if errors.Is(err, rosemarysill.ErrNotFound) {
@@ -221,12 +221,12 @@
 	if t.fenced {
 		return
 	}
-	why, err := t.cfg.Machinery.Upkeep(ctx, t.cfg.Name, t.seat.Epoch, m.Name, s.Number)
+	why, err := t.cfg.Machinery.Upkeep(ctx, t.cfg.Name, t.rec.Epoch, m.Name, s.Number)
 	if err != nil {
 		event.LeaderMachineFailed.Log(t.cfg.Log).Str("Call", "upkeep").Str("Machine", m.Name).Err(err).Send()
 		return
 	}
-	event.LeaderMachineOrdered.Log(t.cfg.Log).Str("Machine", m.Name).Str("Wave", s.ID).Uint64("Epoch", t.seat.Epoch).Str("Refusal", string(why)).Send()
+	event.LeaderMachineOrdered.Log(t.cfg.Log).Str("Machine", m.Name).Str("Wave", s.ID).Uint64("Epoch", t.rec.Epoch).Str("Refusal", string(why)).Send()
 	switch why {
 	case work.MachineFenced:
 		t.fenced = true // a later leader has ordered; this one orders no more
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
-	operators "github.com/rosemarysill/rosemarysill/desk"
+	operators "github.com/rosemarysill/rosemarysill/declaration"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/leader"
 	"github.com/rosemarysill/rosemarysill/queue"
@@ -27,8 +27,8 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// desk is a leader.Desk with a fixed configuration.
-type desk struct {
+// declared is a leader.Declarations with a fixed configuration.
+type declared struct {
 	mu  sync.Mutex
 	out map[string]bool
 	cfg queue.Configuration
@@ -36,17 +36,17 @@
 	waves map[string]operators.Wave
 }
 
-func (d *desk) Configuration() *queue.Configuration { return &d.cfg }
+func (d *declared) Configuration() *queue.Configuration { return &d.cfg }
 
-func (d *desk) Waves() map[string]operators.Wave {
+func (d *declared) Waves() map[string]operators.Wave {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return maps.Clone(d.waves)
 }
 
-func (d *desk) Fresh() time.Time { return uptime.Now() }
+func (d *declared) Fresh() time.Time { return uptime.Now() }
 
-func (d *desk) DomainOut(domain string) bool {
+func (d *declared) DomainOut(domain string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.out[domain]
@@ -80,12 +80,12 @@
 
 // world is a set of processes with their stand-ins.
 type world struct {
-	t       *testing.T
-	store   *standin.Transactions
-	steps   *standin.Steps
-	desk    *desk
-	entries map[string]*entry
-	agents  map[string]*agent
+	t        *testing.T
+	store    *standin.Transactions
+	steps    *standin.Steps
+	declared *declared
+	entries  map[string]*entry
+	agents   map[string]*agent
 
 	adviser   *adviser   // of entries that are added later
 	machinery *machinery // the same
@@ -95,7 +95,7 @@
 func newWorld(t *testing.T, entries, agents int) *world {
 	w := &world{
 		t: t, store: standin.NewTransactions(), steps: standin.NewSteps(),
-		desk: &desk{out: make(map[string]bool)}, entries: make(map[string]*entry), agents: make(map[string]*agent),
+		declared: &declared{out: make(map[string]bool)}, entries: make(map[string]*entry), agents: make(map[string]*agent),
 		statusFor: time.Minute,
 	}
 	for i := range entries {
@@ -123,7 +123,7 @@
 	view := w.store.View(name)
 	e := &entry{process: process{cancel, make(chan struct{})}, copy: jobstore.NewCopy(view, zerolog.Nop())}
 	cfg := leader.Config{
-		Name: name, Address: netip.MustParseAddrPort(l.Addr().String()), Store: view, Copy: e.copy, Desk: w.desk,
+		Name: name, Address: netip.MustParseAddrPort(l.Addr().String()), Store: view, Copy: e.copy, Declared: w.declared,
 		StatusFor: w.statusFor, StopGrace: 50 * time.Millisecond, Log: zerolog.Nop(),
 		WaveForm: func(id string, completed bool) (string, []byte) {
 			if completed {
@@ -154,7 +154,7 @@
 	w.entries[name] = e
 }
 
-// crash ends an entry without giving its seat up.
+// crash ends an entry without giving the lead up.
 func (w *world) crash(name string) {
 	w.store.SetFault(name, standin.Refusing)
 	w.entries[name].kill()
@@ -227,8 +227,8 @@
 	var name string
 	require.Eventually(w.t, func() bool {
 		for _, e := range w.entries {
-			if seat, at := e.copy.Seat(); at != 0 {
-				name = seat.Name
+			if rec, at := e.copy.LeaderRecord(); at != 0 {
+				name = rec.Name
 				return w.entries[name] != nil
 			}
 		}
--- a/station/entry.go
+++ b/node/entry.go
@@ -1,7 +1,7 @@
-// Package station builds the two processes that run on the users' platform: an
+// Package node builds the two processes that run on the users' platform: an
 // entry, which serves callers and takes part in the election of the leader,
 // and the agent beside a worker.
-package station
+package node
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/rosemarysill/rosemarysill/control"
-	"github.com/rosemarysill/rosemarysill/desk"
+	"github.com/rosemarysill/rosemarysill/declaration"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/gateway"
 	"github.com/rosemarysill/rosemarysill/jobstore"
@@ -46,11 +46,11 @@
 	store := platform.NewStore(n.Store, storeTimeout)
 	defer store.Close()
 	copied := jobstore.NewCopy(store, log)
-	documents := desk.New(store, platform.Documents{}, log)
+	documents := declaration.New(store, platform.Documents{}, log)
 	figures := meter.New()
-	gate := gateway.New(gateway.Config{Store: store, Copy: copied, Desk: documents, Revoke: n.Revoke, Meter: figures, Log: log})
+	gate := gateway.New(gateway.Config{Store: store, Copy: copied, Declared: documents, Revoke: n.Revoke, Meter: figures, Log: log})
 	cfg := leader.Config{
-		Name: n.Name, Address: n.Internal, Store: store, Copy: copied, Desk: documents,
+		Name: n.Name, Address: n.Internal, Store: store, Copy: copied, Declared: documents,
 		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, StopGrace: n.StopGrace, Reclaim: n.Reclaim, WaveForm: platform.WaveStatus, Meter: figures, Log: log,
 	}
 	if n.Advice.IsValid() {
@@ -85,7 +85,7 @@
 	parts.Go(func() { documents.Run(follow) })
 	parts.Go(func() { lead.Run(ctx) })
 	parts.Go(func() {
-		jobstore.Attend(ctx, store, jobstore.Seat{Name: n.Name, Address: n.Internal}, func(err error) {
+		jobstore.Attend(ctx, store, jobstore.LeaderRecord{Name: n.Name, Address: n.Internal}, func(err error) {
 			event.QueueStoreLost.Log(log).Str("Entry", n.Name).Err(err).Send()
 		})
 	})
--- a/station/explain_test.go
+++ b/node/explain_test.go
@@ -1,4 +1,4 @@
-package station_test
+package node_test
 
 import (
 	"context"
--- a/station/figures.go
+++ b/node/figures.go
@@ -1,4 +1,4 @@
-package station
+package node
 
 import (
 	"context"
--- a/station/path_test.go
+++ b/node/path_test.go
@@ -1,4 +1,4 @@
-package station_test
+package node_test
 
 import (
 	"bytes"
@@ -16,9 +16,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemarysill/rosemarysill/history"
+	"github.com/rosemarysill/rosemarysill/node"
 	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/standin"
-	"github.com/rosemarysill/rosemarysill/station"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -103,7 +103,7 @@
 			IP: loopback, MetricsPort: freeAddress(t).Port(), Store: s.storeFor(t, fmt.Sprintf("entry%d", i)), Revoke: 5 * time.Second, ShutdownGrace: 200 * time.Millisecond,
 			LeaseMin: time.Second, StatusFor: time.Minute, Entry: true,
 		}
-		run(station.Entry, n)
+		run(node.Entry, n)
 		s.entries = append(s.entries, n)
 		c := platform.NewClient(n.Callers, "a.example", "k1")
 		t.Cleanup(c.Close)
@@ -133,7 +133,7 @@
 	n := platform.Node{
 		Name: fmt.Sprintf("agent%d", i), Control: freeAddress(t), Worker: addressOf(server), IP: loopback, MetricsPort: freeAddress(t).Port(), Store: store, Agent: true,
 	}
-	run(station.Agent, n)
+	run(node.Agent, n)
 	a := platform.NewAnnouncer(n.Control)
 	parts.Go(func() {
 		defer a.Close()
--- a/runner/ledger_test.go
+++ b/runner/ledger_test.go
@@ -35,7 +35,7 @@
 	require.False(t, l.lease(control.Orders{Epoch: 1, Echo: at(3000), Leased: true}), "an earlier leader extends nothing")
 	require.True(t, l.lease(control.Orders{Epoch: 2, Echo: at(3000)}))
 	l.look(work.Look{Clock: 4 * time.Second}, l.fence, at(3000))
-	require.InDelta(t, d, l.deadline(at(3000)), float64(control.Lease)*control.ClockDrift, "nor one whose seat may have lapsed")
+	require.InDelta(t, d, l.deadline(at(3000)), float64(control.Lease)*control.ClockDrift, "nor one that may lead no more")
 	require.Zero(t, l.deadline(at(6000)), "nor a lease that is over")
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -55,7 +55,7 @@
 	mu       sync.Mutex
 	ledger   *ledger
 	inFlight map[work.RunKey]bool
-	seat     jobstore.Seat
+	rec      jobstore.LeaderRecord
 	moved    chan struct{} // closed when leader changes
 }
 
@@ -129,7 +129,7 @@
 
 // follow keeps the address of the leader up to date.
 func (r *Runner) follow(ctx context.Context) {
-	jobstore.FollowLeader(ctx, r.cfg.Store, r.seated, func(err error) {
+	jobstore.FollowLeader(ctx, r.cfg.Store, r.led, func(err error) {
 		event.RunnerStoreFailed.Log(r.cfg.Log).Err(err).Send()
 	})
 }
@@ -137,19 +137,19 @@
 // lookUp reads the leader after a stream has failed. A watch that fell silent
 // would show a change only later.
 func (r *Runner) lookUp(ctx context.Context) {
-	s, err := jobstore.ReadSeat(ctx, r.cfg.Store)
+	s, err := jobstore.ReadLeader(ctx, r.cfg.Store)
 	if err != nil {
 		event.RunnerStoreFailed.Log(r.cfg.Log).Err(err).Send()
 		return
 	}
-	r.seated(s)
+	r.led(s)
 }
 
-func (r *Runner) seated(s jobstore.Seat) {
+func (r *Runner) led(s jobstore.LeaderRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s.Address.IsValid() && s.Epoch > r.seat.Epoch {
-		r.seat = s
+	if s.Address.IsValid() && s.Epoch > r.rec.Epoch {
+		r.rec = s
 		close(r.moved)
 		r.moved = make(chan struct{})
 	}
@@ -159,7 +159,7 @@
 func (r *Runner) attach(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		leader, moved := r.seat.Address, r.moved
+		leader, moved := r.rec.Address, r.moved
 		r.mu.Unlock()
 		if !leader.IsValid() {
 			select {
