--- a/event/event.go
+++ b/event/event.go
@@ -42,8 +42,8 @@
 	return all
 }
 
-// Bounds of the lines of one kind. They keep an entry under a tenth of its
-// usual processor time when each request fails.
+// Bounds of the lines of one kind, so that a fault that repeats on each request
+// or each call does not fill the log.
 const (
 	linesPerS = 50
 	lineBurst = 400
