--- a/node/path_test.go
+++ b/node/path_test.go
@@ -18,16 +18,11 @@
 	"github.com/rosemarysill/rosemarysill/history"
 	"github.com/rosemarysill/rosemarysill/node"
 	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/queue"
 	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-const configuration = `{"version":%d,"routes":[
- {"name":"checks","hostname":"a.example","prefix":"/checks/","timeout-ms":3000,"target-latency-ms":250,"priority":0,"service":"svc","attempts":2,"stretch":1.5,"public":false},
- {"name":"scans","hostname":"a.example","prefix":"/checks/scans/","timeout-ms":3000,"target-latency-ms":250,"priority":2,"service":"svc","attempts":2,"stretch":3,"public":false}],
- "services":[{"name":"svc","rejects-overload":false}],"limits":{"max-body-bytes":4500},
- "tenants":[{"name":"t1","api-keys":[%s],"guaranteed":{"gpu":8}}]}`
-
 // site is a deployment on loopback: stand-ins on the wire, two entries and
 // some agents.
 type site struct {
@@ -89,7 +84,7 @@
 
 func newSite(t *testing.T, agents int) *site {
 	s := &site{store: standin.NewTransactions(), steps: standin.NewSteps(), logs: logs{text: make(map[string]*bytes.Buffer)}}
-	s.configure(1, `"k1"`)
+	s.configure(t, 1, "k1")
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	t.Cleanup(func() { cancel(); parts.Wait() })
@@ -152,8 +147,20 @@
 	})
 }
 
-func (s *site) configure(version int, keys string) {
-	s.store.Put("op/config", fmt.Appendf(nil, configuration, version, keys))
+func (s *site) configure(t *testing.T, version int64, key string) {
+	t.Helper()
+	k, document, err := platform.EncodeConfiguration(&queue.Configuration{
+		Version: version,
+		Queues: []queue.Queue{
+			{Name: "checks", Host: "a.example", Prefix: "/checks/", Service: "svc", Attempts: 2, Stretch: 1.5, Objective: 250 * time.Millisecond},
+			{Name: "scans", Host: "a.example", Prefix: "/checks/scans/", Service: "svc", Priority: 2, Attempts: 2, Stretch: 3, Objective: 250 * time.Millisecond},
+		},
+		Services: map[string]queue.Service{"svc": {Name: "svc"}},
+		Accounts: map[string]queue.Account{"t1": {Name: "t1", Keys: []string{key}, Guaranteed: 8}},
+		Limits:   queue.Limits{BodyBytes: 4500},
+	})
+	require.NoError(t, err)
+	s.store.Put(k, document)
 }
 
 func (s *site) ready(i int) bool {
@@ -241,27 +248,6 @@
 	require.Equal(t, http.StatusGone, a.Status)
 }
 
-// Guards against bodies that stop an entry, or that are taken for jobs.
-func TestBadBodies(t *testing.T) {
-	s := newSite(t, 0)
-	for name, body := range map[string]string{
-		"not JSON": `{`, "a list": `[]`, "no specification": `{"steps":[{"count":1}]}`, "count is text": `{"task-spec":"","steps":[{"count":"1"}]}`,
-		"negative": `{"task-spec":"","steps":[{"count":-1}]}`, "huge": `{"task-spec":"","steps":[{"count":1e9}]}`,
-	} {
-		t.Run(name, func(t *testing.T) {
-			req, err := http.NewRequest(http.MethodPost, "http://"+s.entries[0].Callers.String()+"/checks/00000000000000c1", strings.NewReader(body))
-			require.NoError(t, err)
-			req.Host = "a.example"
-			req.Header.Set("Rosemarysill-Credential", "k1")
-			resp, err := http.DefaultClient.Do(req)
-			require.NoError(t, err)
-			require.NoError(t, resp.Body.Close())
-			require.Equal(t, http.StatusBadRequest, resp.StatusCode)
-		})
-	}
-	require.Empty(t, s.store.Keys("rs/job/"))
-}
-
 // Guards against a key that is honoured after it was taken away, at an entry
 // that hears from the store and at one that does not.
 func TestRevokedKey(t *testing.T) {
@@ -273,9 +259,9 @@
 		return a.Status
 	}
 	require.Equal(t, http.StatusOK, status())
-	s.configure(2, `"k9"`)
+	s.configure(t, 2, "k9")
 	require.Eventually(t, func() bool { return status() == http.StatusUnauthorized }, 2*time.Second, 10*time.Millisecond)
-	s.configure(3, `"k1"`)
+	s.configure(t, 3, "k1")
 	require.Eventually(t, func() bool { return status() == http.StatusOK }, 2*time.Second, 10*time.Millisecond)
 	s.store.SetFault(standin.Everyone, standin.Silent)
 	require.Eventually(t, func() bool { return status() == http.StatusServiceUnavailable }, 5*time.Second, 10*time.Millisecond)
@@ -286,7 +272,7 @@
 // longer the newest: the entry has not heard of the change yet.
 func TestAcceptedUnderNewestConfiguration(t *testing.T) {
 	s := newSite(t, 0)
-	s.configure(2, `"k9"`)
+	s.configure(t, 2, "k9")
 	a, err := s.clients[0].Submit(context.Background(), limit, "/checks/", "00000000000000d1", newJob("", oneStep(1)))
 	require.NoError(t, err)
 	require.Equal(t, http.StatusUnauthorized, a.Status)
--- /dev/null
+++ b/standin/stepcall.go
@@ -0,0 +1,127 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// call carries f out with its fence, at once or late.
+func (w *StepWorker) call(ctx context.Context, timeout time.Duration, instance string, fence int64, f func(now time.Time) work.Refusal) (work.Look, error) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.calls++
+	if w.dark {
+		return work.Look{}, errors.New("no answer")
+	}
+	if w.mute {
+		born := w.born
+		time.AfterFunc(w.late, func() {
+			w.set.mu.Lock()
+			defer w.set.mu.Unlock()
+			if w.born.Equal(born) && !w.dark {
+				_ = w.carry(instance, fence, f) // a late call answers nobody
+			}
+		})
+		return work.Look{}, errors.New("no answer")
+	}
+	if err := ctx.Err(); err != nil {
+		return work.Look{}, err
+	}
+	_ = timeout // the stand-in answers at once
+	return w.look(w.carry(instance, fence, f)), nil
+}
+
+func (w *StepWorker) carry(instance string, fence int64, f func(now time.Time) work.Refusal) work.Refusal {
+	now := time.Now()
+	w.set.advance(now)
+	if instance != "" && instance != w.id {
+		return work.RefusedInstance
+	}
+	if fence < w.fence {
+		return work.RefusedFence
+	}
+	w.fence = fence
+	return f(now)
+}
+
+// look describes the worker. The caller holds the lock.
+func (w *StepWorker) look(why work.Refusal) work.Look {
+	now := time.Now()
+	l := work.Look{Refusal: why, Clock: w.clock(now), Born: w.born.UnixMilli()}
+	for k, r := range w.runs {
+		l.Running = append(l.Running, work.RunStatus{Key: k, Saved: r.checkpoint(now), Percent: r.percent(now)})
+	}
+	for _, e := range w.ended {
+		l.Ended = append(l.Ended, e.RunEnd)
+	}
+	return l
+}
+
+// Start implements work.Runtime.
+func (w *StepWorker) Start(ctx context.Context, timeout time.Duration, instance string, fence int64, s work.Start, until time.Duration) (work.Look, error) {
+	return w.call(ctx, timeout, instance, fence, func(now time.Time) work.Refusal {
+		w.until = max(w.until, until)
+		switch {
+		case w.runs[s.Key] != nil:
+			return work.Accepted
+		case s.Key.Run <= w.latest[s.Key.Task]:
+			return work.RefusedOld
+		case until <= w.clock(now):
+			return work.RefusedLate
+		}
+		w.set.check(s.Key)
+		w.set.started[s.Key]++
+		w.starts++
+		w.runs[s.Key] = &stepRun{spec: s.Spec, come: now, saved: s.Saved}
+		w.set.advance(now)
+		return work.Accepted
+	})
+}
+
+// Stop implements work.Runtime.
+func (w *StepWorker) Stop(ctx context.Context, timeout time.Duration, instance string, fence int64, k work.RunKey) (work.Look, error) {
+	return w.call(ctx, timeout, instance, fence, func(now time.Time) work.Refusal {
+		w.latest[k.Task] = max(w.latest[k.Task], k.Run)
+		if r := w.runs[k]; r != nil && r.stopped.IsZero() {
+			r.stopped = now
+		}
+		return work.Accepted
+	})
+}
+
+// Pace implements work.Runtime. The stand-in takes no notice of the share.
+func (w *StepWorker) Pace(ctx context.Context, timeout time.Duration, instance string, fence int64, _ work.RunKey, _ int) (work.Look, error) {
+	return w.call(ctx, timeout, instance, fence, func(time.Time) work.Refusal { return work.Accepted })
+}
+
+// Hold implements work.Runtime.
+func (w *StepWorker) Hold(ctx context.Context, timeout time.Duration, instance string, fence int64, h work.Hold) (work.Look, error) {
+	hold := func(time.Time) work.Refusal {
+		w.until = max(w.until, h.Until)
+		for len(w.ended) > 0 && w.ended[0].Seq <= h.LastSeen {
+			w.set.note(w.ended[0])
+			w.ended = w.ended[1:]
+		}
+		return work.Accepted
+	}
+	until := time.Now().Add(h.Wait)
+	born := w.Born()
+	for {
+		if w.Born() != born {
+			return work.Look{}, errors.New("the process has ended") // and its connections with it
+		}
+		look, err := w.call(ctx, timeout, instance, fence, hold)
+		if err != nil || look.Refusal != work.Accepted || len(look.Ended) > 0 || !time.Now().Before(until) {
+			return look, err
+		}
+		select {
+		case <-ctx.Done():
+			return work.Look{}, ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/standin/steprun.go
@@ -0,0 +1,209 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// endedRun is an end that the worker lists.
+type endedRun struct {
+	work.RunEnd
+	at     time.Time
+	lapsed bool // the worker's lease has lapsed since
+}
+
+type stepRun struct {
+	spec    string
+	began   time.Time // zero while it waits for its gang
+	come    time.Time
+	stopped time.Time // zero unless it is being stopped
+	saved   string
+}
+
+// checkpoint returns the tenths of the work that are saved.
+func (r *stepRun) checkpoint(now time.Time) string {
+	if !r.has(SpecSaves) || r.began.IsZero() {
+		return r.saved
+	}
+	return fmt.Sprintf("%02d", r.savedTenths()+int(10*now.Sub(r.began)/max(1, r.duration())))
+}
+
+func (r *stepRun) savedTenths() int {
+	n := 0
+	_, _ = fmt.Sscan(r.saved, &n) // without a checkpoint there is none
+	return n
+}
+
+// left is the duration of the work after the checkpoint that the run began
+// with.
+func (r *stepRun) left() time.Duration { return r.duration() * time.Duration(10-r.savedTenths()) / 10 }
+
+func (r *stepRun) percent(now time.Time) int {
+	if r.began.IsZero() || r.has(SpecHangs) {
+		return 0
+	}
+	return min(99, int(100*now.Sub(r.began)/max(1, r.duration())))
+}
+
+func (r *stepRun) has(word string) bool { return strings.Contains(r.spec, word) }
+
+// word returns the value of a word of the specification.
+func (r *stepRun) word(name string) string {
+	for _, f := range strings.Fields(r.spec) {
+		if v, ok := strings.CutPrefix(f, name); ok {
+			return v
+		}
+	}
+	return ""
+}
+
+func (r *stepRun) duration() time.Duration {
+	d, err := time.ParseDuration(r.word(SpecFor))
+	if err != nil {
+		return 100 * time.Millisecond
+	}
+	return d
+}
+
+func (r *stepRun) members() int {
+	n := 1
+	if v := r.word(SpecGang); v != "" {
+		_, _ = fmt.Sscan(v, &n) // a word that is no number is a gang of one
+	}
+	return n
+}
+
+// check notes a start that the promises forbid.
+func (s *Steps) check(k work.RunKey) {
+	for _, w := range s.workers {
+		for other := range w.runs {
+			if other.Task == k.Task {
+				s.overlap = append(s.overlap, fmt.Sprintf("run %v starts beside %v at %s", k, other, w.id))
+			}
+		}
+	}
+	if s.noted[k.Task] {
+		s.overlap = append(s.overlap, fmt.Sprintf("run %v starts after the task was done", k))
+	}
+	s.latest[k.Task] = time.Now()
+}
+
+// note takes note of an end. One that was listed while the lease lapsed does
+// not count: the worker was taken for lost in between.
+func (s *Steps) note(e endedRun) {
+	if e.How != work.OutcomeDone || e.lapsed {
+		return
+	}
+	s.noted[e.Key.Task] = true
+	if s.latest[e.Key.Task].After(e.at) {
+		s.overlap = append(s.overlap, fmt.Sprintf("a run started after %v was done", e.Key))
+	}
+}
+
+// advance brings all runs up to date. The caller holds the lock.
+func (s *Steps) advance(now time.Time) {
+	for _, w := range s.workers {
+		if w.clock(now) > w.until {
+			for k := range w.runs {
+				w.end(k, work.OutcomeLapsed)
+			}
+			for i := range w.ended {
+				w.ended[i].lapsed = true
+			}
+		}
+	}
+	s.gather(now)
+	for _, w := range s.workers {
+		for k, r := range w.runs {
+			w.advance(k, r, now)
+		}
+	}
+}
+
+// gather lets the gangs begin of which all members are there.
+func (s *Steps) gather(now time.Time) {
+	type gang struct {
+		job                   string
+		occurrence, step, run int
+	}
+	present := make(map[gang]int)
+	of := func(k work.RunKey) gang { return gang{k.Task.Job, k.Task.Occurrence, k.Task.Step, k.Run} }
+	for _, w := range s.workers {
+		for k := range w.runs {
+			present[of(k)]++
+		}
+	}
+	for _, w := range s.workers {
+		for k, r := range w.runs {
+			n := r.members()
+			switch {
+			case r.began.IsZero() && present[of(k)] >= n:
+				r.began = now
+			case r.began.IsZero() && now.Sub(r.come) > s.GangWait:
+				w.end(k, work.OutcomeAlone)
+			case !r.began.IsZero() && n > 1 && present[of(k)] < n:
+				w.end(k, work.OutcomeBroken)
+			}
+		}
+	}
+}
+
+// advance brings one run up to date.
+func (w *StepWorker) advance(k work.RunKey, r *stepRun, now time.Time) {
+	switch {
+	case !r.stopped.IsZero() && now.Sub(r.stopped) >= w.set.StopGrace:
+		w.end(k, work.OutcomeStopped)
+	case r.began.IsZero() || r.has(SpecHangs) || now.Sub(r.began) < r.left():
+	case r.has(SpecFails):
+		w.end(k, work.OutcomeFailed)
+	case w.set.present(k) < r.members():
+		w.end(k, work.OutcomeBroken) // a member was stopped just now
+	default:
+		w.finish(k)
+	}
+}
+
+// present counts the members of a run's gang that are there.
+func (s *Steps) present(k work.RunKey) int {
+	n := 0
+	for _, w := range s.workers {
+		for o := range w.runs {
+			if o.Task.Job == k.Task.Job && o.Task.Occurrence == k.Task.Occurrence && o.Task.Step == k.Task.Step && o.Run == k.Run {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// finish ends a run as done, with all members of its gang.
+func (w *StepWorker) finish(k work.RunKey) {
+	members := w.runs[k].members()
+	w.set.done[k.Task]++
+	w.end(k, work.OutcomeDone)
+	if members == 1 {
+		return
+	}
+	for _, o := range w.set.workers {
+		for other := range o.runs {
+			if other.Task.Job == k.Task.Job && other.Task.Occurrence == k.Task.Occurrence && other.Task.Step == k.Task.Step && other.Run == k.Run {
+				w.set.done[other.Task]++
+				o.end(other, work.OutcomeDone)
+			}
+		}
+	}
+}
+
+func (w *StepWorker) end(k work.RunKey, how work.Outcome) {
+	saved := ""
+	if r := w.runs[k]; r != nil {
+		saved = r.checkpoint(time.Now())
+	}
+	delete(w.runs, k)
+	w.latest[k.Task] = max(w.latest[k.Task], k.Run)
+	w.seq++
+	w.ended = append(w.ended, endedRun{RunEnd: work.RunEnd{Seq: w.seq, Key: k, How: how, Saved: saved}, at: time.Now()})
+}
