control, runner, jobstore, leader: remove what nothing uses

The shape in a start order, the state that a worker has left, the wait for a copy and the address of a peer were never read; the lease of the leader's record was worked out in two places. Behaviour is unchanged.

--- a/control/message.go
+++ b/control/message.go
@@ -77,12 +77,6 @@
 	Refused []Refused
 }
 
-// Start is an order to start a run.
-type Start struct {
-	work.Start
-	Shape work.Shape
-}
-
 // Pace is an order that a run works at a share of its speed.
 type Pace struct {
 	Key     work.RunKey
@@ -96,7 +90,7 @@
 	Leased      bool      // the lease runs from Echo; otherwise it is not extended
 	Incarnation string    // what the orders are for
 	Seen        uint64    // ends up to this one are recorded
-	Starts      []Start
+	Starts      []work.Start
 	Stops       []work.RunKey
 	Paces       []Pace
 }
--- a/control/stream.go
+++ b/control/stream.go
@@ -10,7 +10,6 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
-	"google.golang.org/grpc/peer"
 )
 
 // connectTimeout ends the opening of a connection to a silent host.
@@ -62,14 +61,6 @@
 
 func (s serverStream) Send(o Orders) error { return s.SendMsg(&o) }
 
-// PeerOf returns the address of the other end of a stream, for logs.
-func PeerOf(ctx context.Context) string {
-	if p, ok := peer.FromContext(ctx); ok {
-		return p.Addr.String()
-	}
-	return ""
-}
-
 // Connection is an agent's connection to the leader.
 type Connection struct {
 	conn   *grpc.ClientConn
--- a/jobstore/copy.go
+++ b/jobstore/copy.go
@@ -1,19 +1,16 @@
 package jobstore
 
 import (
-	"context"
 	"encoding/json"
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
-	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -261,14 +258,6 @@
 	return nil
 }
 
-// Wait waits until the copy is as new as the store was at a time, or ctx ends.
-func (c *Copy) Wait(ctx context.Context, at time.Time) bool {
-	for c.Fresh().Before(at) && ctx.Err() == nil {
-		uptime.Sleep(ctx, 20*time.Millisecond)
-	}
-	return ctx.Err() == nil
-}
-
 // Clone returns a deep copy of a job's progress, or a new one.
 func (e Entry) Clone() *work.Progress {
 	if e.Progress == nil || !e.Progress.Valid(e.Job) {
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -6,7 +6,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosemarysill/rosemarysill/control"
-	"github.com/rosemarysill/rosemarysill/schedule"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -106,10 +105,7 @@
 	if listed || !t.isRecorded(s, k, w.Incarnation) {
 		return
 	}
-	o.Starts = append(o.Starts, control.Start{
-		Start: work.Start{Key: k, Spec: s.job.Spec, Saved: task.Saved, Ticket: task.Ticket},
-		Shape: schedule.Demand(s.job.Steps[k.Task.Step]),
-	})
+	o.Starts = append(o.Starts, work.Start{Key: k, Spec: s.job.Spec, Saved: task.Saved, Ticket: task.Ticket})
 }
 
 // isRecorded reports whether the store has the run on the worker.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -66,6 +66,9 @@
 	Log       zerolog.Logger
 }
 
+// leaseTTL is the lease of the leader's record.
+func (c Config) leaseTTL() time.Duration { return max(leaseTTL, c.LeaseMin) }
+
 // Leader takes part in the election and leads while it is elected.
 type Leader struct {
 	cfg  Config
@@ -80,7 +83,7 @@
 
 // New returns an entry's part in the election.
 func New(cfg Config) *Leader {
-	return &Leader{cfg: cfg, ttl: max(leaseTTL, cfg.LeaseMin), done: make(chan struct{})}
+	return &Leader{cfg: cfg, ttl: cfg.leaseTTL(), done: make(chan struct{})}
 }
 
 // Done is closed when the leader has ended.
--- a/leader/term.go
+++ b/leader/term.go
@@ -111,7 +111,7 @@
 		cancel()
 		t.mu.Lock()
 		if err == nil {
-			t.valid = asked.Add(max(leaseTTL, t.cfg.LeaseMin))
+			t.valid = asked.Add(t.cfg.leaseTTL())
 		}
 		lapsed := uptime.Now().After(t.valid)
 		t.mu.Unlock()
--- a/runner/ledger.go
+++ b/runner/ledger.go
@@ -27,7 +27,6 @@
 	heard    time.Time // when instance arrived
 	known    bool      // instance has announced itself
 	answered bool      // and has answered since with the present fence
-	left     bool
 	gone     []string
 	presumed string    // incarnation that was taken for ended without a word of its own
 	refusing time.Time // since when nothing listens at the worker's address
--- a/runner/life.go
+++ b/runner/life.go
@@ -46,7 +46,7 @@
 	if l.known {
 		l.end(l.incarnation())
 	}
-	l.instance, l.heard, l.known, l.left, l.answered = a, now, true, false, false
+	l.instance, l.heard, l.known, l.answered = a, now, true, false
 	l.fence++
 	l.fenceSeen, l.seen, l.running, l.ended, l.refused = 0, 0, nil, nil, nil
 	l.clock, l.clockAt, l.answerAt = 0, time.Time{}, now
@@ -69,7 +69,7 @@
 func (l *ledger) leave(id string) {
 	if l.known && l.instance.ID == id {
 		l.end(l.incarnation())
-		l.known, l.answered, l.left = false, false, true
+		l.known, l.answered = false, false
 		l.running, l.ended, l.refused = nil, nil, nil
 	}
 }
--- a/runner/lists.go
+++ b/runner/lists.go
@@ -141,6 +141,6 @@
 // orders them.
 func (l *ledger) settle(o control.Orders) {
 	l.refused = slices.DeleteFunc(l.refused, func(r control.Refused) bool {
-		return !slices.Contains(o.Stops, r.Key) && !slices.ContainsFunc(o.Starts, func(s control.Start) bool { return s.Key == r.Key })
+		return !slices.Contains(o.Stops, r.Key) && !slices.ContainsFunc(o.Starts, func(s work.Start) bool { return s.Key == r.Key })
 	})
 }
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -58,7 +58,7 @@
 }
 
 // start orders a run at the worker and reports whether it has decided.
-func (r *Runner) start(ctx context.Context, s control.Start) bool {
+func (r *Runner) start(ctx context.Context, s work.Start) bool {
 	r.mu.Lock()
 	l := r.ledger
 	id, incarnation, fence := l.instance.ID, l.incarnation(), l.fence
@@ -72,7 +72,7 @@
 		return false
 	}
 	r.mu.Unlock()
-	look, err := r.cfg.Runtime.Start(ctx, callTimeout, id, fence, s.Start, until)
+	look, err := r.cfg.Runtime.Start(ctx, callTimeout, id, fence, s, until)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l.incarnation() != incarnation {
