runner: a refused start is not repeated

Cause: an order that the leader sent before it knew of the refusal started the run all the same, after the leader had placed it elsewhere. The task then runs twice, and the worker holds more than the leader counts. Ruled out by reading: lapsed leases, overtaken lists, adopted runs.

leader: a report on an earlier stream of an agent changes nothing

Cause: an agent gives a silent stream up and opens another one; what the cut held up is delivered later. Its lists lack what has started since, so strays were forgotten, and an old mark of a lapsed worker ended runs that run. Test: TestReportOnAnEarlierStream, fails without the check.

--- a/leader/attach.go
+++ b/leader/attach.go
@@ -10,13 +10,15 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-var errTermEnded = errors.New("this entry leads no more")
+var (
+	errTermEnded  = errors.New("this entry leads no more")
+	errSuperseded = errors.New("the agent has opened another stream since")
+)
 
 // attach serves the stream of an agent until it fails or the term ends.
 func (t *term) attach(s control.AgentStream) error {
-	wake := make(chan struct{}, 1)
 	received := make(chan error, 1)
-	attached := &stream{term: t, wake: wake}
+	attached := t.newStream()
 	go func() { received <- attached.receive(s) }()
 	defer attached.detach()
 	for {
@@ -27,7 +29,7 @@
 			return err
 		case <-s.Context().Done():
 			return s.Context().Err()
-		case <-wake:
+		case <-attached.wake:
 		}
 		if o, ok := attached.orders(); ok {
 			if err := s.Send(o); err != nil {
@@ -40,18 +42,28 @@
 // stream is one stream of an agent.
 type stream struct {
 	term        *term
+	number      uint64 // rises with each stream of the term
 	wake        chan struct{}
 	incarnation string
 	stamp       time.Time
 }
 
+func (t *term) newStream() *stream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attached++
+	return &stream{term: t, number: t.attached, wake: make(chan struct{}, 1)}
+}
+
 func (s *stream) receive(from control.AgentStream) error {
 	for {
 		r, err := from.Receive()
 		if err != nil {
 			return err
 		}
-		s.term.report(s, r)
+		if err := s.term.report(s, r); err != nil {
+			return err
+		}
 		notify(s.wake)
 	}
 }
--- a/leader/report.go
+++ b/leader/report.go
@@ -10,10 +10,15 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// report takes a report of an agent.
-func (t *term) report(s *stream, r control.Report) {
+// report takes a report of an agent. One on an earlier stream than the agent's
+// latest may be older than what is known, and changes nothing.
+func (t *term) report(s *stream, r control.Report) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if s.number < t.latest[r.Agent] {
+		return errSuperseded
+	}
+	t.latest[r.Agent] = s.number
 	now := uptime.Now()
 	s.stamp = r.Stamp
 	var w *workerState
@@ -26,7 +31,7 @@
 	}
 	if w == nil {
 		notify(t.wake)
-		return
+		return nil
 	}
 	t.takeEnds(w, r, now)
 	t.takeRefusals(w, r, now)
@@ -35,6 +40,7 @@
 		t.endRuns(w.Incarnation, now)
 	}
 	notify(t.wake)
+	return nil
 }
 
 // worker returns the state of the reported incarnation.
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -29,11 +29,36 @@
 	term.jobs["j"] = &jobState{job: j, progress: p, recorded: append([]work.Task(nil), p.Tasks...)}
 	term.workers[before] = newWorkerState(control.Worker{Incarnation: before}, "a", uptime.Now())
 
-	term.report(&stream{term: term, wake: make(chan struct{}, 1)}, control.Report{
+	require.NoError(t, term.report(term.newStream(), control.Report{
 		Agent: "a", Stamp: uptime.Now(), Worker: &control.Worker{Incarnation: after}, Gone: []string{before},
 		Running: []work.RunStatus{{Key: runs[0]}},
 		Ended:   []work.RunEnd{{Seq: 1, Key: runs[1], How: work.OutcomeDone}},
-	})
+	}))
 	require.Equal(t, after, p.Tasks[0].Worker)
 	require.True(t, p.Tasks[1].Done)
 }
+
+// Guards against a report on a connection that the agent has given up, held up
+// by a cut and delivered after newer ones: its lists lack what has started
+// since, so the worker would seem to have room that it has not.
+func TestReportOnAnEarlierStream(t *testing.T) {
+	const id = "a/i/1"
+	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
+	j := &work.Job{ID: "j", Attempts: 2, Steps: []work.Step{{Count: 1, Shape: work.Shape{Accelerators: 8}}}}
+	term.jobs["j"] = &jobState{job: j, progress: work.NewProgress(j)}
+	given, present := term.newStream(), term.newStream()
+	stray := work.RunKey{Task: work.TaskKey{Job: "j"}, Run: 1}
+	report := func(runs ...work.RunStatus) control.Report {
+		return control.Report{Agent: "a", Stamp: uptime.Now(), Worker: &control.Worker{Incarnation: id, Capacity: work.Shape{Accelerators: 8}}, Running: runs}
+	}
+	require.NoError(t, term.report(given, report()))
+	require.NoError(t, term.report(present, report(work.RunStatus{Key: stray})))
+	require.Len(t, term.workers[id].strays, 1)
+
+	late := report()
+	late.Worker.Lapsed = true
+	require.ErrorIs(t, term.report(given, late), errSuperseded)
+	require.Len(t, term.workers[id].strays, 1, "the run is still there")
+	require.NoError(t, term.report(present, report()))
+	require.Empty(t, term.workers[id].strays)
+}
--- a/runner/lists.go
+++ b/runner/lists.go
@@ -112,6 +112,12 @@
 	return slices.ContainsFunc(l.ended, func(e work.RunEnd) bool { return e.Key == k })
 }
 
+// mayStart reports whether a start of the run is to be sent. The leader places a
+// refused run elsewhere, so an order that was under way has to be passed over.
+func (l *ledger) mayStart(k work.RunKey) bool {
+	return !l.listed(k) && !slices.ContainsFunc(l.refused, func(r control.Refused) bool { return r.Key == k })
+}
+
 // mayStop reports whether a stop of the run is to be sent.
 func (l *ledger) mayStop(k work.RunKey, now time.Time) bool {
 	st, ok := l.stopped[k]
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -19,7 +19,7 @@
 	}
 	r.ledger.settle(o)
 	for _, s := range o.Starts {
-		r.order(ctx, s.Key, !r.ledger.listed(s.Key), func() bool { return r.start(ctx, s) })
+		r.order(ctx, s.Key, r.ledger.mayStart(s.Key), func() bool { return r.start(ctx, s) })
 	}
 	for _, k := range o.Stops {
 		r.order(ctx, k, r.ledger.mayStop(k, now), func() bool { return r.stop(ctx, k) })
