--- a/event/leader.go
+++ b/event/leader.go
@@ -31,6 +31,7 @@
 	LeaderRefused        Event = 1163
 	LeaderJobEnded       Event = 1164
 	LeaderStray          Event = 1165
+	LeaderJob            Event = 1166
 	LeaderWorkerSeen     Event = 1170
 	LeaderWorkerLost     Event = 1171
 	LeaderWorkerAvoided  Event = 1172
@@ -68,6 +69,7 @@
 	LeaderRefused:        {"LeaderRefused", zerolog.InfoLevel, "A worker does not carry out a start."},
 	LeaderJobEnded:       {"LeaderJobEnded", zerolog.InfoLevel, "A job is final."},
 	LeaderStray:          {"LeaderStray", zerolog.WarnLevel, "A worker has a run that is not recorded on it; it is stopped."},
+	LeaderJob:            {"LeaderJob", zerolog.InfoLevel, "The leader has taken a job over: its shape, and the time in which it should be done."},
 	LeaderWorkerSeen:     {"LeaderWorkerSeen", zerolog.InfoLevel, "A worker is there."},
 	LeaderWorkerLost:     {"LeaderWorkerLost", zerolog.WarnLevel, "A worker is gone, or the leases of its runs have lapsed; its runs are taken for ended."},
 	LeaderWorkerAvoided:  {"LeaderWorkerAvoided", zerolog.WarnLevel, "A worker gets no tasks for a while, because its runs failed or stand still."},
--- a/leader/term.go
+++ b/leader/term.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -176,6 +178,10 @@
 		s = &jobState{job: e.Job, progress: p, version: e.ProgressVersion}
 		s.recorded = append(s.recorded, p.Tasks...)
 		t.jobs[id] = s
+		if !p.State.Final() {
+			event.LeaderJob.Log(t.cfg.Log).Str("Job", id).Str("Account", e.Job.Account).Int("Priority", e.Job.Priority).Str("Steps", describe(e.Job)).
+				Dur("Estimate", chain(e.Job)).Dur("Objective", objective(e.Job)).Uint64("Epoch", t.rec.Epoch).Send()
+		}
 	}
 	if e.Cancelled && s.progress.Cancel(time.Now()) {
 		s.dirty = true
@@ -183,6 +189,25 @@
 	}
 }
 
+// describe returns the shapes of a job's steps for logs: tasks, accelerators,
+// cores and MB of each, and what ties them together.
+func describe(j *work.Job) string {
+	steps := make([]string, len(j.Steps))
+	for i, s := range j.Steps {
+		steps[i] = fmt.Sprintf("%dx%da%gc%dM", s.Count, s.Shape.Accelerators, float64(s.Shape.MilliCPU)/1000, s.Shape.MemoryMB)
+		if s.Gang {
+			steps[i] += " gang"
+		}
+		if s.SameRack || s.DataRack != "" {
+			steps[i] += " rack"
+		}
+		if s.Checkpointing {
+			steps[i] += " checkpointing"
+		}
+	}
+	return strings.Join(steps, ", ")
+}
+
 // stopAll stops all runs of a job.
 func (t *term) stopAll(s *jobState, why string) {
 	forEachTask(s, func(k work.TaskKey, task *work.Task) {
