runner: a run of which the worker answers no start is refused after two tries

Change: after two unanswered starts the agent asks the worker for its lists with a higher fence, and refuses the run if they do not show it. Ruled out: a shorter pause between tries (the worker is down for seconds). Test: TestUnansweredStartsAreGivenUp, for runs that were and were not carried out; it does not end without the change.

--- a/runner/hold.go
+++ b/runner/hold.go
@@ -28,8 +28,17 @@
 			r.pause(ctx, holdWait)
 			continue
 		}
+		callCtx, cancel := context.WithCancel(ctx)
+		r.mu.Lock()
+		r.endHold = cancel
+		r.mu.Unlock()
 		sent := uptime.Now()
-		look, err := r.cfg.Runtime.Hold(ctx, callTimeout, id, fence, h)
+		look, err := r.cfg.Runtime.Hold(callCtx, callTimeout, id, fence, h)
+		again := err != nil && callCtx.Err() != nil
+		cancel()
+		if again {
+			continue
+		}
 		r.held(ctx, incarnation, fence, sent, look, err)
 		if h.Wait == 0 || err != nil || look.Refusal != work.Accepted {
 			r.pause(ctx, holdPause)
@@ -37,6 +46,15 @@
 	}
 }
 
+// holdAgain ends a hold that waits, so that the worker is asked with the
+// present fence. The caller holds mu.
+func (r *Runner) holdAgain() {
+	if r.endHold != nil {
+		r.endHold()
+	}
+	notify(r.wake)
+}
+
 // held takes the answer to a hold.
 func (r *Runner) held(ctx context.Context, incarnation string, fence int64, sent time.Time, look work.Look, err error) {
 	if ctx.Err() != nil {
--- a/runner/ledger.go
+++ b/runner/ledger.go
@@ -31,23 +31,24 @@
 	presumed string    // incarnation that was taken for ended without a word of its own
 	refusing time.Time // since when nothing listens at the worker's address
 
-	fence      int64 // of the next call
-	fenceSeen  int64 // highest fence with which the worker has answered
-	clock      time.Duration
-	clockAt    time.Time // when the answer with clock arrived
-	answerAt   time.Time
-	until      time.Time // latest end of a lease that the worker may have
-	leaseFrom  time.Time // stamp of the report that the leader has answered
-	epoch      uint64
-	seen       uint64 // ends that the leader has recorded
-	doubtful   bool   // a call got no answer since the worker last said which life it is in
-	running    []work.RunStatus
-	ended      []work.RunEnd
-	refused    []control.Refused
-	unanswered map[work.RunKey]int64     // highest fence of an unanswered start
-	started    map[work.RunKey]time.Time // starts that the worker has accepted, and when
-	stopped    map[work.RunKey]stopped   // stops that the worker has answered
-	paced      map[work.RunKey]int       // shares that the worker has taken
+	fence       int64 // of the next call
+	fenceSeen   int64 // highest fence with which the worker has answered
+	fenceListed int64 // highest fence of a hold that the worker has answered with its lists
+	clock       time.Duration
+	clockAt     time.Time // when the answer with clock arrived
+	answerAt    time.Time
+	until       time.Time // latest end of a lease that the worker may have
+	leaseFrom   time.Time // stamp of the report that the leader has answered
+	epoch       uint64
+	seen        uint64 // ends that the leader has recorded
+	doubtful    bool   // a call got no answer since the worker last said which life it is in
+	running     []work.RunStatus
+	ended       []work.RunEnd
+	refused     []control.Refused
+	unanswered  map[work.RunKey]int64     // highest fence of an unanswered start
+	started     map[work.RunKey]time.Time // starts that the worker has accepted, and when
+	stopped     map[work.RunKey]stopped   // stops that the worker has answered
+	paced       map[work.RunKey]int       // shares that the worker has taken
 }
 
 func newLedger(agent string, fence int64) *ledger {
--- a/runner/lists.go
+++ b/runner/lists.go
@@ -46,6 +46,7 @@
 		return true
 	}
 	l.doubtful = false
+	l.fenceListed = max(l.fenceListed, fence)
 	changed := !l.answered
 	l.answered = l.answered || fence >= l.fence
 	changed = changed && l.answered
@@ -143,6 +144,14 @@
 	return true
 }
 
+// giveUp refuses a run whose starts got no answer, unless one of them may have
+// been carried out: the lists of a hold with a higher fence do not show the
+// run, and the worker passes over starts with a lower fence from there on.
+func (l *ledger) giveUp(k work.RunKey) bool {
+	f, ok := l.unanswered[k]
+	return ok && f < l.fenceListed && !l.listed(k) && l.refuse(k, work.RefusedSilent)
+}
+
 // settle forgets refusals that the leader has taken note of: it no longer
 // orders them.
 func (l *ledger) settle(o control.Orders) {
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -57,48 +57,79 @@
 	}()
 }
 
-// start orders a run at the worker and reports whether it has decided.
+// startTries is the number of starts without an answer after which a run is
+// given up. One is lost now and then; a worker that answers none is not sound.
+const startTries = 2
+
+// start orders a run at the worker and reports whether it has decided. A run of
+// which the worker answers no start is refused, so that it can begin elsewhere.
 func (r *Runner) start(ctx context.Context, s work.Start) bool {
+	for try := 1; ; try++ {
+		decided, wait := r.tryStart(ctx, s)
+		if decided || wait {
+			return decided
+		}
+		uptime.Sleep(ctx, orderPause)
+		if ctx.Err() != nil {
+			return false
+		}
+		if try == startTries {
+			return r.giveUp(s.Key)
+		}
+	}
+}
+
+// giveUp refuses a run whose starts got no answer, if none of them can have
+// been carried out.
+func (r *Runner) giveUp(k work.RunKey) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.giveUp(k)
+}
+
+// tryStart makes one call. It reports whether the worker has decided, and
+// whether another try has to wait for the leader to order the run again.
+func (r *Runner) tryStart(ctx context.Context, s work.Start) (decided, wait bool) {
 	r.mu.Lock()
 	l := r.ledger
 	id, incarnation, fence := l.instance.ID, l.incarnation(), l.fence
 	until := l.deadline(uptime.Now())
 	draining := l.instance.State == work.WorkerDraining
-	if draining || until == 0 {
+	if draining || until == 0 || !l.mayStart(s.Key) {
 		if draining {
 			l.refuse(s.Key, work.RefusedDraining)
 		}
 		r.mu.Unlock()
-		return false
+		return false, true
 	}
 	r.mu.Unlock()
 	look, err := r.cfg.Runtime.Start(ctx, callTimeout, id, fence, s, until)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l.incarnation() != incarnation {
-		return false
+		return false, true
 	}
 	if err != nil {
 		l.lost(s.Key, fence)
-		notify(r.wake)
+		r.holdAgain()
 		r.failed("start", s.Key, err)
-		return false
+		return false, false
 	}
 	event.RunnerStart.Log(r.cfg.Log).Str("Job", s.Key.Task.Job).Stringer("Run", s.Key).Str("Worker", incarnation).Int64("Fence", fence).Str("Refusal", string(look.Refusal)).Send()
 	if !l.answer(look, fence, uptime.Now()) {
-		return false
+		return false, true
 	}
 	if look.Refusal == work.Accepted {
 		l.starting(s.Key, uptime.Now())
-		return true
+		return true, true
 	}
 	if look.Refusal == work.RefusedOld {
 		l.refusedOld(s.Key, fence, uptime.Now())
 		notify(r.wake)
-		return false
+		return false, true
 	}
 	l.refuse(s.Key, look.Refusal)
-	return true
+	return true, true
 }
 
 // stop orders the end of a run at the worker. The run is listed as ended when
--- a/runner/orders_test.go
+++ b/runner/orders_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -62,3 +63,68 @@
 	r.take(context.Background(), control.Orders{Epoch: 1, Echo: now, Leased: true, Incarnation: orders.Incarnation})
 	require.Empty(t, r.ledger.refused, "once the leader orders the run no more")
 }
+
+// resetting is a worker that answers holds, and none of the starts.
+type resetting struct {
+	work.Runtime
+	mu     sync.Mutex
+	fences []int64 // of the starts
+	ran    bool    // the first start is carried out all the same
+}
+
+func (w *resetting) Start(_ context.Context, _ time.Duration, _ string, fence int64, _ work.Start, _ time.Duration) (work.Look, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fences = append(w.fences, fence)
+	return work.Look{}, errors.New("connection reset")
+}
+
+func (w *resetting) Hold(ctx context.Context, _ time.Duration, _ string, _ int64, h work.Hold) (work.Look, error) {
+	if h.Wait > 0 {
+		<-ctx.Done()
+		return work.Look{}, ctx.Err()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	look := work.Look{Clock: time.Second}
+	if w.ran && len(w.fences) > 0 {
+		look.Running = []work.RunStatus{{Key: key(0)}}
+	}
+	return look, nil
+}
+
+// Guards against a gang that waits for a member whose worker answers no start:
+// the agent repeated the start for as long as it was ordered, 1.5 s and more.
+// What was never answered is refused only if a later list does not show it.
+func TestUnansweredStartsAreGivenUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		ran     bool
+		refused []control.Refused
+	}{
+		"never carried out": {false, []control.Refused{{Key: key(0), Why: work.RefusedSilent}}},
+		"carried out":       {true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			worker := &resetting{ran: c.ran}
+			r := New(Config{Name: "a", Runtime: worker, Log: zerolog.Nop()})
+			now := uptime.Now()
+			r.ledger.announce(work.Announcement{ID: "i", Born: 1, Sequence: 1, State: work.WorkerReady}, now)
+			r.ledger.look(work.Look{Clock: time.Second}, r.ledger.fence, now)
+			ctx, cancel := context.WithCancel(context.Background())
+			held := make(chan struct{})
+			go func() { defer close(held); r.hold(ctx) }()
+			defer func() { cancel(); <-held }()
+			r.take(ctx, control.Orders{Epoch: 1, Echo: now, Leased: true, Incarnation: r.ledger.incarnation(), Starts: []work.Start{{Key: key(0)}}})
+			require.Eventually(t, func() bool {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return len(r.inFlight) == 0
+			}, 10*time.Second, time.Millisecond)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			require.Equal(t, c.refused, r.ledger.refused)
+			require.LessOrEqual(t, len(worker.fences), startTries)
+			require.Equal(t, c.ran, r.ledger.listed(key(0)))
+		})
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -55,6 +55,7 @@
 	mu       sync.Mutex
 	ledger   *ledger
 	inFlight map[work.RunKey]bool
+	endHold  context.CancelFunc // ends the present hold
 	rec      jobstore.LeaderRecord
 	moved    chan struct{} // closed when leader changes
 }
--- a/work/runtime.go
+++ b/work/runtime.go
@@ -23,6 +23,7 @@
 	RefusedInvalid  Refusal = "invalid"
 	RefusedOther    Refusal = "unhealthy"
 	RefusedDraining Refusal = "draining" // by the agent, because the worker is leaving
+	RefusedSilent   Refusal = "silent"   // by the agent, because the worker answers no starts
 )
 
 // RunStatus is a run that a worker lists as running.
