leader, schedule: gangs are completed elsewhere, urgent work yields last, bursts keep their room, finished members are not stalled

A gang of which one member is refused was stopped as a whole. That run never started, so it gets the same number on another worker while the others wait, for at most a second. It now leaves what urgent work used at most in the last 4 s. Tests: TestMemberThatHasFinishedIsNotStalled, TestGangEndsWithItsSlowestMember.

--- /dev/null
+++ b/leader/gang.go
@@ -0,0 +1,88 @@
+package leader
+
+import (
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/schedule"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// completeWithin is the time from the start of a gang in which a member that
+// was refused is started elsewhere. The others wait for it meanwhile, and end
+// alone after the time that the users set, which is three seconds and more.
+const completeWithin = time.Second
+
+// completes reports whether a gang goes on after a member was refused: that
+// run never started, so it can be ordered elsewhere while the others wait.
+func (t *term) completes(s *jobState, k work.RunKey, how work.Outcome, now time.Time) bool {
+	if how != work.OutcomeRefused {
+		return false
+	}
+	members := s.progress.Step(s.job, k.Task.Occurrence, k.Task.Step)
+	placed := 0
+	for i := range members {
+		m := &members[i]
+		if !m.Placed() {
+			continue
+		}
+		placed++
+		w := t.workers[m.Worker]
+		at := work.RunKey{Task: k.Task, Run: m.Run}
+		at.Task.Index = i
+		if w == nil || m.Stop || m.Run != k.Run || now.Sub(w.placed[at]) > completeWithin {
+			return false
+		}
+	}
+	if placed > 0 {
+		t.incomplete[stepKey{k.Task.Job, k.Task.Occurrence, k.Task.Step}] = true
+	}
+	return placed > 0
+}
+
+// rest makes the unit of a gang that of its missing members, if the others wait
+// for them.
+func (t *term) rest(u *schedule.Unit, tasks []work.Task) bool {
+	key := stepKey{u.Job.ID, u.Occurrence, u.Step}
+	if !t.incomplete[key] {
+		return false
+	}
+	u.Rest = true
+	for i := range tasks {
+		if tasks[i].Stop {
+			delete(t.incomplete, key)
+			return false
+		}
+		if w := t.workers[tasks[i].Worker]; w != nil {
+			u.Rack = w.Rack
+		}
+	}
+	return true
+}
+
+// breakUp stops the gangs whose missing members found no room.
+func (t *term) breakUp(units []*schedule.Unit) {
+	for _, u := range units {
+		if !u.Rest {
+			continue
+		}
+		delete(t.incomplete, stepKey{u.Job.ID, u.Occurrence, u.Step})
+		s := t.jobs[u.Job.ID]
+		k := work.TaskKey{Job: u.Job.ID, Occurrence: u.Occurrence, Step: u.Step, Index: u.Indexes[0]}
+		if !s.progress.Task(s.job, k).Placed() {
+			t.stopGang(s, k, "a member was refused, and there is no room for it elsewhere")
+		}
+	}
+}
+
+// gangRun returns the number of the next run of a gang: that of the members
+// which are placed already, or one that none has had.
+func gangRun(members []work.Task) int {
+	n := 0
+	for i := range members {
+		if members[i].Placed() {
+			return members[i].Run
+		}
+		n = max(n, members[i].Run)
+	}
+	return n + 1
+}
--- a/leader/health.go
+++ b/leader/health.go
@@ -42,9 +42,20 @@
 		}
 		h.failed[k.Task.Job] = true
 		if len(h.failed) >= failuresToAvoid {
-			h.next = min(max(avoidFor, 2*h.next), avoidMost)
-			h.until, h.failed = now.Add(h.next), nil
-			event.LeaderWorkerAvoided.Log(t.cfg.Log).Str("Worker", w.Incarnation).Str("Why", "runs of several jobs failed").Dur("For", h.next).Send()
+			h.failed = nil
+			t.avoid(w, "runs of several jobs failed", now)
 		}
 	}
 }
+
+// avoid gives a worker no tasks for a while, which doubles until a run of it is
+// done.
+func (t *term) avoid(w *workerState, why string, now time.Time) {
+	h := &w.health
+	if h.avoided(now) {
+		return
+	}
+	h.next = min(max(avoidFor, 2*h.next), avoidMost)
+	h.until = now.Add(h.next)
+	event.LeaderWorkerAvoided.Log(t.cfg.Log).Str("Worker", w.Incarnation).Str("Why", why).Dur("For", h.next).Send()
+}
--- a/leader/place.go
+++ b/leader/place.go
@@ -15,18 +15,38 @@
 func (t *term) place(now time.Time) {
 	reserved := t.reserved()
 	units := t.units(reserved)
+	fleet := t.fleet(reserved, now)
+	t.urgent.Observe(urgentCores(fleet, units), now)
 	if len(units) == 0 {
 		return
 	}
-	plan := schedule.Decide(t.fleet(reserved, now), units)
+	plan := schedule.Decide(fleet, units, t.urgent.Expected())
 	for _, k := range plan.Stops {
 		_, task := t.task(k)
 		t.stop(k, task, "room for a more urgent job")
 	}
-	runs := make(map[stepKey]int)
 	for _, p := range plan.Places {
-		t.placeTask(p, runs, now)
+		t.placeTask(p, now)
 	}
+	t.breakUp(units)
+}
+
+// urgentCores is what work of priority 0 uses and waits for.
+func urgentCores(fleet []*schedule.Worker, units []*schedule.Unit) float64 {
+	var cores float64
+	for _, w := range fleet {
+		for _, r := range w.Runs {
+			if r.Priority == 0 && !r.Stopping {
+				cores += r.Demand.Cores()
+			}
+		}
+	}
+	for _, u := range units {
+		if u.Job.Priority == 0 {
+			cores += float64(len(u.Indexes)) * u.Job.Steps[u.Step].Shape.Cores()
+		}
+	}
+	return cores
 }
 
 // stepKey names a step of an occurrence.
@@ -36,18 +56,12 @@
 }
 
 // placeTask records one place. The members of a gang get the same run number.
-func (t *term) placeTask(p schedule.Place, runs map[stepKey]int, now time.Time) {
+func (t *term) placeTask(p schedule.Place, now time.Time) {
 	k := work.RunKey{Task: p.Task}
 	s, task := t.task(k)
 	k.Run = task.Run + 1
-	if step := s.job.Steps[p.Task.Step]; step.Gang {
-		key := stepKey{p.Task.Job, p.Task.Occurrence, p.Task.Step}
-		if runs[key] == 0 {
-			for _, m := range s.progress.Step(s.job, p.Task.Occurrence, p.Task.Step) {
-				runs[key] = max(runs[key], m.Run+1)
-			}
-		}
-		k.Run = runs[key]
+	if s.job.Steps[p.Task.Step].Gang {
+		k.Run = gangRun(s.progress.Step(s.job, p.Task.Occurrence, p.Task.Step))
 	}
 	if !s.progress.Started() {
 		t.cfg.Meter.Began(s.job.Account, s.job.Priority, time.Since(begin(s.job, p.Task.Occurrence)))
@@ -136,7 +150,7 @@
 		}
 	}
 	gang := s.job.Steps[step].Gang
-	if len(waiting) == 0 || (gang && len(waiting) < len(tasks)) {
+	if len(waiting) == 0 {
 		return nil
 	}
 	unit := schedule.Unit{
@@ -145,6 +159,9 @@
 		Patient: s.job.Priority > 0 && now.Add(patience*chain(s.job)).Before(due(s.job, occurrence)),
 		Late:    now.After(begin(s.job, occurrence).Add(lateFactor * objective(s.job))),
 	}
+	if gang && len(waiting) < len(tasks) && !t.rest(&unit, tasks) {
+		return nil
+	}
 	if s.job.Advised {
 		unit.Advised = t.advice(s, occurrence, step, uptime.Now())
 	}
--- a/leader/pure_test.go
+++ b/leader/pure_test.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// Guards against a gang that is stopped because a member has done its part and
+// waits for slower ones: on fjordtork-grown that threw most of the lost work
+// away, and kept sound workers from being used.
+func TestMemberThatHasFinishedIsNotStalled(t *testing.T) {
+	p := &tracker{}
+	p.observe(0, at(0))
+	p.observe(100, at(8000))
+	require.Zero(t, p.stalled(3*time.Second, at(20_000)))
+}
+
 // Guards against runs on a leaving worker whose remaining time is misjudged.
 func TestTimeLeft(t *testing.T) {
 	p := &tracker{}
--- a/leader/report.go
+++ b/leader/report.go
@@ -142,7 +142,7 @@
 		t.stopAll(s, "the job is "+string(s.progress.State))
 		return
 	}
-	if step := s.job.Steps[k.Task.Step]; step.Gang && how != work.OutcomeDone {
+	if step := s.job.Steps[k.Task.Step]; step.Gang && how != work.OutcomeDone && !t.completes(s, k, how, now) {
 		t.stopGang(s, k.Task, "another member has ended")
 	}
 }
@@ -164,7 +164,7 @@
 // takeRefusals applies the orders that the worker will not carry out.
 func (t *term) takeRefusals(w *workerState, r control.Report, now time.Time) {
 	for _, f := range r.Refused {
-		s, task := t.task(f.Key)
+		_, task := t.task(f.Key)
 		if task == nil || task.Run != f.Key.Run || task.Worker != w.Incarnation {
 			continue
 		}
@@ -172,8 +172,10 @@
 		if !task.Stop {
 			w.closed = now.Add(refusedPause)
 		}
-		s.dirty = true
-		t.endRun(w.Incarnation, f.Key, work.OutcomeLost, "", now)
+		if f.Why == work.RefusedSilent || f.Why == work.RefusedOther {
+			t.avoid(w, "it carries no starts out", now)
+		}
+		t.endRun(w.Incarnation, f.Key, work.OutcomeRefused, "", now)
 	}
 }
 
--- a/leader/term.go
+++ b/leader/term.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/schedule"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -57,21 +58,23 @@
 	ended   chan struct{}
 	wake    chan struct{}
 
-	mu       sync.Mutex
-	valid    time.Time // the lease holds until then
-	jobs     map[string]*jobState
-	workers  map[string]*workerState
-	streams  map[string]chan struct{} // wakes the sender of a worker's stream
-	latest   map[string]uint64        // number of the latest stream of each agent
-	gone     map[string]bool          // incarnations that have ended
-	advised  map[stepKey]*advised
-	asking   chan struct{}         // a step waits for advice
-	waves    map[string]*waveState // used by keepUp alone
-	fenced   bool                  // a later leader has ordered machines; used by keepUp alone
-	attached uint64                // streams opened in this term
-	savedAt  time.Time             // when checkpoints were last recorded
-	sweptAt  time.Time             // when old records were last looked for; used by run alone
-	why      error
+	mu         sync.Mutex
+	valid      time.Time // the lease holds until then
+	jobs       map[string]*jobState
+	workers    map[string]*workerState
+	streams    map[string]chan struct{} // wakes the sender of a worker's stream
+	latest     map[string]uint64        // number of the latest stream of each agent
+	gone       map[string]bool          // incarnations that have ended
+	advised    map[stepKey]*advised
+	urgent     schedule.UrgentUse    // of urgent work
+	incomplete map[stepKey]bool      // gangs that wait for members which were refused
+	asking     chan struct{}         // a step waits for advice
+	waves      map[string]*waveState // used by keepUp alone
+	fenced     bool                  // a later leader has ordered machines; used by keepUp alone
+	attached   uint64                // streams opened in this term
+	savedAt    time.Time             // when checkpoints were last recorded
+	sweptAt    time.Time             // when old records were last looked for; used by run alone
+	why        error
 }
 
 func newTerm(cfg Config, rec jobstore.LeaderRecord, at uint64, lease rosemarysill.LeaseID, valid time.Time) *term {
@@ -79,7 +82,7 @@
 		cfg: cfg, rec: rec, at: at, lease: lease, valid: valid, elected: uptime.Now(),
 		ended: make(chan struct{}), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
-		streams: make(map[string]chan struct{}), latest: make(map[string]uint64), gone: make(map[string]bool), advised: make(map[stepKey]*advised), asking: make(chan struct{}, 1), waves: make(map[string]*waveState),
+		streams: make(map[string]chan struct{}), latest: make(map[string]uint64), gone: make(map[string]bool), advised: make(map[stepKey]*advised), incomplete: make(map[stepKey]bool), asking: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
 }
 
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -51,6 +51,9 @@
 // stalled returns how long the run has made no progress, or 0 if that is
 // within what its speed explains.
 func (p *tracker) stalled(estimate time.Duration, now time.Time) time.Duration {
+	if p.percent >= wholePercent {
+		return 0 // it waits for the other members of its gang
+	}
 	since := now.Sub(p.moved)
 	if since < stallAtLeast || since < stallSteps*p.perPercent(estimate) {
 		return 0
@@ -80,6 +83,9 @@
 	return true
 }
 
+// wholePercent is the progress of a run that has done its part.
+const wholePercent = 100
+
 // knownPercent is the progress after which the speed of a run counts as known.
 const knownPercent = 3
 
@@ -110,7 +116,8 @@
 		return
 	}
 	if w.health.until.Before(now) {
-		event.LeaderWorkerAvoided.Log(t.cfg.Log).Str("Worker", w.Incarnation).Str("Why", "a run stands still").Dur("For", avoidStalled).Send()
+		event.LeaderWorkerAvoided.Log(t.cfg.Log).Str("Worker", w.Incarnation).Str("Why", "a run stands still").
+			Str("Job", run.Key.Task.Job).Stringer("Run", run.Key).Int("Percent", run.Percent).Dur("Stalled", stalled).Dur("For", avoidStalled).Send()
 	}
 	w.health.until = now.Add(avoidStalled)
 	if stalled > p.unsaved(step.Checkpointing) {
@@ -143,12 +150,34 @@
 			continue
 		}
 		step := s.job.Steps[k.Task.Step]
-		left := step.Estimate
-		if p := w.trackers[k]; p != nil {
-			left = p.left(step.Estimate, now)
-		}
-		if step.LongRunning || left+leaveMargin > w.Remaining {
+		if step.LongRunning || t.timeLeft(s, k.Task, now)+leaveMargin > w.Remaining {
 			t.stopRun(s, k, "its worker is leaving")
 		}
 	}
 }
+
+// timeLeft estimates the time until the run of a task is done. The members of a
+// gang are done when the slowest one is.
+func (t *term) timeLeft(s *jobState, k work.TaskKey, now time.Time) time.Duration {
+	step := s.job.Steps[k.Step]
+	if !step.Gang {
+		return t.runLeft(s, k, now)
+	}
+	var longest time.Duration
+	for i := range step.Count {
+		k.Index = i
+		longest = max(longest, t.runLeft(s, k, now))
+	}
+	return longest
+}
+
+func (t *term) runLeft(s *jobState, k work.TaskKey, now time.Time) time.Duration {
+	estimate := s.job.Steps[k.Step].Estimate
+	task := s.progress.Task(s.job, k)
+	if w := t.workers[task.Worker]; w != nil {
+		if p := w.trackers[work.RunKey{Task: k, Run: task.Run}]; p != nil {
+			return p.left(estimate, now)
+		}
+	}
+	return estimate
+}
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -36,6 +36,25 @@
 	Runs     []Run
 }
 
+// endTogether corrects what is expected of gangs: a member ends with the slowest
+// one.
+func endTogether(workers []*Worker) {
+	longer := make(map[string]bool)
+	for _, w := range workers {
+		for _, r := range w.Runs {
+			if r.Group != "" && !r.Ending && !r.Stopping {
+				longer[r.Group] = true
+			}
+		}
+	}
+	for _, w := range workers {
+		for i := range w.Runs {
+			r := &w.Runs[i]
+			r.Ending = r.Ending && !longer[r.Group]
+		}
+	}
+}
+
 // Demand is what a task of the step takes of its worker. A step that fills
 // uses processor time that is left over.
 func Demand(s work.Step) work.Shape {
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -10,6 +10,8 @@
 // pass is the state of one decision.
 type pass struct {
 	rooms []*room
+	keep  float64        // cores that patient work leaves free
+	kept  map[*room]bool // the workers where it does; nil until that is needed
 	plan  Plan
 }
 
@@ -17,9 +19,12 @@
 // fleet of a few racks can spare none: there it cost more than it gained.
 const keepRacks = 0.17
 
-// Decide places as many units as fit, and stops runs for urgent ones.
-func Decide(workers []*Worker, units []*Unit) Plan {
-	p := &pass{}
+// Decide places as many units as fit, and stops runs for urgent ones. Patient
+// work leaves keep cores free where most is free, for urgent work that is
+// expected soon.
+func Decide(workers []*Worker, units []*Unit, keep float64) Plan {
+	p := &pass{keep: keep}
+	endTogether(workers)
 	for _, w := range workers {
 		p.rooms = append(p.rooms, newRoom(w))
 	}
@@ -33,6 +38,10 @@
 
 func (p *pass) decide(u *Unit) {
 	sets, spread := p.candidates(u)
+	if u.Rest {
+		p.startIn(u, sets)
+		return
+	}
 	if p.startIn(u, sets) || (u.Pressed && p.startIn(u, spread)) {
 		return
 	}
@@ -94,7 +103,7 @@
 	s := u.step()
 	var open []*room
 	for _, r := range p.rooms {
-		if _, ok := u.Advised[r.ID]; (ok || !u.Job.Advised) && r.Open && r.allows(u.Job, s) {
+		if _, ok := u.Advised[r.ID]; (ok || !u.Job.Advised) && r.Open && r.allows(u.Job, s) && u.joins(r) {
 			open = append(open, r)
 		}
 	}
@@ -105,7 +114,7 @@
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
 		if u.Patient && !s.Gang {
 			racks = racks[:len(racks)-int(keepRacks*float64(len(racks)))]
-			return [][]*room{slices.Concat(racks...)}, nil
+			return [][]*room{p.unkept(slices.Concat(racks...))}, nil
 		}
 		return [][]*room{open}, nil
 	}
@@ -120,6 +129,27 @@
 	return sets, spread
 }
 
+// unkept leaves out the workers that are kept for urgent work: the emptiest
+// ones, rack by rack, because urgent gangs need whole workers of one rack.
+// Patient work has not been placed when they are chosen.
+func (p *pass) unkept(rooms []*room) []*room {
+	if p.kept == nil {
+		p.kept = make(map[*room]bool)
+		left := p.keep
+		racks := byRack(p.rooms)
+		for i := len(racks) - 1; i >= 0 && left > 0; i-- {
+			slices.SortStableFunc(racks[i], func(a, b *room) int { return cmp.Compare(b.free.Cores(), a.free.Cores()) })
+			for _, r := range racks[i] {
+				if left > 0 && r.Open {
+					p.kept[r] = true
+					left -= r.free.Cores()
+				}
+			}
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return p.kept[r] })
+}
+
 // trusted leaves suspect workers out, unless all are.
 func trusted(rooms []*room) []*room {
 	sound := slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return r.Suspect })
--- a/schedule/pass_test.go
+++ b/schedule/pass_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,7 +54,7 @@
 // of the step on one worker.
 func TestMaxPerWorkerWithinOnePass(t *testing.T) {
 	j := newJob("j", 2, work.Step{Count: 8, Shape: accelerators(0), MaxPerWorker: 2})
-	plan := schedule.Decide(fleet(3), units(j))
+	plan := schedule.Decide(fleet(3), units(j), 0)
 	on := make(map[string]int)
 	for _, p := range plan.Places {
 		on[p.Worker]++
@@ -94,7 +95,7 @@
 		}
 	}
 	j := newJob("urgent", 0, work.Step{Count: 2, Shape: accelerators(8), Gang: true, SameRack: true})
-	plan := schedule.Decide(f, units(j))
+	plan := schedule.Decide(f, units(j), 0)
 	require.Empty(t, plan.Places)
 	require.Len(t, plan.Stops, 1, "one worker beside the free one is enough")
 }
@@ -103,7 +104,7 @@
 func TestGangLargerThanARackIsSpread(t *testing.T) {
 	f := fleet(6)
 	j := newJob("wide", 1, work.Step{Count: 5, Shape: accelerators(8), Gang: true, SameRack: true})
-	plan := schedule.Decide(f, units(j))
+	plan := schedule.Decide(f, units(j), 0)
 	require.Len(t, plan.Places, 5)
 	require.Len(t, racks(f, plan), 2)
 }
@@ -114,7 +115,7 @@
 	f := fleet(2)
 	occupy(f[0], "unsaved", 2, accelerators(8), 500)
 	occupy(f[1], "saved", 1, accelerators(8), 20)
-	plan := schedule.Decide(f, units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})))
+	plan := schedule.Decide(f, units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})), 0)
 	require.Equal(t, []work.RunKey{{Task: work.TaskKey{Job: "saved"}, Run: 1}}, plan.Stops)
 }
 
@@ -125,11 +126,24 @@
 	occupy(f[0], "ending", 1, accelerators(8), 500)
 	f[0].Runs[0].Ending = true
 	occupy(f[1], "young", 2, accelerators(8), 1)
-	plan := schedule.Decide(f, units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})))
+	plan := schedule.Decide(f, units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})), 0)
 	require.Empty(t, plan.Stops)
 	require.Empty(t, plan.Places)
 }
 
+// A member of a gang that has done its part waits for the others, so its room
+// does not come soon.
+func TestGangEndsWithItsSlowestMember(t *testing.T) {
+	f := fleet(2)
+	for _, w := range f {
+		occupy(w, "gang", 1, accelerators(8), 50)
+		w.Runs[0].Group = "gang"
+	}
+	f[0].Runs[0].Ending = true
+	u := units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)}))
+	require.Len(t, schedule.Decide(f, u, 0).Stops, 2)
+}
+
 // Work within a guarantee yields to nothing, and urgent work beyond one yields
 // to a guarantee only.
 func TestGuaranteeIsReclaimed(t *testing.T) {
@@ -138,10 +152,21 @@
 	f[0].Runs[0].Reserved = true
 	occupy(f[1], "borrowed", 0, accelerators(8), 100)
 	j := newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})
-	require.Empty(t, schedule.Decide(f, units(j)).Stops)
+	require.Empty(t, schedule.Decide(f, units(j), 0).Stops)
 	u := units(j)
 	u[0].Reserved = true
-	require.Equal(t, "borrowed", schedule.Decide(f, u).Stops[0].Task.Job)
+	require.Equal(t, "borrowed", schedule.Decide(f, u, 0).Stops[0].Task.Job)
+}
+
+// A guarantee is reclaimed from work that can wait, however much of it is lost,
+// before urgent work that has just begun: that would miss its time.
+func TestUrgentWorkYieldsLast(t *testing.T) {
+	f := fleet(2)
+	occupy(f[0], "urgent", 0, accelerators(8), 1)
+	occupy(f[1], "batch", 2, accelerators(8), 500)
+	u := units(newJob("guaranteed", 0, work.Step{Count: 1, Shape: accelerators(8)}))
+	u[0].Reserved = true
+	require.Equal(t, "batch", schedule.Decide(f, u, 0).Stops[0].Task.Job)
 }
 
 // Small work that comes later does not take the room that urgent work waits
@@ -152,7 +177,7 @@
 	f[0].Runs[0].Stopping = true
 	all := append(units(newJob("small", 2, work.Step{Count: 4, Shape: accelerators(1)})),
 		units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)}))...)
-	require.Empty(t, schedule.Decide(f, all).Places)
+	require.Empty(t, schedule.Decide(f, all, 0).Places)
 }
 
 // A job that is too late to count waits behind those that are not, of the same
@@ -163,7 +188,7 @@
 	late[0].Late = true
 	now := units(newJob("b-now", 1, work.Step{Count: 1, Shape: accelerators(8)}))
 	now[0].Due = time.Unix(100, 0)
-	plan := schedule.Decide(f, append(late, now...))
+	plan := schedule.Decide(f, append(late, now...), 0)
 	require.Equal(t, "b-now", plan.Places[0].Task.Job)
 }
 
@@ -175,7 +200,7 @@
 	first[0].Since, first[0].Due = time.Unix(1, 0), time.Unix(100, 0)
 	second := units(newJob("second", 0, work.Step{Count: 1, Shape: accelerators(8)}))
 	second[0].Since, second[0].Due = time.Unix(2, 0), time.Unix(50, 0)
-	require.Equal(t, "first", schedule.Decide(f, append(second, first...)).Places[0].Task.Job)
+	require.Equal(t, "first", schedule.Decide(f, append(second, first...), 0).Places[0].Task.Job)
 }
 
 // Work that can wait leaves the emptiest racks to urgent gangs, which would
@@ -186,13 +211,36 @@
 	for _, u := range patient {
 		u.Patient = true
 	}
-	plan := schedule.Decide(f, patient)
+	plan := schedule.Decide(f, patient, 0)
 	require.Len(t, plan.Places, 21)
 	require.Len(t, racks(f, plan), 7)
 	for _, u := range patient {
 		u.Patient, u.Beside = false, make(map[string]int)
 	}
-	require.Len(t, schedule.Decide(fleet(24), patient).Places, 24)
+	require.Len(t, schedule.Decide(fleet(24), patient, 0).Places, 24)
+}
+
+// After a burst of urgent jobs, work that can wait does not take the room that
+// the next ones of the burst need: it would be stopped before it is done.
+func TestPatientWorkKeepsOutOfABurst(t *testing.T) {
+	f := fleet(6)
+	occupy(f[0], "urgent", 0, accelerators(4), 1)
+	patient := units(newJob("patient", 2, work.Step{Count: 40, Shape: accelerators(1)}))
+	for _, u := range patient {
+		u.Patient = true
+	}
+	keep := 4 * f[0].Capacity.Cores()
+	plan := schedule.Decide(f, patient, keep)
+	require.Len(t, plan.Places, 12, "half a worker and the next")
+	urgent := units(newJob("next", 0, work.Step{Count: 4, Shape: accelerators(8), Gang: true}))
+	for _, u := range patient {
+		u.Beside = make(map[string]int)
+	}
+	require.Equal(t, "next", schedule.Decide(f, slices.Concat(patient, urgent), keep).Places[3].Task.Job)
+	for _, u := range patient {
+		u.Patient, u.Beside = false, make(map[string]int)
+	}
+	require.Len(t, schedule.Decide(f, patient, keep).Places, 40, "its time has run out")
 }
 
 // A gang that fits in no other rack is not kept waiting for urgent work that
@@ -204,7 +252,7 @@
 	}
 	u := units(newJob("gang", 1, work.Step{Count: 3, Shape: accelerators(8), Gang: true, SameRack: true}))
 	u[0].Patient = true
-	require.Len(t, schedule.Decide(f, u).Places, 3)
+	require.Len(t, schedule.Decide(f, u, 0).Places, 3)
 }
 
 // Guaranteed work does not wait for a run that was told to stop and does not.
@@ -213,7 +261,7 @@
 	occupy(f[0], "stuck", 2, accelerators(8), 1)
 	f[0].Runs[0].Stopping, f[0].Runs[0].Stuck = true, true
 	occupy(f[1], "other", 1, accelerators(8), 100)
-	plan := schedule.Decide(f, units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})))
+	plan := schedule.Decide(f, units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})), 0)
 	require.Len(t, plan.Stops, 1)
 	require.Equal(t, "other", plan.Stops[0].Task.Job)
 }
@@ -229,7 +277,7 @@
 	}
 	u := units(newJob("urgent", 0, work.Step{Count: 2, Shape: accelerators(8), Gang: true, SameRack: true}))
 	u[0].Reserved, u[0].Pressed = true, true
-	require.Len(t, schedule.Decide(f, u).Places, 2)
+	require.Len(t, schedule.Decide(f, u, 0).Places, 2)
 }
 
 // A job with few attempts does not spend them all on workers that fail what
@@ -242,13 +290,13 @@
 	for _, u := range again {
 		u.Failed = true
 	}
-	plan := schedule.Decide(f, again)
+	plan := schedule.Decide(f, again, 0)
 	require.Len(t, plan.Places, 1)
 	require.Equal(t, "w02", plan.Places[0].Worker)
 
-	first := schedule.Decide(f, units(newJob("first", 1, work.Step{Count: 1, Shape: accelerators(1)})))
+	first := schedule.Decide(f, units(newJob("first", 1, work.Step{Count: 1, Shape: accelerators(1)})), 0)
 	require.Equal(t, "w02", first.Places[0].Worker)
 
 	f[2].Suspect = true
-	require.Len(t, schedule.Decide(f, again).Places, 2, "if all are suspect, none is avoided for it")
+	require.Len(t, schedule.Decide(f, again, 0).Places, 2, "if all are suspect, none is avoided for it")
 }
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -156,16 +156,27 @@
 	})
 }
 
-// cost is the work that is lost, with the other members of gangs, and a little
-// for each run, so that fewer are stopped.
+const (
+	// stopCost is added for each run, so that fewer are stopped.
+	stopCost = 1.0 // core-seconds
+	// urgentCost is added for a run of priority 0. Its job has hardly any time in
+	// hand, so a stop makes it late, and the users price a late one like a
+	// thousand core-seconds of lost work.
+	urgentCost = 1000.0 // core-seconds
+)
+
+// cost is the work that is lost, with the other members of gangs, and what the
+// stop of a run costs besides.
 func (t *trade) cost(victims []Run) float64 {
-	const each = 1.0 // core-seconds
 	total := 0.0
 	for _, v := range victims {
 		for _, r := range t.rooms {
 			for _, run := range r.Runs {
 				if !t.stopped[run.Key] && (run.Key == v.Key || (v.Group != "" && run.Group == v.Group)) {
-					total += run.Cost + each
+					total += run.Cost + stopCost
+					if run.Priority == 0 {
+						total += urgentCost
+					}
 				}
 			}
 		}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -18,6 +18,8 @@
 	Since      time.Time         // when the job was accepted, or its time came
 	Pressed    bool              // has to start now, at any speed
 	Failed     bool              // a run of the unit has failed
+	Rest       bool              // members of a gang that the others, which have started, wait for
+	Rack       string            // of those others
 	Patient    bool              // can wait and still be done in time
 	Due        time.Time         // when the job should be done
 	Late       bool              // so late that it does not count any more when it is done
@@ -27,6 +29,12 @@
 
 func (u *Unit) step() work.Step { return u.Job.Steps[u.Step] }
 
+// joins reports whether the unit may run on a worker beside the members of its
+// gang that have started.
+func (u *Unit) joins(r *room) bool {
+	return !u.Rest || !u.step().SameRack || r.Rack == u.Rack
+}
+
 // Place is the decision to start a task.
 type Place struct {
 	Task   work.TaskKey
--- /dev/null
+++ b/schedule/urgent_test.go
@@ -0,0 +1,27 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill/schedule"
+)
+
+// Guards against room that is given away between the jobs of a burst, and room
+// that is kept for good after it.
+func TestUseInABurst(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
+	var d schedule.UrgentUse
+	require.Zero(t, d.Expected())
+	for _, c := range []struct {
+		ms             int
+		cores, expects float64
+	}{
+		{0, 100, 0}, {1000, 800, 0}, {2000, 300, 500}, {3000, 600, 200}, {4000, 0, 800}, {5000, 0, 800}, {5001, 0, 600}, {7001, 0, 0},
+	} {
+		d.Observe(c.cores, at(c.ms))
+		require.InDelta(t, c.expects, d.Expected(), 0.1, "at %d ms", c.ms)
+	}
+}
--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -63,6 +63,12 @@
 
 // Start implements work.Runtime.
 func (w *StepWorker) Start(ctx context.Context, timeout time.Duration, instance string, fence int64, s work.Start, until time.Duration) (work.Look, error) {
+	w.set.mu.Lock()
+	deaf := w.deaf
+	w.set.mu.Unlock()
+	if deaf {
+		return work.Look{}, errors.New("no answer")
+	}
 	return w.call(ctx, timeout, instance, fence, func(now time.Time) work.Refusal {
 		w.until = max(w.until, until)
 		switch {
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -48,6 +48,7 @@
 	id   string
 
 	dark   bool // answers nothing
+	deaf   bool // answers no start, and carries none out
 	mute   bool // carries calls out late, and answers nothing
 	late   time.Duration
 	starts int
@@ -100,6 +101,14 @@
 	w.dark = dark
 }
 
+// SetDeaf makes the worker leave starts unanswered and not carry them out, while
+// it answers all other calls.
+func (w *StepWorker) SetDeaf(deaf bool) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.deaf = deaf
+}
+
 // SetLate makes the worker leave calls unanswered and carry them out after a
 // delay; 0 ends that.
 func (w *StepWorker) SetLate(by time.Duration) {
--- a/work/progress.go
+++ b/work/progress.go
@@ -136,6 +136,7 @@
 	OutcomeBroken  Outcome = "broken"  // another member of the gang ended
 	OutcomeAlone   Outcome = "alone"   // the other members of the gang did not come
 	OutcomeLost    Outcome = "lost"    // the worker is gone
+	OutcomeRefused Outcome = "refused" // it was not started and never will be
 )
 
 // End records the end of a run on a worker and reports whether anything
@@ -229,7 +230,7 @@
 }
 
 // Place records that a run of the task is ordered on a worker. Run numbers are
-// above all earlier ones of the task and not below least.
+// above those of all runs of the task that may have started.
 func (p *Progress) Place(t *Task, worker, ticket string, run int) {
 	t.Run, t.Worker, t.Ticket, t.Stop, t.Percent = run, worker, ticket, false, 0
 	if !p.State.Final() {
