jobstore: an entry that does not lead lets changes gather for 80 ms

Change: a pause of 80 ms after changes, but not at the leader and not for the operators' documents. Ruled out: fewer commits, which would delay the ends of urgent jobs. Test: TestFollowersGatherChanges, a watch per change without the pause.

--- a/declaration/declarations.go
+++ b/declaration/declarations.go
@@ -58,6 +58,7 @@
 	}, func() {
 		event.QueueStoreBack.Log(log).Str("Prefix", form.Prefix()).Send()
 	})
+	d.SetPrompt(true) // they are few, and have to be in force at once
 	return d
 }
 
--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -15,6 +15,12 @@
 // copy, so it is a third of the age at which the copy is too old to serve from.
 const watchWait = time.Second
 
+// gatherFor is the pause after changes in which an entry that does not lead lets
+// further ones gather: else each commit of the leader costs a call to the store
+// for each entry. Callers see the state of a job later by at most this, which
+// is small beside the 250 ms of the shortest objective.
+const gatherFor = 80 * time.Millisecond
+
 // Follower keeps a copy of the items under a prefix.
 type Follower struct {
 	store   rosemarysill.TransactionalStore
@@ -27,6 +33,7 @@
 	fresh   time.Time         // the copy holds all that was in the store then
 	listed  chan struct{}
 	healthy bool
+	prompt  chan struct{} // closed while changes are taken at once
 }
 
 // NewFollower returns a follower that gives each change to apply. It tells the
@@ -34,13 +41,43 @@
 func NewFollower(s rosemarysill.TransactionalStore, prefix string, apply func(rosemarysill.Change), failed func(error), regain func()) *Follower {
 	return &Follower{
 		store: s, prefix: prefix, apply: apply, failed: failed, regain: regain,
-		known: make(map[string]uint64), listed: make(chan struct{}), healthy: true,
+		known: make(map[string]uint64), listed: make(chan struct{}), healthy: true, prompt: make(chan struct{}),
 	}
 }
 
 // Listed is closed when the first list has been applied.
 func (f *Follower) Listed() <-chan struct{} { return f.listed }
 
+// SetPrompt makes the follower take changes one by one, or let them gather.
+func (f *Follower) SetPrompt(prompt bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-f.prompt:
+		if !prompt {
+			f.prompt = make(chan struct{})
+		}
+	default:
+		if prompt {
+			close(f.prompt)
+		}
+	}
+}
+
+// gather waits for further changes.
+func (f *Follower) gather(ctx context.Context) {
+	f.mu.Lock()
+	prompt := f.prompt
+	f.mu.Unlock()
+	t := time.NewTimer(gatherFor)
+	defer t.Stop()
+	select {
+	case <-prompt:
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // Fresh returns the latest time, by package uptime, as of which the copy is
 // known to be complete.
 func (f *Follower) Fresh() time.Time {
@@ -107,6 +144,9 @@
 		f.change(c)
 	}
 	f.confirm(asked)
+	if len(changes) > 0 {
+		f.gather(ctx)
+	}
 	return next, nil
 }
 
--- /dev/null
+++ b/jobstore/pause_test.go
@@ -0,0 +1,65 @@
+package jobstore_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/standin"
+)
+
+// counting counts the watches of a store.
+type counting struct {
+	rosemarysill.TransactionalStore
+	watches atomic.Int64
+}
+
+func (c *counting) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]rosemarysill.Change, uint64, error) {
+	c.watches.Add(1)
+	return c.TransactionalStore.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against a call to the store by every entry for every commit of the
+// leader: their number grows with the fleet and with the jobs. The leader
+// itself has to see new jobs at once.
+func TestFollowersGatherChanges(t *testing.T) {
+	const changes = 60
+	for name, c := range map[string]struct {
+		prompt bool
+		most   int64
+	}{
+		"an entry that follows": {false, changes / 4},
+		"the leader":            {true, 2*changes + 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := standin.NewTransactions()
+			view := s.View("v")
+			store := &counting{TransactionalStore: view}
+			var seen atomic.Int64
+			f := jobstore.NewFollower(store, "p/", func(rosemarysill.Change) { seen.Add(1) }, func(error) {}, func() {})
+			f.SetPrompt(c.prompt)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { defer close(done); f.Run(ctx) }()
+			defer func() { cancel(); <-done }()
+			<-f.Listed()
+			writer := s.View("w")
+			tick := time.NewTicker(5 * time.Millisecond)
+			defer tick.Stop()
+			for i := range changes {
+				_, _, err := writer.Commit(ctx, rosemarysill.Commit{Writes: []rosemarysill.Write{{Key: fmt.Sprint("p/", i), Value: []byte("1")}}})
+				require.NoError(t, err)
+				<-tick.C
+			}
+			require.Eventually(t, func() bool { return seen.Load() == changes }, soon, time.Millisecond)
+			require.LessOrEqual(t, store.watches.Load(), c.most)
+		})
+	}
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -158,6 +158,8 @@
 	event.LeaderElected.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).Send()
 	termCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	l.cfg.Copy.SetPrompt(true)
+	defer l.cfg.Copy.SetPrompt(false)
 	var parts sync.WaitGroup
 	parts.Go(func() { defer cancel(); t.renew(termCtx) })
 	if t.load(termCtx) {
