leader, runner: workers that refuse calls or stand still are left alone sooner and longer; a gang that waits for a member is not stalled

A gang that waited for a member there was stopped as stalled at 1.8 s, 0.3 s after the member had come. A worker that stands still got the next gang 2 s later. Change: three failed calls make a worker silent after 0.3 s; silent and stalled workers are avoided 4 s, doubling until a run of theirs is done; a gang waits for its members for 0.6 of the users' bound (gang-timeout-ms), and only then is it stopped. Tests: TestWorkerThatFailsCallsIsSilent, TestWaitingGang, TestWorkerThatStandsStillIsAvoidedLonger.

--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -113,7 +113,7 @@
 	s.servers = append(s.servers, server)
 	n := &node{Node: platform.Node{
 		Name: name, LeaseMin: time.Second, ShutdownGrace: 2 * time.Second, StatusFor: 2 * time.Minute, Revoke: revoke,
-		StopGrace: 100 * time.Millisecond, Reclaim: 3 * time.Second,
+		StopGrace: 100 * time.Millisecond, GangWait: 3 * time.Second, Reclaim: 3 * time.Second,
 	}}
 	if n.store, err = newProxy(address); err != nil {
 		return nil, err
--- a/leader/gang.go
+++ b/leader/gang.go
@@ -12,6 +12,27 @@
 // alone after the time that the users set, which is three seconds and more.
 const completeWithin = time.Second
 
+// waitShare is the part of the time for which members of a gang wait for the
+// others after which they are stopped. The stop arrives before they end alone.
+const waitShare = 0.6
+
+func (c Config) gangPatience() time.Duration { return time.Duration(waitShare * float64(c.GangWait)) }
+
+// isWhole reports whether all members of a run of a gang have been seen at
+// their workers.
+func (t *term) isWhole(s *jobState, k work.RunKey) bool {
+	members := s.progress.Step(s.job, k.Task.Occurrence, k.Task.Step)
+	for i := range members {
+		m := work.RunKey{Task: k.Task, Run: k.Run}
+		m.Task.Index = i
+		w := t.workers[members[i].Worker]
+		if w == nil || w.trackers[m] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // completes reports whether a gang goes on after a member was refused: that
 // run never started, so it can be ordered elsewhere while the others wait.
 func (t *term) completes(s *jobState, k work.RunKey, how work.Outcome, now time.Time) bool {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -58,6 +58,7 @@
 	LeaseMin  time.Duration  // shortest lease of the store
 	StatusFor time.Duration  // for which final jobs are kept at least
 	StopGrace time.Duration  // longest time that the stop of a run takes
+	GangWait  time.Duration  // for which members of a gang wait for the others
 	Reclaim   time.Duration  // in which guaranteed work begins
 	Adviser   work.Adviser   // nil if there is no advice service
 	Machinery work.Machinery // nil if machines cannot be ordered
--- a/leader/report.go
+++ b/leader/report.go
@@ -55,6 +55,9 @@
 		event.LeaderWorkerSeen.Log(t.cfg.Log).Str("Worker", id).Str("Agent", r.Agent).Str("Domain", r.Worker.Domain).Send()
 	}
 	delete(t.gone, id)
+	if r.Worker.Silent && !w.Silent {
+		t.avoid(w, "it does not answer its agent", now)
+	}
 	w.Worker, w.agent, w.attached, w.heard, w.running = *r.Worker, r.Agent, true, now, r.Running
 	s.incarnation = id
 	t.streams[id] = s.wake
--- /dev/null
+++ b/leader/wait_test.go
@@ -0,0 +1,69 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Guards against a gang that is stopped as stalled while it waits for a member
+// whose worker does not answer for a while, and against one that waits so long
+// that its members end alone.
+func TestWaitingGang(t *testing.T) {
+	for name, c := range map[string]struct {
+		ms      int
+		present bool
+		stopped bool
+	}{
+		"waits for a member":            {2000, false, false},
+		"waits too long":                {2500, false, true},
+		"stands still with all members": {2000, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := Config{Log: zerolog.Nop(), GangWait: 4 * time.Second}
+			term := newTerm(cfg, jobstore.LeaderRecord{Epoch: 1}, 1, 1, at(0))
+			j := &work.Job{ID: "j", Attempts: 2, Steps: []work.Step{{Count: 2, Gang: true, Estimate: time.Second}}}
+			p := work.NewProgress(j)
+			s := &jobState{job: j, progress: p}
+			term.jobs["j"] = s
+			workers := make([]*workerState, 2)
+			runs := make([]work.RunStatus, 2)
+			for i, id := range []string{"a/1", "b/1"} {
+				p.Place(&p.Tasks[i], id, "", 1)
+				runs[i].Key = work.RunKey{Task: work.TaskKey{Job: "j", Index: i}, Run: 1}
+				workers[i] = newWorkerState(control.Worker{Incarnation: id}, id, at(0))
+				workers[i].placed[runs[i].Key] = at(0)
+				term.workers[id] = workers[i]
+			}
+			for ms := 0; ms <= c.ms; ms += 100 {
+				if c.present {
+					term.watchRun(workers[1], runs[1], at(ms))
+				}
+				term.watchRun(workers[0], runs[0], at(ms))
+			}
+			require.Equal(t, c.stopped, p.Tasks[0].Stop)
+		})
+	}
+}
+
+// Guards against a worker that stands still and gets tasks again while it still
+// does: two seconds later it had the next gang.
+func TestWorkerThatStandsStillIsAvoidedLonger(t *testing.T) {
+	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, at(0))
+	w := newWorkerState(control.Worker{Incarnation: "a/1"}, "a", at(0))
+	term.avoid(w, "a run stands still", at(0))
+	term.avoid(w, "a run stands still", at(100))
+	require.True(t, w.health.avoided(at(3900)))
+	require.False(t, w.health.avoided(at(4000)))
+	term.avoid(w, "a run stands still", at(5000))
+	require.True(t, w.health.avoided(at(12_900)))
+	term.judge(w, work.RunKey{}, work.OutcomeDone, at(13_000))
+	term.avoid(w, "a run stands still", at(14_000))
+	require.False(t, w.health.avoided(at(18_000)), "it has done its work since")
+}
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -1,9 +1,9 @@
 package leader
 
 import (
+	"fmt"
 	"time"
 
-	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -15,8 +15,6 @@
 	stallSteps   = 8
 	// estimateSlack allows for estimates that are far too low.
 	estimateSlack = 4
-	// avoidStalled is how long a worker with a stalled run gets no others.
-	avoidStalled = 2 * time.Second
 )
 
 // tracker follows the progress of a run.
@@ -111,15 +109,18 @@
 		w.trackers[run.Key] = p
 	}
 	p.observe(run.Percent, now)
+	if step.Gang && !t.isWhole(s, run.Key) {
+		p.moved = now // it waits, which is not its worker's fault
+		if now.Sub(p.began) > t.cfg.gangPatience() && !task.Stop {
+			t.stopGang(s, run.Key.Task, "a member does not come")
+		}
+		return
+	}
 	stalled := p.stalled(step.Estimate, now)
 	if stalled == 0 || task.Stop {
 		return
 	}
-	if w.health.until.Before(now) {
-		event.LeaderWorkerAvoided.Log(t.cfg.Log).Str("Worker", w.Incarnation).Str("Why", "a run stands still").
-			Str("Job", run.Key.Task.Job).Stringer("Run", run.Key).Int("Percent", run.Percent).Dur("Stalled", stalled).Dur("For", avoidStalled).Send()
-	}
-	w.health.until = now.Add(avoidStalled)
+	t.avoid(w, fmt.Sprintf("a run stands still at %d percent", run.Percent), now)
 	if stalled > p.unsaved(step.Checkpointing) {
 		t.stopRun(s, run.Key, "it stands still")
 	}
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -124,7 +124,7 @@
 	e := &entry{process: process{cancel, make(chan struct{})}, copy: jobstore.NewCopy(view, zerolog.Nop())}
 	cfg := leader.Config{
 		Name: name, Address: netip.MustParseAddrPort(l.Addr().String()), Store: view, Copy: e.copy, Declared: w.declared,
-		StatusFor: w.statusFor, StopGrace: 50 * time.Millisecond, Log: zerolog.Nop(),
+		StatusFor: w.statusFor, StopGrace: 50 * time.Millisecond, GangWait: 3 * time.Second, Log: zerolog.Nop(),
 		WaveForm: func(id string, completed bool) (string, []byte) {
 			if completed {
 				return "status/" + id, []byte("completed")
--- a/node/entry.go
+++ b/node/entry.go
@@ -51,7 +51,7 @@
 	gate := gateway.New(gateway.Config{Store: store, Copy: copied, Declared: documents, Revoke: n.Revoke, Meter: figures, Log: log})
 	cfg := leader.Config{
 		Name: n.Name, Address: n.Internal, Store: store, Copy: copied, Declared: documents,
-		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, StopGrace: n.StopGrace, Reclaim: n.Reclaim, WaveForm: platform.WaveStatus, Meter: figures, Log: log,
+		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, StopGrace: n.StopGrace, GangWait: n.GangWait, Reclaim: n.Reclaim, WaveForm: platform.WaveStatus, Meter: figures, Log: log,
 	}
 	if n.Advice.IsValid() {
 		advice := platform.NewAdvice(n.Advice)
--- a/runner/ledger.go
+++ b/runner/ledger.go
@@ -15,6 +15,11 @@
 	// silentAfter is the time without an answer after which a worker gets no
 	// more tasks.
 	silentAfter = 1500 * time.Millisecond
+	// failsToSilent is the number of calls in a row without an answer after which
+	// a worker is silent as well, unless it has answered within failsWithin: a
+	// worker that refuses connections fails them in no time.
+	failsToSilent = 3
+	failsWithin   = 300 * time.Millisecond
 	// rememberGone bounds the incarnations that are reported as ended.
 	rememberGone = 16
 )
@@ -41,6 +46,7 @@
 	leaseFrom   time.Time // stamp of the report that the leader has answered
 	epoch       uint64
 	seen        uint64 // ends that the leader has recorded
+	fails       int    // calls in a row without an answer
 	doubtful    bool   // a call got no answer since the worker last said which life it is in
 	running     []work.RunStatus
 	ended       []work.RunEnd
@@ -100,7 +106,7 @@
 	}
 	if look.Refusal != work.RefusedOther {
 		l.fenceSeen = max(l.fenceSeen, fence)
-		l.answerAt = now
+		l.answerAt, l.fails = now, 0
 	}
 	if look.Clock > 0 {
 		l.clock, l.clockAt = look.Clock, now
@@ -145,7 +151,17 @@
 }
 
 // unheard notes a call that got no answer.
-func (l *ledger) unheard() { l.doubtful = true }
+func (l *ledger) unheard() {
+	l.doubtful = true
+	l.fails++
+}
+
+// silent reports whether the worker gets no more tasks because it does not
+// answer.
+func (l *ledger) silent(now time.Time) bool {
+	since := now.Sub(l.answerAt)
+	return since > silentAfter || (l.fails >= failsToSilent && since > failsWithin)
+}
 
 // lost notes a start that got no answer.
 func (l *ledger) lost(k work.RunKey, fence int64) {
@@ -168,7 +184,7 @@
 	r.Worker = &control.Worker{
 		Incarnation: l.incarnation(), ID: a.ID, Service: a.Service, Domain: a.Domain, Rack: a.Rack, Labels: a.Labels,
 		Capacity: a.Capacity, Draining: a.State == work.WorkerDraining, Remaining: max(0, a.Remaining-now.Sub(l.heard)),
-		Silent: now.Sub(l.answerAt) > silentAfter,
+		Silent: l.silent(now),
 	}
 	r.Worker.Lapsed = r.Worker.Silent && now.After(l.until.Add(control.LapseMargin))
 	r.Running, r.Ended, r.Refused = slices.Clone(l.running), slices.Clone(l.ended), slices.Clone(l.refused)
--- a/runner/ledger_test.go
+++ b/runner/ledger_test.go
@@ -213,3 +213,18 @@
 	require.Len(t, r.Ended, 1)
 	require.Empty(t, r.Running)
 }
+
+// Guards against a worker that refuses all connections and gets tasks for the
+// 1.5 s in which one that is only slow is waited for.
+func TestWorkerThatFailsCallsIsSilent(t *testing.T) {
+	l := announced(1)
+	l.unheard()
+	l.unheard()
+	require.False(t, l.report(at(400)).Worker.Silent, "a call is lost now and then")
+	l.unheard()
+	require.False(t, l.report(at(100)).Worker.Silent, "they may have failed at the same time")
+	require.True(t, l.report(at(400)).Worker.Silent)
+	require.False(t, l.report(at(400)).Worker.Lapsed)
+	l.answer(work.Look{Clock: time.Second}, l.fence, at(500))
+	require.False(t, l.report(at(900)).Worker.Silent)
+}
--- a/runner/life.go
+++ b/runner/life.go
@@ -49,7 +49,7 @@
 	l.instance, l.heard, l.known, l.answered = a, now, true, false
 	l.fence++
 	l.fenceSeen, l.fenceListed, l.seen, l.running, l.ended, l.refused = 0, 0, 0, nil, nil, nil
-	l.clock, l.clockAt, l.answerAt = 0, time.Time{}, now
+	l.clock, l.clockAt, l.answerAt, l.fails = 0, time.Time{}, now, 0
 	// An earlier process of this agent may have leased runs until then.
 	l.until = now.Add(control.Lease)
 	clear(l.unanswered)
