leader: what a run has done is known after a takeover

Cause: the next leader counted all runs as begun at its election, so the work that a stop throws away seemed equal, and nearly finished gangs made room for urgent work. Their progress now tells how long they have run.

--- a/leader/wait_test.go
+++ b/leader/wait_test.go
@@ -67,3 +67,22 @@
 	term.avoid(w, "a run stands still", at(14_000))
 	require.False(t, w.health.avoided(at(18_000)), "it has done its work since")
 }
+
+// Guards against work that is nearly done and is stopped for urgent work after
+// the leader has changed: the next leader took it for work that had just begun.
+func TestLostWorkIsKnownAfterATakeover(t *testing.T) {
+	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 2}, 1, 1, at(0))
+	term.elected = at(0)
+	j := &work.Job{ID: "j", Attempts: 2, Steps: []work.Step{{Count: 1, Estimate: 10 * time.Second, Shape: work.Shape{Accelerators: 1}}}}
+	p := work.NewProgress(j)
+	p.Place(&p.Tasks[0], "a/1", "", 1)
+	term.jobs["j"] = &jobState{job: j, progress: p}
+	w := newWorkerState(control.Worker{Incarnation: "a/1"}, "a", at(0))
+	run := work.RunStatus{Key: work.RunKey{Task: work.TaskKey{Job: "j"}, Run: 1}, Percent: 80}
+	w.placed[run.Key] = term.elected
+	term.workers["a/1"] = w
+	term.watchRun(w, run, at(400))
+	o, ok := term.occupant(w, run.Key, nil, at(400))
+	require.True(t, ok)
+	require.InDelta(t, 8*j.Steps[0].Shape.Cores(), o.Cost, 0.1)
+}
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -107,6 +107,10 @@
 	if p == nil {
 		p = &tracker{}
 		w.trackers[run.Key] = p
+		if w.placed[run.Key].Equal(t.elected) {
+			// An earlier leader has placed it: its progress tells how long ago.
+			w.placed[run.Key] = now.Add(-step.Estimate * time.Duration(run.Percent) / wholePercent)
+		}
 	}
 	p.observe(run.Percent, now)
 	if step.Gang && !t.isWhole(s, run.Key) {
