schedule: a burst is expected to grow by half

Cause: while a burst grows, urgent work uses its peak, so nothing was kept for the next job of it. Ruled out: a memory of 10 s (no difference).

--- a/schedule/urgent.go
+++ b/schedule/urgent.go
@@ -7,6 +7,10 @@
 // one follow each other within two or three.
 const urgentSpan = 4 * time.Second
 
+// burstGrowth is the multiple of the most that urgent work used of late which is
+// expected of it: a burst is seen while it still grows.
+const burstGrowth = 1.5
+
 // UrgentUse follows how much of the fleet urgent work uses.
 type UrgentUse struct {
 	now   float64 // cores in use
@@ -32,10 +36,10 @@
 }
 
 // Expected returns the cores that urgent work is expected to need beside those
-// that it uses: what it used at most of late.
+// that it uses, going by what it used at most of late.
 func (u *UrgentUse) Expected() float64 {
 	if len(u.peaks) == 0 {
 		return 0
 	}
-	return u.peaks[0].cores - u.now
+	return burstGrowth*u.peaks[0].cores - u.now
 }
