leader: how long members of a gang wait has a default, and all of its parts follow the setting

Cause: without gang-timeout-ms in the settings the patience was 0 and gangs would have been stopped at their second report; and the time for completing a gang elsewhere was fixed at a second, which a shorter setting would undercut. Test: TestGangPatienceWithoutSetting.

--- a/leader/gang.go
+++ b/leader/gang.go
@@ -7,14 +7,19 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// completeWithin is the time from the start of a gang in which a member that
-// was refused is started elsewhere. The others wait for it meanwhile, and end
-// alone after the time that the users set, which is three seconds and more.
-const completeWithin = time.Second
+// Parts of the time for which members of a gang wait for the others.
+const (
+	// waitShare is the part after which they are stopped. The stop arrives
+	// before they end alone.
+	waitShare = 0.6
+	// completeShare is the part in which a member that was refused is started
+	// elsewhere: the new start needs up to two tries.
+	completeShare = 0.33
+)
 
-// waitShare is the part of the time for which members of a gang wait for the
-// others after which they are stopped. The stop arrives before they end alone.
-const waitShare = 0.6
+func (c Config) completeWithin() time.Duration {
+	return time.Duration(completeShare * float64(c.GangWait))
+}
 
 func (c Config) gangPatience() time.Duration { return time.Duration(waitShare * float64(c.GangWait)) }
 
@@ -50,7 +55,7 @@
 		w := t.workers[m.Worker]
 		at := work.RunKey{Task: k.Task, Run: m.Run}
 		at.Task.Index = i
-		if w == nil || m.Stop || m.Run != k.Run || now.Sub(w.placed[at]) > completeWithin {
+		if w == nil || m.Stop || m.Run != k.Run || now.Sub(w.placed[at]) > t.cfg.completeWithin() {
 			return false
 		}
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -5,6 +5,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -67,6 +68,15 @@
 	Log       zerolog.Logger
 }
 
+// gangWait is the time for which members of a gang wait for the others where
+// the settings do not say. It is the shortest of the users' sites.
+const gangWait = 3 * time.Second
+
+func (c Config) withDefaults() Config {
+	c.GangWait = cmp.Or(c.GangWait, gangWait)
+	return c
+}
+
 // leaseTTL is the lease of the leader's record.
 func (c Config) leaseTTL() time.Duration { return max(leaseTTL, c.LeaseMin) }
 
@@ -84,6 +94,7 @@
 
 // New returns an entry's part in the election.
 func New(cfg Config) *Leader {
+	cfg = cfg.withDefaults()
 	return &Leader{cfg: cfg, ttl: cfg.leaseTTL(), done: make(chan struct{})}
 }
 
--- a/leader/wait_test.go
+++ b/leader/wait_test.go
@@ -86,3 +86,10 @@
 	require.True(t, ok)
 	require.InDelta(t, 8*j.Steps[0].Shape.Cores(), o.Cost, 0.1)
 }
+
+// Guards against gangs that are stopped at once where the settings do not say
+// how long their members wait for each other.
+func TestGangPatienceWithoutSetting(t *testing.T) {
+	require.Equal(t, gangWait, Config{}.withDefaults().GangWait)
+	require.Greater(t, New(Config{}).cfg.gangPatience(), time.Second)
+}
