--- a/leader/wait_test.go
+++ b/leader/wait_test.go
@@ -13,17 +13,20 @@
 )
 
 // Guards against a gang that is stopped as stalled while it waits for a member
-// whose worker does not answer for a while, and against one that waits so long
-// that its members end alone.
+// whose worker does not answer for a while, against one that waits so long that
+// its members end alone, and against one that works and is stopped because not
+// all of its members have been seen.
 func TestWaitingGang(t *testing.T) {
 	for name, c := range map[string]struct {
 		ms      int
 		present bool
+		rises   int // percent in a second of the run that is seen
 		stopped bool
 	}{
-		"waits for a member":            {2000, false, false},
-		"waits too long":                {2500, false, true},
-		"stands still with all members": {2000, true, true},
+		"waits for a member":            {2000, false, 0, false},
+		"waits too long":                {2500, false, 0, true},
+		"stands still with all members": {2000, true, 0, true},
+		"works, a member's agent is cut off from a new leader": {2500, false, 20, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cfg := Config{Log: zerolog.Nop(), GangWait: 4 * time.Second}
@@ -45,6 +48,7 @@
 				if c.present {
 					term.watchRun(workers[1], runs[1], at(ms))
 				}
+				runs[0].Percent = c.rises * ms / 1000
 				term.watchRun(workers[0], runs[0], at(ms))
 			}
 			require.Equal(t, c.stopped, p.Tasks[0].Stop)
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -113,7 +113,7 @@
 		}
 	}
 	p.observe(run.Percent, now)
-	if step.Gang && !t.isWhole(s, run.Key) {
+	if step.Gang && p.percent == p.first && !t.isWhole(s, run.Key) {
 		p.moved = now // it waits, which is not its worker's fault
 		if now.Sub(p.began) > t.cfg.gangPatience() && !task.Stop {
 			t.stopGang(s, run.Key.Task, "a member does not come")
