relay: a refusal by another entry says nothing about an earlier try

Cause: an entry that did not learn whether its write took effect relayed the submission, and passed on the other entry's refusal (unknown key) as final. The write took effect late, so the job ran after its caller was told it had not. Test: TestUncertainSubmissionIsNotRefused; three cases fail without the change. Ruled out: the gateway, which answers unknown in that case since before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -144,7 +144,7 @@
 		a := try(ctx, q, until, func(ctx context.Context, q Request) Answer { return r.ask(ctx, p, q) })
 		event.QueueRelayed.Log(r.cfg.Log).Str("Job", q.Call.Path).Str("Operation", string(q.Operation)).Str("Entry", p.Name).Str("Code", a.Code.String()).Send()
 		if !undecided(a.Code) {
-			return a
+			return truthful(q.Operation, a, uncertain)
 		}
 		uncertain = uncertain || a.Code.Truth() == rosemarysill.TruthUnknown
 		last = a
@@ -152,10 +152,17 @@
 	if !sound && !uncertain {
 		last = try(ctx, q, until, own)
 	}
-	if uncertain && last.Code.Truth() == rosemarysill.TruthNotRun {
-		return Answer{Code: rosemarysill.OutcomeUnknown, Detail: "an earlier try got no answer: " + last.Detail}
+	return truthful(q.Operation, last, uncertain)
+}
+
+// truthful corrects an answer that says that a request has had no effect, if an
+// earlier try of it may have had one: another entry's refusal says nothing
+// about that. Calls that only look have no effect in any case.
+func truthful(o Operation, a Answer, uncertain bool) Answer {
+	if o == State || o == Pending || !uncertain || a.Code.Truth() != rosemarysill.TruthNotRun {
+		return a
 	}
-	return last
+	return Answer{Code: rosemarysill.OutcomeUnknown, Detail: "an earlier try got no answer: " + a.Detail}
 }
 
 // undecided reports whether another entry may answer better.
