runner: a test that a run is given up only with proof

A mutant without the proof passed TestUnansweredStartsAreGivenUp, against what docs/PROPERTIES.md said; it fails this test.

--- a/runner/ledger_test.go
+++ b/runner/ledger_test.go
@@ -228,3 +228,20 @@
 	l.answer(work.Look{Clock: time.Second}, l.fence, at(500))
 	require.False(t, l.report(at(900)).Worker.Silent)
 }
+
+// Guards against a run that is given up, and begins elsewhere, although a start
+// without an answer was or may still be carried out here.
+func TestGivingUpNeedsProof(t *testing.T) {
+	l := announced(1)
+	fence := l.fence
+	l.lost(key(0), fence)
+	require.False(t, l.giveUp(key(0)), "no list has come since")
+	l.lookSent(work.Look{Clock: time.Second}, fence, at(10), at(20))
+	require.False(t, l.giveUp(key(0)), "the hold had the fence of the start")
+	running := []work.RunStatus{{Key: key(0)}}
+	l.lookSent(work.Look{Clock: time.Second, Running: running}, l.fence, at(30), at(40))
+	require.False(t, l.giveUp(key(0)), "it runs")
+	require.False(t, l.giveUp(key(1)), "it was answered")
+	l.lookSent(work.Look{Clock: time.Second}, l.fence, at(50), at(60))
+	require.True(t, l.giveUp(key(0)))
+}
