leader, runner: what the last read of the change found

One check for a refused run and one construction of a member's run instead of two each; a count of streams no longer shares its name with a flag of workers; the regressions of the soak stand in the order in which they were found.

--- a/cmd/soak/regressions.go
+++ b/cmd/soak/regressions.go
@@ -19,6 +19,6 @@
 	{150, "the same"},
 	{203, "the same"},
 	{315, "a start was refused as old before the end of its run was known"},
-	{724, "a submission whose write was not answered was refused by the entry that it was relayed to, and ran"},
 	{431, "a run that had ended in a worker's later life was taken for lost with the earlier one"},
+	{724, "a submission whose write was not answered was refused by the entry that it was relayed to, and ran"},
 }
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -51,8 +51,8 @@
 func (t *term) newStream() *stream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.attached++
-	return &stream{term: t, number: t.attached, wake: make(chan struct{}, 1)}
+	t.opened++
+	return &stream{term: t, number: t.opened, wake: make(chan struct{}, 1)}
 }
 
 func (s *stream) receive(from control.AgentStream) error {
--- a/leader/gang.go
+++ b/leader/gang.go
@@ -23,15 +23,19 @@
 
 func (c Config) gangPatience() time.Duration { return time.Duration(waitShare * float64(c.GangWait)) }
 
+// memberOf returns the run of another member in the same run of a gang.
+func memberOf(k work.RunKey, index int) work.RunKey {
+	k.Task.Index = index
+	return k
+}
+
 // isWhole reports whether all members of a run of a gang have been seen at
 // their workers.
 func (t *term) isWhole(s *jobState, k work.RunKey) bool {
 	members := s.progress.Step(s.job, k.Task.Occurrence, k.Task.Step)
 	for i := range members {
-		m := work.RunKey{Task: k.Task, Run: k.Run}
-		m.Task.Index = i
 		w := t.workers[members[i].Worker]
-		if w == nil || w.trackers[m] == nil {
+		if w == nil || w.trackers[memberOf(k, i)] == nil {
 			return false
 		}
 	}
@@ -53,9 +57,7 @@
 		}
 		placed++
 		w := t.workers[m.Worker]
-		at := work.RunKey{Task: k.Task, Run: m.Run}
-		at.Task.Index = i
-		if w == nil || m.Stop || m.Run != k.Run || now.Sub(w.placed[at]) > t.cfg.completeWithin() {
+		if w == nil || m.Stop || m.Run != k.Run || now.Sub(w.placed[memberOf(k, i)]) > t.cfg.completeWithin() {
 			return false
 		}
 	}
--- a/leader/term.go
+++ b/leader/term.go
@@ -66,12 +66,12 @@
 	latest     map[string]uint64        // number of the latest stream of each agent
 	gone       map[string]bool          // incarnations that have ended
 	advised    map[stepKey]*advised
-	urgent     schedule.UrgentUse    // of urgent work
+	urgent     schedule.UrgentUse    // of the fleet
 	incomplete map[stepKey]bool      // gangs that wait for members which were refused
 	asking     chan struct{}         // a step waits for advice
 	waves      map[string]*waveState // used by keepUp alone
 	fenced     bool                  // a later leader has ordered machines; used by keepUp alone
-	attached   uint64                // streams opened in this term
+	opened     uint64                // streams opened in this term
 	savedAt    time.Time             // when checkpoints were last recorded
 	sweptAt    time.Time             // when old records were last looked for; used by run alone
 	why        error
--- a/runner/lists.go
+++ b/runner/lists.go
@@ -116,7 +116,11 @@
 // mayStart reports whether a start of the run is to be sent. The leader places a
 // refused run elsewhere, so an order that was under way has to be passed over.
 func (l *ledger) mayStart(k work.RunKey) bool {
-	return !l.listed(k) && !slices.ContainsFunc(l.refused, func(r control.Refused) bool { return r.Key == k })
+	return !l.listed(k) && !l.isRefused(k)
+}
+
+func (l *ledger) isRefused(k work.RunKey) bool {
+	return slices.ContainsFunc(l.refused, func(r control.Refused) bool { return r.Key == k })
 }
 
 // mayStop reports whether a stop of the run is to be sent.
@@ -138,7 +142,7 @@
 		return false
 	}
 	delete(l.unanswered, k)
-	if !slices.ContainsFunc(l.refused, func(r control.Refused) bool { return r.Key == k }) {
+	if !l.isRefused(k) {
 		l.refused = append(l.refused, control.Refused{Key: k, Why: why})
 	}
 	return true
