schedule: a decision goes by indexes instead of a search through all runs

Cause: trade.cost looked through all runs of the fleet for each comparison of a sort, for each worker, for each member of a gang; every unit divided and sorted all racks again, and units like one that had found no place searched the fleet in their turn. Change: the cost of a stop, with the other members of a gang, is worked out once in a decision; a trade keeps what each worker offers until one of its runs is stopped; it ends when it costs as much as the best one; a unit like the one before is passed over while nothing has changed. Ruled out: bounds on the workers that are looked at, which would change plans.

--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -68,20 +68,27 @@
 // room is what is free at a worker.
 type room struct {
 	*Worker
-	free work.Shape // now
-	soon work.Shape // once all runs that are being stopped have ended
-	idle int64      // processor time that the declared needs of all runs leave, filling ones included
+	index int // place in the order of the pass
+	rack  int // place of its rack in that order
+	free  work.Shape
+	soon  work.Shape // once all runs that are being stopped have ended
+	cores float64    // size of free
+	idle  int64      // processor time that the declared needs of all runs leave, filling ones included
+	runs  []*occupant
+	kept  bool // patient work leaves it to urgent work
 }
 
 func newRoom(w *Worker) *room {
 	r := &room{Worker: w, free: w.Capacity, soon: w.Capacity, idle: w.Capacity.MilliCPU}
-	for _, run := range w.Runs {
+	for i := range w.Runs {
+		run := &w.Runs[i]
 		r.free = r.free.Sub(run.Demand)
 		r.idle -= run.MilliCPU
 		if run.Stuck || (!run.Stopping && !run.Ending) {
 			r.soon = r.soon.Sub(run.Demand)
 		}
 	}
+	r.cores = r.free.Cores()
 	return r
 }
 
@@ -89,12 +96,14 @@
 func (r *room) take(d work.Shape) {
 	r.soon = r.soon.Sub(d)
 	r.free = minShape(r.free, r.soon)
+	r.cores = r.free.Cores()
 }
 
 // place uses a demand now.
 func (r *room) place(d work.Shape) {
 	r.soon = r.soon.Sub(d)
 	r.free = r.free.Sub(d)
+	r.cores = r.free.Cores()
 }
 
 func minShape(a, b work.Shape) work.Shape {
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -9,35 +9,82 @@
 
 // pass is the state of one decision.
 type pass struct {
-	rooms []*room
-	keep  float64        // cores that patient work leaves free
-	kept  map[*room]bool // the workers where it does; nil until that is needed
-	plan  Plan
+	rooms    []*room
+	racks    int
+	keep     float64 // cores that patient work leaves free
+	keeping  bool    // the workers where it does are marked
+	indexed  bool    // the occupants of the rooms are known
+	cached   candidates
+	changes  int // places and reservations so far
+	failed   stepKey
+	failedAt int // changes when a unit of that step found no place
+	examined int // workers and runs looked at
+	plan     Plan
 }
 
-// keepRacks is the part of the racks that patient work leaves to urgent work. A
-// fleet of a few racks can spare none: there it cost more than it gained.
-const keepRacks = 0.17
+// stepKey names what units of one step have in common.
+type stepKey struct {
+	job              string
+	occurrence, step int
+	failed, patient  bool
+}
+
+func keyOf(u *Unit) stepKey {
+	return stepKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Patient}
+}
 
 // Decide places as many units as fit, and stops runs for urgent ones. Patient
 // work leaves keep cores free where most is free, for urgent work that is
 // expected soon.
 func Decide(workers []*Worker, units []*Unit, keep float64) Plan {
+	p := newPass(workers, keep)
+	p.run(units)
+	return p.plan
+}
+
+func newPass(workers []*Worker, keep float64) *pass {
 	p := &pass{keep: keep}
 	endTogether(workers)
 	for _, w := range workers {
 		p.rooms = append(p.rooms, newRoom(w))
 	}
 	slices.SortFunc(p.rooms, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
+	racks := make(map[string]int)
+	for i, r := range p.rooms {
+		n, ok := racks[r.Rack]
+		if !ok {
+			n = len(racks)
+			racks[r.Rack] = n
+		}
+		r.index, r.rack = i, n
+	}
+	p.racks = len(racks)
+	return p
+}
+
+func (p *pass) run(units []*Unit) {
 	order(units)
 	for _, u := range units {
 		p.decide(u)
 	}
-	return p.plan
 }
 
 func (p *pass) decide(u *Unit) {
-	sets, spread := p.candidates(u)
+	// A unit like the one before, which found no place, finds none either as long
+	// as nothing has changed.
+	if !u.Rest && keyOf(u) == p.failed && p.changes == p.failedAt {
+		return
+	}
+	before := p.changes
+	p.find(u)
+	if p.changes == before {
+		p.failed, p.failedAt = keyOf(u), before
+	}
+}
+
+// find places a unit, or keeps or makes room for it.
+func (p *pass) find(u *Unit) {
+	sets, spread := p.sets(u)
 	if u.Rest {
 		p.startIn(u, sets)
 		return
@@ -62,7 +109,7 @@
 // startIn starts the unit in the first set of workers in which it fits now.
 func (p *pass) startIn(u *Unit, sets [][]*room) bool {
 	for _, set := range sets {
-		if chosen := fit(u, set, func(r *room) work.Shape { return r.free }); chosen != nil {
+		if chosen := p.fit(u, set, free); chosen != nil {
 			p.start(u, chosen)
 			return true
 		}
@@ -73,18 +120,24 @@
 // reserveIn keeps room for the unit in the first set in which it fits soon.
 func (p *pass) reserveIn(u *Unit, sets [][]*room) bool {
 	for _, set := range sets {
-		if chosen := fit(u, set, func(r *room) work.Shape { return r.soon }); chosen != nil {
-			for _, r := range chosen {
-				r.take(Demand(u.step()))
-				u.Beside[r.ID]++
-			}
+		if chosen := p.fit(u, set, soon); chosen != nil {
+			p.reserve(u, chosen)
 			return true
 		}
 	}
 	return false
 }
 
+func (p *pass) reserve(u *Unit, chosen []*room) {
+	p.changes++
+	for _, r := range chosen {
+		r.take(Demand(u.step()))
+		u.Beside[r.ID]++
+	}
+}
+
 func (p *pass) start(u *Unit, chosen []*room) {
+	p.changes++
 	for i, r := range chosen {
 		r.place(Demand(u.step()))
 		r.idle -= u.step().Shape.MilliCPU
@@ -96,121 +149,31 @@
 	}
 }
 
-// candidates returns the sets of workers to try in turn: those of one rack for
-// a step that is slower elsewhere. The second result is tried when no rack has
-// room, for work that cannot wait or that no rack could ever hold.
-func (p *pass) candidates(u *Unit) (sets, spread [][]*room) {
-	s := u.step()
-	var open []*room
-	for _, r := range p.rooms {
-		if _, ok := u.Advised[r.ID]; (ok || !u.Job.Advised) && r.Open && r.allows(u.Job, s) && u.joins(r) {
-			open = append(open, r)
-		}
-	}
-	if u.Failed {
-		open = trusted(open)
-	}
-	racks := byRack(open)
-	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
-		if u.Patient && !s.Gang {
-			racks = racks[:len(racks)-int(keepRacks*float64(len(racks)))]
-			return [][]*room{p.unkept(slices.Concat(racks...))}, nil
-		}
-		return [][]*room{open}, nil
-	}
-	for _, rack := range racks {
-		if s.DataRack == "" || rack[0].Rack == s.DataRack {
-			sets = append(sets, rack)
-		}
-	}
-	if u.Job.Priority == 0 || !holdsInRack(u, racks, s.DataRack) {
-		spread = [][]*room{open}
-	}
-	return sets, spread
-}
-
-// unkept leaves out the workers that are kept for urgent work: the emptiest
-// ones, rack by rack, because urgent gangs need whole workers of one rack.
-// Patient work has not been placed when they are chosen.
-func (p *pass) unkept(rooms []*room) []*room {
-	if p.kept == nil {
-		p.kept = make(map[*room]bool)
-		left := p.keep
-		racks := byRack(p.rooms)
-		for i := len(racks) - 1; i >= 0 && left > 0; i-- {
-			slices.SortStableFunc(racks[i], func(a, b *room) int { return cmp.Compare(b.free.Cores(), a.free.Cores()) })
-			for _, r := range racks[i] {
-				if left > 0 && r.Open {
-					p.kept[r] = true
-					left -= r.free.Cores()
-				}
-			}
-		}
-	}
-	return slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return p.kept[r] })
-}
+func free(r *room) work.Shape { return r.free }
 
-// trusted leaves suspect workers out, unless all are.
-func trusted(rooms []*room) []*room {
-	sound := slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return r.Suspect })
-	if len(sound) == 0 {
-		return rooms
-	}
-	return sound
-}
+func soon(r *room) work.Shape { return r.soon }
 
-// holdsInRack reports whether a rack could hold the whole unit if it were
-// empty.
-func holdsInRack(u *Unit, racks [][]*room, near string) bool {
-	for _, rack := range racks {
-		if near != "" && rack[0].Rack != near {
-			continue
-		}
-		if fit(u, rack, func(r *room) work.Shape { return r.Capacity }) != nil {
-			return true
-		}
-	}
-	return false
-}
-
-func byRack(rooms []*room) [][]*room {
-	index := make(map[string]int)
-	var racks [][]*room
-	for _, r := range rooms {
-		i, ok := index[r.Rack]
-		if !ok {
-			i = len(racks)
-			index[r.Rack] = i
-			racks = append(racks, nil)
-		}
-		racks[i] = append(racks[i], r)
-	}
-	// The rack with the least free accelerators comes first, so that whole
-	// racks stay free for large gangs.
-	slices.SortStableFunc(racks, func(a, b []*room) int { return cmp.Compare(freeCores(a), freeCores(b)) })
-	return racks
-}
-
-func freeCores(rooms []*room) float64 {
-	var n float64
-	for _, r := range rooms {
-		n += r.free.Cores()
-	}
-	return n
-}
+func whole(r *room) work.Shape { return r.Capacity }
 
 // fit chooses a worker for each task of the unit, or returns nil if they do
 // not all fit.
-func fit(u *Unit, rooms []*room, available func(*room) work.Shape) []*room {
+func (p *pass) fit(u *Unit, rooms []*room, available func(*room) work.Shape) []*room {
+	if !p.fits(u, rooms, available) {
+		return nil
+	}
 	d, s := Demand(u.step()), u.step()
 	left := make([]work.Shape, len(rooms))
 	beside := make([]int, len(rooms))
 	for i, r := range rooms {
-		left[i], beside[i] = available(r), u.Beside[r.ID]
+		left[i] = available(r)
+		if s.MaxPerWorker > 0 {
+			beside[i] = u.Beside[r.ID]
+		}
 	}
 	chosen := make([]*room, 0, len(u.Indexes))
 	for range u.Indexes {
 		best := -1
+		p.examined += len(rooms)
 		for i := range rooms {
 			if !d.Fits(left[i]) || (s.MaxPerWorker > 0 && beside[i] >= s.MaxPerWorker) {
 				continue
@@ -229,6 +192,41 @@
 	return chosen
 }
 
+// fits reports whether all tasks of the unit fit, without choosing workers.
+func (p *pass) fits(u *Unit, rooms []*room, available func(*room) work.Shape) bool {
+	d, s := Demand(u.step()), u.step()
+	need := int64(len(u.Indexes))
+	for _, r := range rooms {
+		p.examined++
+		n := times(d, available(r), need)
+		if s.MaxPerWorker > 0 {
+			n = min(n, int64(s.MaxPerWorker-u.Beside[r.ID]))
+		}
+		if need -= max(0, n); need <= 0 {
+			return true
+		}
+	}
+	return need <= 0
+}
+
+// times is how often d fits in what is available, up to most.
+func times(d, available work.Shape, most int64) int64 {
+	if !d.Fits(available) {
+		return 0
+	}
+	n := most
+	if d.MilliCPU > 0 {
+		n = min(n, available.MilliCPU/d.MilliCPU)
+	}
+	if d.MemoryMB > 0 {
+		n = min(n, available.MemoryMB/d.MemoryMB)
+	}
+	if d.Accelerators > 0 {
+		n = min(n, available.Accelerators/d.Accelerators)
+	}
+	return n
+}
+
 // better reports whether a is a better place than b. A suspect worker comes
 // last. A task that fills gets
 // the most idle processor time; others go where least is left, so that whole
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -2,184 +2,227 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
+// occupant is a run at its worker.
+type occupant struct {
+	*Run
+	room  *room
+	place int          // among the runs of its worker
+	gang  *[]*occupant // the runs that end together with it, itself included
+	cost  float64      // of its stop, with that of the others in gang
+}
+
 // yields reports whether a run makes room for the unit. Work within a
 // guarantee yields to none, and other work of priority 0 only to a guarantee.
-func yields(run Run, u *Unit) bool {
-	return !run.Stopping && !run.Ending && !run.Pinned && !run.Reserved && (run.Priority > 0 || u.Reserved)
+func (o *occupant) yields(u *Unit) bool {
+	return !o.Stopping && !o.Ending && !o.Pinned && !o.Reserved && (o.Priority > 0 || u.Reserved)
+}
+
+const (
+	// stopCost is added for each run, so that fewer are stopped.
+	stopCost = 1.0 // core-seconds
+	// urgentCost is added for a run of priority 0. Its job has hardly any time in
+	// hand, so a stop makes it late, and the users price a late one like a
+	// thousand core-seconds of lost work.
+	urgentCost = 1000.0 // core-seconds
+)
+
+// lost is the work that is lost with a run, and what its stop costs besides.
+func (r *Run) lost() float64 {
+	if r.Priority == 0 {
+		return r.Cost + stopCost + urgentCost
+	}
+	return r.Cost + stopCost
+}
+
+// index finds the occupants of all workers, cheapest first, and what the stop of
+// each costs. Neither changes during a pass.
+func (p *pass) index() {
+	if p.indexed {
+		return
+	}
+	p.indexed = true
+	gangs := make(map[string]*[]*occupant)
+	for _, r := range p.rooms {
+		p.examined += len(r.Runs)
+		for i := range r.Runs {
+			o := &occupant{Run: &r.Runs[i], room: r, place: i}
+			if o.gang = gangs[o.Group]; o.gang == nil || o.Group == "" {
+				o.gang = new([]*occupant)
+				gangs[o.Group] = o.gang
+			}
+			*o.gang = append(*o.gang, o)
+			r.runs = append(r.runs, o)
+		}
+	}
+	for _, r := range p.rooms {
+		for _, o := range r.runs {
+			for _, other := range *o.gang {
+				o.cost += other.lost()
+			}
+		}
+		slices.SortStableFunc(r.runs, func(a, b *occupant) int {
+			return cmp.Or(cmp.Compare(a.cost, b.cost), -cmp.Compare(a.Priority, b.Priority))
+		})
+	}
 }
 
 // preemptIn makes room for the unit where that stops least work, and reserves
 // it.
 func (p *pass) preemptIn(u *Unit, sets [][]*room) bool {
+	p.index()
 	var best *trade
 	for _, set := range sets {
-		if t := p.trade(u, set); t != nil && (best == nil || t.total < best.total) {
+		if t := p.trade(u, set, best); t != nil {
 			best = t
 		}
 	}
 	if best == nil {
 		return false
 	}
-	p.commit(best)
+	p.commit(u, best)
 	return true
 }
 
-// trade finds the runs of a set of workers to stop for the unit, or returns
-// nil if the unit does not fit even so.
-func (p *pass) trade(u *Unit, rooms []*room) *trade {
-	t := &trade{pass: p, unit: u, soon: make(map[*room]work.Shape), beside: maps.Clone(u.Beside), stopped: make(map[work.RunKey]bool)}
-	for _, r := range p.rooms {
-		t.soon[r] = r.soon
-	}
-	for range u.Indexes {
-		r := t.cheapest(rooms)
-		if r == nil {
-			return nil
-		}
-		t.chosen = append(t.chosen, r)
-	}
-	return t
-}
-
 // commit carries a trade out.
-func (p *pass) commit(t *trade) {
-	for _, r := range p.rooms {
-		for i := range r.Runs {
-			run := &r.Runs[i]
-			if t.stopped[run.Key] {
-				run.Stopping = true
-				r.soon = r.soon.Add(run.Demand)
-				p.plan.Stops = append(p.plan.Stops, run.Key)
-			}
-		}
-	}
-	for _, r := range t.chosen {
-		r.take(Demand(t.unit.step()))
-		t.unit.Beside[r.ID]++
+func (p *pass) commit(u *Unit, t *trade) {
+	slices.SortFunc(t.stops, func(a, b *occupant) int {
+		return cmp.Or(cmp.Compare(a.room.index, b.room.index), cmp.Compare(a.place, b.place))
+	})
+	for _, o := range t.stops {
+		o.Stopping = true
+		o.room.soon = o.room.soon.Add(o.Demand)
+		p.plan.Stops = append(p.plan.Stops, o.Key)
 	}
+	p.reserve(u, t.chosen)
 }
 
 // trade collects the runs that are stopped for one unit.
 type trade struct {
-	*pass
+	pass    *pass
 	unit    *Unit
-	soon    map[*room]work.Shape
-	beside  map[string]int
-	stopped map[work.RunKey]bool
+	demand  work.Shape
+	rooms   map[*room]*offer
+	stopped map[*occupant]bool
+	stops   []*occupant
 	chosen  []*room
 	total   float64 // cost of the runs that are stopped
 }
 
-// cheapest takes room for one task at the worker where that stops least work.
-func (t *trade) cheapest(rooms []*room) *room {
-	d, s := Demand(t.unit.step()), t.unit.step()
-	var best *room
-	var bestVictims []Run
-	bestCost := 0.0
-	for _, r := range rooms {
-		if s.MaxPerWorker > 0 && t.beside[r.ID] >= s.MaxPerWorker {
-			continue
+// offer is what a worker of a trade has for one more task.
+type offer struct {
+	room    *room
+	soon    work.Shape
+	beside  int
+	known   bool // victims and cost are up to date
+	victims []*occupant
+	cost    float64
+	ok      bool
+}
+
+// trade finds the runs of a set of workers to stop for the unit, or returns nil
+// if the unit does not fit even so, or if that costs as much as the best one.
+func (p *pass) trade(u *Unit, rooms []*room, best *trade) *trade {
+	t := &trade{pass: p, unit: u, demand: Demand(u.step()), rooms: make(map[*room]*offer, len(rooms)), stopped: make(map[*occupant]bool)}
+	offers := make([]*offer, len(rooms))
+	for i, r := range rooms {
+		offers[i] = &offer{room: r, soon: r.soon}
+		if u.step().MaxPerWorker > 0 {
+			offers[i].beside = u.Beside[r.ID]
 		}
-		victims, cost, ok := t.victims(r, d)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestVictims, bestCost = r, victims, cost
+		t.rooms[r] = offers[i]
+	}
+	for range u.Indexes {
+		o := t.cheapest(offers)
+		if o == nil || (best != nil && t.total+o.cost >= best.total) {
+			return nil
 		}
+		t.take(o)
 	}
-	if best == nil {
-		return nil
+	return t
+}
+
+// cheapest returns the worker where room for one task stops least work.
+func (t *trade) cheapest(offers []*offer) *offer {
+	var best *offer
+	t.pass.examined += len(offers)
+	for _, o := range offers {
+		if most := t.unit.step().MaxPerWorker; most > 0 && o.beside >= most {
+			continue
+		}
+		if !o.known {
+			t.update(o)
+		}
+		if o.ok && (best == nil || o.cost < best.cost) {
+			best = o
+		}
 	}
-	for _, v := range bestVictims {
+	return best
+}
+
+// take takes room for one task at a worker.
+func (t *trade) take(o *offer) {
+	victims, cost := o.victims, o.cost
+	for _, v := range victims {
 		t.stop(v)
 	}
-	t.total += bestCost
-	t.soon[best] = t.soon[best].Sub(d)
-	t.beside[best.ID]++
-	return best
+	t.total += cost
+	t.chosen = append(t.chosen, o.room)
+	o.soon = o.soon.Sub(t.demand)
+	o.beside++
+	o.known = false
 }
 
 // stop ends a run and, if it is a member of a gang, all others of the gang.
-func (t *trade) stop(v Run) {
-	for _, r := range t.rooms {
-		for _, run := range r.Runs {
-			if !run.Stopping && !run.Ending && !t.stopped[run.Key] && (run.Key == v.Key || (v.Group != "" && run.Group == v.Group)) {
-				t.stopped[run.Key] = true
-				t.soon[r] = t.soon[r].Add(run.Demand)
-			}
+func (t *trade) stop(v *occupant) {
+	for _, o := range *v.gang {
+		if o.Stopping || o.Ending || t.stopped[o] {
+			continue
+		}
+		t.stopped[o] = true
+		t.stops = append(t.stops, o)
+		if at := t.rooms[o.room]; at != nil {
+			at.soon, at.known = at.soon.Add(o.Demand), false
 		}
 	}
 }
 
-// victims returns the runs of one worker whose end makes room for the demand,
-// cheapest first, and their cost.
-func (t *trade) victims(r *room, d work.Shape) ([]Run, float64, bool) {
-	left := t.soon[r]
-	if d.Fits(left) {
-		return nil, 0, true
+// update finds the runs of a worker whose end makes room for one task, cheapest
+// first, and their cost.
+func (t *trade) update(o *offer) {
+	o.known, o.victims, o.cost, o.ok = true, nil, 0, true
+	left := o.soon
+	if t.demand.Fits(left) {
+		return
 	}
-	var runs []Run
-	for _, run := range r.Runs {
-		if yields(run, t.unit) && !t.stopped[run.Key] {
-			runs = append(runs, run)
+	for _, run := range o.room.runs {
+		t.pass.examined++
+		if t.stopped[run] || !run.yields(t.unit) {
+			continue
 		}
-	}
-	slices.SortStableFunc(runs, func(a, b Run) int {
-		return cmp.Or(cmp.Compare(t.cost([]Run{a}), t.cost([]Run{b})), -cmp.Compare(a.Priority, b.Priority))
-	})
-	var chosen []Run
-	for _, run := range runs {
-		if d.Fits(left) {
-			break
+		o.victims = append(o.victims, run)
+		if left = left.Add(run.Demand); t.demand.Fits(left) {
+			o.victims = spare(o.victims, left, t.demand)
+			for _, v := range o.victims {
+				o.cost += v.cost
+			}
+			return
 		}
-		chosen = append(chosen, run)
-		left = left.Add(run.Demand)
-	}
-	if !d.Fits(left) {
-		return nil, 0, false
 	}
-	return spare(chosen, left, d), t.cost(spare(chosen, left, d)), true
+	o.victims, o.ok = nil, false
 }
 
 // spare drops the runs whose room is not needed.
-func spare(chosen []Run, left, d work.Shape) []Run {
-	return slices.DeleteFunc(slices.Clone(chosen), func(run Run) bool {
-		if without := left.Sub(run.Demand); d.Fits(without) {
+func spare(chosen []*occupant, left, d work.Shape) []*occupant {
+	return slices.DeleteFunc(chosen, func(o *occupant) bool {
+		if without := left.Sub(o.Demand); d.Fits(without) {
 			left = without
 			return true
 		}
 		return false
 	})
 }
-
-const (
-	// stopCost is added for each run, so that fewer are stopped.
-	stopCost = 1.0 // core-seconds
-	// urgentCost is added for a run of priority 0. Its job has hardly any time in
-	// hand, so a stop makes it late, and the users price a late one like a
-	// thousand core-seconds of lost work.
-	urgentCost = 1000.0 // core-seconds
-)
-
-// cost is the work that is lost, with the other members of gangs, and what the
-// stop of a run costs besides.
-func (t *trade) cost(victims []Run) float64 {
-	total := 0.0
-	for _, v := range victims {
-		for _, r := range t.rooms {
-			for _, run := range r.Runs {
-				if !t.stopped[run.Key] && (run.Key == v.Key || (v.Group != "" && run.Group == v.Group)) {
-					total += run.Cost + stopCost
-					if run.Priority == 0 {
-						total += urgentCost
-					}
-				}
-			}
-		}
-	}
-	return total
-}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -31,8 +31,8 @@
 
 // joins reports whether the unit may run on a worker beside the members of its
 // gang that have started.
-func (u *Unit) joins(r *room) bool {
-	return !u.Rest || !u.step().SameRack || r.Rack == u.Rack
+func (u *Unit) joins(w *Worker) bool {
+	return !u.Rest || !u.step().SameRack || w.Rack == u.Rack
 }
 
 // Place is the decision to start a task.
