--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 
 // Ready reports whether this entry can serve callers.
 func (g *Gateway) Ready() bool {
-	return g.cfg.Declared.Configuration() != nil && g.fresh()
+	return g.cfg.Declared.Configuration() != nil && g.fresh() && g.cfg.Copy.IsListed()
 }
 
 // soundWithin is the age of the latest news of the store beyond which this
@@ -176,16 +176,14 @@
 		if e, ok := g.cfg.Copy.Job(id); ok {
 			return e, nil
 		}
-		i, err := g.cfg.Store.Get(ctx, jobstore.JobKey(id))
+		e, err := jobstore.ReadEntry(ctx, g.cfg.Store, id)
 		switch {
 		case errors.Is(err, rosemarysill.ErrNotFound):
 			return jobstore.Entry{}, rosemarysill.NewError(rosemarysill.UnknownJob, "no such job")
+		case errors.Is(err, jobstore.ErrRecord):
+			return jobstore.Entry{}, rosemarysill.NewError(rosemarysill.InternalError, "%v", err)
 		case err == nil:
-			j, err := jobstore.DecodeJob(i.Value)
-			if err != nil {
-				return jobstore.Entry{}, rosemarysill.NewError(rosemarysill.InternalError, "%v", err)
-			}
-			return jobstore.Entry{Job: j, JobVersion: i.Version}, nil
+			return e, nil
 		case !g.again(ctx, c, err):
 			return jobstore.Entry{}, rosemarysill.NewError(rosemarysill.StoreUnavailable, "%v", err)
 		}
@@ -239,6 +237,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if !g.cfg.Copy.IsListed() {
+		return 0, rosemarysill.NewError(rosemarysill.StaleConfiguration, "the jobs on record have not been read yet")
+	}
 	return g.cfg.Copy.Pending(q.Name), nil
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -123,3 +123,24 @@
 	_, err = w.gate.Pending(context.Background(), c)
 	require.Equal(t, rosemarysill.UnknownAccount, rosemarysill.CodeOf(err))
 }
+
+// Guards against an entry that has just started and says that no job waits, or
+// that a job which has ended waits, before it has read the records.
+func TestEntryThatHasNotReadTheRecords(t *testing.T) {
+	w := newWorld(t, 0)
+	const id = "0000000000000001"
+	require.Equal(t, rosemarysill.Done, w.submit("/q/"+id, time.Second))
+	done, err := jobstore.EncodeProgress(&work.Progress{State: work.Completed, Tasks: make([]work.Task, 1)})
+	require.NoError(t, err)
+	w.store.Put(jobstore.ProgressKey(id), done)
+	view := w.store.View("started")
+	started := gateway.New(gateway.Config{Store: view, Copy: jobstore.NewCopy(view, zerolog.Nop()), Declared: w.declared, Revoke: 5 * time.Second, Log: zerolog.Nop()})
+	c := queue.Call{Host: "h", Path: "/q/", Key: "k", Deadline: time.Now().Add(time.Minute)}
+	_, err = started.Pending(context.Background(), c)
+	require.Equal(t, rosemarysill.StaleConfiguration, rosemarysill.CodeOf(err))
+	require.False(t, started.Ready())
+	c.Path += id
+	state, err := started.State(context.Background(), c)
+	require.NoError(t, err)
+	require.Equal(t, work.Completed, state)
+}
--- a/jobstore/copy.go
+++ b/jobstore/copy.go
@@ -1,12 +1,10 @@
 package jobstore
 
 import (
-	"encoding/json"
 	"slices"
 	"strings"
 	"sync"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarysill/rosemarysill"
@@ -249,12 +247,12 @@
 	if ch.Deleted {
 		return nil // the job is deleted with it
 	}
-	var p work.Progress
-	if err := json.Unmarshal(ch.Item.Value, &p); err != nil {
-		return errors.Wrap(err, "progress")
+	p, err := decodeProgress(ch.Item.Value)
+	if err != nil {
+		return err
 	}
 	e := c.entry(id)
-	e.Progress, e.ProgressVersion = &p, ch.Item.Version
+	e.Progress, e.ProgressVersion = p, ch.Item.Version
 	return nil
 }
 
--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -48,6 +48,16 @@
 // Listed is closed when the first list has been applied.
 func (f *Follower) Listed() <-chan struct{} { return f.listed }
 
+// IsListed reports whether the first list has been applied.
+func (f *Follower) IsListed() bool {
+	select {
+	case <-f.listed:
+		return true
+	default:
+		return false
+	}
+}
+
 // SetPrompt makes the follower take changes one by one, or let them gather.
 func (f *Follower) SetPrompt(prompt bool) {
 	f.mu.Lock()
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -141,6 +141,42 @@
 	return &j, nil
 }
 
+// ErrRecord marks a record that cannot be read.
+var ErrRecord = errors.New("bad record")
+
+// ReadEntry returns what the store holds of a job.
+func ReadEntry(ctx context.Context, s rosemarysill.TransactionalStore, id string) (Entry, error) {
+	var e Entry
+	i, err := s.Get(ctx, JobKey(id))
+	if err != nil {
+		return e, err
+	}
+	if e.Job, err = DecodeJob(i.Value); err != nil {
+		return e, errors.Mark(err, ErrRecord)
+	}
+	e.JobVersion = i.Version
+	i, err = s.Get(ctx, ProgressKey(id))
+	if errors.Is(err, rosemarysill.ErrNotFound) {
+		return e, nil
+	}
+	if err != nil {
+		return e, err
+	}
+	if e.Progress, err = decodeProgress(i.Value); err != nil {
+		return e, errors.Mark(err, ErrRecord)
+	}
+	e.ProgressVersion = i.Version
+	return e, nil
+}
+
+func decodeProgress(value []byte) (*work.Progress, error) {
+	var p work.Progress
+	if err := json.Unmarshal(value, &p); err != nil {
+		return nil, errors.Wrap(err, "progress")
+	}
+	return &p, nil
+}
+
 // Lease times of the record of an entry.
 const (
 	entryTTL   = 10 * time.Second
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -105,7 +105,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	defer close(l.done)
 	for ctx.Err() == nil {
-		if _, version := l.cfg.Copy.LeaderRecord(); version == 0 && isListed(l.cfg.Copy) {
+		if _, version := l.cfg.Copy.LeaderRecord(); version == 0 && l.cfg.Copy.IsListed() {
 			if t, err := l.elect(ctx); err == nil {
 				l.lead(ctx, t)
 				continue
@@ -119,15 +119,6 @@
 	}
 }
 
-func isListed(c *jobstore.Copy) bool {
-	select {
-	case <-c.Listed():
-		return true
-	default:
-		return false
-	}
-}
-
 // elect tries to take the lead.
 func (l *Leader) elect(ctx context.Context) (*term, error) {
 	asked := uptime.Now()
