leader: a stronger entry leads, and a slow one hands the lead over

Cause: whichever entry was first led; on the large site 37 of 55 entries have 0.192 cores, and a machine that turned slow kept the lead for as long as it renewed its lease. Change: the records of the entries say their processor share and link. An entry leaves a vacant lead to one that is twice as strong for 250 ms; a weak leader hands over once, 1 s after its election; one whose timers are 150 ms late on average over 0.4 s hands over and stands back for 10 s. Ruled out: a ranking of all entries (differences of a few percent cost an election), and measuring by the age of reports, which a cut lengthens as well.

--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -44,11 +44,13 @@
 // EntryKey is the key of a present entry.
 func EntryKey(name string) string { return entryPrefix + name }
 
-// LeaderRecord is the record of the leader.
+// LeaderRecord is the record of the leader, or of an entry that may lead.
 type LeaderRecord struct {
-	Name    string
-	Address netip.AddrPort // for the streams of agents
-	Epoch   uint64
+	Name     string
+	Address  netip.AddrPort // for the streams of agents
+	Epoch    uint64
+	Cores    float64 `json:",omitempty"` // processor share of the entry
+	LinkMbps float64 `json:",omitempty"` // of its network
 }
 
 // EncodeJob returns the record of a job.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -53,6 +53,8 @@
 type Config struct {
 	Name      string
 	Address   netip.AddrPort // for the streams of agents
+	Cores     float64        // processor share of this entry; 0 if it is not known
+	LinkMbps  float64        // of its network; 0 if it is not known
 	Store     rosemarysill.TransactionalStore
 	Copy      *jobstore.Copy
 	Declared  Declarations
@@ -77,6 +79,11 @@
 	return c
 }
 
+// record is what other entries learn of this one.
+func (c Config) record() jobstore.LeaderRecord {
+	return jobstore.LeaderRecord{Name: c.Name, Address: c.Address, Cores: c.Cores, LinkMbps: c.LinkMbps}
+}
+
 // leaseTTL is the lease of the leader's record.
 func (c Config) leaseTTL() time.Duration { return max(leaseTTL, c.LeaseMin) }
 
@@ -86,6 +93,8 @@
 	ttl  time.Duration
 	done chan struct{}
 
+	candidate guarded
+
 	mu   sync.Mutex
 	term *term // nil while another entry leads
 }
@@ -95,7 +104,7 @@
 // New returns an entry's part in the election.
 func New(cfg Config) *Leader {
 	cfg = cfg.withDefaults()
-	return &Leader{cfg: cfg, ttl: cfg.leaseTTL(), done: make(chan struct{})}
+	return &Leader{cfg: cfg, ttl: cfg.leaseTTL(), done: make(chan struct{}), candidate: guarded{candidate: candidate{own: cfg.record()}}}
 }
 
 // Done is closed when the leader has ended.
@@ -105,7 +114,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	defer close(l.done)
 	for ctx.Err() == nil {
-		if _, version := l.cfg.Copy.LeaderRecord(); version == 0 && l.cfg.Copy.IsListed() {
+		if l.mayStand() {
 			if t, err := l.elect(ctx); err == nil {
 				l.lead(ctx, t)
 				continue
@@ -119,6 +128,20 @@
 	}
 }
 
+// mayStand reports whether the lead is vacant and this entry tries to take it.
+func (l *Leader) mayStand() (stands bool) {
+	_, version := l.cfg.Copy.LeaderRecord()
+	vacant := version == 0 && l.cfg.Copy.IsListed()
+	l.candidate.do(func(c *candidate) {
+		if !vacant {
+			c.led()
+			return
+		}
+		stands = c.stands(l.cfg.Copy.Entries(), uptime.Now())
+	})
+	return stands
+}
+
 // elect tries to take the lead.
 func (l *Leader) elect(ctx context.Context) (*term, error) {
 	asked := uptime.Now()
@@ -127,7 +150,8 @@
 		return nil, err
 	}
 	epoch, epochAt := l.cfg.Copy.Epoch()
-	rec := jobstore.LeaderRecord{Name: l.cfg.Name, Address: l.cfg.Address, Epoch: epoch + 1}
+	rec := l.cfg.record()
+	rec.Epoch = epoch + 1
 	recValue, err := jobstore.EncodeLeader(rec)
 	if err != nil {
 		return nil, err
@@ -172,6 +196,7 @@
 		parts.Go(func() { defer cancel(); t.run(termCtx) })
 		parts.Go(func() { t.askAdvice(termCtx) })
 		parts.Go(func() { t.keepUp(termCtx) })
+		parts.Go(func() { defer cancel(); l.judgeSelf(termCtx, t) })
 	}
 	<-termCtx.Done()
 	l.mu.Lock()
@@ -179,9 +204,16 @@
 	l.mu.Unlock()
 	parts.Wait()
 	t.close()
-	if ctx.Err() != nil {
+	yielded := errors.Is(t.cause(), errWeak) || errors.Is(t.cause(), errSlow)
+	if ctx.Err() != nil || yielded {
 		l.release(t.lease)
-		event.LeaderResigned.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).Send()
+		event.LeaderResigned.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).AnErr("Cause", t.cause()).Send()
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if yielded {
+		uptime.Sleep(ctx, electPause)
 		return
 	}
 	event.LeaderLost.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).AnErr("Cause", t.cause()).Send()
--- a/node/entry.go
+++ b/node/entry.go
@@ -50,7 +50,7 @@
 	figures := meter.New()
 	gate := gateway.New(gateway.Config{Store: store, Copy: copied, Declared: documents, Revoke: n.Revoke, Meter: figures, Log: log})
 	cfg := leader.Config{
-		Name: n.Name, Address: n.Internal, Store: store, Copy: copied, Declared: documents,
+		Name: n.Name, Address: n.Internal, Cores: n.Cores, LinkMbps: n.LinkMbps, Store: store, Copy: copied, Declared: documents,
 		LeaseMin: n.LeaseMin, StatusFor: n.StatusFor, StopGrace: n.StopGrace, GangWait: n.GangWait, Reclaim: n.Reclaim, WaveForm: platform.WaveStatus, Meter: figures, Log: log,
 	}
 	if n.Advice.IsValid() {
@@ -85,7 +85,7 @@
 	parts.Go(func() { documents.Run(follow) })
 	parts.Go(func() { lead.Run(ctx) })
 	parts.Go(func() {
-		jobstore.Attend(ctx, store, jobstore.LeaderRecord{Name: n.Name, Address: n.Internal}, func(err error) {
+		jobstore.Attend(ctx, store, jobstore.LeaderRecord{Name: n.Name, Address: n.Internal, Cores: n.Cores, LinkMbps: n.LinkMbps}, func(err error) {
 			event.QueueStoreLost.Log(log).Str("Entry", n.Name).Err(err).Send()
 		})
 	})
