control: leases outlast cuts and outages of 5.7 s

Cause: a worker that was cut off, or an outage of the store, for 5.5 s and more ended all runs: leases of 5 s lapsed just before the end of it. Change: leases of 6.3 s, taken for lapsed after 6.9 s. A task that lasts may be away for 7 s with its machine. Ruled out: the 10 s that workers allow, with which such a task would be away for 10.7 s.

--- a/control/message.go
+++ b/control/message.go
@@ -20,9 +20,10 @@
 	// and a half, so one that is late ends no stream.
 	SilentAfter = 1400 * time.Millisecond
 	// Lease is the time for which the runs of a worker are leased after a
-	// report that the leader has answered. It outlasts a cut of 4 s, and a
-	// change of the leader.
-	Lease = 5 * time.Second
+	// report that the leader has answered. It outlasts the users' cuts and outages
+	// of up to 5.7 s with the reconnection after them. A task that lasts may be
+	// away for 7 s with its machine, so it has to lapse before that.
+	Lease = 6300 * time.Millisecond
 	// ClockDrift is the largest relative error of a worker's clock.
 	ClockDrift = 0.02
 	// LapseMargin is added to a lease before its runs are taken for ended.
