jobstore, gateway: entries that follow read the records once a second, and the present state of a job when asked

Change: an entry that does not lead lets changes of the records gather for 1 s; a change of the lead ends the pause. A request for the state of a job that has not ended reads its progress from the store; without the store the copy answers. New: TestVacantLeadIsSeenAtOnce, TestStateIsThePresentOne. Ruled out: watches on the ends of jobs alone, which need one more record for each job.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,9 @@
 	answerReserve = 50 * time.Millisecond
 	// retryPause is the pause before a call to the store is repeated.
 	retryPause = 40 * time.Millisecond
+	// readFor is the time in which the store is asked for the state of a job. It
+	// answers in 4 ms, or 60 times as slowly.
+	readFor = 300 * time.Millisecond
 	// defaultBody bounds bodies until a configuration says otherwise.
 	defaultBody = 256 << 10
 	// revokeShare is the part of the time in which a revoked key must end to be
@@ -159,9 +162,21 @@
 	if err != nil {
 		return "", err
 	}
-	e, err := g.find(ctx, c, id)
-	if err != nil {
-		return "", err
+	e, known := g.cfg.Copy.Job(id)
+	if !known {
+		if e, err = g.find(ctx, c, id); err != nil {
+			return "", err
+		}
+		return e.State(), nil
+	}
+	// The copy may be a second behind. Without the store it is the latest that is
+	// known, and no state that it shows is taken back later.
+	if !e.State().Final() {
+		readCtx, cancel := context.WithTimeout(ctx, readFor)
+		defer cancel()
+		if err := e.ReadProgress(readCtx, g.cfg.Store); err != nil {
+			g.cfg.Log.Debug().Err(err).Str("Job", id).Msg("the state is that of the copy")
+		}
 	}
 	return e.State(), nil
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -144,3 +144,24 @@
 	require.NoError(t, err)
 	require.Equal(t, work.Completed, state)
 }
+
+// Guards against a job that is shown as running after it has ended, because this
+// entry lets changes of the records gather before it reads them.
+func TestStateIsThePresentOne(t *testing.T) {
+	w := newWorld(t, 0)
+	const id = "0000000000000001"
+	require.Equal(t, rosemarysill.Done, w.submit("/q/"+id, time.Second))
+	c := queue.Call{Host: "h", Path: "/q/" + id, Key: "k", Deadline: time.Now().Add(time.Minute)}
+	for _, want := range []work.State{work.Running, work.Completed} {
+		value, err := jobstore.EncodeProgress(&work.Progress{State: want, Tasks: make([]work.Task, 1)})
+		require.NoError(t, err)
+		w.store.Put(jobstore.ProgressKey(id), value)
+		got, err := w.gate.State(context.Background(), c)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	w.store.SetFault("entry", standin.Refusing)
+	got, err := w.gate.State(context.Background(), c)
+	require.NoError(t, err)
+	require.NotEqual(t, work.Queued, got, "without the store the latest that is known")
+}
--- a/jobstore/copy.go
+++ b/jobstore/copy.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -38,7 +39,8 @@
 // Copy is an entry's copy of the records.
 type Copy struct {
 	*Follower
-	log zerolog.Logger
+	lead *Follower // of the leader's record alone
+	log  zerolog.Logger
 
 	mu        sync.Mutex
 	jobs      map[string]*Entry
@@ -61,9 +63,23 @@
 	}, func() {
 		event.QueueStoreBack.Log(log).Str("Prefix", Prefix).Send()
 	})
+	c.pause = recordsGatherFor
+	// A new leader, or none, ends the pause, so that a vacant lead is seen at once.
+	c.lead = NewFollower(s, LeaderKey, func(rosemarysill.Change) { c.nudge() }, func(err error) {
+		log.Debug().Err(err).Msg("the leader's record cannot be followed; the other records show it a second later")
+	}, func() {})
+	c.lead.wait = leaderWait
 	return c
 }
 
+// Run follows the records until ctx ends.
+func (c *Copy) Run(ctx context.Context) {
+	var lead sync.WaitGroup
+	lead.Go(func() { c.lead.Run(ctx) })
+	c.Follower.Run(ctx)
+	lead.Wait()
+}
+
 // Changed receives a value after changes.
 func (c *Copy) Changed() <-chan struct{} { return c.notifying }
 
--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -15,11 +15,16 @@
 // copy, so it is a third of the age at which the copy is too old to serve from.
 const watchWait = time.Second
 
-// gatherFor is the pause after changes in which an entry that does not lead lets
-// further ones gather: else each commit of the leader costs a call to the store
-// for each entry. Callers see the state of a job later by at most this, which
-// is small beside the 250 ms of the shortest objective.
-const gatherFor = 80 * time.Millisecond
+const (
+	// gatherFor is the pause after changes in which a follower lets further ones
+	// gather: else each change costs a call to the store for each entry. An
+	// operator's change is in force later by at most this, of 2 s.
+	gatherFor = 80 * time.Millisecond
+	// recordsGatherFor is that pause for the records at an entry that does not
+	// lead. Each commit of the leader changes them, and counts of waiting jobs may
+	// be 2 s old. Whoever needs the present state of a job reads it.
+	recordsGatherFor = time.Second
+)
 
 // Follower keeps a copy of the items under a prefix.
 type Follower struct {
@@ -34,6 +39,9 @@
 	listed  chan struct{}
 	healthy bool
 	prompt  chan struct{} // closed while changes are taken at once
+	nudged  chan struct{} // ends the present pause
+	pause   time.Duration // in which changes gather
+	wait    time.Duration // of a watch at the store
 }
 
 // NewFollower returns a follower that gives each change to apply. It tells the
@@ -42,6 +50,7 @@
 	return &Follower{
 		store: s, prefix: prefix, apply: apply, failed: failed, regain: regain,
 		known: make(map[string]uint64), listed: make(chan struct{}), healthy: true, prompt: make(chan struct{}),
+		nudged: make(chan struct{}, 1), pause: gatherFor, wait: watchWait,
 	}
 }
 
@@ -74,15 +83,24 @@
 	}
 }
 
+// nudge ends the present pause, or the next one.
+func (f *Follower) nudge() {
+	select {
+	case f.nudged <- struct{}{}:
+	default:
+	}
+}
+
 // gather waits for further changes.
 func (f *Follower) gather(ctx context.Context) {
 	f.mu.Lock()
 	prompt := f.prompt
 	f.mu.Unlock()
-	t := time.NewTimer(gatherFor)
+	t := time.NewTimer(f.pause)
 	defer t.Stop()
 	select {
 	case <-prompt:
+	case <-f.nudged:
 	case <-ctx.Done():
 	case <-t.C:
 	}
@@ -140,7 +158,7 @@
 // same revision, unless the store has discarded the history.
 func (f *Follower) watch(ctx context.Context, revision uint64) (uint64, error) {
 	asked := uptime.Now()
-	changes, next, err := f.store.Watch(ctx, f.prefix, revision, watchWait)
+	changes, next, err := f.store.Watch(ctx, f.prefix, revision, f.wait)
 	if errors.Is(err, rosemarysill.ErrCompacted) {
 		f.failed(err)
 		return 0, err
--- a/jobstore/pause_test.go
+++ b/jobstore/pause_test.go
@@ -7,11 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/standin"
+	"github.com/rosemarysill/rosemarysill/work"
 )
 
 // counting counts the watches of a store.
@@ -63,3 +65,29 @@
 		})
 	}
 }
+
+// Guards against a lead that stays vacant while an entry lets changes gather.
+func TestVacantLeadIsSeenAtOnce(t *testing.T) {
+	s := standin.NewTransactions()
+	value, err := jobstore.EncodeLeader(jobstore.LeaderRecord{Name: "e", Epoch: 1})
+	require.NoError(t, err)
+	s.Put(jobstore.LeaderKey, value)
+	c := jobstore.NewCopy(s.View("v"), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	<-c.Listed()
+	for i := range 3 {
+		j, err := jobstore.EncodeJob(&work.Job{ID: fmt.Sprint(i)})
+		require.NoError(t, err)
+		s.Put(jobstore.JobKey(fmt.Sprint(i)), j)
+		require.Eventually(t, func() bool { _, ok := c.Job(fmt.Sprint(i)); return ok }, soon, time.Millisecond)
+		s.Remove(jobstore.LeaderKey)
+		began := time.Now()
+		require.Eventually(t, func() bool { _, at := c.LeaderRecord(); return at == 0 }, soon, time.Millisecond)
+		require.Less(t, time.Since(began), 700*time.Millisecond, "the pause is a second")
+		s.Put(jobstore.LeaderKey, value)
+		require.Eventually(t, func() bool { _, at := c.LeaderRecord(); return at != 0 }, soon, time.Millisecond)
+	}
+}
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -157,18 +157,24 @@
 		return e, errors.Mark(err, ErrRecord)
 	}
 	e.JobVersion = i.Version
-	i, err = s.Get(ctx, ProgressKey(id))
+	return e, e.ReadProgress(ctx, s)
+}
+
+// ReadProgress takes over the progress of the job that the store holds.
+func (e *Entry) ReadProgress(ctx context.Context, s rosemarysill.TransactionalStore) error {
+	i, err := s.Get(ctx, ProgressKey(e.Job.ID))
 	if errors.Is(err, rosemarysill.ErrNotFound) {
-		return e, nil
+		return nil
 	}
 	if err != nil {
-		return e, err
+		return err
 	}
-	if e.Progress, err = decodeProgress(i.Value); err != nil {
-		return e, errors.Mark(err, ErrRecord)
+	p, err := decodeProgress(i.Value)
+	if err != nil {
+		return errors.Mark(err, ErrRecord)
 	}
-	e.ProgressVersion = i.Version
-	return e, nil
+	e.Progress, e.ProgressVersion = p, i.Version
+	return nil
 }
 
 func decodeProgress(value []byte) (*work.Progress, error) {
