leader: renewals of the lead overlap

Cause: one renewal at a time with a limit of 0.3 s; in a burst on a narrow link four in a row waited longer, and the lead was lost though each would have arrived in time. Change: a renewal is sent each 0.3 s and may take as long as the lease; the lease counts from its sending as before.

--- a/leader/term.go
+++ b/leader/term.go
@@ -56,6 +56,7 @@
 
 	elected time.Time
 	ended   chan struct{}
+	ceased  chan struct{} // the store says that the lease has lapsed
 	wake    chan struct{}
 
 	mu         sync.Mutex
@@ -67,6 +68,8 @@
 	gone       map[string]bool          // incarnations that have ended
 	advised    map[stepKey]*advised
 	urgent     schedule.UrgentUse    // of the fleet
+	lengths    map[string]length     // of runs by queue
+	cores      float64               // size of the fleet
 	incomplete map[stepKey]bool      // gangs that wait for members which were refused
 	asking     chan struct{}         // a step waits for advice
 	waves      map[string]*waveState // used by keepUp alone
@@ -80,9 +83,9 @@
 func newTerm(cfg Config, rec jobstore.LeaderRecord, at uint64, lease rosemarysill.LeaseID, valid time.Time) *term {
 	return &term{
 		cfg: cfg, rec: rec, at: at, lease: lease, valid: valid, elected: uptime.Now(),
-		ended: make(chan struct{}), wake: make(chan struct{}, 1),
+		ended: make(chan struct{}), ceased: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
-		streams: make(map[string]chan struct{}), latest: make(map[string]uint64), gone: make(map[string]bool), advised: make(map[stepKey]*advised), incomplete: make(map[stepKey]bool), asking: make(chan struct{}, 1), waves: make(map[string]*waveState),
+		streams: make(map[string]chan struct{}), latest: make(map[string]uint64), gone: make(map[string]bool), advised: make(map[stepKey]*advised), lengths: make(map[string]length), incomplete: make(map[stepKey]bool), asking: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
 }
 
@@ -105,28 +108,56 @@
 
 var errLeaseLapsed = errors.New("the lease of the lead has lapsed")
 
-// renew keeps the lease until it lapses or ctx ends.
+// renew keeps the lease until it lapses or ctx ends. Calls overlap: one that waits
+// behind other traffic on a narrow link still counts when it arrives, and one
+// that was lost delays no other.
 func (t *term) renew(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	for {
 		uptime.Sleep(ctx, renewEvery)
 		if ctx.Err() != nil {
 			return
 		}
-		asked := uptime.Now()
-		callCtx, cancel := context.WithTimeout(ctx, renewEvery)
-		err := t.cfg.Store.Renew(callCtx, t.lease)
-		cancel()
-		t.mu.Lock()
-		if err == nil {
-			t.valid = asked.Add(t.cfg.leaseTTL())
+		if t.lapsed() {
+			t.end(errLeaseLapsed)
+			return
 		}
-		lapsed := uptime.Now().After(t.valid)
-		t.mu.Unlock()
-		if errors.Is(err, rosemarysill.ErrLeaseLapsed) || lapsed {
-			t.end(errors.CombineErrors(errLeaseLapsed, err))
+		select {
+		case <-t.ceased:
+			t.end(errLeaseLapsed)
 			return
+		default:
+		}
+		calls.Go(func() { t.renewOnce(ctx) })
+	}
+}
+
+// lapsed reports whether the lease is over by this entry's clock.
+func (t *term) lapsed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return uptime.Now().After(t.valid)
+}
+
+// renewOnce makes one renewal. The lease counts from its sending.
+func (t *term) renewOnce(ctx context.Context) {
+	asked := uptime.Now()
+	ctx, cancel := context.WithTimeout(ctx, t.cfg.leaseTTL())
+	defer cancel()
+	err := t.cfg.Store.Renew(ctx, t.lease)
+	if err == nil {
+		t.mu.Lock()
+		if until := asked.Add(t.cfg.leaseTTL()); until.After(t.valid) {
+			t.valid = until
 		}
+		t.mu.Unlock()
+		return
+	}
+	if errors.Is(err, rosemarysill.ErrLeaseLapsed) {
+		notify(t.ceased)
 	}
+	t.cfg.Log.Debug().Err(err).Msg("lease not renewed")
 }
 
 // load reads the records once the copy shows this entry's record: the changes
