schedule, leader: with more work than room, what can still be in time goes first

Change: a job is in time, at risk, late or hopeless, by its declared duration and that of the runs of its queue; units are ordered by that; large urgent gangs let smaller work go first for twice their share of the fleet; nothing is stopped for a job that will be late anyway; late urgent runs make room; a guarantee waits for urgent work to end while it has time itself; late batch work leaves room for urgent work.

--- /dev/null
+++ b/leader/hope_test.go
@@ -0,0 +1,47 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/schedule"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Guards against urgent work that is served in the order of its arrival when there
+// is more than can be done: each job then begins when it is just late. And
+// against a job that is given up because its declared duration is too low.
+func TestHope(t *testing.T) {
+	for name, c := range map[string]struct {
+		estimate, typical, waited int // ms
+		want                      schedule.Hope
+	}{
+		"has just come":                           {2000, 0, 0, schedule.InTime},
+		"needs all of its time":                   {2000, 0, 700, schedule.AtRisk},
+		"will be late":                            {2000, 0, 1400, schedule.Late},
+		"would not count any more":                {2000, 0, 8000, schedule.Hopeless},
+		"declares far too little":                 {300, 2000, 400, schedule.InTime},
+		"declares far too little, and has waited": {300, 2000, 1400, schedule.Late},
+	} {
+		t.Run(name, func(t *testing.T) {
+			term := newTerm(Config{StopGrace: 400 * time.Millisecond}, jobstore.LeaderRecord{}, 1, 1, at(0))
+			term.lengths["q"] = length{}.add(time.Duration(c.typical) * time.Millisecond)
+			j := &work.Job{Queue: "q", Accepted: at(0), Stretch: 1.5, Objective: 300 * time.Millisecond,
+				Steps: []work.Step{{Count: 1, Estimate: time.Duration(c.estimate) * time.Millisecond}}}
+			require.Equal(t, c.want, term.hope(&jobState{job: j, progress: work.NewProgress(j)}, 0, at(c.waited)))
+		})
+	}
+}
+
+// Guards against a job that counts as late because of steps that are done.
+func TestHopeOfALaterStep(t *testing.T) {
+	term := newTerm(Config{}, jobstore.LeaderRecord{}, 1, 1, at(0))
+	j := &work.Job{Accepted: at(0), Stretch: 1.5, Steps: []work.Step{{Count: 1, Estimate: 4 * time.Second}, {Count: 1, Estimate: time.Second, After: []int{0}}}}
+	s := &jobState{job: j, progress: work.NewProgress(j)}
+	require.Equal(t, schedule.Late, term.hope(s, 0, at(5000)))
+	s.progress.Tasks[0].Done = true
+	require.Equal(t, schedule.InTime, term.hope(s, 0, at(5000)))
+}
--- a/leader/place.go
+++ b/leader/place.go
@@ -14,6 +14,7 @@
 // place decides which tasks start, and which runs make room.
 func (t *term) place(now time.Time) {
 	reserved := t.reserved()
+	t.cores = t.fleetCores()
 	units := t.units(reserved)
 	t.urgent.Observe(t.urgentCores(units), now)
 	if len(units) == 0 {
@@ -114,10 +115,6 @@
 // before it counts as one that can wait. Estimates are often far too low.
 const patience = 2
 
-// lateFactor is the multiple of its objective after which a job does not count
-// any more, as the users measure it.
-const lateFactor = 3
-
 // units returns what waits to be placed.
 func (t *term) units(reserved map[string]bool) []*schedule.Unit {
 	var units []*schedule.Unit
@@ -159,7 +156,8 @@
 		Job: s.job, Occurrence: occurrence, Step: step, Reserved: reserved, Since: begin(s.job, occurrence), Due: due(s.job, occurrence), Beside: beside,
 		Pressed: reserved && now.Sub(begin(s.job, occurrence)) > t.cfg.Reclaim/2,
 		Patient: s.job.Priority > 0 && now.Add(patience*chain(s.job)).Before(due(s.job, occurrence)),
-		Late:    now.After(begin(s.job, occurrence).Add(lateFactor * objective(s.job))),
+		Hope:    t.hope(s, occurrence, now),
+		Share:   t.share(s.job, step),
 	}
 	if gang && len(waiting) < len(tasks) && !t.rest(&unit, tasks) {
 		return nil
@@ -199,14 +197,20 @@
 }
 
 // chain is the declared duration of the longest chain of steps.
-func chain(j *work.Job) time.Duration {
+func chain(j *work.Job) time.Duration { return longestChain(j, func(int) bool { return true }) }
+
+// longestChain is the declared duration of the longest chain of the steps that
+// count.
+func longestChain(j *work.Job, counts func(step int) bool) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, s := range j.Steps {
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		ends[i] += s.Estimate
+		if counts(i) {
+			ends[i] += s.Estimate
+		}
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -285,6 +289,7 @@
 	if p := w.trackers[k]; p != nil && !step.LongRunning {
 		run.Ending = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
 	}
+	run.Late = t.isLate(s.job, w, k, now)
 	run.Pinned = step.LongRunning && k.Task.Index >= t.mayMiss(s, k.Task)
 	if step.Checkpointing {
 		run.Cost = step.Shape.Cores()
--- a/leader/report.go
+++ b/leader/report.go
@@ -137,6 +137,9 @@
 func (t *term) endRun(worker string, k work.RunKey, how work.Outcome, saved string, now time.Time) {
 	s, task := t.task(k)
 	if w := t.workers[worker]; w != nil {
+		if from, ok := w.placed[k]; ok && task != nil && how == work.OutcomeDone {
+			t.lengths[s.job.Queue] = t.lengths[s.job.Queue].add(now.Sub(from))
+		}
 		delete(w.placed, k)
 		delete(w.strays, k)
 		delete(w.trackers, k)
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -26,11 +26,11 @@
 type stepKey struct {
 	job              string
 	occurrence, step int
-	failed, patient  bool
+	failed, givesWay bool
 }
 
 func keyOf(u *Unit) stepKey {
-	return stepKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Patient}
+	return stepKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.givesWay()}
 }
 
 // Decide places as many units as fit, and stops runs for urgent ones. Patient
@@ -94,11 +94,10 @@
 	}
 	// Room is made where the unit runs at its full speed before it is started
 	// where it is slow: that takes as long as a stop.
-	urgent := u.Job.Priority == 0
-	if urgent && (p.reserveIn(u, sets) || p.preemptIn(u, sets)) {
+	if u.makesRoom() && (p.reserveIn(u, sets) || p.preemptIn(u, sets)) {
 		return
 	}
-	if spread == nil || p.startIn(u, spread) || !urgent {
+	if spread == nil || p.startIn(u, spread) || !u.makesRoom() {
 		return
 	}
 	if !p.reserveIn(u, spread) {
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -16,10 +16,14 @@
 	cost  float64      // of its stop, with that of the others in gang
 }
 
-// yields reports whether a run makes room for the unit. Work within a
-// guarantee yields to none, and other work of priority 0 only to a guarantee.
-func (o *occupant) yields(u *Unit) bool {
-	return !o.Stopping && !o.Ending && !o.Pinned && !o.Reserved && (o.Priority > 0 || u.Reserved)
+// yields reports whether a run makes room for the unit. Work within a guarantee
+// yields to none. Other work of priority 0 that can be in time yields to a guarantee
+// only, once that cannot wait any more.
+func (r *Run) yields(u *Unit) bool {
+	if r.Stopping || r.Ending || r.Pinned || r.Reserved {
+		return false
+	}
+	return r.Priority > 0 || r.Late || (u.Reserved && (u.Pressed || u.Hope > InTime))
 }
 
 const (
@@ -29,14 +33,21 @@
 	// hand, so a stop makes it late, and the users price a late one like a
 	// thousand core-seconds of lost work.
 	urgentCost = 1000.0 // core-seconds
+	// lateCost is added instead if it will be late in any case, which counts a
+	// fifth of one in time.
+	lateCost = 200.0 // core-seconds
 )
 
 // lost is the work that is lost with a run, and what its stop costs besides.
 func (r *Run) lost() float64 {
-	if r.Priority == 0 {
+	switch {
+	case r.Priority > 0:
+		return r.Cost + stopCost
+	case r.Late:
+		return r.Cost + stopCost + lateCost
+	default:
 		return r.Cost + stopCost + urgentCost
 	}
-	return r.Cost + stopCost
 }
 
 // index finds the occupants of all workers, cheapest first, and what the stop of
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -8,6 +8,17 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
+// Hope is how a job can still end.
+type Hope int
+
+// Hopes of a job.
+const (
+	InTime   Hope = iota
+	AtRisk        // in time if nothing delays it
+	Late          // it counts less when it is done
+	Hopeless      // it does not count any more
+)
+
 // Unit is what is placed as a whole: a gang, or one task.
 type Unit struct {
 	Job        *work.Job
@@ -22,7 +33,8 @@
 	Rack       string            // of those others
 	Patient    bool              // can wait and still be done in time
 	Due        time.Time         // when the job should be done
-	Late       bool              // so late that it does not count any more when it is done
+	Hope       Hope              // whether it can still be done in time
+	Share      time.Duration     // time for which its work would take the whole fleet
 	Beside     map[string]int    // tasks of the step that each worker has; shared by the units of the step
 	Advised    map[string]string // tickets of the workers that may run the step, if the job is advised
 }
@@ -49,28 +61,56 @@
 }
 
 // order sorts units by what is served first: priority, then guarantees, then
-// the turn of the job. A job that is too late to count comes last in its
-// priority.
+// hope, then the turn of the job: under a load that the fleet cannot do, work
+// that will be late anyway would make the rest late as well.
 func order(units []*Unit) {
 	slices.SortStableFunc(units, func(a, b *Unit) int {
 		return cmp.Or(
 			cmp.Compare(a.Job.Priority, b.Job.Priority),
 			compareBool(b.Reserved, a.Reserved),
-			compareBool(a.Late, b.Late),
+			cmp.Compare(a.hope(), b.hope()),
 			a.turn().Compare(b.turn()),
 			cmp.Compare(a.Job.ID, b.Job.ID),
 		)
 	})
 }
 
+// hope is that of the job, but for guarantees, which hold for late jobs too.
+func (u *Unit) hope() Hope {
+	if u.Reserved {
+		return InTime
+	}
+	return u.Hope
+}
+
+// makesRoom reports whether runs are stopped for the unit. For a job that will be
+// late anyway that would cost more work than it saves.
+func (u *Unit) makesRoom() bool { return u.Job.Priority == 0 && u.hope() <= AtRisk }
+
+// givesWay reports whether the unit leaves room to urgent work that is expected
+// soon: it has time in hand, or none to lose.
+func (u *Unit) givesWay() bool {
+	return u.Patient || (u.Job.Priority > 0 && u.Hope >= Late)
+}
+
+// shareDelay is the multiple of its share of the fleet by which urgent work lets
+// smaller work that came later go first. Many small jobs can be served in
+// the time that a large one takes, and with it the large one still has its turn.
+const shareDelay = 2
+
 // turn is what jobs of one priority are ordered by. Urgent ones come in the
 // order of their arrival, so that room which is made for one is not taken by
-// another; the rest by the time at which they should be done.
+// another, and smaller ones somewhat sooner; the rest by the time at which they
+// should be done.
 func (u *Unit) turn() time.Time {
-	if u.Job.Priority == 0 {
+	switch {
+	case u.Job.Priority > 0:
+		return u.Due
+	case u.Reserved:
 		return u.Since
+	default:
+		return u.Since.Add(shareDelay * u.Share)
 	}
-	return u.Due
 }
 
 func compareBool(a, b bool) int {
