--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -33,6 +33,7 @@
 type world struct {
 	store    *standin.Transactions
 	declared *declared
+	copy     *jobstore.Copy
 	gate     *gateway.Gateway
 }
 
@@ -52,6 +53,7 @@
 	go func() { defer close(done); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
 	<-c.Listed()
+	w.copy = c
 	w.gate = gateway.New(gateway.Config{Store: view, Copy: c, Declared: w.declared, Revoke: 5 * time.Second, MaxJobs: maxJobs, Log: zerolog.Nop()})
 	return w
 }
@@ -160,6 +162,7 @@
 		require.NoError(t, err)
 		require.Equal(t, want, got)
 	}
+	require.Eventually(t, func() bool { e, ok := w.copy.Job(id); return ok && e.Progress != nil }, 20*time.Second, time.Millisecond)
 	w.store.SetFault("entry", standin.Refusing)
 	got, err := w.gate.State(context.Background(), c)
 	require.NoError(t, err)
