control, leader, relay: an unexpected failure in one call ends that call, not the process

Cause: grpc-go lets a panic in a handler end the process; the agent repeats its report to the next leader. A record of a job with a negative number of tasks ended every entry that read it. Change: servers contain panics and log them (NodePanic); records of jobs are checked when they are read. net/http contains those of callers' and workers' requests already.

--- a/event/leader.go
+++ b/event/leader.go
@@ -21,6 +21,7 @@
 	QueueRecordBad       Event = 1132
 	QueueReload          Event = 1133
 	NodeNoFigures        Event = 1134
+	NodePanic            Event = 1135
 	LeaderElected        Event = 1150
 	LeaderLost           Event = 1151
 	LeaderResigned       Event = 1152
@@ -59,6 +60,7 @@
 	QueueRecordBad:       {"QueueRecordBad", zerolog.ErrorLevel, "A record in the store cannot be read and is passed over."},
 	QueueReload:          {"QueueReload", zerolog.InfoLevel, "SIGHUP: the settings file was read again."},
 	NodeNoFigures:        {"NodeNoFigures", zerolog.WarnLevel, "The figures of a process cannot be served."},
+	NodePanic:            {"NodePanic", zerolog.ErrorLevel, "A call of another process failed in an unexpected way; it is ended, and the process goes on."},
 	LeaderElected:        {"LeaderElected", zerolog.InfoLevel, "This entry has become the leader."},
 	LeaderLost:           {"LeaderLost", zerolog.WarnLevel, "This entry is not the leader any more."},
 	LeaderResigned:       {"LeaderResigned", zerolog.InfoLevel, "This entry has given the lead up."},
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -96,6 +96,8 @@
 	for _, key := range []string{jobstore.JobKey("bad"), jobstore.ProgressKey("bad"), jobstore.LeaderKey, jobstore.EpochKey, "rs/unknown"} {
 		s.Put(key, []byte("{]"))
 	}
+	// Decoded, its number of tasks would end the process that makes room for them.
+	s.Put(jobstore.JobKey("bad"), []byte(`{"ID":"bad","Steps":[{"Count":-1}]}`))
 	value, err := jobstore.EncodeJob(&work.Job{ID: "good", Queue: "q", Steps: []work.Step{{Count: 1}}})
 	require.NoError(t, err)
 	s.Put(jobstore.JobKey("good"), value)
--- a/jobstore/pause_test.go
+++ b/jobstore/pause_test.go
@@ -79,7 +79,7 @@
 	defer func() { cancel(); <-done }()
 	<-c.Listed()
 	for i := range 3 {
-		j, err := jobstore.EncodeJob(&work.Job{ID: fmt.Sprint(i)})
+		j, err := jobstore.EncodeJob(&work.Job{ID: fmt.Sprint(i), Steps: []work.Step{{Count: 1}}})
 		require.NoError(t, err)
 		s.Put(jobstore.JobKey(fmt.Sprint(i)), j)
 		require.Eventually(t, func() bool { _, ok := c.Job(fmt.Sprint(i)); return ok }, soon, time.Millisecond)
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -140,6 +140,9 @@
 	if err := json.Unmarshal(value, &j); err != nil {
 		return nil, errors.Wrap(err, "job")
 	}
+	if fault := j.Check(); fault != "" {
+		return nil, errors.Newf("job: %s", fault)
+	}
 	return &j, nil
 }
 
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -12,6 +12,7 @@
 
 var (
 	errTermEnded  = errors.New("this entry leads no more")
+	errBadReport  = errors.New("a report of the agent could not be taken")
 	errSuperseded = errors.New("the agent has opened another stream since")
 )
 
@@ -19,7 +20,7 @@
 func (t *term) attach(s control.AgentStream) error {
 	received := make(chan error, 1)
 	attached := t.newStream()
-	go func() { received <- attached.receive(s) }()
+	go func() { received <- attached.contained(s) }()
 	defer attached.detach()
 	for {
 		select {
@@ -55,6 +56,18 @@
 	return &stream{term: t, number: t.opened, wake: make(chan struct{}, 1)}
 }
 
+// contained receives until the stream fails. A report that causes a panic ends its
+// stream; the agent opens another.
+func (s *stream) contained(from control.AgentStream) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			control.Panicked(s.term.cfg.Log, "report of an agent", cause)
+			err = errBadReport
+		}
+	}()
+	return s.receive(from)
+}
+
 func (s *stream) receive(from control.AgentStream) error {
 	for {
 		r, err := from.Receive()
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -103,3 +103,14 @@
 		})
 	}
 }
+
+// faulty is a stream of an agent that fails in an unexpected way.
+type faulty struct{ control.AgentStream }
+
+// Guards against a report that ends the leader's process, and then the next
+// leader's, because the agent repeats it.
+func TestPanicInAReport(t *testing.T) {
+	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
+	require.ErrorIs(t, term.newStream().contained(faulty{}), errBadReport)
+	require.NoError(t, term.report(term.newStream(), control.Report{Agent: "a"}), "others are served")
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -13,7 +13,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
-	"google.golang.org/grpc"
 
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/declaration"
@@ -74,7 +73,7 @@
 		Handler: platform.NewCallers(relayed), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes,
 	}
 	ready := &http.Server{Handler: readiness(ctx, gate), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
-	streams := grpc.NewServer()
+	streams := control.NewServer(log)
 	control.Register(streams, lead)
 	relay.Register(streams, gate)
 
--- a/relay/message.go
+++ b/relay/message.go
@@ -56,13 +56,19 @@
 	HandlerType: (*server)(nil),
 	Methods: []grpc.MethodDesc{{
 		MethodName: methodName,
-		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		Handler: func(srv any, ctx context.Context, decode func(any) error, around grpc.UnaryServerInterceptor) (any, error) {
 			var r Request
 			if err := decode(&r); err != nil {
 				return nil, err
 			}
-			a := srv.(server).serve(ctx, r)
-			return &a, nil
+			serve := func(ctx context.Context, _ any) (any, error) {
+				a := srv.(server).serve(ctx, r)
+				return &a, nil
+			}
+			if around == nil {
+				return serve(ctx, &r)
+			}
+			return around(ctx, &r, &grpc.UnaryServerInfo{Server: srv, FullMethod: "/" + serviceName + "/" + methodName}, serve)
 		},
 	}},
 }
