schedule: late urgent work still makes room

Change: late work stops batch work, after all that can be in time; late runs yield to what can be in time only.

--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -18,12 +18,13 @@
 
 // yields reports whether a run makes room for the unit. Work within a guarantee
 // yields to none. Other work of priority 0 that can be in time yields to a guarantee
-// only, once that cannot wait any more.
+// only, once that cannot wait any more; work that will be late, to what can be in
+// time.
 func (r *Run) yields(u *Unit) bool {
 	if r.Stopping || r.Ending || r.Pinned || r.Reserved {
 		return false
 	}
-	return r.Priority > 0 || r.Late || (u.Reserved && (u.Pressed || u.Hope > InTime))
+	return r.Priority > 0 || (r.Late && u.hope() <= AtRisk) || (u.Reserved && (u.Pressed || u.Hope > InTime))
 }
 
 const (
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -83,9 +83,9 @@
 	return u.Hope
 }
 
-// makesRoom reports whether runs are stopped for the unit. For a job that will be
-// late anyway that would cost more work than it saves.
-func (u *Unit) makesRoom() bool { return u.Job.Priority == 0 && u.hope() <= AtRisk }
+// makesRoom reports whether runs are stopped for the unit. One that will be late
+// still counts, and a wide gang would find room by itself only when the load ends.
+func (u *Unit) makesRoom() bool { return u.Job.Priority == 0 && u.hope() < Hopeless }
 
 // givesWay reports whether the unit leaves room to urgent work that is expected
 // soon: it has time in hand, or none to lose.
