runner, leader: an order is not carried out after a pause; a hand-over while tasks run has a test

Change: the age is checked before each call. TestOrderThatHasBecomeOld fails without it. Looked for and not found: orders that go out twice around a hand-over; TestHandOverWhileTasksRun hands the lead over under 16 runs.

--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -164,6 +164,28 @@
 	}
 }
 
+// Guards against orders that go out twice, or runs that are given up, when a weak
+// leader hands over to a stronger entry while tasks run.
+func TestHandOverWhileTasksRun(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 0, 2)
+	w.cores = 0.2
+	w.addEntry("weak")
+	require.Equal(t, "weak", w.leads())
+	w.record(&work.Job{ID: "long", Service: "s", Attempts: 2, Accepted: time.Now(), Steps: []work.Step{step(16, 3*time.Second)}, Spec: spec(3*time.Second, "")})
+	require.Eventually(t, func() bool { return w.steps.Runs() == 16 }, 20*time.Second, 10*time.Millisecond)
+	w.cores = 0.8
+	w.addEntry("strong")
+	require.Eventually(t, func() bool { return w.leads() == "strong" }, 20*time.Second, 10*time.Millisecond)
+	w.submit("next", step(4, 100*time.Millisecond))
+	w.reaches("next", work.Completed)
+	w.reaches("long", work.Completed)
+	for i := range 16 {
+		require.Zero(t, w.steps.Starts(work.RunKey{Task: work.TaskKey{Job: "long", Index: i}, Run: 2}), "no run is given up")
+	}
+	w.sound()
+}
+
 // Guards against tasks of a cancelled job that run on or start again.
 func TestCancel(t *testing.T) {
 	t.Parallel()
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -89,6 +89,7 @@
 
 	adviser   *adviser   // of entries that are added later
 	machinery *machinery // the same
+	cores     float64    // the same
 	statusFor time.Duration
 }
 
@@ -123,7 +124,7 @@
 	view := w.store.View(name)
 	e := &entry{process: process{cancel, make(chan struct{})}, copy: jobstore.NewCopy(view, zerolog.Nop())}
 	cfg := leader.Config{
-		Name: name, Address: netip.MustParseAddrPort(l.Addr().String()), Store: view, Copy: e.copy, Declared: w.declared,
+		Name: name, Address: netip.MustParseAddrPort(l.Addr().String()), Cores: w.cores, Store: view, Copy: e.copy, Declared: w.declared,
 		StatusFor: w.statusFor, StopGrace: 50 * time.Millisecond, GangWait: 3 * time.Second, Log: zerolog.Nop(),
 		WaveForm: func(id string, completed bool) (string, []byte) {
 			if completed {
@@ -145,6 +146,9 @@
 		defer close(e.done)
 		var parts sync.WaitGroup
 		parts.Go(func() { e.copy.Run(ctx) })
+		parts.Go(func() {
+			jobstore.Attend(ctx, view, jobstore.LeaderRecord{Name: name, Address: cfg.Address, Cores: cfg.Cores}, func(error) {})
+		})
 		parts.Go(func() { lead.Run(ctx) })
 		parts.Go(func() { _ = server.Serve(l) }) // it ends with Stop
 		<-ctx.Done()
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/event"
@@ -19,7 +20,7 @@
 	}
 	r.ledger.settle(o)
 	for _, s := range o.Starts {
-		r.order(ctx, s.Key, r.ledger.mayStart(s.Key), func() bool { return r.start(ctx, s) })
+		r.order(ctx, s.Key, r.ledger.mayStart(s.Key), func() bool { return r.start(ctx, s, o.Echo) })
 	}
 	for _, k := range o.Stops {
 		r.order(ctx, k, r.ledger.mayStop(k, now), func() bool { return r.stop(ctx, k) })
@@ -63,9 +64,9 @@
 
 // start orders a run at the worker and reports whether it has decided. A run of
 // which the worker answers no start is refused, so that it can begin elsewhere.
-func (r *Runner) start(ctx context.Context, s work.Start) bool {
+func (r *Runner) start(ctx context.Context, s work.Start, ordered time.Time) bool {
 	for try := 1; ; try++ {
-		decided, wait := r.tryStart(ctx, s)
+		decided, wait := r.tryStart(ctx, s, ordered)
 		if decided || wait {
 			return decided
 		}
@@ -89,13 +90,14 @@
 
 // tryStart makes one call. It reports whether the worker has decided, and
 // whether another try has to wait for the leader to order the run again.
-func (r *Runner) tryStart(ctx context.Context, s work.Start) (decided, wait bool) {
+func (r *Runner) tryStart(ctx context.Context, s work.Start, ordered time.Time) (decided, wait bool) {
 	r.mu.Lock()
 	l := r.ledger
 	id, incarnation, fence := l.instance.ID, l.incarnation(), l.fence
-	until := l.deadline(uptime.Now())
+	now := uptime.Now()
+	until := l.deadline(now)
 	draining := l.instance.State == work.WorkerDraining
-	if draining || until == 0 || !l.mayStart(s.Key) {
+	if draining || until == 0 || now.Sub(ordered) > control.OrderValid || !l.mayStart(s.Key) {
 		if draining {
 			l.refuse(s.Key, work.RefusedDraining)
 		}
--- a/runner/orders_test.go
+++ b/runner/orders_test.go
@@ -64,6 +64,26 @@
 	require.Empty(t, r.ledger.refused, "once the leader orders the run no more")
 }
 
+// Guards against an agent that is paused between the check of an order and the
+// call, and then carries out an order that the leader may have taken back.
+func TestOrderThatHasBecomeOld(t *testing.T) {
+	for name, c := range map[string]struct {
+		age  time.Duration
+		want int
+	}{"of now": {0, 1}, "before a pause": {control.OrderValid + 100*time.Millisecond, 0}} {
+		t.Run(name, func(t *testing.T) {
+			worker := &recovering{}
+			r := New(Config{Name: "a", Runtime: worker, Log: zerolog.Nop()})
+			now := uptime.Now()
+			r.ledger.announce(work.Announcement{ID: "i", Born: 1, Sequence: 1, State: work.WorkerReady}, now)
+			r.ledger.look(work.Look{Clock: time.Second}, r.ledger.fence, now)
+			r.ledger.lease(control.Orders{Epoch: 1, Echo: now, Leased: true, Incarnation: r.ledger.incarnation()})
+			r.start(context.Background(), work.Start{Key: key(0)}, now.Add(-c.age))
+			require.Equal(t, c.want, worker.count())
+		})
+	}
+}
+
 // resetting is a worker that answers holds, and none of the starts.
 type resetting struct {
 	work.Runtime
