--- a/leader/hope.go
+++ b/leader/hope.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// canWait reports whether batch work would be in time if it began later, so that it
+// leaves room to urgent work that is expected.
+func (t *term) canWait(s *jobState, occurrence int, now time.Time) bool {
+	left := time.Duration(patience * float64(t.remaining(s, occurrence)))
+	return s.job.Priority > 0 && now.Add(left).Before(due(s.job, occurrence))
+}
+
 // limit is the time in which an occurrence should be done if it takes as long as
 // runs of its queue do.
 func (t *term) limit(j *work.Job) time.Duration {
--- a/leader/hope_test.go
+++ b/leader/hope_test.go
@@ -45,3 +45,25 @@
 	s.progress.Tasks[0].Done = true
 	require.Equal(t, schedule.InTime, term.hope(s, 0, at(5000)))
 }
+
+// Guards against batch work that takes all room in a burst of urgent work and is
+// stopped for it a second later, although it has seconds in hand, and against
+// work that waits until it is late.
+func TestBatchWorkThatCanWait(t *testing.T) {
+	for name, c := range map[string]struct {
+		priority, waited int // waited in ms
+		want             bool
+	}{
+		"has just come":        {1, 0, true},
+		"has half of its time": {1, 1700, true},
+		"has no time left":     {1, 4000, false},
+		"urgent":               {0, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			term := newTerm(Config{}, jobstore.LeaderRecord{}, 1, 1, at(0))
+			// A queue of the users' large site: 11 s, in time within 17.5 s.
+			j := &work.Job{Priority: c.priority, Accepted: at(0), Stretch: 1.5, Objective: time.Second, Steps: []work.Step{{Count: 25, Estimate: 11 * time.Second}}}
+			require.Equal(t, c.want, term.canWait(&jobState{job: j, progress: work.NewProgress(j)}, 0, at(c.waited)))
+		})
+	}
+}
--- a/leader/place.go
+++ b/leader/place.go
@@ -111,9 +111,10 @@
 	return n
 }
 
-// patience is the multiple of its declared duration that a job keeps in hand
-// before it counts as one that can wait. Estimates are often far too low.
-const patience = 2
+// patience is the multiple of its duration that a job keeps in hand before it
+// counts as one that can wait. Real durations are up to a third longer than the
+// declared ones; with twice the duration no job of the users' queues could wait.
+const patience = 1.25
 
 // units returns what waits to be placed.
 func (t *term) units(reserved map[string]bool) []*schedule.Unit {
@@ -155,7 +156,7 @@
 	unit := schedule.Unit{
 		Job: s.job, Occurrence: occurrence, Step: step, Reserved: reserved, Since: begin(s.job, occurrence), Due: due(s.job, occurrence), Beside: beside,
 		Pressed: reserved && now.Sub(begin(s.job, occurrence)) > t.cfg.Reclaim/2,
-		Patient: s.job.Priority > 0 && now.Add(patience*chain(s.job)).Before(due(s.job, occurrence)),
+		Patient: t.canWait(s, occurrence, now),
 		Hope:    t.hope(s, occurrence, now),
 		Share:   t.share(s.job, step),
 	}
