--- a/leader/renew_test.go
+++ b/leader/renew_test.go
@@ -46,7 +46,13 @@
 			defer cancel()
 			cfg := Config{Store: c.store, Log: zerolog.Nop()}
 			term := newTerm(cfg, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(cfg.leaseTTL()))
-			term.renew(ctx)
+			done := make(chan struct{})
+			go func() { defer close(done); term.renew(ctx) }()
+			for c.keeps && ctx.Err() == nil {
+				require.False(t, term.lapsed(), "a renewal that waits delays no other")
+				uptime.Sleep(ctx, 10*time.Millisecond)
+			}
+			<-done
 			if c.keeps {
 				require.NoError(t, term.cause())
 				return
