schedule, leader: late batch work does not wait for kept room

A task was stopped for an urgent job at 48.5 s and placed again at 54.2 s although there was room; it needs 14.6 s, so the next step had not begun at 68.3 s. The task had run before: its end at 33.4 s was listed while the store was down, and all machines lost power before it could be recorded. Ruled out: room expected for urgent work that waits for ever (there was none in the logs). TestLateBatchWorkTakesKeptRoom, TestHopelessWorkIsNotExpected.

--- a/leader/hope_test.go
+++ b/leader/hope_test.go
@@ -67,3 +67,14 @@
 		})
 	}
 }
+
+// Guards against room that is kept for urgent jobs which can never run, for as long
+// as they wait.
+func TestHopelessWorkIsNotExpected(t *testing.T) {
+	term := newTerm(Config{}, jobstore.LeaderRecord{}, 1, 1, at(0))
+	j := &work.Job{Steps: []work.Step{{Count: 2, Shape: work.Shape{Accelerators: 8}}}}
+	unit := &schedule.Unit{Job: j, Indexes: []int{0, 1}}
+	require.Equal(t, 128.0, term.urgentCores([]*schedule.Unit{unit}))
+	unit.Hope = schedule.Hopeless
+	require.Zero(t, term.urgentCores([]*schedule.Unit{unit}))
+}
--- a/leader/place.go
+++ b/leader/place.go
@@ -31,7 +31,8 @@
 	t.breakUp(units)
 }
 
-// urgentCores is what work of priority 0 uses and waits for.
+// urgentCores is what work of priority 0 uses and waits for. What does not count any
+// more, and may never fit, is not expected to be needed again.
 func (t *term) urgentCores(units []*schedule.Unit) float64 {
 	var cores float64
 	for _, s := range t.jobs {
@@ -45,7 +46,7 @@
 		})
 	}
 	for _, u := range units {
-		if u.Job.Priority == 0 {
+		if u.Job.Priority == 0 && u.Hope < schedule.Hopeless {
 			cores += float64(len(u.Indexes)) * u.Job.Steps[u.Step].Shape.Cores()
 		}
 	}
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -24,7 +24,7 @@
 	c := p.candidates(u)
 	racks := fullestFirst(c.racks)
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
-		if u.givesWay() && !s.Gang {
+		if u.Patient && !s.Gang {
 			racks = racks[:len(racks)-int(keepRacks*float64(len(racks)))]
 			return [][]*room{p.unkept(slices.Concat(racks...))}, nil
 		}
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -26,11 +26,11 @@
 type stepKey struct {
 	job              string
 	occurrence, step int
-	failed, givesWay bool
+	failed, patient  bool
 }
 
 func keyOf(u *Unit) stepKey {
-	return stepKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.givesWay()}
+	return stepKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Patient}
 }
 
 // Decide places as many units as fit, and stops runs for urgent ones. Patient
--- a/schedule/pass_test.go
+++ b/schedule/pass_test.go
@@ -269,6 +269,18 @@
 	require.Len(t, schedule.Decide(f, patient, keep).Places, 40, "its time has run out")
 }
 
+// Batch work that is late does not wait for room that is kept for urgent work: on a
+// hunted day of fmr-ops the last task of a step waited for 5.5 s while there was
+// room, and the next step did not begin in time.
+func TestLateBatchWorkTakesKeptRoom(t *testing.T) {
+	f := fleet(6)
+	u := units(newJob("late", 2, work.Step{Count: 2, Shape: accelerators(1)}))
+	for i := range u {
+		u[i].Hope = schedule.Hopeless
+	}
+	require.Len(t, schedule.Decide(f, u, 100*f[0].Capacity.Cores()).Places, 2)
+}
+
 // A gang that fits in no other rack is not kept waiting for urgent work that
 // may come.
 func TestPatientGangTakesAnEmptyRack(t *testing.T) {
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -302,7 +302,7 @@
 	}
 	racks := refByRack(open)
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
-		if u.givesWay() && !s.Gang {
+		if u.Patient && !s.Gang {
 			racks = racks[:len(racks)-int(keepRacks*float64(len(racks)))]
 			return [][]*refRoom{p.unkept(slices.Concat(racks...))}, nil
 		}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -87,12 +87,6 @@
 // still counts, and a wide gang would find room by itself only when the load ends.
 func (u *Unit) makesRoom() bool { return u.Job.Priority == 0 && u.hope() < Hopeless }
 
-// givesWay reports whether the unit leaves room to urgent work that is expected
-// soon: it has time in hand, or none to lose.
-func (u *Unit) givesWay() bool {
-	return u.Patient || (u.Job.Priority > 0 && u.Hope >= Late)
-}
-
 // shareDelay is the multiple of its share of the fleet by which urgent work lets
 // smaller work that came later go first. Many small jobs can be served in
 // the time that a large one takes, and with it the large one still has its turn.
