--- a/jobstore/copy.go
+++ b/jobstore/copy.go
@@ -65,7 +65,7 @@
 	})
 	c.pause = recordsGatherFor
 	// A new leader, or none, ends the pause, so that a vacant lead is seen at once.
-	c.lead = NewFollower(s, LeaderKey, func(rosemarysill.Change) { c.nudge() }, func(err error) {
+	c.lead = NewFollower(s, LeaderKey, func(rosemarysill.Change) { c.endPause() }, func(err error) {
 		log.Debug().Err(err).Msg("the leader's record cannot be followed; the other records show it a second later")
 	}, func() {})
 	c.lead.wait = leaderWait
--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -28,20 +28,20 @@
 
 // Follower keeps a copy of the items under a prefix.
 type Follower struct {
-	store   rosemarysill.TransactionalStore
-	prefix  string
-	apply   func(rosemarysill.Change) // called in order, never at the same time
-	failed  func(error)
-	regain  func()
-	mu      sync.Mutex
-	known   map[string]uint64 // version of each present key
-	fresh   time.Time         // the copy holds all that was in the store then
-	listed  chan struct{}
-	healthy bool
-	prompt  chan struct{} // closed while changes are taken at once
-	nudged  chan struct{} // ends the present pause
-	pause   time.Duration // in which changes gather
-	wait    time.Duration // of a watch at the store
+	store      rosemarysill.TransactionalStore
+	prefix     string
+	apply      func(rosemarysill.Change) // called in order, never at the same time
+	failed     func(error)
+	regain     func()
+	mu         sync.Mutex
+	known      map[string]uint64 // version of each present key
+	fresh      time.Time         // the copy holds all that was in the store then
+	listed     chan struct{}
+	healthy    bool
+	prompt     chan struct{} // closed while changes are taken at once
+	pauseEnded chan struct{} // ends the present pause
+	pause      time.Duration // in which changes gather
+	wait       time.Duration // of a watch at the store
 }
 
 // NewFollower returns a follower that gives each change to apply. It tells the
@@ -50,7 +50,7 @@
 	return &Follower{
 		store: s, prefix: prefix, apply: apply, failed: failed, regain: regain,
 		known: make(map[string]uint64), listed: make(chan struct{}), healthy: true, prompt: make(chan struct{}),
-		nudged: make(chan struct{}, 1), pause: gatherFor, wait: watchWait,
+		pauseEnded: make(chan struct{}, 1), pause: gatherFor, wait: watchWait,
 	}
 }
 
@@ -83,10 +83,10 @@
 	}
 }
 
-// nudge ends the present pause, or the next one.
-func (f *Follower) nudge() {
+// endPause ends the present pause, or the next one.
+func (f *Follower) endPause() {
 	select {
-	case f.nudged <- struct{}{}:
+	case f.pauseEnded <- struct{}{}:
 	default:
 	}
 }
@@ -100,7 +100,7 @@
 	defer t.Stop()
 	select {
 	case <-prompt:
-	case <-f.nudged:
+	case <-f.pauseEnded:
 	case <-ctx.Done():
 	case <-t.C:
 	}
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -20,7 +20,7 @@
 func (t *term) attach(s control.AgentStream) error {
 	received := make(chan error, 1)
 	attached := t.newStream()
-	go func() { received <- attached.contained(s) }()
+	go func() { received <- attached.receiveSafely(s) }()
 	defer attached.detach()
 	for {
 		select {
@@ -56,9 +56,9 @@
 	return &stream{term: t, number: t.opened, wake: make(chan struct{}, 1)}
 }
 
-// contained receives until the stream fails. A report that causes a panic ends its
+// receiveSafely receives until the stream fails. A report that causes a panic ends its
 // stream; the agent opens another.
-func (s *stream) contained(from control.AgentStream) (err error) {
+func (s *stream) receiveSafely(from control.AgentStream) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			control.Panicked(s.term.cfg.Log, "report of an agent", cause)
--- a/leader/candidate.go
+++ b/leader/candidate.go
@@ -15,18 +15,18 @@
 	// strongerBy is the ratio of processor shares from which another entry
 	// is the better leader. Small differences are not worth a change.
 	strongerBy = 2
-	// standBack is how long a vacant lead is left to stronger entries. They see it
-	// within 80 ms and need 15 ms, and a leader that is lost costs 1.2 s already.
-	standBack = 250 * time.Millisecond
+	// deferFor is how long a vacant lead is left to stronger entries. They see it
+	// within some milliseconds and need 15 ms; a lost leader costs 1.2 s already.
+	deferFor = 250 * time.Millisecond
 	// recoverFor is how long an entry that was slow as the leader stands back. The
 	// users' machines turn slow for about six seconds.
 	recoverFor = 10 * time.Second
-	// yieldAfter is the time in which the other entries have entered their records
+	// stepDownAfter is the time in which the other entries have entered their records
 	// after all have started at once.
-	yieldAfter = time.Second
-	// yieldAgain is the least time between two hand-overs to stronger entries, of
+	stepDownAfter = time.Second
+	// stepDownAgain is the least time between two hand-overs to stronger entries, of
 	// which none may be able to lead although their records are there.
-	yieldAgain = 30 * time.Second
+	stepDownAgain = 30 * time.Second
 	// lagEvery is the time between two measurements of the delay, and lagMost the
 	// mean delay of lagSamples from which an entry is too slow to lead: an
 	// urgent job may begin 300 ms late, and one decision takes several delays. A
@@ -47,20 +47,20 @@
 	samples int
 }
 
-// stands reports whether the entry tries to take a vacant lead.
-func (c *candidate) stands(others []jobstore.LeaderRecord, now time.Time) bool {
+// campaigns reports whether the entry tries to take a vacant lead.
+func (c *candidate) campaigns(others []jobstore.LeaderRecord, now time.Time) bool {
 	if c.vacant.IsZero() {
 		c.vacant = now
 	}
-	weak := c.outmatched(others) || (!c.slow.IsZero() && now.Sub(c.slow) < recoverFor)
-	return !weak || now.Sub(c.vacant) >= standBack
+	weak := c.isOutranked(others) || (!c.slow.IsZero() && now.Sub(c.slow) < recoverFor)
+	return !weak || now.Sub(c.vacant) >= deferFor
 }
 
 // led notes that an entry leads.
 func (c *candidate) led() { c.vacant = time.Time{} }
 
-// outmatched reports whether a stronger entry is present.
-func (c *candidate) outmatched(others []jobstore.LeaderRecord) bool {
+// isOutranked reports whether a stronger entry is present.
+func (c *candidate) isOutranked(others []jobstore.LeaderRecord) bool {
 	for _, o := range others {
 		if o.Name != c.own.Name && o.Cores >= strongerBy*c.own.Cores && o.LinkMbps >= c.own.LinkMbps && o.Cores > 0 {
 			return true
@@ -80,9 +80,9 @@
 	errSlow = errors.New("this entry is too slow to lead")
 )
 
-// yields returns why the entry hands over a lead that it has held since elected,
+// stepsDown returns why the entry hands over a lead that it has held since elected,
 // or nil.
-func (c *candidate) yields(others []jobstore.LeaderRecord, elected, now time.Time) error {
+func (c *candidate) stepsDown(others []jobstore.LeaderRecord, elected, now time.Time) error {
 	if len(others) < 2 {
 		return nil // there is no other
 	}
@@ -94,28 +94,28 @@
 		c.slow = now
 		return errSlow
 	}
-	if c.outmatched(others) && now.Sub(elected) >= yieldAfter && (c.yielded.IsZero() || now.Sub(c.yielded) >= yieldAgain) {
+	if c.isOutranked(others) && now.Sub(elected) >= stepDownAfter && (c.yielded.IsZero() || now.Sub(c.yielded) >= stepDownAgain) {
 		c.yielded = now
 		return errWeak
 	}
 	return nil
 }
 
-// guarded is a candidate that two goroutines use.
-type guarded struct {
+// lockedCandidate is a candidate that two goroutines use.
+type lockedCandidate struct {
 	mu sync.Mutex
 	candidate
 }
 
-func (g *guarded) do(f func(*candidate)) {
+func (g *lockedCandidate) do(f func(*candidate)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f(&g.candidate)
 }
 
-// judgeSelf measures the delay of this entry while it leads, and ends the
+// monitorSelf measures the delay of this entry while it leads, and ends the
 // term when another should lead.
-func (l *Leader) judgeSelf(ctx context.Context, t *term) {
+func (l *Leader) monitorSelf(ctx context.Context, t *term) {
 	l.candidate.do(func(c *candidate) { c.samples = 0 })
 	for ctx.Err() == nil {
 		asleep := uptime.Now()
@@ -124,7 +124,7 @@
 		var why error
 		l.candidate.do(func(c *candidate) {
 			c.observe(now.Sub(asleep) - lagEvery)
-			why = c.yields(l.cfg.Copy.Entries(), t.elected, now)
+			why = c.stepsDown(l.cfg.Copy.Entries(), t.elected, now)
 		})
 		if why != nil {
 			t.end(why)
--- a/leader/candidate_test.go
+++ b/leader/candidate_test.go
@@ -34,29 +34,29 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := candidate{own: c.own}
-			p.stands(c.others, at(0))
-			require.Equal(t, c.want, p.stands(c.others, at(c.at)))
+			p.campaigns(c.others, at(0))
+			require.Equal(t, c.want, p.campaigns(c.others, at(c.at)))
 		})
 	}
 }
 
 // Guards against a lead that goes back and forth: it is handed to a stronger
 // entry once, and not again soon if that cannot lead.
-func TestWeakLeaderYieldsOnce(t *testing.T) {
+func TestWeakLeaderStepsDownOnce(t *testing.T) {
 	weak, strong := entryOf("weak", 0.192, 20), entryOf("strong", 0.8, 200)
 	all := []jobstore.LeaderRecord{weak, strong}
 	p := candidate{own: weak}
-	require.NoError(t, p.yields(all, at(0), at(900)), "the entries have just started")
-	require.ErrorIs(t, p.yields(all, at(0), at(1000)), errWeak)
-	require.NoError(t, p.yields(all, at(1500), at(3000)))
-	require.ErrorIs(t, p.yields(all, at(1500), at(31_000)), errWeak)
+	require.NoError(t, p.stepsDown(all, at(0), at(900)), "the entries have just started")
+	require.ErrorIs(t, p.stepsDown(all, at(0), at(1000)), errWeak)
+	require.NoError(t, p.stepsDown(all, at(1500), at(3000)))
+	require.ErrorIs(t, p.stepsDown(all, at(1500), at(31_000)), errWeak)
 	p = candidate{own: strong}
-	require.NoError(t, p.yields(all, at(0), at(60_000)))
+	require.NoError(t, p.stepsDown(all, at(0), at(60_000)))
 }
 
 // Guards against a machine that turns slow and keeps the lead, and against one
 // that gives it up for a single pause or when there is no other.
-func TestSlowLeaderYields(t *testing.T) {
+func TestSlowLeaderStepsDown(t *testing.T) {
 	a, b := entryOf("a", 0.8, 200), entryOf("b", 0.8, 200)
 	both := []jobstore.LeaderRecord{a, b}
 	for name, c := range map[string]struct {
@@ -77,12 +77,12 @@
 			for _, ms := range c.lags {
 				p.observe(time.Duration(ms) * time.Millisecond)
 			}
-			require.Equal(t, c.want, p.yields(c.others, at(0), at(5000)))
+			require.Equal(t, c.want, p.stepsDown(c.others, at(0), at(5000)))
 			if c.want != nil {
-				require.NoError(t, p.yields(c.others, at(0), at(5100)), "once")
-				require.False(t, p.stands(c.others, at(5200)), "it stands back for a while")
+				require.NoError(t, p.stepsDown(c.others, at(0), at(5100)), "once")
+				require.False(t, p.campaigns(c.others, at(5200)), "it stands back for a while")
 				p.led()
-				require.True(t, p.stands(c.others, at(15_100)))
+				require.True(t, p.campaigns(c.others, at(15_100)))
 			}
 		})
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -93,7 +93,7 @@
 	ttl  time.Duration
 	done chan struct{}
 
-	candidate guarded
+	candidate lockedCandidate
 
 	mu   sync.Mutex
 	term *term // nil while another entry leads
@@ -104,7 +104,7 @@
 // New returns an entry's part in the election.
 func New(cfg Config) *Leader {
 	cfg = cfg.withDefaults()
-	return &Leader{cfg: cfg, ttl: cfg.leaseTTL(), done: make(chan struct{}), candidate: guarded{candidate: candidate{own: cfg.record()}}}
+	return &Leader{cfg: cfg, ttl: cfg.leaseTTL(), done: make(chan struct{}), candidate: lockedCandidate{candidate: candidate{own: cfg.record()}}}
 }
 
 // Done is closed when the leader has ended.
@@ -114,7 +114,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	defer close(l.done)
 	for ctx.Err() == nil {
-		if l.mayStand() {
+		if l.mayCampaign() {
 			if t, err := l.elect(ctx); err == nil {
 				l.lead(ctx, t)
 				continue
@@ -128,8 +128,8 @@
 	}
 }
 
-// mayStand reports whether the lead is vacant and this entry tries to take it.
-func (l *Leader) mayStand() (stands bool) {
+// mayCampaign reports whether the lead is vacant and this entry tries to take it.
+func (l *Leader) mayCampaign() (stands bool) {
 	_, version := l.cfg.Copy.LeaderRecord()
 	vacant := version == 0 && l.cfg.Copy.IsListed()
 	l.candidate.do(func(c *candidate) {
@@ -137,7 +137,7 @@
 			c.led()
 			return
 		}
-		stands = c.stands(l.cfg.Copy.Entries(), uptime.Now())
+		stands = c.campaigns(l.cfg.Copy.Entries(), uptime.Now())
 	})
 	return stands
 }
@@ -196,7 +196,7 @@
 		parts.Go(func() { defer cancel(); t.run(termCtx) })
 		parts.Go(func() { t.askAdvice(termCtx) })
 		parts.Go(func() { t.keepUp(termCtx) })
-		parts.Go(func() { defer cancel(); l.judgeSelf(termCtx, t) })
+		parts.Go(func() { defer cancel(); l.monitorSelf(termCtx, t) })
 	}
 	<-termCtx.Done()
 	l.mu.Lock()
--- a/leader/place.go
+++ b/leader/place.go
@@ -46,7 +46,7 @@
 		})
 	}
 	for _, u := range units {
-		if u.Job.Priority == 0 && u.Hope < schedule.Hopeless {
+		if u.Job.Priority == 0 && u.Timeliness < schedule.Expired {
 			cores += float64(len(u.Indexes)) * u.Job.Steps[u.Step].Shape.Cores()
 		}
 	}
@@ -156,10 +156,10 @@
 	}
 	unit := schedule.Unit{
 		Job: s.job, Occurrence: occurrence, Step: step, Reserved: reserved, Since: begin(s.job, occurrence), Due: due(s.job, occurrence), Beside: beside,
-		Pressed: reserved && now.Sub(begin(s.job, occurrence)) > t.cfg.Reclaim/2,
-		Patient: t.canWait(s, occurrence, now),
-		Hope:    t.hope(s, occurrence, now),
-		Share:   t.share(s.job, step),
+		Pressed:    reserved && now.Sub(begin(s.job, occurrence)) > t.cfg.Reclaim/2,
+		Patient:    t.canWait(s, occurrence, now),
+		Timeliness: t.timeliness(s, occurrence, now),
+		Share:      t.share(s.job, step),
 	}
 	if gang && len(waiting) < len(tasks) && !t.rest(&unit, tasks) {
 		return nil
--- a/leader/report.go
+++ b/leader/report.go
@@ -21,7 +21,7 @@
 	t.latest[r.Agent] = s.number
 	now := uptime.Now()
 	s.stamp = r.Stamp
-	if t.isNews(r) {
+	if t.needsDecision(r) {
 		defer notify(t.wake)
 	}
 	var w *workerState
@@ -44,10 +44,10 @@
 	return nil
 }
 
-// isNews reports whether a report has anything to decide upon at once. Most only
+// needsDecision reports whether a report has anything to decide upon at once. Most only
 // say that runs go on, and a decision looks at the whole fleet: at 1,100 workers
 // that would be 2,750 decisions a second. The next tick takes those into account.
-func (t *term) isNews(r control.Report) bool {
+func (t *term) needsDecision(r control.Report) bool {
 	if r.Worker == nil {
 		return len(r.Gone) > 0
 	}
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -111,6 +111,6 @@
 // leader's, because the agent repeats it.
 func TestPanicInAReport(t *testing.T) {
 	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
-	require.ErrorIs(t, term.newStream().contained(faulty{}), errBadReport)
+	require.ErrorIs(t, term.newStream().receiveSafely(faulty{}), errBadReport)
 	require.NoError(t, term.report(term.newStream(), control.Report{Agent: "a"}), "others are served")
 }
--- a/leader/hope.go
+++ b/leader/timeliness.go
@@ -31,23 +31,23 @@
 // wait until their last moment end late, one after the other.
 const spread = 0.2
 
-// hope is how an occurrence of a job can still end. Declared durations are often
+// timeliness is when an occurrence of a job is expected to end. Declared durations are often
 // far too low, and the users count by the real ones, so a job is not given up
 // before runs of its queue would be late.
-func (t *term) hope(s *jobState, occurrence int, now time.Time) schedule.Hope {
+func (t *term) timeliness(s *jobState, occurrence int, now time.Time) schedule.Timeliness {
 	left := t.remaining(s, occurrence) + max(0, t.lengths[s.job.Queue].mean-chain(s.job))
 	limit := t.limit(s.job)
 	from, end := begin(s.job, occurrence), now.Add(left)
 	delay := t.cfg.StopGrace + time.Duration(spread*float64(left))
 	switch {
 	case !end.Add(delay).After(from.Add(limit)):
-		return schedule.InTime
+		return schedule.OnTime
 	case !end.After(from.Add(limit)):
 		return schedule.AtRisk
 	case !end.After(from.Add(lateFactor * limit)):
 		return schedule.Late
 	default:
-		return schedule.Hopeless
+		return schedule.Expired
 	}
 }
 
--- a/leader/hope_test.go
+++ b/leader/timeliness_test.go
@@ -14,16 +14,16 @@
 // Guards against urgent work that is served in the order of its arrival when there
 // is more than can be done: each job then begins when it is just late. And
 // against a job that is given up because its declared duration is too low.
-func TestHope(t *testing.T) {
+func TestTimeliness(t *testing.T) {
 	for name, c := range map[string]struct {
 		estimate, typical, waited int // ms
-		want                      schedule.Hope
+		want                      schedule.Timeliness
 	}{
-		"has just come":                           {2000, 0, 0, schedule.InTime},
+		"has just come":                           {2000, 0, 0, schedule.OnTime},
 		"needs all of its time":                   {2000, 0, 700, schedule.AtRisk},
 		"will be late":                            {2000, 0, 1400, schedule.Late},
-		"would not count any more":                {2000, 0, 8000, schedule.Hopeless},
-		"declares far too little":                 {300, 2000, 400, schedule.InTime},
+		"would not count any more":                {2000, 0, 8000, schedule.Expired},
+		"declares far too little":                 {300, 2000, 400, schedule.OnTime},
 		"declares far too little, and has waited": {300, 2000, 1400, schedule.Late},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -31,19 +31,19 @@
 			term.lengths["q"] = length{}.add(time.Duration(c.typical) * time.Millisecond)
 			j := &work.Job{Queue: "q", Accepted: at(0), Stretch: 1.5, Objective: 300 * time.Millisecond,
 				Steps: []work.Step{{Count: 1, Estimate: time.Duration(c.estimate) * time.Millisecond}}}
-			require.Equal(t, c.want, term.hope(&jobState{job: j, progress: work.NewProgress(j)}, 0, at(c.waited)))
+			require.Equal(t, c.want, term.timeliness(&jobState{job: j, progress: work.NewProgress(j)}, 0, at(c.waited)))
 		})
 	}
 }
 
 // Guards against a job that counts as late because of steps that are done.
-func TestHopeOfALaterStep(t *testing.T) {
+func TestTimelinessOfALaterStep(t *testing.T) {
 	term := newTerm(Config{}, jobstore.LeaderRecord{}, 1, 1, at(0))
 	j := &work.Job{Accepted: at(0), Stretch: 1.5, Steps: []work.Step{{Count: 1, Estimate: 4 * time.Second}, {Count: 1, Estimate: time.Second, After: []int{0}}}}
 	s := &jobState{job: j, progress: work.NewProgress(j)}
-	require.Equal(t, schedule.Late, term.hope(s, 0, at(5000)))
+	require.Equal(t, schedule.Late, term.timeliness(s, 0, at(5000)))
 	s.progress.Tasks[0].Done = true
-	require.Equal(t, schedule.InTime, term.hope(s, 0, at(5000)))
+	require.Equal(t, schedule.OnTime, term.timeliness(s, 0, at(5000)))
 }
 
 // Guards against batch work that takes all room in a burst of urgent work and is
@@ -70,11 +70,11 @@
 
 // Guards against room that is kept for urgent jobs which can never run, for as long
 // as they wait.
-func TestHopelessWorkIsNotExpected(t *testing.T) {
+func TestExpiredWorkIsNotExpected(t *testing.T) {
 	term := newTerm(Config{}, jobstore.LeaderRecord{}, 1, 1, at(0))
 	j := &work.Job{Steps: []work.Step{{Count: 2, Shape: work.Shape{Accelerators: 8}}}}
 	unit := &schedule.Unit{Job: j, Indexes: []int{0, 1}}
 	require.Equal(t, 128.0, term.urgentCores([]*schedule.Unit{unit}))
-	unit.Hope = schedule.Hopeless
+	unit.Timeliness = schedule.Expired
 	require.Zero(t, term.urgentCores([]*schedule.Unit{unit}))
 }
--- a/schedule/pass_test.go
+++ b/schedule/pass_test.go
@@ -155,13 +155,13 @@
 	j := newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)})
 	require.Empty(t, schedule.Decide(f, units(j), 0).Stops)
 	for name, c := range map[string]struct {
-		hope    schedule.Hope
+		when    schedule.Timeliness
 		pressed bool
 		stops   int
-	}{"has time": {schedule.InTime, false, 0}, "would be late": {schedule.AtRisk, false, 1}, "has to begin": {schedule.InTime, true, 1}, "is late": {schedule.Late, false, 1}} {
+	}{"has time": {schedule.OnTime, false, 0}, "would be late": {schedule.AtRisk, false, 1}, "has to begin": {schedule.OnTime, true, 1}, "is late": {schedule.Late, false, 1}} {
 		t.Run(name, func(t *testing.T) {
 			u := units(j)
-			u[0].Reserved, u[0].Hope, u[0].Pressed = true, c.hope, c.pressed
+			u[0].Reserved, u[0].Timeliness, u[0].Pressed = true, c.when, c.pressed
 			f[1].Runs[0].Stopping = false
 			plan := schedule.Decide(f, u, 0)
 			require.Len(t, plan.Stops, c.stops)
@@ -208,10 +208,10 @@
 
 // A job that is too late to count waits behind those that are not, of the same
 // priority.
-func TestHopelesslyLateWorkComesLast(t *testing.T) {
+func TestExpiredWorkComesLast(t *testing.T) {
 	f := fleet(1)
 	late := units(newJob("a-late", 1, work.Step{Count: 1, Shape: accelerators(8)}))
-	late[0].Hope = schedule.Hopeless
+	late[0].Timeliness = schedule.Expired
 	now := units(newJob("b-now", 1, work.Step{Count: 1, Shape: accelerators(8)}))
 	now[0].Due = time.Unix(100, 0)
 	plan := schedule.Decide(f, append(late, now...), 0)
@@ -276,7 +276,7 @@
 	f := fleet(6)
 	u := units(newJob("late", 2, work.Step{Count: 2, Shape: accelerators(1)}))
 	for i := range u {
-		u[i].Hope = schedule.Hopeless
+		u[i].Timeliness = schedule.Expired
 	}
 	require.Len(t, schedule.Decide(f, u, 100*f[0].Capacity.Cores()).Places, 2)
 }
@@ -345,7 +345,7 @@
 func TestWorkThatCanBeInTimeGoesFirst(t *testing.T) {
 	f := fleet(1)
 	late := units(newJob("a-late", 0, work.Step{Count: 1, Shape: accelerators(8)}))
-	late[0].Hope = schedule.Late
+	late[0].Timeliness = schedule.Late
 	now := units(newJob("b-now", 0, work.Step{Count: 1, Shape: accelerators(8)}))
 	now[0].Since = time.Unix(100, 0)
 	plan := schedule.Decide(f, append(late, now...), 0)
@@ -358,15 +358,15 @@
 // which one run had failed waited for 34 s.
 func TestWhatLateWorkStops(t *testing.T) {
 	for name, c := range map[string]struct {
-		hope     schedule.Hope
+		when     schedule.Timeliness
 		reserved bool
 		late     bool // the run is urgent, and late
 		stops    int
 	}{
-		"late":                 {schedule.Late, false, false, 1},
-		"late, late work":      {schedule.Late, false, true, 0},
-		"hopeless":             {schedule.Hopeless, false, false, 0},
-		"hopeless, guaranteed": {schedule.Hopeless, true, false, 1},
+		"late":                {schedule.Late, false, false, 1},
+		"late, late work":     {schedule.Late, false, true, 0},
+		"expired":             {schedule.Expired, false, false, 0},
+		"expired, guaranteed": {schedule.Expired, true, false, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := fleet(1)
@@ -375,7 +375,7 @@
 				f[0].Runs[0].Priority, f[0].Runs[0].Late = 0, true
 			}
 			u := units(newJob("urgent", 0, work.Step{Count: 1, Shape: accelerators(8)}))
-			u[0].Hope, u[0].Reserved = c.hope, c.reserved
+			u[0].Timeliness, u[0].Reserved = c.when, c.reserved
 			require.Len(t, schedule.Decide(f, u, 0).Stops, c.stops)
 		})
 	}
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -24,7 +24,7 @@
 	if r.Stopping || r.Ending || r.Pinned || r.Reserved {
 		return false
 	}
-	return r.Priority > 0 || (r.Late && u.hope() <= AtRisk) || (u.Reserved && (u.Pressed || u.Hope > InTime))
+	return r.Priority > 0 || (r.Late && u.rank() <= AtRisk) || (u.Reserved && (u.Pressed || u.Timeliness > OnTime))
 }
 
 const (
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -83,7 +83,7 @@
 		j := &work.Job{ID: fmt.Sprintf("j%d", i), Service: "s", Priority: whole(0, 2, "priority"), Steps: []work.Step{s}}
 		beside := map[string]int{"w00": whole(0, 1, "beside")}
 		unit := Unit{
-			Job: j, Reserved: yes(3, "reserved"), Pressed: yes(5, "pressed"), Failed: yes(5, "failed"), Patient: yes(2, "patient"), Hope: Hope(whole(0, 3, "hope")),
+			Job: j, Reserved: yes(3, "reserved"), Pressed: yes(5, "pressed"), Failed: yes(5, "failed"), Patient: yes(2, "patient"), Timeliness: Timeliness(whole(0, 3, "timeliness")),
 			Since: time.Unix(int64(whole(0, 5, "since")), 0), Due: time.Unix(int64(whole(0, 5, "due")), 0), Beside: beside,
 		}
 		for n := range s.Count {
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -8,15 +8,15 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// Hope is how a job can still end.
-type Hope int
+// Timeliness is when a job is expected to end.
+type Timeliness int
 
-// Hopes of a job.
+// Kinds of timeliness.
 const (
-	InTime   Hope = iota
-	AtRisk        // in time if nothing delays it
-	Late          // it counts less when it is done
-	Hopeless      // it does not count any more
+	OnTime  Timeliness = iota
+	AtRisk             // in time if nothing delays it
+	Late               // it counts less when it is done
+	Expired            // it does not count any more
 )
 
 // Unit is what is placed as a whole: a gang, or one task.
@@ -33,7 +33,7 @@
 	Rack       string            // of those others
 	Patient    bool              // can wait and still be done in time
 	Due        time.Time         // when the job should be done
-	Hope       Hope              // whether it can still be done in time
+	Timeliness Timeliness        // whether it can still be done in time
 	Share      time.Duration     // time for which its work would take the whole fleet
 	Beside     map[string]int    // tasks of the step that each worker has; shared by the units of the step
 	Advised    map[string]string // tickets of the workers that may run the step, if the job is advised
@@ -61,31 +61,32 @@
 }
 
 // order sorts units by what is served first: priority, then guarantees, then
-// hope, then the turn of the job: under a load that the fleet cannot do, work
+// timeliness, then the turn of the job: under a load that the fleet cannot do, work
 // that will be late anyway would make the rest late as well.
 func order(units []*Unit) {
 	slices.SortStableFunc(units, func(a, b *Unit) int {
 		return cmp.Or(
 			cmp.Compare(a.Job.Priority, b.Job.Priority),
 			compareBool(b.Reserved, a.Reserved),
-			cmp.Compare(a.hope(), b.hope()),
+			cmp.Compare(a.rank(), b.rank()),
 			a.turn().Compare(b.turn()),
 			cmp.Compare(a.Job.ID, b.Job.ID),
 		)
 	})
 }
 
-// hope is that of the job, but for guarantees, which hold for late jobs too.
-func (u *Unit) hope() Hope {
+// rank is the timeliness by which the unit is ordered. Guarantees hold for late jobs
+// too.
+func (u *Unit) rank() Timeliness {
 	if u.Reserved {
-		return InTime
+		return OnTime
 	}
-	return u.Hope
+	return u.Timeliness
 }
 
 // makesRoom reports whether runs are stopped for the unit. One that will be late
 // still counts, and a wide gang would find room by itself only when the load ends.
-func (u *Unit) makesRoom() bool { return u.Job.Priority == 0 && u.hope() < Hopeless }
+func (u *Unit) makesRoom() bool { return u.Job.Priority == 0 && u.rank() < Expired }
 
 // shareDelay is the multiple of its share of the fleet by which urgent work lets
 // smaller work that came later go first. Many small jobs can be served in
