leader: lateness is looked at for urgent runs only; one place says how long a job may take

The policy asks for the lateness of urgent runs alone, and every decision worked it out for all runs of the fleet. The time within which a job should be done stood in three places.

--- a/leader/place.go
+++ b/leader/place.go
@@ -195,7 +195,12 @@
 
 // objective is the time in which an occurrence should be done.
 func objective(j *work.Job) time.Duration {
-	return j.Objective + time.Duration(j.Stretch*float64(chain(j)))
+	return within(j, chain(j))
+}
+
+// within is the time in which an occurrence should be done if it takes so long.
+func within(j *work.Job, length time.Duration) time.Duration {
+	return j.Objective + time.Duration(j.Stretch*float64(length))
 }
 
 // chain is the declared duration of the longest chain of steps.
@@ -291,7 +296,7 @@
 	if p := w.trackers[k]; p != nil && !step.LongRunning {
 		run.Ending = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
 	}
-	run.Late = t.isLate(s.job, w, k, now)
+	run.Late = s.job.Priority == 0 && t.isLate(s.job, w, k, now)
 	run.Pinned = step.LongRunning && k.Task.Index >= t.mayMiss(s, k.Task)
 	if step.Checkpointing {
 		run.Cost = step.Shape.Cores()
--- a/leader/timeliness.go
+++ b/leader/timeliness.go
@@ -31,11 +31,11 @@
 // wait until their last moment end late, one after the other.
 const spread = 0.2
 
-// timeliness is when an occurrence of a job is expected to end. Declared durations are often
-// far too low, and the users count by the real ones, so a job is not given up
-// before runs of its queue would be late.
+// timeliness is when an occurrence of a job is expected to end. Declared durations
+// are often far too low, and the users count by the real ones, so a job is not
+// given up before runs of its queue would be late.
 func (t *term) timeliness(s *jobState, occurrence int, now time.Time) schedule.Timeliness {
-	left := t.remaining(s, occurrence) + max(0, t.lengths[s.job.Queue].mean-chain(s.job))
+	left := t.remaining(s, occurrence) + t.length(s.job) - chain(s.job)
 	limit := t.limit(s.job)
 	from, end := begin(s.job, occurrence), now.Add(left)
 	delay := t.cfg.StopGrace + time.Duration(spread*float64(left))
@@ -61,9 +61,13 @@
 // limit is the time in which an occurrence should be done if it takes as long as
 // runs of its queue do.
 func (t *term) limit(j *work.Job) time.Duration {
-	return j.Objective + time.Duration(j.Stretch*float64(max(chain(j), t.lengths[j.Queue].mean)))
+	return within(j, t.length(j))
 }
 
+// length is how long an occurrence is expected to take: as declared, or as long as
+// runs of its queue, if that is longer.
+func (t *term) length(j *work.Job) time.Duration { return max(chain(j), t.lengths[j.Queue].mean) }
+
 // isLate reports whether the job of a run will not be in time any more, by the
 // length of the run where its progress shows that.
 func (t *term) isLate(j *work.Job, w *workerState, k work.RunKey, now time.Time) bool {
@@ -71,12 +75,12 @@
 	if len(j.Steps) > 1 {
 		return present.After(from.Add(t.limit(j)))
 	}
-	length := max(chain(j), t.lengths[j.Queue].mean)
+	length := t.length(j)
 	if p := w.trackers[k]; p != nil && p.percent-p.first >= knownPercent {
 		length = now.Sub(p.began) * wholePercent / time.Duration(p.percent-p.first)
 	}
 	waited := present.Sub(from) - now.Sub(w.placed[k])
-	return waited+length > j.Objective+time.Duration(j.Stretch*float64(length))
+	return waited+length > within(j, length)
 }
 
 // remaining is the declared duration of the longest chain of steps that are not
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -17,7 +17,7 @@
 	Reserved bool    // within the guarantee of its client account
 	Group    string  // runs of one gang, which end together; empty for others
 	Cost     float64 // core-seconds that are lost if it is stopped
-	Late     bool    // its job will not be in time
+	Late     bool    // urgent, and its job will not be in time
 	Pinned   bool    // may not be stopped for others
 	Stopping bool
 	Stuck    bool // should have ended by now
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -226,10 +226,9 @@
 	return n
 }
 
-// better reports whether a is a better place than b. A suspect worker comes
-// last. A task that fills gets
-// the most idle processor time; others go where least is left, so that whole
-// workers stay free.
+// better reports whether a is a better place than b. A suspect worker comes last. A
+// task that fills gets the most idle processor time; others go where least is left,
+// so that whole workers stay free.
 func better(s work.Step, a, b *room, leftA, leftB work.Shape) bool {
 	if a.Suspect != b.Suspect {
 		return b.Suspect
