node: TestExplainFailures requires the order of lines within a process only

Cause: the test wanted QueueAccepted before LeaderPlaced, and the lines of the leader as soon as a caller sees the state. The leader sees a job by its watch before the entry has the answer of its commit, and logs an end after the commit that makes it visible; no promise of design.md rules out either. Change: the lines of the leader are required in their order, now with the second LeaderPlaced as well; those of the entry and the agent have to be there. The test waits for them up to 20 s. Ruled out: logging the acceptance before the commit, which would be untrue when the commit fails.

--- a/node/explain_test.go
+++ b/node/explain_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,7 +18,9 @@
 )
 
 // Guards against failed requests whose cause cannot be found in the logs, for the
-// three kinds of failure in docs/OPERATIONS.md.
+// three kinds of failure in docs/OPERATIONS.md. The order of the lines is required
+// within each process only: the leader may place a job before the entry that accepted
+// it logs so, and a caller may see a state before the leader logs it.
 func TestExplainFailures(t *testing.T) {
 	zerolog.TimeFieldFormat = logbook.TimeFormat
 	d := newDeployment(t, 2)
@@ -29,6 +33,27 @@
 		}, 40*time.Second, 20*time.Millisecond)
 	}
 
+	// awaitHistory waits until the history of a job has all lines of the leader, in that
+	// order, and of other processes.
+	awaitHistory := func(id, ofLeader string, ofOthers ...string) {
+		t.Helper()
+		require.Eventually(t, func() bool {
+			var leader []string
+			text := d.logs.explain(t, id)
+			for line := range strings.Lines(text) {
+				if strings.Contains(line, " Leader") {
+					leader = append(leader, line)
+				}
+			}
+			for _, name := range ofOthers {
+				if !strings.Contains(text, name) {
+					return false
+				}
+			}
+			return regexp.MustCompile("(?s)" + ofLeader).MatchString(strings.Join(leader, ""))
+		}, 20*time.Second, 20*time.Millisecond, "history of %s", id)
+	}
+
 	const refused, lost, failed = "00000000000000f1", "00000000000000f2", "00000000000000f3"
 	c := platform.NewClient(d.entries[0].Callers, "a.example", "k9")
 	defer c.Close()
@@ -41,7 +66,7 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, a.Status)
 	waitForState(failed, work.Failed)
-	require.Regexp(t, `(?s)QueueAccepted.*LeaderPlaced.*RunnerStart.*LeaderRunEnded.*How=failed Fails=1.*LeaderRunEnded.*How=failed Fails=2.*LeaderJobEnded.*State=failed`, d.logs.explain(t, failed))
+	awaitHistory(failed, `LeaderPlaced.*LeaderRunEnded.*How=failed Fails=1.*LeaderPlaced.*LeaderRunEnded.*How=failed Fails=2.*LeaderJobEnded.*State=failed`, "QueueAccepted", "RunnerStart")
 
 	a, err = d.clients[0].Submit(ctx, callTimeout, "/checks/", lost, newJob("for=1s", newStep(16)))
 	require.NoError(t, err)
@@ -49,5 +74,5 @@
 	require.Eventually(t, func() bool { return d.workers[0].Runs() == 8 }, 20*time.Second, 10*time.Millisecond)
 	d.workers[0].SetDark(true)
 	waitForState(lost, work.Completed)
-	require.Regexp(t, `(?s)LeaderPlaced.*Worker=agent0.*LeaderRunEnded.*Worker=agent0.*How=lost.*LeaderPlaced.*Worker=agent1.*LeaderJobEnded.*State=completed`, d.logs.explain(t, lost))
+	awaitHistory(lost, `LeaderPlaced.*Worker=agent0.*LeaderRunEnded.*Worker=agent0.*How=lost.*LeaderPlaced.*Worker=agent1.*LeaderJobEnded.*State=completed`, "QueueAccepted")
 }
