leader: log what is known about a worker that runs more than its capacity

Change: the event LeaderOvercommitted, once until the excess ends, with the reported runs, when they were placed and told to stop, and the state of the worker. LeaderWorkerSeen has the capacity and LeaderJob the slowdown, which the report on losses needs.

--- /dev/null
+++ b/leader/capacity.go
@@ -0,0 +1,59 @@
+package leader
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/schedule"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// reportedDemand returns the capacity that the reported runs of a worker take, including
+// runs that are being stopped and orphans. Runs of unknown jobs are left out, because
+// nothing is known about their shape.
+func (t *term) reportedDemand(w *workerState) work.Shape {
+	var demand work.Shape
+	for _, run := range w.running {
+		if s, task := t.task(run.Key); task != nil {
+			demand = demand.Add(schedule.Demand(s.job.Steps[run.Key.Task.Step]))
+		}
+	}
+	return demand
+}
+
+// checkCapacity logs what is known about a worker whose reported runs exceed its
+// capacity, which placement rules out. It logs once until the excess has ended.
+func (t *term) checkCapacity(w *workerState, now time.Time) {
+	demand := t.reportedDemand(w)
+	exceeded := !demand.FitsIn(w.Capacity)
+	if exceeded && !w.overcommitted {
+		event.LeaderOvercommitted.Log(t.cfg.Log).Str("Worker", w.Incarnation).Interface("Capacity", w.Capacity).Interface("Demand", demand).
+			Strs("Running", t.describeRuns(w, now)).Dur("SinceElection", now.Sub(t.elected)).Uint64("Epoch", t.rec.Epoch).
+			Bool("Draining", w.Draining).Bool("Unresponsive", w.Unresponsive).Uint64("AppliedSeq", w.appliedSeq).Uint64("CommittedSeq", w.committedSeq).Send()
+	}
+	w.overcommitted = exceeded
+}
+
+// describeRuns describes the reported runs of a worker, with the times since they were
+// placed and since their stop was requested.
+func (t *term) describeRuns(w *workerState, now time.Time) []string {
+	runs := make([]string, 0, len(w.running))
+	for _, run := range w.running {
+		text := fmt.Sprintf("%s %v %d%%", run.Key.Task.Job, run.Key, run.Percent)
+		if at, ok := w.placedAt[run.Key]; ok {
+			text += fmt.Sprintf(" placed %v ago", now.Sub(at).Round(time.Millisecond))
+		}
+		if at, ok := w.stopRequestedAt[run.Key]; ok {
+			text += fmt.Sprintf(" stop requested %v ago", now.Sub(at).Round(time.Millisecond))
+		}
+		if w.orphans[run.Key] {
+			text += " orphan"
+		}
+		if _, task := t.task(run.Key); task != nil {
+			text += fmt.Sprintf(" task: run %d on %q", task.Run, task.Worker)
+		}
+		runs = append(runs, text)
+	}
+	return runs
+}
--- a/leader/report.go
+++ b/leader/report.go
@@ -68,7 +68,8 @@
 		t.workers[id] = w
 	}
 	if !w.attached {
-		event.LeaderWorkerSeen.Log(t.cfg.Log).Str("Worker", id).Str("Agent", r.Agent).Str("Domain", r.Worker.Domain).Send()
+		event.LeaderWorkerSeen.Log(t.cfg.Log).Str("Worker", id).Str("Agent", r.Agent).Str("Domain", r.Worker.Domain).
+			Interface("Capacity", r.Worker.Capacity).Send()
 	}
 	delete(t.endedIncarnations, id)
 	if r.Worker.Unresponsive && !w.Unresponsive {
@@ -221,6 +222,7 @@
 		task.Percent = run.Percent
 		t.trackRun(w, run, now)
 	}
+	t.checkCapacity(w, now)
 	t.drainWorker(w, now)
 	t.updateThrottle(w, now)
 }
--- a/leader/term.go
+++ b/leader/term.go
@@ -45,6 +45,7 @@
 	trackers        map[work.RunKey]*tracker
 	health          health
 	throttle        throttle
+	overcommitted   bool // the reported runs exceed the capacity, and that is logged
 }
 
 // term is the state of the leader from its election until another may lead.
@@ -216,7 +217,7 @@
 		t.jobs[id] = s
 		if !p.State.Final() {
 			event.LeaderJob.Log(t.cfg.Log).Str("Job", id).Str("Account", e.Job.Account).Int("Priority", e.Job.Priority).Str("Steps", describe(e.Job)).
-				Dur("Estimate", criticalPath(e.Job)).Dur("Objective", objective(e.Job)).Uint64("Epoch", t.rec.Epoch).Send()
+				Dur("Estimate", criticalPath(e.Job)).Dur("Objective", objective(e.Job)).Float64("MaxSlowdown", e.Job.MaxSlowdown).Uint64("Epoch", t.rec.Epoch).Send()
 		}
 	}
 	if e.Cancelled && s.progress.Cancel(time.Now()) {
