schedule: deferrable gangs leave the urgent reserve free in larger fleets

Change: deferrable gangs do not get the workers of the urgent reserve in the emptiest racks, one rack in six at most and none in fleets of fewer racks. TestDeferrableGangsLeaveUrgentReserveFree fails before.

--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -5,9 +5,10 @@
 	"slices"
 )
 
-// urgentRackShare is the share of the eligible racks that deferrable single tasks
-// without a DataRack leave free for urgent gangs. It rounds down to none if there are
-// fewer than six racks, where a rack kept free costs more than it gains.
+// urgentRackShare is the share of the racks that deferrable single tasks without a
+// DataRack leave free for urgent gangs, and the largest share in which deferrable gangs
+// leave the urgent reserve free. It rounds down to none if there are fewer than six
+// racks, where a rack kept free costs more than it gains.
 const urgentRackShare = 0.17
 
 // candidates are the workers that may run a unit.
@@ -21,25 +22,35 @@
 // slower across racks, or away from its data, each set is a single rack, and spread
 // is a fallback to all eligible workers: for an urgent unit, or for one that no rack
 // could hold even when empty. For any other step the only set is all eligible
-// workers, of which a deferrable single task does not get those kept for urgent units.
+// workers. A deferrable unit does not get the workers kept for urgent units, unless its
+// data is in one rack.
 func (p *pass) candidateSets(u *Unit) (sets, spread [][]*workerState) {
 	s := u.step()
 	c := p.candidates(u)
 	racks := fullestFirst(c.racks)
+	leavesReserve := u.Deferrable && s.DataRack == ""
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
-		if u.Deferrable && !s.Gang {
+		switch {
+		case leavesReserve && !s.Gang:
 			racks = racks[:len(racks)-int(urgentRackShare*float64(len(racks)))]
 			return [][]*workerState{p.withoutKeptForUrgent(slices.Concat(racks...))}, nil
+		case leavesReserve:
+			return [][]*workerState{p.withoutKeptFromGangs(c.eligible)}, nil
+		default:
+			return [][]*workerState{c.eligible}, nil
 		}
-		return [][]*workerState{c.eligible}, nil
+	}
+	if u.Job.Priority == 0 || !p.fitsEmptyRack(u, racks, s.DataRack) {
+		spread = [][]*workerState{c.eligible}
 	}
 	for _, rack := range racks {
 		if s.DataRack == "" || rack[0].Rack == s.DataRack {
 			sets = append(sets, rack)
 		}
 	}
-	if u.Job.Priority == 0 || !p.fitsEmptyRack(u, racks, s.DataRack) {
-		spread = [][]*workerState{c.eligible}
+	if leavesReserve {
+		p.removeKeptFromGangs(sets)
+		p.removeKeptFromGangs(spread)
 	}
 	return sets, spread
 }
@@ -68,26 +79,46 @@
 	return c
 }
 
-// withoutKeptForUrgent removes the workers that are kept for urgent work. They are
-// chosen on the first call of a pass, before it places any unit that the urgent reserve
-// applies to: the emptiest workers of the emptiest rack first, then those of the next
-// rack, because urgent gangs need whole workers in one rack.
+// withoutKeptForUrgent removes the workers that are kept for urgent work.
 func (p *pass) withoutKeptForUrgent(workers []*workerState) []*workerState {
-	if !p.reserveMarked {
-		p.reserveMarked = true
-		remaining := p.urgentReserve
-		racks := fullestFirst(p.groupByRack(p.workers))
-		for i := len(racks) - 1; i >= 0 && remaining > 0; i-- {
-			slices.SortStableFunc(racks[i], func(a, b *workerState) int { return cmp.Compare(b.freeCores, a.freeCores) })
-			for _, w := range racks[i] {
-				if remaining > 0 && w.Schedulable {
-					w.keptForUrgent = true
-					remaining -= w.freeCores
-				}
+	p.markUrgentReserve()
+	return slices.DeleteFunc(workers, func(w *workerState) bool { return w.keptForUrgent })
+}
+
+// withoutKeptFromGangs returns the workers that are not kept from deferrable gangs.
+func (p *pass) withoutKeptFromGangs(workers []*workerState) []*workerState {
+	p.markUrgentReserve()
+	return slices.DeleteFunc(slices.Clone(workers), func(w *workerState) bool { return w.keptFromGangs })
+}
+
+// removeKeptFromGangs applies withoutKeptFromGangs to each set.
+func (p *pass) removeKeptFromGangs(sets [][]*workerState) {
+	for i, set := range sets {
+		sets[i] = p.withoutKeptFromGangs(set)
+	}
+}
+
+// markUrgentReserve marks the workers that are kept for urgent work. They are chosen on
+// the first call of a pass, before it places any unit that the urgent reserve applies
+// to: the emptiest workers of the emptiest rack first, then those of the next rack,
+// because urgent gangs need whole workers in one rack.
+func (p *pass) markUrgentReserve() {
+	if p.reserveMarked {
+		return
+	}
+	p.reserveMarked = true
+	remaining := p.urgentReserve
+	racks := fullestFirst(p.groupByRack(p.workers))
+	firstFromGangs := len(racks) - int(urgentRackShare*float64(len(racks)))
+	for i := len(racks) - 1; i >= 0 && remaining > 0; i-- {
+		slices.SortStableFunc(racks[i], func(a, b *workerState) int { return cmp.Compare(b.freeCores, a.freeCores) })
+		for _, w := range racks[i] {
+			if remaining > 0 && w.Schedulable {
+				w.keptForUrgent, w.keptFromGangs = true, i >= firstFromGangs
+				remaining -= w.freeCores
 			}
 		}
 	}
-	return slices.DeleteFunc(workers, func(w *workerState) bool { return w.keptForUrgent })
 }
 
 // withoutSuspects removes the suspect workers, unless all workers are suspect.
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -79,6 +79,7 @@
 	idleMilliCPU  int64        // not declared by any run, best-effort ones included
 	runsByCost    []*placedRun // ascending by gangStopCost; set by indexRuns
 	keptForUrgent bool         // not available to deferrable single tasks without a DataRack
+	keptFromGangs bool         // not available to deferrable gangs without a DataRack
 }
 
 func newWorkerState(w *Worker) *workerState {
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -11,8 +11,8 @@
 type pass struct {
 	workers           []*workerState
 	rackCount         int
-	urgentReserve     float64 // cores that deferrable single tasks leave free for urgent work
-	reserveMarked     bool    // workerState.keptForUrgent is set
+	urgentReserve     float64 // cores that deferrable units leave free for urgent work
+	reserveMarked     bool    // workerState.keptForUrgent and keptFromGangs are set
 	runsIndexed       bool    // workerState.runsByCost is set
 	cachedCandidates  candidates
 	changes           int            // starts and reservations so far
@@ -35,8 +35,9 @@
 }
 
 // Decide places the units that fit, in order of precedence, and preempts runs for urgent
-// ones. Deferrable single tasks without a DataRack leave urgentReserve cores free, on
-// the workers with the most free capacity, for urgent units that are expected to arrive.
+// ones. Deferrable units without a DataRack leave urgentReserve cores free, gangs in at
+// most urgentRackShare of the racks, on the workers with the most free capacity, for
+// urgent units that are expected to arrive.
 // Decide changes its arguments: it sorts units, adds to TasksByWorker, clears EndsSoon
 // of gang members that wait for others and sets Stopping of preempted runs.
 func Decide(workers []*Worker, units []*Unit, urgentReserve float64) Plan {
--- a/schedule/pass_test.go
+++ b/schedule/pass_test.go
@@ -271,6 +271,44 @@
 	require.Len(t, schedule.Decide(f, deferrable, urgentReserve).Placements, 40, "units that are no longer deferrable use the reserve")
 }
 
+// Guards against deferrable gangs occupying the racks that the next urgent gangs of a
+// burst need: each of these waited for a preemption, and the stopped gangs lost their
+// work. The load is a queue of batch gangs in a fleet that urgent work has just left.
+func TestDeferrableGangsLeaveUrgentReserveFree(t *testing.T) {
+	f := fleet(24)
+	var batch []*schedule.Unit
+	for i := range 10 {
+		u := units(newJob(fmt.Sprintf("batch%d", i), 1, work.Step{Count: 3, Shape: accelerators(8), Gang: true, SameRack: true}))
+		u[0].Deferrable = true
+		batch = append(batch, u...)
+	}
+	plan := schedule.Decide(f, batch, 3*f[0].Capacity.Cores())
+	require.Len(t, placementsByRack(f, plan), 7, "one of eight racks stays free")
+	for _, p := range plan.Placements {
+		addRun(f[slices.IndexFunc(f, func(w *schedule.Worker) bool { return w.ID == p.Worker })], p.Task.Job, 1, accelerators(8), 1)
+	}
+	urgent := units(newJob("urgent", 0, work.Step{Count: 3, Shape: accelerators(8), Gang: true, SameRack: true}))
+	plan = schedule.Decide(f, urgent, 0)
+	require.Len(t, plan.Placements, 3)
+	require.Empty(t, plan.Stops)
+}
+
+// Guards against deferrable gangs that start nowhere because a burst needs most of the
+// fleet: of a reserve of the whole fleet, gangs leave one rack in six free.
+func TestReserveFromGangsIsLimited(t *testing.T) {
+	for workers, want := range map[int]int{12: 4, 18: 5, 36: 10} {
+		f := fleet(workers)
+		var gangs []*schedule.Unit
+		for i := range workers / 3 {
+			u := units(newJob(fmt.Sprintf("gang%02d", i), 1, work.Step{Count: 3, Shape: accelerators(8), Gang: true, SameRack: true}))
+			u[0].Deferrable = true
+			gangs = append(gangs, u...)
+		}
+		plan := schedule.Decide(f, gangs, float64(workers)*f[0].Capacity.Cores())
+		require.Len(t, placementsByRack(f, plan), want, "%d workers", workers)
+	}
+}
+
 // Guards against batch units that can no longer wait being kept from the free urgent
 // reserve, which delays the steps that depend on them: one task waited for 5.5 s.
 func TestBatchUnitsThatCannotWaitUseUrgentReserve(t *testing.T) {
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -219,7 +219,8 @@
 type refPass struct {
 	workers       []*refWorker
 	urgentReserve float64             // cores that deferrable units leave free for urgent work
-	keptForUrgent map[*refWorker]bool // not available to deferrable units; nil until needed
+	keptForUrgent map[*refWorker]bool // not available to deferrable single tasks; nil until needed
+	keptFromGangs map[*refWorker]bool // not available to deferrable gangs; nil until needed
 	plan          Plan
 }
 
@@ -307,24 +308,34 @@
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
 		if u.Deferrable && !s.Gang {
 			racks = racks[:len(racks)-int(urgentRackShare*float64(len(racks)))]
-			return [][]*refWorker{p.withoutKeptForUrgent(slices.Concat(racks...))}, nil
+			return [][]*refWorker{p.withoutKept(slices.Concat(racks...), false)}, nil
+		}
+		if u.Deferrable {
+			return [][]*refWorker{p.withoutKept(eligible, true)}, nil
 		}
 		return [][]*refWorker{eligible}, nil
 	}
+	leavesReserve := u.Deferrable && s.DataRack == ""
 	for _, rack := range racks {
-		if s.DataRack == "" || rack[0].Rack == s.DataRack {
+		if leavesReserve {
+			sets = append(sets, p.withoutKept(rack, true))
+		} else if s.DataRack == "" || rack[0].Rack == s.DataRack {
 			sets = append(sets, rack)
 		}
 	}
 	if u.Job.Priority == 0 || !refFitsEmptyRack(u, racks, s.DataRack) {
 		spread = [][]*refWorker{eligible}
+		if leavesReserve {
+			spread = [][]*refWorker{p.withoutKept(eligible, true)}
+		}
 	}
 	return sets, spread
 }
 
-func (p *refPass) withoutKeptForUrgent(workers []*refWorker) []*refWorker {
+// withoutKept removes the workers kept for urgent work, or those kept from gangs.
+func (p *refPass) withoutKept(workers []*refWorker, gang bool) []*refWorker {
 	if p.keptForUrgent == nil {
-		p.keptForUrgent = make(map[*refWorker]bool)
+		p.keptForUrgent, p.keptFromGangs = make(map[*refWorker]bool), make(map[*refWorker]bool)
 		remaining := p.urgentReserve
 		racks := refRacksFullestFirst(p.workers)
 		for i := len(racks) - 1; i >= 0 && remaining > 0; i-- {
@@ -332,12 +343,13 @@
 			for _, w := range racks[i] {
 				if remaining > 0 && w.Schedulable {
 					p.keptForUrgent[w] = true
+					p.keptFromGangs[w] = i >= len(racks)-int(urgentRackShare*float64(len(racks)))
 					remaining -= w.free.Cores()
 				}
 			}
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(workers), func(w *refWorker) bool { return p.keptForUrgent[w] })
+	return slices.DeleteFunc(slices.Clone(workers), func(w *refWorker) bool { return p.keptForUrgent[w] && (!gang || p.keptFromGangs[w]) })
 }
 
 func refWithoutSuspects(workers []*refWorker) []*refWorker {
