leader: revoke a lapsed lease when the store answers again

Change: a former leader revokes the lease that it could not renew, again and again for 30 s at most, until the store answers. A revocation that arrives late ends only its own lease. Ruled out: going on with the old term when a renewal succeeds after all; the leader would act on reports and records from before the outage. TestLeaseOfLastLeaderIsRevokedAfterOutage fails before: no leader for an hour.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -33,6 +33,14 @@
 	renewInterval = 300 * time.Millisecond
 	// electionRetryDelay is the delay between two tries to become the leader.
 	electionRetryDelay = 200 * time.Millisecond
+	// releaseTimeout is how long a former leader tries to revoke a lease that it could
+	// not renew. It exceeds the outages of the store that are expected.
+	releaseTimeout = 30 * time.Second
+	// releaseCallTimeout bounds one of these calls, which may get no answer during an
+	// outage.
+	releaseCallTimeout = 500 * time.Millisecond
+	// releaseRetryDelay is the pause between two of these calls.
+	releaseRetryDelay = 50 * time.Millisecond
 	// decisionInterval is the longest time between two scheduling passes.
 	decisionInterval = 100 * time.Millisecond
 )
@@ -94,6 +102,7 @@
 	done chan struct{}
 
 	candidate lockedCandidate
+	releases  sync.WaitGroup // calls of releaseLapsed
 
 	mu   sync.Mutex
 	term *term // nil while this entry does not lead
@@ -113,6 +122,7 @@
 // Run takes part in elections until ctx ends. If this entry leads then, it steps down.
 func (l *Leader) Run(ctx context.Context) {
 	defer close(l.done)
+	defer l.releases.Wait()
 	for ctx.Err() == nil {
 		if l.mayCampaign() {
 			if t, err := l.elect(ctx); err == nil {
@@ -180,6 +190,24 @@
 	}
 }
 
+// releaseLapsed revokes a lease that this entry could not renew as soon as the store
+// answers again. Leases do not expire while the store is down: without it, the lease
+// would keep all entries from leading for another leaseTTL after an outage.
+func (l *Leader) releaseLapsed(ctx context.Context, lease rosemarysill.LeaseID) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, releaseCallTimeout)
+		err := l.cfg.Store.Revoke(call, lease)
+		cancel()
+		if err == nil || errors.Is(err, rosemarysill.ErrLeaseLapsed) {
+			return
+		}
+		l.cfg.Log.Debug().Err(err).Msg("revoking the lapsed lease failed; it is repeated")
+		uptime.Sleep(ctx, releaseRetryDelay)
+	}
+}
+
 // serveTerm leads until the term ends.
 func (l *Leader) serveTerm(ctx context.Context, t *term) {
 	event.LeaderElected.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).Send()
@@ -217,6 +245,7 @@
 		return
 	}
 	event.LeaderLost.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).AnErr("Cause", t.cause()).Send()
+	l.releases.Go(func() { l.releaseLapsed(ctx, t.lease) })
 	// The cache may still show the leader record of this entry, which expires with the
 	// lease. Until then this entry does not campaign, so it pauses.
 	uptime.Sleep(ctx, electionRetryDelay)
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -91,6 +91,21 @@
 	c.requireNoBreaches()
 }
 
+// Guards against a fleet without a leader after an outage of the store: leases do not
+// expire while the store is down, so the lease of the last leader keeps all entries from
+// leading unless its owner revokes it.
+func TestLeaseOfLastLeaderIsRevokedAfterOutage(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 2)
+	c.awaitLeader()
+	c.store.Suspend()
+	time.Sleep(3 * time.Second) // the lease of 1.2 s lapses by the clock of the leader
+	c.store.Resume(time.Hour)
+	c.submit("after", step(3, 100*time.Millisecond))
+	c.awaitState("after", work.Completed)
+	c.requireNoBreaches()
+}
+
 // Guards against two leaders: the leader record is removed while its owner still renews
 // the lease, so only the guard of its commits can stop it.
 func TestLeaderRecordRemoved(t *testing.T) {
--- a/standin/transactions.go
+++ b/standin/transactions.go
@@ -42,6 +42,8 @@
 	faults   map[string]Fault
 	changed  chan struct{}
 	calls    int
+
+	suspended bool // an outage: no call gets an answer, and no lease expires
 }
 
 type txItem struct {
@@ -75,6 +77,26 @@
 	s.broadcast() // waiting watches see the fault
 }
 
+// Suspend begins an outage for all views, in which leases do not expire.
+func (s *Transactions) Suspend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended = true
+	s.broadcast()
+}
+
+// Resume ends the outage. No lease expires before the given time has passed, unless it is
+// renewed or revoked.
+func (s *Transactions) Resume(extension time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended = false
+	for _, l := range s.leases {
+		l.until = time.Now().Add(extension)
+	}
+	s.broadcast()
+}
+
 // Calls returns the number of calls so far.
 func (s *Transactions) Calls() int {
 	s.mu.Lock()
@@ -146,6 +168,9 @@
 
 // expire ends the leases that have lapsed.
 func (s *Transactions) expire(now time.Time) {
+	if s.suspended {
+		return
+	}
 	for id, l := range s.leases {
 		if now.After(l.until) {
 			s.endLease(id)
@@ -191,6 +216,9 @@
 }
 
 func (v *View) fault() Fault {
+	if v.s.suspended {
+		return Silent
+	}
 	if f, ok := v.s.faults[v.name]; ok {
 		return f
 	}
