jobstore: the first watch after a failure does not wait

Hypothesis: entries refuse callers for up to a second after an outage of the store, because a copy counts as fresh only when a watch has returned, and without a change it returns after its timeout of 1 s. Change: the next watch after a failure has no timeout to wait for. TestFirstWatchAfterFailureDoesNotWait fails before.

--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -164,7 +164,7 @@
 // unless the store has discarded the history since.
 func (f *Follower) applyNextChanges(ctx context.Context, revision uint64) (uint64, error) {
 	requestedAt := uptime.Now()
-	changes, next, err := f.store.Watch(ctx, f.prefix, revision, f.watchTimeout)
+	changes, next, err := f.store.Watch(ctx, f.prefix, revision, f.nextWatchTimeout())
 	if errors.Is(err, rosemarysill.ErrCompacted) {
 		f.onFailure(err)
 		return 0, err
@@ -184,6 +184,18 @@
 	return next, nil
 }
 
+// nextWatchTimeout returns how long the next watch waits at the store. The first one
+// after a failure does not wait, because its reply shows that the store is back and the
+// copy is fresh: until then callers are refused.
+func (f *Follower) nextWatchTimeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.healthy {
+		return 0
+	}
+	return f.watchTimeout
+}
+
 // applyIfNewer applies a change unless the copy has the same or a later version.
 func (f *Follower) applyIfNewer(c rosemarysill.Change) {
 	key := c.Item.Key
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -110,3 +110,43 @@
 	require.Eventually(t, func() bool { e, _ := c.Job("good"); return e.State() == work.Cancelled }, testTimeout, 5*time.Millisecond)
 	require.Zero(t, c.Pending("q"))
 }
+
+// watchRecorder is a store whose watches fail until the outage is over. It records how
+// long they were to wait.
+type watchRecorder struct {
+	rosemarysill.TransactionalStore
+	failures int
+	waits    chan time.Duration
+}
+
+func (w *watchRecorder) List(context.Context, string) ([]rosemarysill.Item, uint64, error) {
+	return nil, 1, nil
+}
+
+func (w *watchRecorder) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]rosemarysill.Change, uint64, error) {
+	select {
+	case w.waits <- wait:
+	case <-ctx.Done():
+		return nil, after, ctx.Err()
+	}
+	if w.failures > 0 {
+		w.failures--
+		return nil, after, rosemarysill.ErrStoreUnavailable
+	}
+	return nil, after, nil
+}
+
+// Guards against callers that are refused for another watch timeout after an outage: the
+// copy counts as fresh once a watch has returned, and nothing may change for that long.
+func TestFirstWatchAfterFailureDoesNotWait(t *testing.T) {
+	s := &watchRecorder{failures: 2, waits: make(chan time.Duration)}
+	f := jobstore.NewFollower(s, "p/", func(rosemarysill.Change) {}, func(error) {}, func() {})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	require.NotZero(t, <-s.waits, "fails")
+	require.Zero(t, <-s.waits, "fails again")
+	require.Zero(t, <-s.waits, "is back")
+	require.NotZero(t, <-s.waits)
+}
