jobstore: list again when a watch does not deliver a change that the store has

Ruled out: shorter watches, which cost every entry further calls at rest. TestUndeliveredChangeIsListed fails without the check, and the gateway's part is in TestStaleConfigurationIsRefused.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,9 @@
 	answerReserve = 50 * time.Millisecond
 	// retryDelay is the pause before a failed call to the store is retried.
 	retryDelay = 40 * time.Millisecond
+	// configDelay is how long the copy of the configuration may lag behind a change that
+	// a conflict of a commit has shown.
+	configDelay = 100 * time.Millisecond
 	// progressReadTimeout bounds a read of a job's progress from the store, which
 	// takes 4 ms, or 240 ms when the store is 60 times slower.
 	progressReadTimeout = 300 * time.Millisecond
@@ -51,6 +54,9 @@
 	// FreshAsOf returns the latest time, by package uptime, as of which the
 	// configuration is known to be the latest one.
 	FreshAsOf() time.Time
+	// Expect tells that the store has a change of the configuration with the given
+	// revision, which the copy should have by the given time, by package uptime.
+	Expect(revision uint64, by time.Time)
 }
 
 // Config configures a Gateway.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,14 +20,17 @@
 
 // fakeConfig is a gateway.Declarations with a configuration of a given age.
 type fakeConfig struct {
-	cfg *queue.Configuration
-	age atomic.Int64
+	cfg      *queue.Configuration
+	age      atomic.Int64
+	expected atomic.Uint64 // revision that the store is known to have
 }
 
 func (d *fakeConfig) Configuration() *queue.Configuration { return d.cfg }
 
 func (d *fakeConfig) FreshAsOf() time.Time { return uptime.Now().Add(-time.Duration(d.age.Load())) }
 
+func (d *fakeConfig) Expect(revision uint64, _ time.Time) { d.expected.Store(revision) }
+
 const configKey = "operators/config"
 
 // testEntry is a gateway with a stand-in for the store.
@@ -97,8 +100,9 @@
 	require.False(t, entry.gateway.Ready())
 	require.Equal(t, rosemarysill.StaleConfiguration, entry.submit("/q/0000000000000002", time.Second))
 	entry.declarations.age.Store(0)
-	entry.store.Put(configKey, []byte("2"))
+	revision := entry.store.Put(configKey, []byte("2"))
 	require.Equal(t, rosemarysill.StoreUnavailable, entry.submit("/q/0000000000000003", 300*time.Millisecond), "the entry does not have the latest configuration")
+	require.Equal(t, revision, entry.declarations.expected.Load(), "the copy is checked against the revision in the store")
 	require.Len(t, entry.store.Keys("rs/job/"), 1)
 }
 
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -10,6 +10,7 @@
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/queue"
+	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -80,6 +81,7 @@
 		return rosemarysill.NewError(rosemarysill.InternalError, "encode job: %v", err)
 	}
 	key := jobstore.JobKey(j.ID)
+	sent := uptime.Now()
 	_, items, err := g.cfg.Store.Commit(ctx, rosemarysill.Commit{
 		Guards: []rosemarysill.Guard{{Key: cfg.Key, Version: cfg.Revision}, {Key: key}},
 		Writes: []rosemarysill.Write{{Key: key, Value: value}},
@@ -89,6 +91,11 @@
 			if i.Key == key && i.Version != 0 {
 				return nil
 			}
+			if i.Key == cfg.Key && i.Version > cfg.Revision {
+				// A slow store may take as long to deliver the change as it took to answer.
+				now := uptime.Now()
+				g.cfg.Declarations.Expect(i.Version, now.Add(max(configDelay, now.Sub(sent))))
+			}
 		}
 	}
 	return err
--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -45,6 +45,7 @@
 	batchEnd      chan struct{} // ends the current batch interval
 	batchInterval time.Duration // pause after changes
 	watchTimeout  time.Duration // how long a watch waits at the store
+	delivery      delivery
 }
 
 // NewFollower returns a follower that calls apply for each change. It calls onFailure
@@ -125,7 +126,7 @@
 		for err == nil && ctx.Err() == nil {
 			revision, err = f.applyNextChanges(ctx, revision)
 		}
-		if ctx.Err() == nil && !errors.Is(err, rosemarysill.ErrCompacted) {
+		if ctx.Err() == nil && !errors.Is(err, rosemarysill.ErrCompacted) && !errors.Is(err, errUndelivered) {
 			uptime.Sleep(ctx, retryPause)
 		}
 	}
@@ -150,6 +151,7 @@
 			f.applyIfNewer(rosemarysill.Change{Item: rosemarysill.Item{Key: key}, Deleted: true, Revision: revision})
 		}
 	}
+	f.delivery.reached(revision)
 	f.markFresh(requestedAt)
 	select {
 	case <-f.synced:
@@ -164,8 +166,12 @@
 // unless the store has discarded the history since.
 func (f *Follower) applyNextChanges(ctx context.Context, revision uint64) (uint64, error) {
 	requestedAt := uptime.Now()
-	changes, next, err := f.store.Watch(ctx, f.prefix, revision, f.nextWatchTimeout())
-	if errors.Is(err, rosemarysill.ErrCompacted) {
+	watchCtx, end := f.delivery.watch(ctx)
+	changes, next, err := f.store.Watch(watchCtx, f.prefix, revision, f.nextWatchTimeout())
+	if end() && err != nil {
+		err = errUndelivered
+	}
+	if errors.Is(err, rosemarysill.ErrCompacted) || errors.Is(err, errUndelivered) {
 		f.onFailure(err)
 		return 0, err
 	}
@@ -177,6 +183,7 @@
 	for _, c := range changes {
 		f.applyIfNewer(c)
 	}
+	f.delivery.reached(next)
 	f.markFresh(requestedAt)
 	if len(changes) > 0 {
 		f.waitForBatch(ctx)
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -150,3 +150,65 @@
 	require.Zero(t, <-s.waits, "is back")
 	require.NotZero(t, <-s.waits)
 }
+
+// silentStore is a store whose watches never return anything. It counts lists.
+type silentStore struct {
+	rosemarysill.TransactionalStore
+	mu       sync.Mutex
+	lists    int
+	revision uint64
+}
+
+func (s *silentStore) List(context.Context, string) ([]rosemarysill.Item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	return []rosemarysill.Item{{Key: "p/key", Version: s.revision}}, s.revision, nil
+}
+
+func (s *silentStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]rosemarysill.Change, uint64, error) {
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+func (s *silentStore) setRevision(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = revision
+}
+
+func (s *silentStore) numLists() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
+// Guards against changes that a silent watch withholds until its timeout: on days on
+// which the store discards its history, jobs waited for 0.6 to 1.3 s because the copy of
+// the configuration, or of the jobs, was old. A change that is already there, and one
+// that is expected again at once, cost no list.
+func TestUndeliveredChangeIsListed(t *testing.T) {
+	s := &silentStore{revision: 1}
+	var mu sync.Mutex
+	var applied []uint64
+	f := jobstore.NewFollower(s, "p/", func(c rosemarysill.Change) {
+		mu.Lock()
+		defer mu.Unlock()
+		applied = append(applied, c.Item.Version)
+	}, func(error) {}, func() {})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	<-f.Synced()
+	f.Expect(1, uptime.Now())
+	s.setRevision(2)
+	f.Expect(2, uptime.Now())
+	require.Eventually(t, func() bool {
+		f.Expect(2, uptime.Now()) // the first one may have come before the watch
+		mu.Lock()
+		defer mu.Unlock()
+		return len(applied) == 2 && applied[1] == 2
+	}, testTimeout, time.Millisecond)
+	require.Equal(t, 2, s.numLists())
+}
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -21,6 +21,10 @@
 	maxBatchJobs = 15
 	// commitRetryDelay is the delay before a commit is repeated.
 	commitRetryDelay = 30 * time.Millisecond
+	// A commit is expected in the watch of the records within minDeliveryDelay, or within
+	// deliveryFactor times the duration of its call if the store is slow.
+	minDeliveryDelay = 150 * time.Millisecond
+	deliveryFactor   = 3
 )
 
 // change is the new progress of one job in a batch.
@@ -95,6 +99,7 @@
 		c.Writes = append(c.Writes, rosemarysill.Write{Key: key, Value: ch.value})
 	}
 	for {
+		sent := uptime.Now()
 		revision, items, err := t.cfg.Store.Commit(ctx, c)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -102,6 +107,7 @@
 		switch {
 		case err == nil:
 			t.applyCommit(b, revision)
+			t.expectDelivery(revision, sent)
 			return nil
 		case errors.Is(err, rosemarysill.ErrVersion):
 			done, err := t.resolveConflict(b, &c, items)
@@ -115,6 +121,13 @@
 	}
 }
 
+// expectDelivery has the cache check that its watch delivers the commit. New jobs arrive
+// by the same watch, and no other call shows that it has gone silent.
+func (t *term) expectDelivery(revision uint64, sent time.Time) {
+	now := uptime.Now()
+	t.cfg.Cache.Expect(revision, now.Add(max(minDeliveryDelay, deliveryFactor*now.Sub(sent))))
+}
+
 // resolveConflict handles a commit whose guards did not hold. It reports whether an
 // earlier try of the same commit took effect; otherwise it sets the guards of the next
 // try to the current versions.
