loss, cmd/losses: why jobs were late and what was thrown away, from the logs

Change: package loss reads the leader's lines with package history, rates jobs, attributes delays and lost core-seconds to causes, and estimates what a scheduler that knows all durations could have served; cmd/losses prints it.

--- a/history/history.go
+++ b/history/history.go
@@ -33,9 +33,9 @@
 	Value string
 }
 
-// Reader collects the lines about one job.
+// Reader collects the lines about one job, or all lines.
 type Reader struct {
-	ID    string
+	ID    string // of the job; empty for all lines
 	Lines []Line
 	Bad   int // lines that begin a JSON object and cannot be read
 }
@@ -56,7 +56,7 @@
 			r.Bad++
 			continue
 		}
-		if line.value("Job") == r.ID {
+		if r.ID == "" || line.Value("Job") == r.ID {
 			line.Source = cmp.Or(strings.Join(strings.Fields(text[:i]), " "), name)
 			r.Lines = append(r.Lines, line)
 		}
@@ -95,7 +95,8 @@
 	return l, nil
 }
 
-func (l Line) value(name string) string {
+// Value returns the value of a field as it is written, or an empty string.
+func (l Line) Value(name string) string {
 	for _, f := range l.Fields {
 		if f.Name == name {
 			return f.Value
--- /dev/null
+++ b/loss/job.go
@@ -0,0 +1,199 @@
+// Package loss explains from logs why jobs finished late or not at all, and how much
+// work was thrown away. It reads the lines that the leader writes about jobs and runs.
+package loss
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Step is the shape of a step of a job.
+type Step struct {
+	Tasks         int
+	Shape         work.Shape // of a task
+	Gang          bool
+	Checkpointing bool
+}
+
+// cores returns the size of all tasks of the step, with accelerators converted.
+func (s Step) cores() float64 { return float64(s.Tasks) * s.Shape.Cores() }
+
+// Job is what the logs tell about a job.
+type Job struct {
+	ID        string
+	Account   string
+	Priority  int
+	Steps     []Step
+	Estimate  time.Duration // declared duration of the longest chain of steps
+	Objective time.Duration // within which the job should be done, by its declared duration
+	Slowdown  float64       // part of Objective for each second of the job's duration
+	Accepted  time.Time
+	Ended     time.Time // zero if the logs show no end
+	State     string    // final state; empty if the logs show no end
+	Runs      []*Run    // in the order of their placements
+}
+
+// Run is an execution of a task.
+type Run struct {
+	Occurrence, Step, Index, Number int
+	Worker                          string
+	Placed                          time.Time
+	Ended                           time.Time // zero if the logs show no end
+	Outcome                         string
+	Stop                            string // reason of the order to stop; empty if there was none
+	Cause                           Cause
+}
+
+// Outcomes of runs and states of jobs in the logs.
+const (
+	outcomeDone    = "done"
+	outcomeFailed  = "failed"
+	outcomeLost    = "lost"
+	outcomeRefused = "refused"
+	stateCompleted = "completed"
+	stateCancelled = "cancelled"
+	stateFailed    = "failed"
+)
+
+// Cause tells why a run or a job lost time.
+type Cause int
+
+// Causes of losses.
+const (
+	None       Cause = iota
+	Waited           // no capacity
+	Preempted        // stopped for a more urgent job
+	Drained          // its worker was about to shut down
+	WorkerLost       // its worker has gone
+	Failed           // a run failed by itself
+	Refused          // the worker refused the start
+	Stalled          // the run made no progress
+	Cancelled        // the caller cancelled the job
+	Slow             // the runs took longer than declared
+	Other            // any other reason
+	numCauses
+)
+
+var causeNames = [numCauses]string{"none", "waited", "preempted", "drained", "worker lost", "failed", "refused", "stalled", "cancelled", "slow", "other"}
+
+// String returns the name of the cause in tables.
+func (c Cause) String() string { return causeNames[c] }
+
+// Verdict is the outcome of a job in the users' measurements.
+type Verdict int
+
+// Verdicts, from best to worst.
+const (
+	Excluded Verdict = iota // cancelled, failed by itself, or not yet due when the logs end
+	OnTime
+	Late
+	Undone // not done within expiredFactor times its objective
+)
+
+// expiredFactor is the multiple of its objective after which users rate a job like one
+// that was not done.
+const expiredFactor = 3
+
+// Verdict rates the job. The logs end at the given time.
+func (j *Job) Verdict(end time.Time) Verdict {
+	due, expiry := j.Accepted.Add(j.objective()), j.Accepted.Add(expiredFactor*j.objective())
+	switch {
+	case j.State == stateCancelled || j.State == stateFailed:
+		return Excluded
+	case j.State == stateCompleted && !j.Ended.After(due):
+		return OnTime
+	case j.State == stateCompleted && !j.Ended.After(expiry):
+		return Late
+	case j.State == stateCompleted || end.After(expiry):
+		return Undone
+	default:
+		return Excluded
+	}
+}
+
+// objective returns the time within which the job should be done by its real duration,
+// as users measure it. The duration of a step is that of its longest run that was done.
+func (j *Job) objective() time.Duration {
+	var actual time.Duration
+	for i := range j.Steps {
+		longest := time.Duration(0)
+		for _, r := range j.Runs {
+			if r.Step == i && r.Outcome == outcomeDone && !r.Ended.IsZero() {
+				longest = max(longest, r.Ended.Sub(r.Placed))
+			}
+		}
+		if longest == 0 {
+			return j.Objective
+		}
+		actual += longest
+	}
+	return j.Objective + time.Duration(j.Slowdown*float64(actual-j.Estimate))
+}
+
+// Work returns the size of the job in core-seconds. The duration of a step is the mean
+// of its runs that were done, or the declared duration divided by the number of steps.
+func (j *Job) Work() float64 {
+	var sum float64
+	for i, s := range j.Steps {
+		sum += s.cores() * j.stepDuration(i).Seconds()
+	}
+	return sum
+}
+
+func (j *Job) stepDuration(step int) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, r := range j.Runs {
+		if r.Step == step && r.Outcome == outcomeDone && !r.Ended.IsZero() {
+			sum += r.Ended.Sub(r.Placed)
+			n++
+		}
+	}
+	if n == 0 {
+		return j.Estimate / time.Duration(max(1, len(j.Steps)))
+	}
+	return sum / time.Duration(n)
+}
+
+// wasted returns the core-seconds that a run occupied without a lasting result. A
+// checkpointing run that is stopped keeps its work.
+func (j *Job) wasted(r *Run, end time.Time) float64 {
+	s := j.Steps[r.Step]
+	if r.Outcome == outcomeDone || r.Outcome == outcomeRefused || r.Ended.IsZero() || (s.Checkpointing && r.Stop != "") {
+		return 0
+	}
+	return s.Shape.Cores() * min(r.Ended.Sub(r.Placed), end.Sub(r.Placed)).Seconds()
+}
+
+// firstPlaced returns the time of the first placement, or the given end of the logs.
+func (j *Job) firstPlaced(end time.Time) time.Time {
+	if len(j.Runs) == 0 {
+		return end
+	}
+	return j.Runs[0].Placed
+}
+
+// parseSteps parses the shapes of the steps in a log line: the tasks, accelerators,
+// cores and MB of a task, and its properties.
+func parseSteps(text string) ([]Step, error) {
+	var steps []Step
+	for part := range strings.SplitSeq(text, ", ") {
+		var s Step
+		var cores float64
+		if _, err := fmt.Sscanf(part, "%dx%da%gc%dM", &s.Tasks, &s.Shape.Accelerators, &cores, &s.Shape.MemoryMB); err != nil {
+			return nil, errors.Wrapf(err, "step %q", part)
+		}
+		s.Shape.MilliCPU = int64(math.Round(1000 * cores))
+		s.Gang, s.Checkpointing = strings.Contains(part, " gang"), strings.Contains(part, " checkpointing")
+		steps = append(steps, s)
+	}
+	return steps, nil
+}
+
+func seconds(d time.Duration) float64 { return math.Round(d.Seconds()*100) / 100 }
