--- a/loss/job.go
+++ b/loss/job.go
@@ -195,5 +195,3 @@
 	}
 	return steps, nil
 }
-
-func seconds(d time.Duration) float64 { return math.Round(d.Seconds()*100) / 100 }
--- a/loss/report.go
+++ b/loss/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -75,6 +76,9 @@
 	return tw.Flush()
 }
 
+// seconds returns a duration in seconds, rounded for a table.
+func seconds(d time.Duration) float64 { return math.Round(d.Seconds()*100) / 100 }
+
 // waits returns the times from acceptance to the first placement by priority, sorted.
 func (d *Day) waits() map[int][]time.Duration {
 	waits := make(map[int][]time.Duration)
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -11,6 +11,9 @@
 // racks, where a rack kept free costs more than it gains.
 const urgentRackShare = 0.17
 
+// urgentRacks returns how many of the racks are left free by urgentRackShare.
+func urgentRacks(racks [][]*workerState) int { return int(urgentRackShare * float64(len(racks))) }
+
 // candidates are the workers that may run a unit.
 type candidates struct {
 	key      equivalenceKey
@@ -31,11 +34,11 @@
 	leavesReserve := u.Deferrable && s.DataRack == ""
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
 		switch {
-		case leavesReserve && !s.Gang:
-			racks = racks[:len(racks)-int(urgentRackShare*float64(len(racks)))]
-			return [][]*workerState{p.withoutKeptForUrgent(slices.Concat(racks...))}, nil
-		case leavesReserve:
+		case leavesReserve && s.Gang:
 			return [][]*workerState{p.withoutKeptFromGangs(c.eligible)}, nil
+		case leavesReserve:
+			racks = racks[:len(racks)-urgentRacks(racks)]
+			return [][]*workerState{p.withoutKeptForUrgent(slices.Concat(racks...))}, nil
 		default:
 			return [][]*workerState{c.eligible}, nil
 		}
@@ -109,7 +112,7 @@
 	p.reserveMarked = true
 	remaining := p.urgentReserve
 	racks := fullestFirst(p.groupByRack(p.workers))
-	firstFromGangs := len(racks) - int(urgentRackShare*float64(len(racks)))
+	firstFromGangs := len(racks) - urgentRacks(racks)
 	for i := len(racks) - 1; i >= 0 && remaining > 0; i-- {
 		slices.SortStableFunc(racks[i], func(a, b *workerState) int { return cmp.Compare(b.freeCores, a.freeCores) })
 		for _, w := range racks[i] {
