loss, history, schedule, jobstore: call what the project has, and one piece for two

loss has the outcomes and states of package work instead of copies, and work.ExpiredFactor serves it and leader. history.Reader.ReadFiles replaces the loop over files that explain and losses both had. withoutKept replaces two filters for the urgent reserve; needsList stands once. Fields of loss that nothing read and a rounding before a rounding are gone. Comments in plain terms.

Checked: formatter, go vet, staticcheck and revive on all packages; go test -race on all but upstream, which is not touched: passed. Soak and model checker were not run on this commit.

--- a/cmd/losses/main.go
+++ b/cmd/losses/main.go
@@ -58,16 +58,8 @@
 
 func readDay(files []string) (*loss.Day, error) {
 	var r history.Reader
-	for _, name := range files {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, errors.Wrap(err, "open log")
-		}
-		err = r.Read(name, f)
-		_ = f.Close() // nothing was written, so an error is harmless
-		if err != nil {
-			return nil, err
-		}
+	if err := r.ReadFiles(files); err != nil {
+		return nil, errors.Wrap(err, "read logs")
 	}
 	if r.Bad > 0 {
 		fmt.Fprintf(os.Stderr, "%d malformed lines were skipped\n", r.Bad)
--- a/cmd/rosemarysill/explain.go
+++ b/cmd/rosemarysill/explain.go
@@ -25,16 +25,8 @@
 // Execute prints the history of the job.
 func (c *explainCommand) Execute([]string) error {
 	r := history.Reader{ID: c.Args.ID}
-	for _, name := range c.Args.Files {
-		f, err := os.Open(name)
-		if err != nil {
-			return rosemarysill.NewError(rosemarysill.InvalidArguments, "%v", err)
-		}
-		err = r.Read(name, f)
-		_ = f.Close() // nothing was written, so an error is harmless
-		if err != nil {
-			return rosemarysill.NewError(rosemarysill.InvalidArguments, "%v", err)
-		}
+	if err := r.ReadFiles(c.Args.Files); err != nil {
+		return rosemarysill.NewError(rosemarysill.InvalidArguments, "%v", err)
 	}
 	if r.Bad > 0 {
 		fmt.Fprintf(os.Stderr, "%d malformed lines were skipped\n", r.Bad)
--- a/history/history.go
+++ b/history/history.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -64,6 +65,22 @@
 	return errors.Wrap(s.Err(), name)
 }
 
+// ReadFiles reads logs from files.
+func (r *Reader) ReadFiles(names []string) error {
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = r.Read(name, f)
+		_ = f.Close() // nothing was written, so an error is harmless
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func parse(data []byte) (Line, error) {
 	var l Line
 	d := json.NewDecoder(bytes.NewReader(data))
--- a/jobstore/delivery.go
+++ b/jobstore/delivery.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/uptime"
 )
 
@@ -14,13 +15,18 @@
 // that it did not deliver.
 var errUndelivered = errors.New("the watch has not delivered a change that the store has")
 
+// needsList reports whether the prefix has to be listed at once after a failed watch.
+func needsList(err error) bool {
+	return errors.Is(err, rosemarysill.ErrCompacted) || errors.Is(err, errUndelivered)
+}
+
 // minInterruptInterval is the shortest time between two interruptions of a watch. It
 // bounds the lists that a slow store has to answer because its watches are late.
 const minInterruptInterval = time.Second
 
 // delivery checks that the watch of a follower delivers changes that are known from other
-// calls. A store that has discarded its history, or a connection that has gone silent,
-// may keep a watch waiting until its timeout.
+// calls. A store that has discarded its history, or a connection that no longer carries
+// data, may keep a watch waiting until its timeout.
 type delivery struct {
 	mu            sync.Mutex
 	position      uint64             // revision up to which changes have been delivered
--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/uptime"
 )
@@ -126,7 +124,7 @@
 		for err == nil && ctx.Err() == nil {
 			revision, err = f.applyNextChanges(ctx, revision)
 		}
-		if ctx.Err() == nil && !errors.Is(err, rosemarysill.ErrCompacted) && !errors.Is(err, errUndelivered) {
+		if ctx.Err() == nil && !needsList(err) {
 			uptime.Sleep(ctx, retryPause)
 		}
 	}
@@ -171,7 +169,7 @@
 	if end() && err != nil {
 		err = errUndelivered
 	}
-	if errors.Is(err, rosemarysill.ErrCompacted) || errors.Is(err, errUndelivered) {
+	if needsList(err) {
 		f.onFailure(err)
 		return 0, err
 	}
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -183,10 +183,10 @@
 	return s.lists
 }
 
-// Guards against changes that a silent watch withholds until its timeout: on days on
-// which the store discards its history, jobs waited for 0.6 to 1.3 s because the copy of
-// the configuration, or of the jobs, was old. A change that is already there, and one
-// that is expected again at once, cost no list.
+// Guards against changes that a watch withholds until its timeout after the store has
+// discarded its history: jobs wait because the copy of the configuration, or of the jobs,
+// is old. A change that is already there, and one that is expected again at once, cost
+// no list.
 func TestUndeliveredChangeIsListed(t *testing.T) {
 	s := &silentStore{revision: 1}
 	var mu sync.Mutex
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -122,7 +122,7 @@
 }
 
 // expectDelivery has the cache check that its watch delivers the commit. New jobs arrive
-// by the same watch, and no other call shows that it has gone silent.
+// by the same watch, and no other call shows that it has stopped delivering.
 func (t *term) expectDelivery(revision uint64, sent time.Time) {
 	now := uptime.Now()
 	t.cfg.Cache.Expect(revision, now.Add(max(minDeliveryDelay, deliveryFactor*now.Sub(sent))))
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -197,9 +197,9 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, releaseCallTimeout)
-		err := l.cfg.Store.Revoke(call, lease)
-		cancel()
+		callCtx, cancelCall := context.WithTimeout(ctx, releaseCallTimeout)
+		err := l.cfg.Store.Revoke(callCtx, lease)
+		cancelCall()
 		if err == nil || errors.Is(err, rosemarysill.ErrLeaseLapsed) {
 			return
 		}
--- a/leader/timeliness.go
+++ b/leader/timeliness.go
@@ -7,10 +7,6 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// expiredFactor is the multiple of its objective after which a job does not count any
-// more in the users' measurements.
-const expiredFactor = 3
-
 // meanDuration is the mean duration of the runs of a queue.
 type meanDuration struct {
 	runs int
@@ -47,7 +43,7 @@
 		return schedule.OnTime
 	case !end.After(from.Add(limit)):
 		return schedule.AtRisk
-	case !end.After(from.Add(expiredFactor * limit)):
+	case !end.After(from.Add(work.ExpiredFactor * limit)):
 		return schedule.Late
 	default:
 		return schedule.Expired
--- a/loss/bound.go
+++ b/loss/bound.go
@@ -98,7 +98,7 @@
 		switch {
 		case d.allocate(free, j, j.objective()):
 			s.OnTime += sizes[j] * worth.OnTime
-		case d.allocate(free, j, expiredFactor*j.objective()):
+		case d.allocate(free, j, work.ExpiredFactor*j.objective()):
 			s.Late += sizes[j] * worth.Late
 		}
 	}
--- a/loss/cause.go
+++ b/loss/cause.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/rosemarysill/rosemarysill/work"
 )
 
 // setCauses sets the causes of the runs that were not done. The members of a gang share
@@ -27,7 +29,7 @@
 // ownCause returns why the run was not done, or Other if another member of its gang may
 // tell.
 func (r *Run) ownCause() Cause {
-	if r.Outcome == outcomeDone || r.Ended.IsZero() {
+	if r.Outcome == work.OutcomeDone || r.Ended.IsZero() {
 		return None
 	}
 	for reason, cause := range stopCauses {
@@ -38,11 +40,11 @@
 	switch {
 	case r.Stop != "":
 		return Other
-	case r.Outcome == outcomeFailed:
+	case r.Outcome == work.OutcomeFailed:
 		return Failed
-	case r.Outcome == outcomeLost:
+	case r.Outcome == work.OutcomeWorkerLost:
 		return WorkerLost
-	case r.Outcome == outcomeRefused:
+	case r.Outcome == work.OutcomeRefused:
 		return Refused
 	default:
 		return Other
@@ -74,7 +76,7 @@
 				until = end
 			}
 			switch {
-			case r.Outcome == outcomeDone:
+			case r.Outcome == work.OutcomeDone:
 				declared := j.Estimate / time.Duration(len(j.Steps))
 				delays[Slow] += max(0, until.Sub(r.Placed)-declared)
 				done = true
@@ -109,7 +111,7 @@
 	}
 	for k, rs := range runs {
 		end := rs[len(rs)-1].Ended
-		if rs[len(rs)-1].Outcome != outcomeDone {
+		if rs[len(rs)-1].Outcome != work.OutcomeDone {
 			end = end.Add(24 * time.Hour) // it has not been done at all
 		}
 		if end.After(lastEnd) || (end.Equal(lastEnd) && k.index < last.index) {
--- a/loss/day.go
+++ b/loss/day.go
@@ -75,7 +75,7 @@
 		d.runEnded(l)
 	case "LeaderJobEnded":
 		if j := d.jobs[l.Value("Job")]; j != nil && j.State == "" {
-			j.Ended, j.State = l.Time, l.Value("State")
+			j.Ended, j.State = l.Time, work.State(l.Value("State"))
 		}
 	case "LeaderWorkerSeen":
 		w := knownWorker{incarnation: l.Value("Worker")}
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	j := &Job{ID: id, Account: l.Value("Account"), Steps: steps, Accepted: l.Time}
+	j := &Job{ID: id, Steps: steps, Accepted: l.Time}
 	if j.Priority, err = strconv.Atoi(l.Value("Priority")); err != nil {
 		return err
 	}
@@ -137,7 +137,7 @@
 	if r.Step >= len(j.Steps) {
 		return errors.Newf("run %s of a job with %d steps", l.Value("Run"), len(j.Steps))
 	}
-	r.Worker, r.Placed = l.Value("Worker"), l.Time
+	r.Placed = l.Time
 	j.Runs = append(j.Runs, r)
 	d.running[l.Value("Job")+" "+l.Value("Run")] = r
 	return nil
@@ -151,14 +151,14 @@
 	if r == nil || !r.Ended.IsZero() {
 		return
 	}
-	r.Ended, r.Outcome = l.Time, l.Value("How")
+	r.Ended, r.Outcome = l.Time, work.Outcome(l.Value("How"))
 	j := d.jobs[l.Value("Job")]
-	if r.Outcome != outcomeDone || !j.Steps[r.Step].Gang {
+	if r.Outcome != work.OutcomeDone || !j.Steps[r.Step].Gang {
 		return
 	}
 	for _, member := range j.gangOf(r) { // the end of one member stands for all
 		if member.Ended.IsZero() {
-			member.Ended, member.Outcome = l.Time, outcomeDone
+			member.Ended, member.Outcome = l.Time, work.OutcomeDone
 		}
 	}
 }
--- a/loss/job.go
+++ b/loss/job.go
@@ -27,40 +27,27 @@
 // Job is what the logs tell about a job.
 type Job struct {
 	ID        string
-	Account   string
 	Priority  int
 	Steps     []Step
 	Estimate  time.Duration // declared duration of the longest chain of steps
 	Objective time.Duration // within which the job should be done, by its declared duration
 	Slowdown  float64       // part of Objective for each second of the job's duration
 	Accepted  time.Time
-	Ended     time.Time // zero if the logs show no end
-	State     string    // final state; empty if the logs show no end
-	Runs      []*Run    // in the order of their placements
+	Ended     time.Time  // zero if the logs show no end
+	State     work.State // final state; empty if the logs show no end
+	Runs      []*Run     // in the order of their placements
 }
 
 // Run is an execution of a task.
 type Run struct {
 	Occurrence, Step, Index, Number int
-	Worker                          string
 	Placed                          time.Time
 	Ended                           time.Time // zero if the logs show no end
-	Outcome                         string
+	Outcome                         work.Outcome
 	Stop                            string // reason of the order to stop; empty if there was none
 	Cause                           Cause
 }
 
-// Outcomes of runs and states of jobs in the logs.
-const (
-	outcomeDone    = "done"
-	outcomeFailed  = "failed"
-	outcomeLost    = "lost"
-	outcomeRefused = "refused"
-	stateCompleted = "completed"
-	stateCancelled = "cancelled"
-	stateFailed    = "failed"
-)
-
 // Cause tells why a run or a job lost time.
 type Cause int
 
@@ -93,24 +80,20 @@
 	Excluded Verdict = iota // cancelled, failed by itself, or not yet due when the logs end
 	OnTime
 	Late
-	Undone // not done within expiredFactor times its objective
+	Undone // not done within work.ExpiredFactor times its objective
 )
 
-// expiredFactor is the multiple of its objective after which users rate a job like one
-// that was not done.
-const expiredFactor = 3
-
 // Verdict rates the job. The logs end at the given time.
 func (j *Job) Verdict(end time.Time) Verdict {
-	due, expiry := j.Accepted.Add(j.objective()), j.Accepted.Add(expiredFactor*j.objective())
+	due, expiry := j.Accepted.Add(j.objective()), j.Accepted.Add(work.ExpiredFactor*j.objective())
 	switch {
-	case j.State == stateCancelled || j.State == stateFailed:
+	case j.State == work.Cancelled || j.State == work.Failed:
 		return Excluded
-	case j.State == stateCompleted && !j.Ended.After(due):
+	case j.State == work.Completed && !j.Ended.After(due):
 		return OnTime
-	case j.State == stateCompleted && !j.Ended.After(expiry):
+	case j.State == work.Completed && !j.Ended.After(expiry):
 		return Late
-	case j.State == stateCompleted || end.After(expiry):
+	case j.State == work.Completed || end.After(expiry):
 		return Undone
 	default:
 		return Excluded
@@ -124,7 +107,7 @@
 	for i := range j.Steps {
 		longest := time.Duration(0)
 		for _, r := range j.Runs {
-			if r.Step == i && r.Outcome == outcomeDone && !r.Ended.IsZero() {
+			if r.Step == i && r.Outcome == work.OutcomeDone && !r.Ended.IsZero() {
 				longest = max(longest, r.Ended.Sub(r.Placed))
 			}
 		}
@@ -150,7 +133,7 @@
 	var sum time.Duration
 	n := 0
 	for _, r := range j.Runs {
-		if r.Step == step && r.Outcome == outcomeDone && !r.Ended.IsZero() {
+		if r.Step == step && r.Outcome == work.OutcomeDone && !r.Ended.IsZero() {
 			sum += r.Ended.Sub(r.Placed)
 			n++
 		}
@@ -163,12 +146,12 @@
 
 // wasted returns the core-seconds that a run occupied without a lasting result. A
 // checkpointing run that is stopped keeps its work.
-func (j *Job) wasted(r *Run, end time.Time) float64 {
+func (j *Job) wasted(r *Run) float64 {
 	s := j.Steps[r.Step]
-	if r.Outcome == outcomeDone || r.Outcome == outcomeRefused || r.Ended.IsZero() || (s.Checkpointing && r.Stop != "") {
+	if r.Outcome == work.OutcomeDone || r.Outcome == work.OutcomeRefused || r.Ended.IsZero() || (s.Checkpointing && r.Stop != "") {
 		return 0
 	}
-	return s.Shape.Cores() * min(r.Ended.Sub(r.Placed), end.Sub(r.Placed)).Seconds()
+	return s.Shape.Cores() * r.Ended.Sub(r.Placed).Seconds()
 }
 
 // firstPlaced returns the time of the first placement, or the given end of the logs.
--- a/loss/report.go
+++ b/loss/report.go
@@ -5,11 +5,12 @@
 	"fmt"
 	"io"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/rosemarysill/rosemarysill/work"
 )
 
 // Table counts jobs, value and core-seconds by priority and cause.
@@ -44,7 +45,7 @@
 		}
 		for _, r := range j.Runs {
 			if r.Cause != None {
-				add(j.Priority, r.Cause, Amount{Runs: 1, CoreSeconds: j.wasted(r, d.End)})
+				add(j.Priority, r.Cause, Amount{Runs: 1, CoreSeconds: j.wasted(r)})
 			}
 		}
 	}
@@ -70,20 +71,17 @@
 	waits := d.waits()
 	for _, priority := range slices.Sorted(maps.Keys(waits)) {
 		v := waits[priority]
-		q := func(share float64) float64 { return seconds(v[int(share*float64(len(v)-1))]) }
+		q := func(share float64) float64 { return v[int(share*float64(len(v)-1))].Seconds() }
 		fmt.Fprintf(tw, "%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\n", priority, len(v), q(0.5), q(0.75), q(0.95), q(1))
 	}
 	return tw.Flush()
 }
 
-// seconds returns a duration in seconds, rounded for a table.
-func seconds(d time.Duration) float64 { return math.Round(d.Seconds()*100) / 100 }
-
 // waits returns the times from acceptance to the first placement by priority, sorted.
 func (d *Day) waits() map[int][]time.Duration {
 	waits := make(map[int][]time.Duration)
 	for _, j := range d.Jobs {
-		if j.State != stateCancelled {
+		if j.State != work.Cancelled {
 			waits[j.Priority] = append(waits[j.Priority], j.firstPlaced(d.End).Sub(j.Accepted))
 		}
 	}
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -35,25 +35,27 @@
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
 		switch {
 		case leavesReserve && s.Gang:
-			return [][]*workerState{p.withoutKeptFromGangs(c.eligible)}, nil
+			return [][]*workerState{p.withoutKept(s.Gang, c.eligible)}, nil
 		case leavesReserve:
-			racks = racks[:len(racks)-urgentRacks(racks)]
-			return [][]*workerState{p.withoutKeptForUrgent(slices.Concat(racks...))}, nil
+			return [][]*workerState{p.withoutKept(s.Gang, racks[:len(racks)-urgentRacks(racks)]...)}, nil
 		default:
 			return [][]*workerState{c.eligible}, nil
 		}
 	}
-	if u.Job.Priority == 0 || !p.fitsEmptyRack(u, racks, s.DataRack) {
-		spread = [][]*workerState{c.eligible}
-	}
 	for _, rack := range racks {
 		if s.DataRack == "" || rack[0].Rack == s.DataRack {
 			sets = append(sets, rack)
 		}
 	}
+	if u.Job.Priority == 0 || !p.fitsEmptyRack(u, racks, s.DataRack) {
+		spread = [][]*workerState{c.eligible}
+	}
 	if leavesReserve {
-		p.removeKeptFromGangs(sets)
-		p.removeKeptFromGangs(spread)
+		for _, group := range [][][]*workerState{sets, spread} {
+			for i := range group {
+				group[i] = p.withoutKept(s.Gang, group[i])
+			}
+		}
 	}
 	return sets, spread
 }
@@ -82,23 +84,13 @@
 	return c
 }
 
-// withoutKeptForUrgent removes the workers that are kept for urgent work.
-func (p *pass) withoutKeptForUrgent(workers []*workerState) []*workerState {
+// withoutKept returns the workers of all groups that are not kept for urgent work from
+// deferrable gangs, or from deferrable single tasks.
+func (p *pass) withoutKept(gang bool, groups ...[]*workerState) []*workerState {
 	p.markUrgentReserve()
-	return slices.DeleteFunc(workers, func(w *workerState) bool { return w.keptForUrgent })
-}
-
-// withoutKeptFromGangs returns the workers that are not kept from deferrable gangs.
-func (p *pass) withoutKeptFromGangs(workers []*workerState) []*workerState {
-	p.markUrgentReserve()
-	return slices.DeleteFunc(slices.Clone(workers), func(w *workerState) bool { return w.keptFromGangs })
-}
-
-// removeKeptFromGangs applies withoutKeptFromGangs to each set.
-func (p *pass) removeKeptFromGangs(sets [][]*workerState) {
-	for i, set := range sets {
-		sets[i] = p.withoutKeptFromGangs(set)
-	}
+	return slices.DeleteFunc(slices.Concat(groups...), func(w *workerState) bool {
+		return w.keptForUrgent && (!gang || w.keptFromGangs)
+	})
 }
 
 // markUrgentReserve marks the workers that are kept for urgent work. They are chosen on
--- a/work/job.go
+++ b/work/job.go
@@ -81,6 +81,10 @@
 	Interval            time.Duration `json:",omitempty"`
 }
 
+// ExpiredFactor is the multiple of its objective after which a job does not count any
+// more in the users' measurements.
+const ExpiredFactor = 3
+
 // NumOccurrences returns the number of times that the steps run.
 func (j *Job) NumOccurrences() int { return max(1, j.Occurrences) }
 
