standin: the check of TWICE sees more, starts have faults, events

Three starts were not seen: one after an end as done in the same call (the times of the two were equal), one over a second after the job was shown as completed (Completed), and one that an incarnation carries out for an earlier one. Starts and ends now have an order instead of a time. A breach names the rule, the time and both workers.

SetStartFaults gives the n-th start of each run a fault: its answer is lost, it is dropped, refused as unhealthy, or held and carried out late, also in the next incarnation. Observe shows starts, ends and breaches as they happen.

--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -9,30 +9,37 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
+var (
+	errNoAnswer = errors.New("no answer")
+	errEnded    = errors.New("the process has ended") // and its connections with it
+)
+
 // call carries f out with its fence, at once or late.
-func (w *StepWorker) call(ctx context.Context, timeout time.Duration, instance string, fence int64, f func(now time.Time) work.Refusal) (work.RuntimeReply, error) {
+func (w *StepWorker) call(ctx context.Context, timeout time.Duration, instance string, fence int64, fault StartFault, f func(now time.Time) work.Refusal) (work.RuntimeReply, error) {
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
 	w.calls++
-	if w.dark {
-		return work.RuntimeReply{}, errors.New("no answer")
-	}
-	if w.mute {
-		born := w.born
-		time.AfterFunc(w.late, func() {
-			w.set.mu.Lock()
-			defer w.set.mu.Unlock()
-			if w.born.Equal(born) && !w.dark {
-				_ = w.carry(instance, fence, f) // a late call answers nobody
-			}
-		})
-		return work.RuntimeReply{}, errors.New("no answer")
+	switch {
+	case w.dark, fault == StartDropped:
+		return work.RuntimeReply{}, errNoAnswer
+	case fault == StartUnhealthy:
+		return work.RuntimeReply{Refusal: work.RefusedUnhealthy, Clock: w.clock(time.Now()), StartedAtMS: w.born.UnixMilli()}, nil
+	case w.mute:
+		w.carryLate(w.late, false, func() { _ = w.carry(instance, fence, f) }) // a late call answers nobody
+		return work.RuntimeReply{}, errNoAnswer
+	case fault == StartHeld:
+		w.carryLate(w.held, true, func() { _ = w.carry(instance, fence, f) }) // a late call answers nobody
+		return work.RuntimeReply{}, errNoAnswer
 	}
 	if err := ctx.Err(); err != nil {
 		return work.RuntimeReply{}, err
 	}
 	_ = timeout // the stand-in answers at once
-	return w.look(w.carry(instance, fence, f)), nil
+	reply := w.look(w.carry(instance, fence, f))
+	if fault == StartLost {
+		return work.RuntimeReply{}, errNoAnswer
+	}
+	return reply, nil
 }
 
 func (w *StepWorker) carry(instance string, fence int64, f func(now time.Time) work.Refusal) work.Refusal {
@@ -63,26 +70,27 @@
 
 // Start implements work.Runtime.
 func (w *StepWorker) Start(ctx context.Context, timeout time.Duration, instance string, fence int64, s work.Start, until time.Duration) (work.RuntimeReply, error) {
-	w.set.mu.Lock()
-	deaf := w.deaf
-	w.set.mu.Unlock()
-	if deaf {
-		return work.RuntimeReply{}, errors.New("no answer")
-	}
-	return w.call(ctx, timeout, instance, fence, func(now time.Time) work.Refusal {
+	return w.call(ctx, timeout, instance, fence, w.startFault(s.Key), func(now time.Time) work.Refusal {
 		w.until = max(w.until, until)
+		refusal := work.Accepted
 		switch {
 		case w.runs[s.Key] != nil:
 			return work.Accepted
 		case s.Key.Run <= w.latest[s.Key.Task]:
-			return work.RefusedOutdated
+			refusal = work.RefusedOutdated
 		case until <= w.clock(now):
-			return work.RefusedLate
+			refusal = work.RefusedLate
+		}
+		if refusal != work.Accepted {
+			w.observe(RunRefused, s.Key, string(refusal))
+			return refusal
 		}
-		w.set.check(s.Key)
+		r := &stepRun{spec: s.Spec, come: now, saved: s.Checkpoint}
+		w.observe(RunStarted, s.Key, s.Spec)
+		w.set.check(w, s.Key, now)
 		w.set.started[s.Key]++
 		w.starts++
-		w.runs[s.Key] = &stepRun{spec: s.Spec, come: now, saved: s.Checkpoint}
+		w.runs[s.Key] = r
 		w.set.advance(now)
 		return work.Accepted
 	})
@@ -90,10 +98,11 @@
 
 // Stop implements work.Runtime.
 func (w *StepWorker) Stop(ctx context.Context, timeout time.Duration, instance string, fence int64, k work.RunKey) (work.RuntimeReply, error) {
-	return w.call(ctx, timeout, instance, fence, func(now time.Time) work.Refusal {
+	return w.call(ctx, timeout, instance, fence, StartAnswered, func(now time.Time) work.Refusal {
 		w.latest[k.Task] = max(w.latest[k.Task], k.Run)
 		if r := w.runs[k]; r != nil && r.stopped.IsZero() {
 			r.stopped = now
+			w.observe(RunStopped, k, "")
 		}
 		return work.Accepted
 	})
@@ -101,7 +110,7 @@
 
 // Throttle implements work.Runtime. The stand-in takes no notice of the share.
 func (w *StepWorker) Throttle(ctx context.Context, timeout time.Duration, instance string, fence int64, _ work.RunKey, _ int) (work.RuntimeReply, error) {
-	return w.call(ctx, timeout, instance, fence, func(time.Time) work.Refusal { return work.Accepted })
+	return w.call(ctx, timeout, instance, fence, StartAnswered, func(time.Time) work.Refusal { return work.Accepted })
 }
 
 // RenewLeases implements work.Runtime.
@@ -109,7 +118,7 @@
 	hold := func(time.Time) work.Refusal {
 		w.until = max(w.until, h.Until)
 		for len(w.ended) > 0 && w.ended[0].Seq <= h.AckedSeq {
-			w.set.note(w.ended[0])
+			w.set.note(w, w.ended[0])
 			w.ended = w.ended[1:]
 		}
 		return work.Accepted
@@ -118,9 +127,9 @@
 	born := w.Born()
 	for {
 		if w.Born() != born {
-			return work.RuntimeReply{}, errors.New("the process has ended") // and its connections with it
+			return work.RuntimeReply{}, errEnded
 		}
-		look, err := w.call(ctx, timeout, instance, fence, hold)
+		look, err := w.call(ctx, timeout, instance, fence, StartAnswered, hold)
 		if err != nil || look.Refusal != work.Accepted || len(look.Ended) > 0 || !time.Now().Before(until) {
 			return look, err
 		}
--- /dev/null
+++ b/standin/stepfault.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// StartFault is what a worker does with a start.
+type StartFault int
+
+// Faults of starts.
+const (
+	StartAnswered  StartFault = iota
+	StartLost                 // it is carried out, and not answered
+	StartDropped              // it is neither carried out nor answered
+	StartUnhealthy            // it is refused because the worker is unhealthy
+	StartHeld                 // it is not answered, and carried out late, in the next incarnation if need be
+)
+
+// SetStartFaults makes the n-th start of each run have the n-th fault of the plan;
+// the starts after these are answered. A held start is carried out after the delay.
+func (w *StepWorker) SetStartFaults(held time.Duration, plan ...StartFault) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.held, w.plan, w.tries = held, plan, make(map[work.RunKey]int)
+}
+
+// startFault returns the fault of the next start of a run.
+func (w *StepWorker) startFault(k work.RunKey) StartFault {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	if w.deaf {
+		return StartDropped
+	}
+	n := w.tries[k]
+	if n >= len(w.plan) {
+		return StartAnswered
+	}
+	w.tries[k]++
+	return w.plan[n]
+}
+
+// SetDark makes the worker answer nothing. Its runs go on until their leases
+// lapse.
+func (w *StepWorker) SetDark(dark bool) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.dark = dark
+}
+
+// SetDeaf makes the worker leave starts unanswered and not carry them out, while
+// it answers all other calls.
+func (w *StepWorker) SetDeaf(deaf bool) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.deaf = deaf
+}
+
+// SetLate makes the worker leave calls unanswered and carry them out after a
+// delay; 0 ends that.
+func (w *StepWorker) SetLate(by time.Duration) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.mute, w.late = by > 0, by
+}
+
+// carryLate carries a call out after a delay. A held call may be carried out by the
+// next incarnation. The caller holds the lock.
+func (w *StepWorker) carryLate(by time.Duration, held bool, carry func()) {
+	born := w.born
+	time.AfterFunc(by, func() {
+		w.set.mu.Lock()
+		defer w.set.mu.Unlock()
+		switch {
+		case w.dark || !held && !w.born.Equal(born):
+		default:
+			carry()
+		}
+	})
+}
--- a/standin/steprun.go
+++ b/standin/steprun.go
@@ -11,7 +11,7 @@
 // endedRun is an end that the worker lists.
 type endedRun struct {
 	work.RunEnd
-	at     time.Time
+	order  int  // among all starts and ends
 	lapsed bool // the worker's lease has lapsed since
 }
 
@@ -76,30 +76,47 @@
 	return n
 }
 
-// check notes a start that the promises forbid.
-func (s *Steps) check(k work.RunKey) {
+// completedSlack is how long after a job was shown as completed a start of one of its
+// tasks breaks the rule TWICE.
+const completedSlack = time.Second
+
+// check notes a start that the rule TWICE forbids.
+func (s *Steps) check(at *StepWorker, k work.RunKey, now time.Time) {
 	for _, w := range s.workers {
 		for other := range w.runs {
 			if other.Task == k.Task {
-				s.overlap = append(s.overlap, fmt.Sprintf("run %v starts beside %v at %s", k, other, w.id))
+				s.breach("TWICE: run %v starts at %s beside %v at %s", k, at.id, other, w.id)
 			}
 		}
 	}
 	if s.noted[k.Task] {
-		s.overlap = append(s.overlap, fmt.Sprintf("run %v starts after the task was done", k))
+		s.breach("TWICE: run %v starts at %s after the task was done", k, at.id)
+	} else if shown, ok := s.completed[k.Task.Job]; ok && now.Sub(shown) > completedSlack {
+		s.breach("TWICE: run %v starts at %s, %s after the job was shown as completed", k, at.id, now.Sub(shown))
+	}
+	s.order++
+	s.latest[k.Task] = s.order
+}
+
+// Completed notes that a job was shown as completed.
+func (s *Steps) Completed(job string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.completed[job]; !ok {
+		s.completed[job] = time.Now()
 	}
-	s.latest[k.Task] = time.Now()
 }
 
 // note takes note of an end. One that was listed while the lease lapsed does
 // not count: the worker was taken for lost in between.
-func (s *Steps) note(e endedRun) {
+func (s *Steps) note(w *StepWorker, e endedRun) {
+	w.observe(EndNoted, e.Key, fmt.Sprintf("%s lapsed=%v", e.Outcome, e.lapsed))
 	if e.Outcome != work.OutcomeDone || e.lapsed {
 		return
 	}
 	s.noted[e.Key.Task] = true
-	if s.latest[e.Key.Task].After(e.at) {
-		s.overlap = append(s.overlap, fmt.Sprintf("a run started after %v was done", e.Key))
+	if s.latest[e.Key.Task] > e.order {
+		s.breach("TWICE: the task was started after %v was done at %s, and the end is taken note of", e.Key, w.id)
 	}
 }
 
@@ -205,5 +222,7 @@
 	delete(w.runs, k)
 	w.latest[k.Task] = max(w.latest[k.Task], k.Run)
 	w.seq++
-	w.ended = append(w.ended, endedRun{RunEnd: work.RunEnd{Seq: w.seq, Key: k, Outcome: how, Checkpoint: saved}, at: time.Now()})
+	w.observe(RunEnded, k, string(how))
+	w.set.order++
+	w.ended = append(w.ended, endedRun{RunEnd: work.RunEnd{Seq: w.seq, Key: k, Outcome: how, Checkpoint: saved}, order: w.set.order})
 }
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -23,13 +23,19 @@
 	GangWait  time.Duration // after which a member that waits ends alone
 	StopGrace time.Duration // that a stop takes
 
-	mu      sync.Mutex
-	workers []*StepWorker
-	started map[work.RunKey]int
-	overlap []string // breaches of the promise that a task runs once
-	done    map[work.TaskKey]int
-	noted   map[work.TaskKey]bool      // tasks of which an end as done was taken note of
-	latest  map[work.TaskKey]time.Time // latest start
+	// Observe, if it is set, is called for each event, with the lock held: it must not
+	// block or call the workers.
+	Observe func(StepEvent)
+
+	mu        sync.Mutex
+	workers   []*StepWorker
+	started   map[work.RunKey]int
+	breaches  []string
+	done      map[work.TaskKey]int
+	noted     map[work.TaskKey]bool // tasks of which an end as done was taken note of
+	order     int                   // of the latest start or end
+	latest    map[work.TaskKey]int  // order of the latest start
+	completed map[string]time.Time  // when a job was first shown as completed
 }
 
 // NewSteps returns an empty set.
@@ -37,7 +43,8 @@
 	return &Steps{
 		GangWait: 3 * time.Second, StopGrace: 50 * time.Millisecond,
 		started: make(map[work.RunKey]int), done: make(map[work.TaskKey]int),
-		noted: make(map[work.TaskKey]bool), latest: make(map[work.TaskKey]time.Time),
+		noted: make(map[work.TaskKey]bool), latest: make(map[work.TaskKey]int),
+		completed: make(map[string]time.Time),
 	}
 }
 
@@ -47,10 +54,14 @@
 	born time.Time
 	id   string
 
-	dark   bool // answers nothing
-	deaf   bool // answers no start, and carries none out
-	mute   bool // carries calls out late, and answers nothing
-	late   time.Duration
+	dark  bool // answers nothing
+	deaf  bool // answers no start, and carries none out
+	mute  bool // carries calls out late, and answers nothing
+	late  time.Duration
+	plan  []StartFault
+	held  time.Duration       // delay of a start with StartHeld
+	tries map[work.RunKey]int // starts of a run since the plan was set
+
 	starts int
 	calls  int
 	fence  int64
@@ -85,44 +96,20 @@
 	return w.born.UnixMilli()
 }
 
-// Restart begins a new incarnation under the same identifier.
-func (w *StepWorker) Restart() {
-	w.set.mu.Lock()
-	defer w.set.mu.Unlock()
-	w.reset(time.Now())
-	w.dark = false
-}
-
-// SetDark makes the worker answer nothing. Its runs go on until their leases
-// lapse.
-func (w *StepWorker) SetDark(dark bool) {
-	w.set.mu.Lock()
-	defer w.set.mu.Unlock()
-	w.dark = dark
-}
-
-// SetDeaf makes the worker leave starts unanswered and not carry them out, while
-// it answers all other calls.
-func (w *StepWorker) SetDeaf(deaf bool) {
+// ID returns the identifier of the present incarnation.
+func (w *StepWorker) ID() string {
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
-	w.deaf = deaf
+	return w.id
 }
 
-// SetLate makes the worker leave calls unanswered and carry them out after a
-// delay; 0 ends that.
-func (w *StepWorker) SetLate(by time.Duration) {
+// Restart begins a new incarnation under the same identifier.
+func (w *StepWorker) Restart() {
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
-	w.mute, w.late = by > 0, by
-}
-
-// Breaches returns what broke the promise that a task runs once at a time and
-// not after it was done.
-func (s *Steps) Breaches() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]string(nil), s.overlap...)
+	w.reset(time.Now())
+	w.dark = false
+	w.observe(WorkerUp, work.RunKey{}, "restart")
 }
 
 // Done returns the number of ends `done` of a task.
