standin: tasks that crash their workers, and the rule BUDGET

The word crashes=DELAY makes a worker crash after a start of the task: its runs are gone, calls in progress end, new ones are refused, and it is back after a while as a new incarnation under the same or a new identifier (Rebirth). Crash and End do the same to any worker; OnDown lets a server close its listener.

Crashes and starts are counted for each task. A third start of a task after three workers have crashed under it breaks BUDGET.

--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -12,6 +12,7 @@
 var (
 	errNoAnswer = errors.New("no answer")
 	errEnded    = errors.New("the process has ended") // and its connections with it
+	errRefused  = errors.Mark(errors.New("connection refused"), work.ErrNoListener)
 )
 
 // call carries f out with its fence, at once or late.
@@ -20,6 +21,8 @@
 	defer w.set.mu.Unlock()
 	w.calls++
 	switch {
+	case w.down:
+		return work.RuntimeReply{}, errRefused
 	case w.dark, fault == StartDropped:
 		return work.RuntimeReply{}, errNoAnswer
 	case fault == StartUnhealthy:
@@ -88,6 +91,7 @@
 		r := &stepRun{spec: s.Spec, come: now, saved: s.Checkpoint}
 		w.observe(RunStarted, s.Key, s.Spec)
 		w.set.check(w, s.Key, now)
+		w.countStart(s.Key, r)
 		w.set.started[s.Key]++
 		w.starts++
 		w.runs[s.Key] = r
--- a/standin/stepevent.go
+++ b/standin/stepevent.go
@@ -17,6 +17,7 @@
 	RunStopped StepEventKind = "stopping"
 	RunEnded   StepEventKind = "ended" // the worker lists the end from now on
 	EndNoted   StepEventKind = "noted"
+	WorkerDown StepEventKind = "down"
 	WorkerUp   StepEventKind = "up"
 	RuleBroken StepEventKind = "BREACH"
 )
@@ -52,7 +53,7 @@
 	}
 }
 
-// Breaches returns what broke the rule TWICE.
+// Breaches returns what broke the rules TWICE and BUDGET.
 func (s *Steps) Breaches() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/stepfault.go
+++ b/standin/stepfault.go
@@ -74,7 +74,9 @@
 		defer w.set.mu.Unlock()
 		switch {
 		case w.dark || !held && !w.born.Equal(born):
-		default:
+		case w.down && held:
+			w.waiting = append(w.waiting, carry)
+		case !w.down:
 			carry()
 		}
 	})
--- a/standin/stepfault_test.go
+++ b/standin/stepfault_test.go
@@ -39,7 +39,7 @@
 				f.mustStart(0, taskRun(0, 1), "for=5s")
 				require.Equal(t, 1, f.Runs())
 				time.Sleep(2 * time.Second) // a held start finds the run there
-				require.Equal(t, 1, f.Starts(taskRun(0, 1)))
+				require.Equal(t, 1, f.TaskStarts(taskRun(0, 1).Task))
 				require.Equal(t, []StepEventKind{RunStarted}, seen)
 			})
 		})
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -15,6 +15,10 @@
 	SpecFails = "fails" // each run fails at its end
 	SpecHangs = "hangs" // a run makes no progress
 	SpecSaves = "saves" // a run makes a checkpoint in each tenth of its duration
+
+	// SpecCrashes makes the worker crash after a delay: crashes=10ms, or crashes=
+	// for a short one.
+	SpecCrashes = "crashes="
 )
 
 // Steps is a set of workers that run steps. Members of a gang wait for each
@@ -23,6 +27,9 @@
 	GangWait  time.Duration // after which a member that waits ends alone
 	StopGrace time.Duration // that a stop takes
 
+	// Rebirth returns how long a worker that has crashed is away, and the identifier
+	// of its next incarnation. The default is 2 s and the same identifier.
+	Rebirth func(id string) (time.Duration, string)
 	// Observe, if it is set, is called for each event, with the lock held: it must not
 	// block or call the workers.
 	Observe func(StepEvent)
@@ -35,32 +42,40 @@
 	noted     map[work.TaskKey]bool // tasks of which an end as done was taken note of
 	order     int                   // of the latest start or end
 	latest    map[work.TaskKey]int  // order of the latest start
-	completed map[string]time.Time  // when a job was first shown as completed
+	crashed   map[work.TaskKey]taskCrashes
+	completed map[string]time.Time // when a job was first shown as completed
 }
 
 // NewSteps returns an empty set.
 func NewSteps() *Steps {
 	return &Steps{
 		GangWait: 3 * time.Second, StopGrace: 50 * time.Millisecond,
+		Rebirth: func(id string) (time.Duration, string) { return 2 * time.Second, id },
 		started: make(map[work.RunKey]int), done: make(map[work.TaskKey]int),
 		noted: make(map[work.TaskKey]bool), latest: make(map[work.TaskKey]int),
-		completed: make(map[string]time.Time),
+		crashed: make(map[work.TaskKey]taskCrashes), completed: make(map[string]time.Time),
 	}
 }
 
 // StepWorker is a worker that runs steps. It implements work.Runtime.
 type StepWorker struct {
+	// OnDown, if it is set, is called when the worker's process has ended and when the
+	// next one has begun.
+	OnDown func(down bool)
+
 	set  *Steps
 	born time.Time
 	id   string
 
-	dark  bool // answers nothing
-	deaf  bool // answers no start, and carries none out
-	mute  bool // carries calls out late, and answers nothing
-	late  time.Duration
-	plan  []StartFault
-	held  time.Duration       // delay of a start with StartHeld
-	tries map[work.RunKey]int // starts of a run since the plan was set
+	down    bool // its process has ended
+	dark    bool // answers nothing
+	deaf    bool // answers no start, and carries none out
+	mute    bool // carries calls out late, and answers nothing
+	late    time.Duration
+	plan    []StartFault
+	held    time.Duration       // delay of a start with StartHeld
+	tries   map[work.RunKey]int // starts of a run since the plan was set
+	waiting []func()            // held starts that wait for the next incarnation
 
 	starts int
 	calls  int
@@ -103,15 +118,6 @@
 	return w.id
 }
 
-// Restart begins a new incarnation under the same identifier.
-func (w *StepWorker) Restart() {
-	w.set.mu.Lock()
-	defer w.set.mu.Unlock()
-	w.reset(time.Now())
-	w.dark = false
-	w.observe(WorkerUp, work.RunKey{}, "restart")
-}
-
 // Done returns the number of ends `done` of a task.
 func (s *Steps) Done(k work.TaskKey) int {
 	s.mu.Lock()
--- a/standin/steps_test.go
+++ b/standin/steps_test.go
@@ -107,6 +107,15 @@
 			f.workers[0].SetDark(true)
 			f.mustStart(1, taskRun(0, 2), "for=5s")
 		}},
+		"a held start after the next incarnation has begun": {true, func(f *fleet) {
+			f.workers[0].SetStartFaults(time.Second, StartHeld)
+			_, err := f.start(0, taskRun(0, 1), "for=5s")
+			require.Error(f.T, err)
+			f.workers[0].Crash()
+			f.mustStart(1, taskRun(0, 2), "for=5s")
+			time.Sleep(2500 * time.Millisecond)
+			require.Equal(f.T, 1, f.workers[0].Runs())
+		}},
 		"a start after an end as done was taken note of": {true, func(f *fleet) {
 			f.mustStart(0, taskRun(0, 1), "for=1s")
 			time.Sleep(2 * time.Second)
@@ -153,5 +162,10 @@
 			time.Sleep(9*time.Second + time.Millisecond)
 			f.mustStart(1, taskRun(0, 2), "for=5s")
 		}},
+		"a second run after the worker has crashed": {false, func(f *fleet) {
+			f.mustStart(0, taskRun(0, 1), "for=5s")
+			f.workers[0].Crash()
+			f.mustStart(1, taskRun(0, 2), "for=5s")
+		}},
 	})
 }
