standin: a capacity that changes while a worker runs, and the rule LIMIT

The word needs=1000c/500m/2a is the demand of a run. A start that brings a worker over its capacity, with the runs that are being stopped, breaks LIMIT. A smaller capacity counts 4.5 s after the first status report that shows it has arrived; of an order that is carried out late, its arrival counts.

go test -race ./standin: ok.

--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -73,6 +73,7 @@
 
 // Start implements work.Runtime.
 func (w *StepWorker) Start(ctx context.Context, timeout time.Duration, instance string, fence int64, s work.Start, until time.Duration) (work.RuntimeReply, error) {
+	arrived := time.Now()
 	return w.call(ctx, timeout, instance, fence, w.startFault(s.Key), func(now time.Time) work.Refusal {
 		w.until = max(w.until, until)
 		refusal := work.Accepted
@@ -91,6 +92,7 @@
 		r := &stepRun{spec: s.Spec, come: now, saved: s.Checkpoint}
 		w.observe(RunStarted, s.Key, s.Spec)
 		w.set.check(w, s.Key, now)
+		w.checkCapacity(s.Key, r, arrived)
 		w.countStart(s.Key, r)
 		w.set.started[s.Key]++
 		w.starts++
--- /dev/null
+++ b/standin/stepcapacity.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// ShrinkNotice is how long after the first status report that shows it a smaller
+// capacity counts.
+const ShrinkNotice = 4500 * time.Millisecond
+
+// stepCapacity is the capacity of a worker, which may change while it runs.
+type stepCapacity struct {
+	limited  bool // without a capacity nothing is checked
+	now      work.Shape
+	version  int // number of changes
+	replaced []replacedCapacity
+}
+
+// replacedCapacity is an earlier capacity that starts may still use.
+type replacedCapacity struct {
+	shape   work.Shape
+	version int
+	until   time.Time // zero before a report has shown a later capacity
+}
+
+// Needs returns the word of a specification that declares the demand of a run.
+func Needs(s work.Shape) string {
+	return fmt.Sprintf("%s%dc/%dm/%da", SpecNeeds, s.MilliCPU, s.MemoryMB, s.Accelerators)
+}
+
+// needs returns the demand of a run.
+func (r *stepRun) needs() work.Shape {
+	var s work.Shape
+	_, _ = fmt.Sscanf(r.word(SpecNeeds), "%dc/%dm/%da", &s.MilliCPU, &s.MemoryMB, &s.Accelerators) // without the word it needs nothing
+	return s
+}
+
+// SetCapacity sets the capacity of the worker.
+func (w *StepWorker) SetCapacity(s work.Shape) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	c := &w.capacity
+	if c.limited {
+		c.replaced = append(c.replaced, replacedCapacity{shape: c.now, version: c.version})
+	}
+	c.limited, c.now, c.version = true, s, c.version+1
+}
+
+// StepReport is what a worker says of itself.
+type StepReport struct {
+	ID       string
+	Born     int64 // start of the incarnation, in Unix milliseconds
+	Capacity work.Shape
+
+	version int // of the capacity
+}
+
+// Report returns a status report of the worker. It returns false while the worker is
+// down.
+func (w *StepWorker) Report() (StepReport, bool) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	return StepReport{ID: w.id, Born: w.born.UnixMilli(), Capacity: w.capacity.now, version: w.capacity.version}, !w.down
+}
+
+// Reported notes that a report has arrived.
+func (w *StepWorker) Reported(r StepReport) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	if r.Born != w.born.UnixMilli() {
+		return
+	}
+	for i, o := range w.capacity.replaced {
+		if o.version < r.version && o.until.IsZero() {
+			w.capacity.replaced[i].until = time.Now().Add(ShrinkNotice)
+		}
+	}
+}
+
+// checkCapacity notes a start that brings the worker over its capacity. Runs that are
+// being stopped still use it. Of an order that is carried out late, the capacity at
+// its arrival counts, and none in a later incarnation.
+func (w *StepWorker) checkCapacity(k work.RunKey, r *stepRun, arrived time.Time) {
+	c := w.capacity
+	demand := r.needs()
+	if !c.limited || arrived.Before(w.born) || demand == (work.Shape{}) {
+		return
+	}
+	used := demand
+	for _, o := range w.runs {
+		used = used.Add(o.needs())
+	}
+	if !exceeds(used, demand, c.now) {
+		return
+	}
+	for _, o := range c.replaced {
+		if (o.until.IsZero() || arrived.Before(o.until)) && !exceeds(used, demand, o.shape) {
+			return
+		}
+	}
+	w.set.breach("LIMIT: run %v of %+v starts at %s: %d runs then use %+v of %+v", k, demand, w.id, len(w.runs)+1, used, c.now)
+}
+
+// exceeds reports whether a resource of which the demand is not zero is used beyond
+// the capacity.
+func exceeds(used, demand, capacity work.Shape) bool {
+	return demand.MilliCPU > 0 && used.MilliCPU > capacity.MilliCPU ||
+		demand.MemoryMB > 0 && used.MemoryMB > capacity.MemoryMB ||
+		demand.Accelerators > 0 && used.Accelerators > capacity.Accelerators
+}
--- a/standin/stepcrash.go
+++ b/standin/stepcrash.go
@@ -149,17 +149,3 @@
 	w.dark = false
 	w.observe(WorkerUp, work.RunKey{}, "restart")
 }
-
-// StepReport is what a worker says of itself.
-type StepReport struct {
-	ID   string
-	Born int64 // start of the incarnation, in Unix milliseconds
-}
-
-// Report returns a status report of the worker. It returns false while the worker is
-// down.
-func (w *StepWorker) Report() (StepReport, bool) {
-	w.set.mu.Lock()
-	defer w.set.mu.Unlock()
-	return StepReport{ID: w.id, Born: w.born.UnixMilli()}, !w.down
-}
--- a/standin/stepevent.go
+++ b/standin/stepevent.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// Breaches returns what broke the rules TWICE and BUDGET.
+// Breaches returns what broke the rules TWICE, BUDGET and LIMIT.
 func (s *Steps) Breaches() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -19,6 +19,8 @@
 	// SpecCrashes makes the worker crash after a delay: crashes=10ms, or crashes=
 	// for a short one.
 	SpecCrashes = "crashes="
+	// SpecNeeds is the demand of a run: needs=1000c/500m/2a. Needs writes it.
+	SpecNeeds = "needs="
 )
 
 // Steps is a set of workers that run steps. Members of a gang wait for each
@@ -77,14 +79,15 @@
 	tries   map[work.RunKey]int // starts of a run since the plan was set
 	waiting []func()            // held starts that wait for the next incarnation
 
-	starts int
-	calls  int
-	fence  int64
-	until  time.Duration
-	seq    uint64
-	runs   map[work.RunKey]*stepRun
-	ended  []endedRun
-	latest map[work.TaskKey]int // highest run that was stopped or has ended
+	starts   int
+	calls    int
+	fence    int64
+	until    time.Duration
+	seq      uint64
+	runs     map[work.RunKey]*stepRun
+	ended    []endedRun
+	latest   map[work.TaskKey]int // highest run that was stopped or has ended
+	capacity stepCapacity
 }
 
 var _ work.Runtime = (*StepWorker)(nil)
@@ -102,6 +105,7 @@
 func (w *StepWorker) reset(now time.Time) {
 	w.born, w.fence, w.until, w.seq = now, 0, 0, 0
 	w.runs, w.latest, w.ended = make(map[work.RunKey]*stepRun), make(map[work.TaskKey]int), nil
+	w.capacity.replaced = nil
 }
 
 // Born is the start of the present incarnation, in Unix milliseconds.
