--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -28,10 +28,10 @@
 	case fault == StartUnhealthy:
 		return work.RuntimeReply{Refusal: work.RefusedUnhealthy, Clock: w.clock(time.Now()), StartedAtMS: w.born.UnixMilli()}, nil
 	case w.mute:
-		w.carryLate(w.late, false, func() { _ = w.carry(instance, fence, f) }) // a late call answers nobody
+		w.carryLate(w.late, fence, false, func() { _ = w.carry(instance, fence, f) }) // a late call answers nobody
 		return work.RuntimeReply{}, errNoAnswer
 	case fault == StartHeld:
-		w.carryLate(w.held, true, func() { _ = w.carry(instance, fence, f) }) // a late call answers nobody
+		w.carryLate(w.held, fence, true, func() { _ = w.carry(instance, fence, f) }) // a late call answers nobody
 		return work.RuntimeReply{}, errNoAnswer
 	}
 	if err := ctx.Err(); err != nil {
@@ -54,7 +54,7 @@
 	if fence < w.fence {
 		return work.RefusedFence
 	}
-	w.fence = fence
+	w.fence, w.highest = fence, max(w.highest, fence)
 	return f(now)
 }
 
--- a/standin/stepcapacity.go
+++ b/standin/stepcapacity.go
@@ -101,7 +101,7 @@
 			return
 		}
 	}
-	w.set.breach("LIMIT: run %v of %+v starts at %s: %d runs then use %+v of %+v", k, demand, w.id, len(w.runs)+1, used, c.now)
+	w.set.breach("LIMIT: job %s: run %v of %+v starts at %s: %d runs then use %+v of %+v", k.Task.Job, k, demand, w.id, len(w.runs)+1, used, c.now)
 }
 
 // exceeds reports whether a resource of which the demand is not zero is used beyond
--- a/standin/stepevent.go
+++ b/standin/stepevent.go
@@ -12,14 +12,15 @@
 
 // Kinds of events.
 const (
-	RunStarted StepEventKind = "started" // a run that the worker did not have
-	RunRefused StepEventKind = "refused"
-	RunStopped StepEventKind = "stopping"
-	RunEnded   StepEventKind = "ended" // the worker lists the end from now on
-	EndNoted   StepEventKind = "noted"
-	WorkerDown StepEventKind = "down"
-	WorkerUp   StepEventKind = "up"
-	RuleBroken StepEventKind = "BREACH"
+	StartCalled StepEventKind = "called"  // a start has arrived; the detail is its fault
+	RunStarted  StepEventKind = "started" // a run that the worker did not have
+	RunRefused  StepEventKind = "refused"
+	RunStopped  StepEventKind = "stopping"
+	RunEnded    StepEventKind = "ended" // the worker lists the end from now on
+	EndNoted    StepEventKind = "noted"
+	WorkerDown  StepEventKind = "down"
+	WorkerUp    StepEventKind = "up"
+	RuleBroken  StepEventKind = "BREACH"
 )
 
 // StepEvent is an event at a worker, or a breach of a rule.
@@ -34,7 +35,7 @@
 
 // String returns a line for a log.
 func (e StepEvent) String() string {
-	return fmt.Sprintf("%s %s %s %v %s", e.At.Format("15:04:05.000"), e.ID, e.Kind, e.Run, e.Detail)
+	return fmt.Sprintf("%s %s %s %s %v %s", e.At.Format("15:04:05.000"), e.ID, e.Kind, e.Run.Task.Job, e.Run, e.Detail)
 }
 
 func (w *StepWorker) observe(kind StepEventKind, k work.RunKey, detail string) {
--- a/standin/steprun.go
+++ b/standin/steprun.go
@@ -85,14 +85,14 @@
 	for _, w := range s.workers {
 		for other := range w.runs {
 			if other.Task == k.Task {
-				s.breach("TWICE: run %v starts at %s beside %v at %s", k, at.id, other, w.id)
+				s.breach("TWICE: job %s: run %v starts at %s beside %v at %s", k.Task.Job, k, at.id, other, w.id)
 			}
 		}
 	}
 	if s.noted[k.Task] {
-		s.breach("TWICE: run %v starts at %s after the task was done", k, at.id)
+		s.breach("TWICE: job %s: run %v starts at %s after the task was done", k.Task.Job, k, at.id)
 	} else if shown, ok := s.completed[k.Task.Job]; ok && now.Sub(shown) > completedSlack {
-		s.breach("TWICE: run %v starts at %s, %s after the job was shown as completed", k, at.id, now.Sub(shown))
+		s.breach("TWICE: job %s: run %v starts at %s, %s after the job was shown as completed", k.Task.Job, k, at.id, now.Sub(shown))
 	}
 	s.order++
 	s.latest[k.Task] = s.order
@@ -116,7 +116,7 @@
 	}
 	s.noted[e.Key.Task] = true
 	if s.latest[e.Key.Task] > e.order {
-		s.breach("TWICE: the task was started after %v was done at %s, and the end is taken note of", e.Key, w.id)
+		s.breach("TWICE: job %s: the task was started after %v was done at %s, and the end is taken note of", e.Key.Task.Job, e.Key, w.id)
 	}
 }
 
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -82,6 +82,7 @@
 	starts   int
 	calls    int
 	fence    int64
+	highest  int64 // highest fence in all incarnations
 	until    time.Duration
 	seq      uint64
 	runs     map[work.RunKey]*stepRun
--- a/standin/steps_test.go
+++ b/standin/steps_test.go
@@ -116,6 +116,16 @@
 			time.Sleep(2500 * time.Millisecond)
 			require.Equal(f.T, 1, f.workers[0].Runs())
 		}},
+		"a held start after the earlier incarnation has seen a higher fence": {false, func(f *fleet) {
+			f.workers[0].SetStartFaults(time.Second, StartHeld)
+			_, err := f.start(0, taskRun(0, 1), "for=5s")
+			require.Error(f.T, err)
+			f.renew(0, 10*time.Second, 0)
+			f.workers[0].Crash()
+			f.mustStart(1, taskRun(0, 2), "for=5s")
+			time.Sleep(2500 * time.Millisecond)
+			require.Zero(f.T, f.workers[0].Runs())
+		}},
 		"a start after an end as done was taken note of": {true, func(f *fleet) {
 			f.mustStart(0, taskRun(0, 1), "for=1s")
 			time.Sleep(2 * time.Second)
