cmd/soak: workers that crash, leave, shrink, refuse or lose single answers

New kinds of faults: a worker crashes; refuses connections while its runs go on; leaves, with its DELETE late if need be; drains during a start; loses, drops, refuses or holds single starts; a held start that outlives its incarnation; a capacity that shrinks and grows; and several faults at once at a start, at its call, at an end or at a crash, on that worker, its agent and the entry that leads. One job in 25 crashes its workers; a job may be given up only if two workers have crashed under one of its tasks.

Earlier regression seeds draw from the earliest kinds only, so they play what they played.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/platform"
+	"github.com/rosemarysill/rosemarysill/standin"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -17,6 +18,11 @@
 	callTimeout    = 3 * time.Second
 	maxAttempts    = 5
 	submitInterval = 120 * time.Millisecond
+	// deadlyShare is the number of jobs of which one crashes its workers.
+	deadlyShare = 25
+	// minCrashes is the number of workers that have to crash under a task before its
+	// job may be given up.
+	minCrashes = 2
 )
 
 // request is one submitted job with the answers that the callers received.
@@ -27,6 +33,8 @@
 	accepted       bool
 	outcomeUnknown bool // an answer was lost or timed out
 	cancelled      bool
+	deadly         bool // its tasks crash the workers
+	failed         bool // it was given up
 }
 
 // callers submit and cancel jobs, record the answers and check the outcomes.
@@ -59,8 +67,9 @@
 	return platform.NewClient(c.system.nodes[i%entryCount].Callers, queueHost, key)
 }
 
-// randomRequest returns a request for a random job, the n-th of the run.
-func randomRequest(r *rand.Rand, n int) *request {
+// randomRequest returns a request for a random job, the n-th of the run. One job in
+// deadlyShare has tasks that crash their workers.
+func randomRequest(r, deadly *rand.Rand, n int, kinds selection) *request {
 	q := &request{id: fmt.Sprintf("%016x", uint64(n)<<32|uint64(r.Uint32())), prefix: queuePrefix + "b/"}
 	step := work.Step{Count: 1 + r.IntN(4), Shape: work.Shape{MilliCPU: 500, MemoryMB: 10, Accelerators: int64(r.IntN(3))}, Estimate: 500 * time.Millisecond}
 	spec := fmt.Sprintf("for=%dms", 100+r.IntN(4000))
@@ -73,6 +82,11 @@
 		step.Checkpointing = true
 		spec += " saves"
 	}
+	if deadly.IntN(deadlyShare) == 0 && !kinds.earliest && kinds.has(deadlyJobs) {
+		q.deadly = true
+		spec += fmt.Sprintf(" %s%dms", standin.SpecCrashes, 5+deadly.IntN(300))
+	}
+	spec += " " + standin.Needs(step.Shape)
 	steps := []work.Step{step}
 	if r.IntN(3) == 0 && !step.Gang {
 		next := step
@@ -85,10 +99,10 @@
 
 // run submits jobs until ctx ends and waits for the calls in progress.
 func (c *callers) run(ctx context.Context, seed uint64) {
-	r := rand.New(rand.NewPCG(seed, 99))
+	r, deadly := rand.New(rand.NewPCG(seed, 99)), rand.New(rand.NewPCG(seed, 97))
 	var wg sync.WaitGroup
 	for n := 1; ctx.Err() == nil; n++ {
-		q, firstEntry, cancel := randomRequest(r, n), r.IntN(entryCount), r.IntN(6) == 0
+		q, firstEntry, cancel := randomRequest(r, deadly, n, c.system.kinds), r.IntN(entryCount), r.IntN(6) == 0
 		c.mu.Lock()
 		c.requests = append(c.requests, q)
 		c.mu.Unlock()
@@ -182,12 +196,15 @@
 			continue
 		}
 		var latest platform.Answer
-		for time.Now().Before(deadline) {
+		for {
 			a, err := client.State(context.Background(), callTimeout, q.prefix, q.id)
 			if err == nil && a.Status == http.StatusOK {
 				latest = a
 			}
-			if latest.State.Final() {
+			if latest.State == work.Completed {
+				c.system.steps.Completed(q.id)
+			}
+			if latest.State.Final() || time.Now().After(deadline) {
 				break
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -198,8 +215,13 @@
 
 // summary returns the numbers of requests by their answers.
 func (c *callers) summary() string {
-	accepted, uncertain, cancelled := 0, 0, 0
+	accepted, uncertain, cancelled, deadly, innocent := 0, 0, 0, 0, 0
 	for _, q := range c.requests {
+		if q.deadly {
+			deadly++
+		} else if q.failed {
+			innocent++
+		}
 		switch {
 		case q.cancelled:
 			cancelled++
@@ -209,7 +231,19 @@
 			uncertain++
 		}
 	}
-	return fmt.Sprintf("%d jobs: %d accepted, %d cancelled, %d without an answer", len(c.requests), accepted, cancelled, uncertain)
+	return fmt.Sprintf("%d jobs: %d accepted, %d cancelled, %d without an answer, %d deadly; %d others given up", len(c.requests), accepted, cancelled, uncertain, deadly, innocent)
+}
+
+// maxCrashes returns the largest number of workers that have crashed under a task of
+// the job.
+func (c *callers) maxCrashes(q *request) int {
+	n := 0
+	for s, step := range q.job.Steps {
+		for i := range step.Count {
+			n = max(n, c.system.steps.Crashes(work.TaskKey{Job: q.id, Step: s, Index: i}))
+		}
+	}
+	return n
 }
 
 // checkRefused checks that a job did not run if every submission was refused.
@@ -236,6 +270,10 @@
 			}
 		}
 	case a.State == work.Cancelled && q.cancelled:
+	case a.State == work.Failed && c.maxCrashes(q) >= minCrashes:
+		q.failed = true
+	case a.State == work.Failed:
+		c.addViolation("job %s was given up after at most %d crashes under one of its tasks, want %d", q.id, c.maxCrashes(q), minCrashes)
 	default:
 		c.addViolation("accepted job %s: last state %q (status %d), want %q or, after a cancellation, %q", q.id, a.State, a.Status, work.Completed, work.Cancelled)
 	}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -57,11 +58,7 @@
 		randomNode(r, s.nodes).trySignalFault(func(n *node) { printError(n.restart(s.program, syscall.SIGTERM, randomDuration(r, 50, 500))) })
 	}},
 	{"pause", func(ctx context.Context, s *system, r *rand.Rand) {
-		randomNode(r, s.nodes).trySignalFault(func(n *node) {
-			printError(n.signal(syscall.SIGSTOP))
-			uptime.Sleep(ctx, randomDuration(r, 300, 7000))
-			printError(n.signal(syscall.SIGCONT))
-		})
+		pause(ctx, randomNode(r, s.nodes), randomDuration(r, 300, 7000))
 	}},
 	{"reload", func(_ context.Context, s *system, r *rand.Rand) {
 		printError(randomNode(r, s.nodes).signal(syscall.SIGHUP))
@@ -90,18 +87,18 @@
 	}},
 	{"history lost", func(_ context.Context, s *system, _ *rand.Rand) { s.store.Compact() }},
 	{"worker orders late", func(ctx context.Context, s *system, r *rand.Rand) {
-		w := s.workers[r.IntN(agentCount)]
+		w := randomWorker(r, s)
 		w.SetLate(randomDuration(r, 300, 3000))
 		uptime.Sleep(ctx, randomDuration(r, 300, 3000))
 		w.SetLate(0)
 	}},
 	{"worker silent", func(ctx context.Context, s *system, r *rand.Rand) {
-		w := s.workers[r.IntN(agentCount)]
+		w := randomWorker(r, s)
 		w.SetDark(true)
 		uptime.Sleep(ctx, randomDuration(r, 300, 9000))
 		w.SetDark(false)
 	}},
-	{"worker born again", func(_ context.Context, s *system, r *rand.Rand) { s.workers[r.IntN(agentCount)].Restart() }},
+	{"worker born again", func(_ context.Context, s *system, r *rand.Rand) { randomWorker(r, s).Restart() }},
 	{"worker cut one way", func(ctx context.Context, s *system, r *rand.Rand) {
 		withProxyMode(ctx, randomNode(r, s.nodes[entryCount:]).workerProxy, holdingResponses, randomDuration(r, 300, 4000))
 	}},
@@ -119,18 +116,39 @@
 // seriesCount is the number of fault series that run concurrently.
 const seriesCount = 4
 
+// selection is the kinds of faults and jobs of a run.
+type selection struct {
+	earliest bool            // only those of faults, and no deadly jobs
+	without  map[string]bool // kinds that are drawn and not injected
+}
+
+// deadlyJobs is the name of the jobs whose tasks crash the workers.
+const deadlyJobs = "deadly jobs"
+
+func (o selection) has(name string) bool { return !o.without[name] }
+
+// kinds returns the kinds of faults to draw from.
+func (o selection) kinds() []fault {
+	if o.earliest {
+		return faults
+	}
+	return slices.Concat(faults, workerFaults)
+}
+
 // injectFaults runs concurrent series of random faults until ctx ends, and
 // returns once all faults have ended. The n-th series draws from its own random
 // generator, seeded with (seed, n).
 func injectFaults(ctx context.Context, s *system, seed uint64, logFault func(string)) {
+	kinds := s.kinds.kinds()
 	var wg sync.WaitGroup
 	for series := range uint64(seriesCount) {
 		r := rand.New(rand.NewPCG(seed, series))
 		wg.Go(func() {
 			for ctx.Err() == nil {
-				f := faults[r.IntN(len(faults))]
-				logFault(f.name)
-				f.inject(ctx, s, r)
+				if f := kinds[r.IntN(len(kinds))]; s.kinds.has(f.name) {
+					logFault(f.name)
+					f.inject(ctx, s, r)
+				}
 				uptime.Sleep(ctx, randomDuration(r, 100, 1200))
 			}
 		})
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -1,7 +1,8 @@
 // Command soak runs rosemarysill as separate processes on one machine, injects
 // faults into them and their connections, and checks the guarantees as callers and
 // workers observe them: accepted jobs end, refused ones do not run, tasks run once
-// at a time, and revoked keys are rejected in time.
+// at a time and within the capacity of their worker, a task that crashes its workers
+// is given up, and revoked keys are rejected in time.
 package main
 
 import (
@@ -22,6 +23,7 @@
 	Runs    uint64        `long:"runs" default:"1" description:"Number of runs; each uses the next seed"`
 	For     time.Duration `long:"for" default:"20s" description:"Duration of load and faults in each run"`
 	Again   bool          `long:"regressions" description:"Run the regression seeds instead of --seed and --runs"`
+	Without []string      `long:"without" description:"Kind of fault that is not injected, or \"deadly jobs\"; may be repeated"`
 	Logs    string        `long:"logs" description:"Directory in which the logs of failed runs are kept"`
 }
 
@@ -29,45 +31,54 @@
 // jobs have to end. It is several times what leases, restarts and a full queue take.
 const completionTimeout = 60 * time.Second
 
+// maxPrinted is the number of violations of a run that are printed.
+const maxPrinted = 12
+
 func main() {
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
-	var seeds []uint64
+	var runs []regression
 	for seed := o.Seed; seed < o.Seed+o.Runs && !o.Again; seed++ {
-		seeds = append(seeds, seed)
+		runs = append(runs, regression{seed: seed})
 	}
-	for _, r := range regressions {
-		if o.Again {
-			seeds = append(seeds, r.seed)
-		}
+	if o.Again {
+		runs = regressions
+	}
+	without := make(map[string]bool)
+	for _, name := range o.Without {
+		without[name] = true
 	}
 	failed := 0
-	for _, seed := range seeds {
-		summary, violations, err := run(o, seed)
+	for _, r := range runs {
+		seed := r.seed
+		summary, violations, err := run(o, seed, selection{r.earliest, without})
 		switch {
 		case err != nil:
 			fmt.Printf("seed %d: %v\n", seed, err)
 			failed++
 		case len(violations) > 0:
 			fmt.Printf("seed %d: FAILED: %s\n", seed, summary)
-			for _, b := range violations {
-				fmt.Println("  ", b)
+			for _, v := range violations[:min(len(violations), maxPrinted)] {
+				fmt.Println("  ", v)
+			}
+			if more := len(violations) - maxPrinted; more > 0 {
+				fmt.Println("   and", more, "more")
 			}
 			failed++
 		default:
 			fmt.Printf("seed %d: passed: %s\n", seed, summary)
 		}
 	}
-	fmt.Printf("soak: %d passed, %d failed\n", len(seeds)-failed, failed)
+	fmt.Printf("soak: %d passed, %d failed\n", len(runs)-failed, failed)
 	if failed > 0 {
 		os.Exit(1)
 	}
 }
 
 // run does one run and returns its summary and the violated guarantees.
-func run(o options, seed uint64) (string, []string, error) {
+func run(o options, seed uint64, kinds selection) (string, []string, error) {
 	dir, err := os.MkdirTemp("", "soak-")
 	if err != nil {
 		return "", nil, errors.Wrap(err, "create directory for a run")
@@ -84,6 +95,7 @@
 	if err := s.waitReady(); err != nil {
 		return "", nil, err
 	}
+	s.steps.Rebirth, s.kinds = randomRebirth(seed), kinds
 	c := newCallers(s)
 	faultLog, err := os.Create(filepath.Join(dir, "faults.log"))
 	if err != nil {
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -24,12 +24,15 @@
 // proxy is a TCP proxy that injects network faults between a process and a server
 // that it calls.
 type proxy struct {
-	listener net.Listener
-	target   string
-	mu       sync.Mutex
-	mode     proxyMode
-	conns    map[net.Conn]bool
-	wg       sync.WaitGroup
+	listenAddress string
+	target        string
+	mu            sync.Mutex
+	listener      net.Listener
+	mode          proxyMode
+	conns         map[net.Conn]bool
+	refusals      int // faults that make the proxy refuse connections
+	closed        bool
+	wg            sync.WaitGroup
 }
 
 // newProxy listens on a free loopback port and forwards connections to the target.
@@ -38,18 +41,18 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target.String(), conns: make(map[net.Conn]bool)}
-	p.wg.Go(p.accept)
+	p := &proxy{listener: l, listenAddress: l.Addr().String(), target: target.String(), conns: make(map[net.Conn]bool)}
+	p.wg.Go(func() { p.accept(l) })
 	return p, nil
 }
 
-func (p *proxy) address() netip.AddrPort { return netip.MustParseAddrPort(p.listener.Addr().String()) }
+func (p *proxy) address() netip.AddrPort { return netip.MustParseAddrPort(p.listenAddress) }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
-			return // the proxy is closed
+			return // the listener is closed
 		}
 		t, err := net.Dial("tcp4", p.target)
 		if err != nil {
@@ -139,8 +142,44 @@
 	}
 }
 
+// refuse makes the proxy refuse connections until as many calls of listen.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusals++
+	_ = p.listener.Close() // it may have been closed by an earlier fault
+}
+
+// listenAttempts bounds the attempts to listen at the proxy's address again, which
+// another process may use for a moment.
+const listenAttempts = 100
+
+// listen ends the effect of a call of refuse.
+func (p *proxy) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusals--
+	if p.refusals > 0 || p.closed {
+		return nil
+	}
+	var err error
+	for range listenAttempts {
+		var l net.Listener
+		if l, err = net.Listen("tcp4", p.listenAddress); err == nil {
+			p.listener = l
+			p.wg.Go(func() { p.accept(l) })
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return err
+}
+
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
 	_ = p.listener.Close() // accept returns then
+	p.mu.Unlock()
 	p.reset()
 	p.wg.Wait()
 }
--- a/cmd/soak/system.go
+++ b/cmd/soak/system.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -18,8 +17,6 @@
 	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/queue"
 	"github.com/rosemarysill/rosemarysill/standin"
-	"github.com/rosemarysill/rosemarysill/uptime"
-	"github.com/rosemarysill/rosemarysill/work"
 )
 
 const (
@@ -30,8 +27,6 @@
 	service     = "svc"
 	// keyRevocationDelay is the setting within which a revoked key becomes invalid.
 	keyRevocationDelay = 5 * time.Second
-	// announceInterval is the interval between status reports of a worker.
-	announceInterval = 400 * time.Millisecond
 )
 
 // node is one process of the system under test, an entry or an agent.
@@ -53,10 +48,12 @@
 	dir     string
 	store   *standin.Transactions
 	steps   *standin.Steps
-	workers []*standin.StepWorker
+	workers []*worker
 	nodes   []*node
 	servers []*http.Server
 	version int64
+	events  *events
+	kinds   selection
 }
 
 func serve(h http.Handler) (*http.Server, netip.AddrPort, error) {
@@ -71,6 +68,11 @@
 
 func newSystem(program, dir string) (*system, error) {
 	s := &system{program: program, dir: dir, store: standin.NewTransactions(), steps: standin.NewSteps()}
+	var err error
+	if s.events, err = newEvents(filepath.Join(dir, "workers.log")); err != nil {
+		return nil, err
+	}
+	s.steps.Observe = s.events.observe
 	if err := s.configure("k0"); err != nil {
 		return nil, err
 	}
@@ -149,7 +151,8 @@
 	if err != nil {
 		return err
 	}
-	w := s.steps.Add(fmt.Sprintf("i-%d", i))
+	w := &worker{StepWorker: s.steps.Add(fmt.Sprintf("i-%d", i)), node: n, labels: []string{"a", fmt.Sprintf("r%d-1", i%2)}}
+	w.SetCapacity(fullCapacity)
 	s.workers = append(s.workers, w)
 	server, address, err := serve(platform.WorkerHandler(w))
 	if err != nil {
@@ -159,6 +162,7 @@
 	if n.workerProxy, err = newProxy(address); err != nil {
 		return err
 	}
+	w.OnDown = w.onDown
 	n.Agent, n.Domain, n.Worker = true, fmt.Sprintf("d%d", i%2), n.workerProxy.address()
 	if n.Control, err = standin.FreeAddress(); err != nil {
 		return err
@@ -245,26 +249,6 @@
 	return n.startProcess(program)
 }
 
-// announceWorkers sends the status reports of the workers until ctx ends.
-func (s *system) announceWorkers(ctx context.Context) {
-	var wg sync.WaitGroup
-	for i, n := range s.nodes[entryCount:] {
-		announcer := platform.NewAnnouncer(n.Control)
-		wg.Go(func() {
-			defer announcer.Close()
-			for seq := uint64(1); ctx.Err() == nil; seq++ {
-				_ = announcer.Announce(ctx, work.Announcement{ // a lost report is followed by the next one
-					ID: fmt.Sprintf("i-%d", i), StartedAtMS: s.workers[i].Born(), Sequence: seq, Service: service, Address: n.Worker,
-					Domain: n.Domain, State: work.WorkerReady, Labels: []string{"a", fmt.Sprintf("r%d-1", i%2)},
-					Capacity: work.Shape{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8},
-				})
-				uptime.Sleep(ctx, announceInterval)
-			}
-		})
-	}
-	wg.Wait()
-}
-
 // close kills all processes of the system, by process ID, and closes proxies, logs
 // and servers.
 func (s *system) close() {
@@ -278,6 +262,7 @@
 		}
 		_ = n.logFile.Close()
 	}
+	s.events.close()
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
