runner: a run that the worker lists is never reported as refused

TWICE: two runs of a task at the same time.

What callers saw: a start gets no reply and is carried out, the lease renewal that follows lists the run, and the second attempt of the start is refused. The agent reported the run both as running and as refused, the leader took the refusal for the end of the run and placed the task on another worker.

Cause: recordRefusal asked only whether the unanswered start can still be carried out, which a reply with a higher fence rules out. It did not ask whether the start had been carried out. There were three ways:

- the worker has begun to drain, so the second attempt is not sent;
- the second attempt is in flight and refused while a renewal lists the run;
- the second attempt is refused after the reply to some other call with a higher fence, and no renewal has been read yet.

recordRefusal now records nothing for a run that the worker lists, and after a start without a reply it needs an accepted lease renewal with a higher fence. Such a renewal lists the run if the start was carried out, and the worker refuses the start from then on. The other callers (abandonStart, refuseSettledStarts) had these checks of their own and now share them. If the refusal can't be recorded yet, the order counts as without effect, and the leader's next message repeats it.

Ruled out: taking a refusal for want of room as proof that the run is not there, because workers that refuse as unhealthy or by the agent's own decision have not looked.

Before: --- FAIL: TestListedRunIsNotRefused/the_worker_drains_before_the_second_attempt Should be empty, but was [{0.0.0/1 draining}] --- FAIL: TestListedRunIsNotRefused/the_second_attempt_is_in_flight Should be empty, but was [{0.0.0/1 unhealthy}] --- FAIL: TestListedRunIsNotRefused/the_list_of_runs_is_not_known_yet Should be empty, but was [{0.0.0/1 unhealthy}] After: go test -race ./runner ./leader ./node passes.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -136,8 +136,7 @@
 		notify(r.renewNow)
 		return false, true
 	}
-	w.recordRefusal(s.Key, reply.Refusal)
-	return true, true
+	return w.recordRefusal(s.Key, reply.Refusal) || w.hasRun(s.Key), true
 }
 
 // stopRun stops a run on the worker and reports whether the worker has replied. The
--- a/runner/orders_test.go
+++ b/runner/orders_test.go
@@ -148,3 +148,75 @@
 		})
 	}
 }
+
+// scriptedWorker is a worker that replies to each start by the next function.
+type scriptedWorker struct {
+	work.Runtime
+	starts []func() (work.RuntimeReply, error)
+	ids    []string // identifiers that the starts were meant for
+}
+
+func (w *scriptedWorker) Start(_ context.Context, _ time.Duration, id string, _ int64, _ work.Start, _ time.Duration) (work.RuntimeReply, error) {
+	n := len(w.ids)
+	w.ids = append(w.ids, id)
+	return w.starts[n]()
+}
+
+func unanswered() (work.RuntimeReply, error) {
+	return work.RuntimeReply{}, errors.New("connection reset")
+}
+
+// newScriptedRunner returns an agent whose worker has confirmed its incarnation and may
+// be granted leases.
+func newScriptedRunner(starts ...func() (work.RuntimeReply, error)) (*Runner, *scriptedWorker) {
+	worker := &scriptedWorker{starts: starts}
+	r := New(Config{Name: "a", Runtime: worker, Log: zerolog.Nop()})
+	now := uptime.Now()
+	r.worker.applyAnnouncement(work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 1, State: work.WorkerReady}, now)
+	r.worker.renewAt(work.RuntimeReply{Clock: time.Second}, r.worker.fence, now)
+	r.worker.applyLease(control.Orders{Epoch: 1, Echo: now, ExtendsLease: true, Incarnation: r.worker.incarnation()})
+	return r, worker
+}
+
+// Guards against a refusal of a run that the worker has: a start without a reply is
+// carried out, the next lease renewal lists the run, and the second attempt is refused.
+// The leader would place the run on another worker while it is running here.
+func TestListedRunIsNotRefused(t *testing.T) {
+	listed := func(r *Runner) {
+		running := []work.RunStatus{{Key: key(0)}}
+		r.handleRenewal(t.Context(), r.worker.incarnation(), r.worker.fence, uptime.Now(), work.RuntimeReply{Clock: time.Second, Running: running}, nil)
+	}
+	attempt := func(r *Runner) { r.attemptStart(t.Context(), work.Start{Key: key(0)}, uptime.Now()) }
+
+	t.Run("the worker drains before the second attempt", func(t *testing.T) {
+		r, worker := newScriptedRunner(unanswered)
+		attempt(r)
+		listed(r)
+		r.Announce(work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 2, State: work.WorkerDraining})
+		attempt(r)
+		require.Len(t, worker.ids, 1)
+		require.Empty(t, r.worker.report(uptime.Now()).Refused)
+		require.True(t, r.worker.hasRun(key(0)))
+	})
+	t.Run("the second attempt is in flight", func(t *testing.T) {
+		var r *Runner
+		r, _ = newScriptedRunner(unanswered, func() (work.RuntimeReply, error) {
+			listed(r)
+			return work.RuntimeReply{Refusal: work.RefusedUnhealthy}, nil
+		})
+		attempt(r)
+		attempt(r)
+		require.Empty(t, r.worker.report(uptime.Now()).Refused)
+		require.True(t, r.worker.hasRun(key(0)))
+	})
+	t.Run("the list of runs is not known yet", func(t *testing.T) {
+		var r *Runner
+		r, _ = newScriptedRunner(unanswered, func() (work.RuntimeReply, error) {
+			r.worker.applyReply(work.RuntimeReply{Clock: time.Second}, r.worker.fence, uptime.Now()) // of another order
+			return work.RuntimeReply{Refusal: work.RefusedUnhealthy}, nil
+		})
+		attempt(r)
+		attempt(r)
+		require.Empty(t, r.worker.report(uptime.Now()).Refused)
+	})
+}
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -94,7 +94,7 @@
 		switch {
 		case w.hasEnded(k):
 			delete(w.settledRuns, k)
-		case !w.hasRun(k) && fence >= st.fence && sent.After(st.at) && w.recordRefusal(k, work.RefusedOutdated):
+		case fence >= st.fence && sent.After(st.at) && w.recordRefusal(k, work.RefusedOutdated):
 			delete(w.settledRuns, k)
 			changed = true
 		}
@@ -132,11 +132,12 @@
 	return w.hasEnded(k) || slices.ContainsFunc(w.running, func(s work.RunStatus) bool { return s.Key == k })
 }
 
-// recordRefusal records that a start is refused and reports true, unless an earlier
-// start call without a reply may still be carried out; then it records nothing. That is
-// ruled out once the worker has replied to a call with a higher fence.
+// recordRefusal records that a start is refused and reports true. It records nothing if
+// the worker lists the run, or if an earlier start call without a reply was or may
+// still be carried out. That is ruled out by an accepted lease renewal with a higher
+// fence that does not list the run; a reply to any other call says nothing about it.
 func (w *workerState) recordRefusal(k work.RunKey, reason work.Refusal) bool {
-	if f, ok := w.unansweredStarts[k]; ok && f >= w.ackedFence {
+	if f, ok := w.unansweredStarts[k]; w.hasRun(k) || (ok && f >= w.renewedFence) {
 		return false
 	}
 	delete(w.unansweredStarts, k)
@@ -150,8 +151,8 @@
 // whether it did. It needs a lease renewal with a higher fence that does not list the
 // run: the start was not carried out before, and the worker refuses it from then on.
 func (w *workerState) abandonStart(k work.RunKey) bool {
-	f, ok := w.unansweredStarts[k]
-	return ok && f < w.renewedFence && !w.hasRun(k) && w.recordRefusal(k, work.RefusedUnresponsive)
+	_, ok := w.unansweredStarts[k]
+	return ok && w.recordRefusal(k, work.RefusedUnresponsive)
 }
 
 // pruneRefusals removes the refusals that the leader has processed, which are those of
