runner: an order does not reach another incarnation than the one it was meant for

TWICE: two runs of a task at the same time.

What callers saw: the start of a run gets no reply, the worker ends and starts again, the leader is told that the earlier incarnation has ended and places the run on another worker, and the second attempt of the start reaches the next incarnation, which carries it out.

Cause: each attempt read the identifier, the incarnation and the fence of the worker anew, and did not check that the worker was registered and confirmed. Only the time at which an order arrived was checked. Stops and changes of speed read them anew too.

The incarnation of the order now goes with it. takesOrders is asked before each call and before each effect of a reply: the incarnation is the current one, has not left, and has accepted a lease renewal with its fence. What remains is a call that is under way when the incarnation changes. It has a fence below that of the next incarnation, which is reported only after it has accepted the higher one.

Ruled out: relying on the identifier in the call alone, because a worker may start again under the identifier that it had.

--- a/runner/incarnation.go
+++ b/runner/incarnation.go
@@ -16,6 +16,13 @@
 	return control.Incarnation(w.agent, a.ID+"/"+strconv.FormatInt(a.StartedAtMS, 10))
 }
 
+// takesOrders reports whether the incarnation is the current one, has not left and has
+// confirmed its fence. The leader may already have placed the runs of any other
+// incarnation on another worker.
+func (w *workerState) takesOrders(incarnation string) bool {
+	return w.registered && w.confirmed && w.incarnation() == incarnation
+}
+
 // applyAnnouncement processes a status report of the worker and reports whether it
 // began a new incarnation. Reports of earlier incarnations, and reports that arrive
 // out of order, change nothing.
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -16,18 +16,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := uptime.Now()
-	if !r.worker.applyLease(o) || !r.worker.confirmed || o.Incarnation != r.worker.incarnation() || now.Sub(o.Echo) > control.OrderMaxAge {
+	if !r.worker.applyLease(o) || !r.worker.takesOrders(o.Incarnation) || now.Sub(o.Echo) > control.OrderMaxAge {
 		return
 	}
 	r.worker.pruneRefusals(o)
 	for _, s := range o.Starts {
-		r.runOrder(ctx, s.Key, r.worker.shouldStart(s.Key), func() bool { return r.startRun(ctx, s, o.Echo) })
+		r.runOrder(ctx, s.Key, r.worker.shouldStart(s.Key), func() bool { return r.startRun(ctx, o.Incarnation, s, o.Echo) })
 	}
 	for _, k := range o.Stops {
-		r.runOrder(ctx, k, r.worker.shouldStop(k, now), func() bool { return r.stopRun(ctx, k) })
+		r.runOrder(ctx, k, r.worker.shouldStop(k, now), func() bool { return r.stopRun(ctx, o.Incarnation, k) })
 	}
 	for _, t := range o.Throttles {
-		r.runOrder(ctx, t.Key, r.worker.shouldThrottle(t.Key, t.Percent), func() bool { return r.throttleRun(ctx, t) })
+		r.runOrder(ctx, t.Key, r.worker.shouldThrottle(t.Key, t.Percent), func() bool { return r.throttleRun(ctx, o.Incarnation, t) })
 	}
 	if o.AckedSeq > 0 {
 		notify(r.renewNow)
@@ -65,12 +65,12 @@
 // replies to none of them counts as unresponsive.
 const maxStartAttempts = 2
 
-// startRun starts a run on the worker and reports whether the start is accepted or
-// refused for good. If no start call gets a reply, the run is refused, so that the
+// startRun starts a run on an incarnation of the worker and reports whether the start is
+// accepted or refused for good. If no start call gets a reply, the run is refused, so that the
 // leader can place it on another worker.
-func (r *Runner) startRun(ctx context.Context, s work.Start, ordered time.Time) bool {
+func (r *Runner) startRun(ctx context.Context, incarnation string, s work.Start, ordered time.Time) bool {
 	for attempt := 1; ; attempt++ {
-		settled, needsNewOrder := r.attemptStart(ctx, s, ordered)
+		settled, needsNewOrder := r.attemptStart(ctx, incarnation, s, ordered)
 		if settled || needsNewOrder {
 			return settled
 		}
@@ -79,27 +79,31 @@
 			return false
 		}
 		if attempt == maxStartAttempts {
-			return r.abandonStart(s.Key)
+			return r.abandonStart(incarnation, s.Key)
 		}
 	}
 }
 
 // abandonStart refuses a run whose start calls got no reply, if none of them can have
 // been carried out.
-func (r *Runner) abandonStart(k work.RunKey) bool {
+func (r *Runner) abandonStart(incarnation string, k work.RunKey) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.worker.abandonStart(k)
+	return r.worker.takesOrders(incarnation) && r.worker.abandonStart(k)
 }
 
 // attemptStart makes one start call. It reports whether the worker has accepted or
 // refused the start, and whether the agent must not repeat it without a new order. A
 // draining worker gets no call; its refusal is recorded and settled is false. A start
 // refused as outdated is not settled either until the next lease renewal.
-func (r *Runner) attemptStart(ctx context.Context, s work.Start, ordered time.Time) (settled, needsNewOrder bool) {
+func (r *Runner) attemptStart(ctx context.Context, incarnation string, s work.Start, ordered time.Time) (settled, needsNewOrder bool) {
 	r.mu.Lock()
 	w := r.worker
-	id, incarnation, fence := w.announcement.ID, w.incarnation(), w.fence
+	if !w.takesOrders(incarnation) {
+		r.mu.Unlock()
+		return false, true
+	}
+	id, fence := w.announcement.ID, w.fence
 	now := uptime.Now()
 	until := w.grantLease(now)
 	draining := w.announcement.State == work.WorkerDraining
@@ -114,7 +118,7 @@
 	reply, err := r.cfg.Runtime.Start(ctx, callTimeout, id, fence, s, until)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if w.incarnation() != incarnation {
+	if !w.takesOrders(incarnation) {
 		return false, true
 	}
 	if err != nil {
@@ -141,8 +145,8 @@
 
 // stopRun stops a run on the worker and reports whether the worker has replied. The
 // worker lists the run as ended once it has stopped.
-func (r *Runner) stopRun(ctx context.Context, k work.RunKey) bool {
-	return r.callRuntime("stop", event.RunnerStop, k, func(id string, fence int64) (work.RuntimeReply, error) {
+func (r *Runner) stopRun(ctx context.Context, incarnation string, k work.RunKey) bool {
+	return r.callRuntime("stop", event.RunnerStop, incarnation, k, func(id string, fence int64) (work.RuntimeReply, error) {
 		return r.cfg.Runtime.Stop(ctx, callTimeout, id, fence, k)
 	}, func(w *workerState, fence int64) {
 		w.settledRuns[k] = settledRun{fence, uptime.Now()}
@@ -151,25 +155,29 @@
 
 // throttleRun sets the speed of a run on the worker and reports whether the worker has
 // replied.
-func (r *Runner) throttleRun(ctx context.Context, t control.Throttle) bool {
-	return r.callRuntime("pace", event.RunnerPace, t.Key, func(id string, fence int64) (work.RuntimeReply, error) {
+func (r *Runner) throttleRun(ctx context.Context, incarnation string, t control.Throttle) bool {
+	return r.callRuntime("pace", event.RunnerPace, incarnation, t.Key, func(id string, fence int64) (work.RuntimeReply, error) {
 		return r.cfg.Runtime.Throttle(ctx, callTimeout, id, fence, t.Key, t.Percent)
 	}, func(w *workerState, _ int64) {
 		w.throttles[t.Key] = t.Percent
 	})
 }
 
-// callRuntime makes a call about a run and reports whether the worker has replied. It
+// callRuntime makes a call about a run of an incarnation and reports whether the worker has replied. It
 // calls accepted with the fence of the call if the worker has accepted it.
-func (r *Runner) callRuntime(name string, e event.Event, k work.RunKey, call func(id string, fence int64) (work.RuntimeReply, error), accepted func(*workerState, int64)) bool {
+func (r *Runner) callRuntime(name string, e event.Event, incarnation string, k work.RunKey, call func(id string, fence int64) (work.RuntimeReply, error), accepted func(*workerState, int64)) bool {
 	r.mu.Lock()
 	w := r.worker
-	id, incarnation, fence := w.announcement.ID, w.incarnation(), w.fence
+	if !w.takesOrders(incarnation) {
+		r.mu.Unlock()
+		return false
+	}
+	id, fence := w.announcement.ID, w.fence
 	r.mu.Unlock()
 	reply, err := call(id, fence)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if w.incarnation() != incarnation {
+	if !w.takesOrders(incarnation) {
 		return false
 	}
 	if err != nil {
--- a/runner/orders_test.go
+++ b/runner/orders_test.go
@@ -78,7 +78,7 @@
 			r.worker.applyAnnouncement(work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 1, State: work.WorkerReady}, now)
 			r.worker.renewAt(work.RuntimeReply{Clock: time.Second}, r.worker.fence, now)
 			r.worker.applyLease(control.Orders{Epoch: 1, Echo: now, ExtendsLease: true, Incarnation: r.worker.incarnation()})
-			r.startRun(context.Background(), work.Start{Key: key(0)}, now.Add(-c.age))
+			r.startRun(context.Background(), r.worker.incarnation(), work.Start{Key: key(0)}, now.Add(-c.age))
 			require.Equal(t, c.want, worker.count())
 		})
 	}
@@ -149,17 +149,32 @@
 	}
 }
 
-// scriptedWorker is a worker that replies to each start by the next function.
+// scriptedWorker is a worker that replies to each start by the next function, and to
+// nothing else.
 type scriptedWorker struct {
 	work.Runtime
 	starts []func() (work.RuntimeReply, error)
-	ids    []string // identifiers that the starts were meant for
+	calls  []string // with the identifiers that they were meant for
 }
 
 func (w *scriptedWorker) Start(_ context.Context, _ time.Duration, id string, _ int64, _ work.Start, _ time.Duration) (work.RuntimeReply, error) {
-	n := len(w.ids)
-	w.ids = append(w.ids, id)
-	return w.starts[n]()
+	w.calls = append(w.calls, "start "+id)
+	if len(w.starts) == 0 {
+		return unanswered()
+	}
+	next := w.starts[0]
+	w.starts = w.starts[1:]
+	return next()
+}
+
+func (w *scriptedWorker) Stop(_ context.Context, _ time.Duration, id string, _ int64, _ work.RunKey) (work.RuntimeReply, error) {
+	w.calls = append(w.calls, "stop "+id)
+	return unanswered()
+}
+
+func (w *scriptedWorker) Throttle(_ context.Context, _ time.Duration, id string, _ int64, _ work.RunKey, _ int) (work.RuntimeReply, error) {
+	w.calls = append(w.calls, "pace "+id)
+	return unanswered()
 }
 
 func unanswered() (work.RuntimeReply, error) {
@@ -186,7 +201,9 @@
 		running := []work.RunStatus{{Key: key(0)}}
 		r.handleRenewal(t.Context(), r.worker.incarnation(), r.worker.fence, uptime.Now(), work.RuntimeReply{Clock: time.Second, Running: running}, nil)
 	}
-	attempt := func(r *Runner) { r.attemptStart(t.Context(), work.Start{Key: key(0)}, uptime.Now()) }
+	attempt := func(r *Runner) {
+		r.attemptStart(t.Context(), r.worker.incarnation(), work.Start{Key: key(0)}, uptime.Now())
+	}
 
 	t.Run("the worker drains before the second attempt", func(t *testing.T) {
 		r, worker := newScriptedRunner(unanswered)
@@ -194,7 +211,7 @@
 		listed(r)
 		r.Announce(work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 2, State: work.WorkerDraining})
 		attempt(r)
-		require.Len(t, worker.ids, 1)
+		require.Len(t, worker.calls, 1)
 		require.Empty(t, r.worker.report(uptime.Now()).Refused)
 		require.True(t, r.worker.hasRun(key(0)))
 	})
@@ -220,3 +237,37 @@
 		require.Empty(t, r.worker.report(uptime.Now()).Refused)
 	})
 }
+
+// Guards against an order that outlives the incarnation that it was meant for: the
+// leader has been told that the incarnation has ended and has placed the run on another
+// worker, so the order must not reach the next incarnation. Nor may it reach one that
+// has left.
+func TestOrderDoesNotReachAnotherIncarnation(t *testing.T) {
+	next := func(r *Runner) {
+		r.Announce(work.Announcement{ID: "i2", StartedAtMS: 2, Sequence: 1, State: work.WorkerReady})
+		now := uptime.Now()
+		r.worker.renewAt(work.RuntimeReply{Clock: time.Second}, r.worker.fence, now)
+		r.worker.applyLease(control.Orders{Epoch: 1, Echo: now, ExtendsLease: true, Incarnation: r.worker.incarnation()})
+	}
+	left := func(r *Runner) { r.worker.deregister("i") }
+	unconfirmed := func(r *Runner) {
+		r.Announce(work.Announcement{ID: "i", StartedAtMS: 2, Sequence: 1, State: work.WorkerReady})
+	}
+	for name, change := range map[string]func(*Runner){"next incarnation": next, "worker that has left": left, "unconfirmed incarnation": unconfirmed} {
+		t.Run(name, func(t *testing.T) {
+			var r *Runner
+			r, worker := newScriptedRunner(func() (work.RuntimeReply, error) {
+				change(r)
+				return unanswered()
+			})
+			incarnation := r.worker.incarnation()
+			r.startRun(t.Context(), incarnation, work.Start{Key: key(0)}, uptime.Now())
+			r.startRun(t.Context(), incarnation, work.Start{Key: key(1)}, uptime.Now())
+			r.stopRun(t.Context(), incarnation, key(0))
+			r.throttleRun(t.Context(), incarnation, control.Throttle{Key: key(0), Percent: 50})
+			require.Equal(t, []string{"start i"}, worker.calls)
+			require.Empty(t, r.worker.refused)
+			require.Empty(t, r.worker.unansweredStarts)
+		})
+	}
+}
