leader, event: log stray runs with their cause, overlapping runs and late ends

LeaderStray said only which run a worker reports, so that the ways by which a task may be started twice could not be told apart. It now has the present run of the task and its worker, whether that worker lists it, and the outcome and cause with which an earlier run counts as ended, and when. Each run is logged once per worker; before, each report logged it again.

LeaderRunsOverlap (error) is new: a worker reports a run whose task is placed as another run or elsewhere, or the end of a run that this leader has taken for lost or refused arrives while the task is placed again. An end as lapsed is the normal case after a lost worker and is not logged; one as stopped belongs to a run that was logged when it was reported as running. A run that is reported as refused and as running is not excluded, because that is a fault as well.

LeaderLateEnd (warn) is new: the end as done of a run that is not the present one of its task, which the leader acknowledges. Ends of tasks that are done are left out, because each new leader receives them again.

--- a/event/leader.go
+++ b/event/leader.go
@@ -33,6 +33,8 @@
 	LeaderJobEnded       Event = 1164
 	LeaderStray          Event = 1165
 	LeaderJob            Event = 1166
+	LeaderRunsOverlap    Event = 1167
+	LeaderLateEnd        Event = 1168
 	LeaderWorkerSeen     Event = 1170
 	LeaderWorkerLost     Event = 1171
 	LeaderWorkerAvoided  Event = 1172
@@ -71,8 +73,10 @@
 	LeaderRunEnded:       {"LeaderRunEnded", zerolog.InfoLevel, "The leader has processed the end of a run."},
 	LeaderRefused:        {"LeaderRefused", zerolog.InfoLevel, "A worker refused to start a run."},
 	LeaderJobEnded:       {"LeaderJobEnded", zerolog.InfoLevel, "A job has reached a final state."},
-	LeaderStray:          {"LeaderStray", zerolog.WarnLevel, "A worker reports a run that is not recorded for it; the run is stopped."},
+	LeaderStray:          {"LeaderStray", zerolog.WarnLevel, "A worker reports a run that is not recorded for it; the run is stopped. The line has the present run of the task and why an earlier one counts as ended."},
 	LeaderJob:            {"LeaderJob", zerolog.InfoLevel, "The leader has taken over a job; the line has the shape of the job and the time in which it should finish."},
+	LeaderRunsOverlap:    {"LeaderRunsOverlap", zerolog.ErrorLevel, "Two runs of a task are or were in progress at the same time: a worker reports one that is not the present run of the task."},
+	LeaderLateEnd:        {"LeaderLateEnd", zerolog.WarnLevel, "A run that is not the present one of its task has ended as done; Applied says whether the task counts as done."},
 	LeaderWorkerSeen:     {"LeaderWorkerSeen", zerolog.InfoLevel, "A worker has become available."},
 	LeaderWorkerLost:     {"LeaderWorkerLost", zerolog.WarnLevel, "A worker has left, or the leases of its runs have expired; its runs count as ended."},
 	LeaderWorkerAvoided:  {"LeaderWorkerAvoided", zerolog.WarnLevel, "A worker temporarily gets no tasks, because its runs failed or are stalled."},
--- a/leader/report.go
+++ b/leader/report.go
@@ -41,7 +41,7 @@
 	t.applyRefusals(w, r, now)
 	t.applyRuns(w, r, now)
 	if r.Worker.LeasesLapsed {
-		t.endAllRuns(w.Incarnation, now)
+		t.endAllRuns(w.Incarnation, "all leases have lapsed", now)
 	}
 	return nil
 }
@@ -150,13 +150,16 @@
 		delete(w.stopRequestedAt, k)
 	}
 	if task == nil {
+		t.logLateEnd(worker, k, outcome, false, now)
 		return
 	}
 	stopped := task.Stopping
 	if !s.progress.End(s.job, k, worker, outcome, checkpoint, time.Now()) {
+		t.logLateEnd(worker, k, outcome, false, now)
 		return
 	}
 	s.dirty = true
+	s.recordEnd(k, worker, outcome, now)
 	if w := t.workers[worker]; w != nil && !stopped {
 		t.recordOutcome(w, k, outcome, now)
 	}
@@ -199,18 +202,18 @@
 			t.avoid(w, "refused a start as unresponsive or unhealthy", now)
 		}
 		t.endRun(w.Incarnation, f.Key, work.OutcomeRefused, "", now)
+		t.recordCause(f.Key, string(f.Reason))
 	}
 }
 
 // applyRuns applies the list of runs on the worker. Runs that are not placed there are
 // orphans, which get stopped.
 func (t *term) applyRuns(w *workerState, r control.Report, now time.Time) {
-	clear(w.orphans)
+	var strays []work.RunStatus
 	for _, run := range r.Running {
 		s, task := t.task(run.Key)
 		if task == nil || task.Run != run.Key.Run || task.Worker != w.Incarnation {
-			w.orphans[run.Key] = true
-			event.LeaderStray.Log(t.cfg.Log).Str("Job", run.Key.Task.Job).Stringer("Run", run.Key).Str("Worker", w.Incarnation).Send()
+			strays = append(strays, run)
 			continue
 		}
 		var members []work.Task
@@ -222,6 +225,7 @@
 		task.Percent = run.Percent
 		t.trackRun(w, run, now)
 	}
+	t.applyStrays(w, strays, now)
 	t.checkCapacity(w, now)
 	t.drainWorker(w, now)
 	t.updateThrottle(w, now)
@@ -251,12 +255,12 @@
 	if w, ok := t.workers[id]; ok {
 		event.LeaderWorkerLost.Log(t.cfg.Log).Str("Worker", id).Str("Agent", w.agent).Str("Why", reason).Send()
 	}
-	t.endAllRuns(id, now)
+	t.endAllRuns(id, reason, now)
 	delete(t.workers, id)
 }
 
 // endAllRuns applies the loss of all runs of an incarnation.
-func (t *term) endAllRuns(id string, now time.Time) {
+func (t *term) endAllRuns(id, cause string, now time.Time) {
 	var lost []work.RunKey
 	for _, s := range t.jobs {
 		forEachTask(s, func(k work.TaskKey, task *work.Task) {
@@ -267,5 +271,6 @@
 	}
 	for _, k := range lost {
 		t.endRun(id, k, work.OutcomeWorkerLost, "", now)
+		t.recordCause(k, cause)
 	}
 }
--- /dev/null
+++ b/leader/stray_test.go
@@ -0,0 +1,166 @@
+package leader
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/uptime"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// strayFleet is a term with job "j" and the agents of several workers.
+type strayFleet struct {
+	*testing.T
+	log     bytes.Buffer
+	term    *term
+	streams map[string]*stream
+}
+
+func newStrayFleet(t *testing.T, steps ...work.Step) *strayFleet {
+	f := &strayFleet{T: t, streams: make(map[string]*stream)}
+	f.term = newTerm(Config{Log: zerolog.New(&f.log)}, jobstore.LeaderRecord{Epoch: 7}, 1, 1, uptime.Now().Add(time.Minute))
+	j := &work.Job{ID: "j", MaxAttempts: 2, Steps: steps}
+	f.term.jobs["j"] = &jobState{job: j, progress: work.NewProgress(j)}
+	return f
+}
+
+// place places a run of a task with the given number and commits it.
+func (f *strayFleet) place(index, run int, worker string) work.RunKey {
+	s := f.term.jobs["j"]
+	s.progress.Place(&s.progress.Tasks[index], worker, "", run)
+	s.committed = append([]work.Task(nil), s.progress.Tasks...)
+	k := work.RunKey{Task: work.TaskKey{Job: "j", Index: index}, Run: run}
+	f.term.workers[worker].placedAt[k] = uptime.Now()
+	return k
+}
+
+// report applies a report of the worker agent/i/1 that change completes.
+func (f *strayFleet) report(agent string, change func(*control.Report)) {
+	f.Helper()
+	if f.streams[agent] == nil {
+		f.streams[agent] = f.term.newStream()
+	}
+	r := control.Report{Agent: agent, Stamp: uptime.Now(), Worker: &control.Worker{Incarnation: agent + "/i/1", Capacity: work.Shape{Accelerators: 8}}}
+	change(&r)
+	require.NoError(f, f.term.report(f.streams[agent], r))
+}
+
+func (f *strayFleet) logged(name string) int {
+	return strings.Count(f.log.String(), `"Name":"`+name+`"`)
+}
+
+func nothing(*control.Report) {}
+
+func running(keys ...work.RunKey) func(*control.Report) {
+	return func(r *control.Report) {
+		for _, k := range keys {
+			r.Running = append(r.Running, work.RunStatus{Key: k, Percent: 30})
+		}
+	}
+}
+
+func ended(seq uint64, k work.RunKey, outcome work.Outcome) func(*control.Report) {
+	return func(r *control.Report) {
+		r.Ended = append(r.Ended, work.RunEnd{Seq: seq, Key: k, Outcome: outcome})
+	}
+}
+
+// Guards against a second run of a task whose cause the log does not show: the present
+// run, and why the earlier one counts as ended.
+func TestStrayRunIsLoggedWithItsCause(t *testing.T) {
+	for name, c := range map[string]struct {
+		end         func(f *strayFleet, k work.RunKey)
+		as, cause   string
+		placedAgain bool
+	}{
+		"presumed ended": {func(f *strayFleet, _ work.RunKey) {
+			f.report("a", func(r *control.Report) { r.Worker, r.EndedIncarnations = nil, []string{"a/i/1"} })
+		}, "lost", "ended", true},
+		"no report": {func(f *strayFleet, _ work.RunKey) {
+			f.term.endIncarnation("a/i/1", "no report within the lease", uptime.Now())
+		}, "lost", "no report within the lease", true},
+		"leases lapsed": {func(f *strayFleet, _ work.RunKey) {
+			f.report("a", func(r *control.Report) { r.Worker.LeasesLapsed = true })
+		}, "lost", "all leases have lapsed", true},
+		"refused": {func(f *strayFleet, k work.RunKey) {
+			f.report("a", func(r *control.Report) {
+				r.Refused = []control.Refusal{{Key: k, Reason: work.RefusedUnhealthy}}
+			})
+		}, "refused", "unhealthy", true},
+		"not placed again": {func(f *strayFleet, k work.RunKey) {
+			f.report("a", func(r *control.Report) {
+				r.Refused = []control.Refusal{{Key: k, Reason: work.RefusedDraining}}
+			})
+		}, "refused", "draining", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStrayFleet(t, work.Step{Count: 1, Shape: work.Shape{Accelerators: 4}})
+			f.report("a", nothing)
+			f.report("b", nothing)
+			first := f.place(0, 1, "a/i/1")
+			c.end(f, first)
+			if c.placedAgain {
+				second := f.place(0, 2, "b/i/1")
+				f.report("b", running(second))
+			}
+			require.Zero(t, f.logged("LeaderStray"))
+			f.report("a", running(first))
+			f.report("a", running(first))
+			require.Equal(t, 1, f.logged("LeaderStray"), "once per run")
+			log := f.log.String()
+			require.Contains(t, log, `"EndedRun":1,"EndedWorker":"a/i/1","EndedAs":"`+c.as+`","EndCause":"`+c.cause+`"`)
+			if !c.placedAgain {
+				require.Zero(t, f.logged("LeaderRunsOverlap"))
+				f.place(0, 2, "b/i/1")
+				f.report("a", running(first))
+			} else {
+				require.Contains(t, log, `"PresentRunning":true`)
+			}
+			require.Equal(t, 1, f.logged("LeaderRunsOverlap"), "once per run")
+			require.Contains(t, f.log.String(), `"PresentRun":2,"PresentWorker":"b/i/1"`)
+		})
+	}
+}
+
+// Guards against an end as done that is acknowledged without effect and without a trace,
+// and against a line for each end that a new leader receives again.
+func TestLateEndIsLogged(t *testing.T) {
+	f := newStrayFleet(t, work.Step{Count: 1})
+	f.report("a", nothing)
+	first := f.place(0, 1, "a/i/1")
+	unknown := work.RunKey{Task: first.Task, Run: 5}
+	f.report("a", ended(1, unknown, work.OutcomeDone))
+	f.report("a", ended(1, unknown, work.OutcomeDone))
+	require.Equal(t, 1, f.logged("LeaderLateEnd"), "once per run")
+	require.Contains(t, f.log.String(), `"Applied":false`)
+	f.report("a", ended(2, first, work.OutcomeDone))
+	f.report("a", ended(3, first, work.OutcomeDone))
+	f.report("a", ended(4, work.RunKey{Task: work.TaskKey{Job: "other"}, Run: 1}, work.OutcomeStopped))
+	require.Equal(t, 1, f.logged("LeaderLateEnd"), "the task is done already")
+	f.report("a", ended(5, work.RunKey{Task: work.TaskKey{Job: "other"}, Run: 1}, work.OutcomeDone))
+	require.Equal(t, 2, f.logged("LeaderLateEnd"), "the job is not known")
+}
+
+// Guards against two runs of a task at the same time without a trace because the earlier
+// one has ended before its worker is heard again, and against a line for each run whose
+// lease has lapsed.
+func TestEndOfRunThatCountedAsEndedIsLogged(t *testing.T) {
+	for outcome, want := range map[work.Outcome]int{work.OutcomeFailed: 1, work.OutcomeLeaseLapsed: 0, work.OutcomeStopped: 0} {
+		f := newStrayFleet(t, work.Step{Count: 1})
+		f.report("a", nothing)
+		f.report("b", nothing)
+		first := f.place(0, 1, "a/i/1")
+		f.term.endIncarnation("a/i/1", "ended", uptime.Now())
+		f.place(0, 2, "b/i/1")
+		f.report("a", ended(1, first, outcome))
+		f.report("a", ended(1, first, outcome))
+		require.Equal(t, want, f.logged("LeaderRunsOverlap"), outcome)
+	}
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -21,12 +21,13 @@
 // jobState is the state of a job during a term.
 type jobState struct {
 	job              *work.Job
-	progress         *work.Progress // including decisions that are not committed yet
-	committed        []work.Task    // tasks as last committed
-	version          uint64         // of the progress record; 0 if there is none
-	dirty            bool           // the progress differs from the record
-	checkpointsDirty bool           // the record lacks newer checkpoints
-	endLogged        bool           // the final state has been logged
+	progress         *work.Progress          // including decisions that are not committed yet
+	committed        []work.Task             // tasks as last committed
+	version          uint64                  // of the progress record; 0 if there is none
+	dirty            bool                    // the progress differs from the record
+	checkpointsDirty bool                    // the record lacks newer checkpoints
+	endLogged        bool                    // the final state has been logged
+	ends             map[work.TaskKey]runEnd // latest end in this term of each task's runs that did not complete it
 }
 
 // workerState is the state of a worker's incarnation during a term.
@@ -40,6 +41,7 @@
 	committedSeq    uint64                    // last run end that is committed
 	closedUntil     time.Time                 // the worker gets no tasks until then
 	orphans         map[work.RunKey]bool      // reported runs that are not placed here
+	overlaps        map[work.RunKey]bool      // orphans whose task is placed, which is logged
 	placedAt        map[work.RunKey]time.Time // runs that are placed here
 	stopRequestedAt map[work.RunKey]time.Time // runs that are being stopped
 	trackers        map[work.RunKey]*tracker
@@ -203,7 +205,7 @@
 func newWorkerState(w control.Worker, agent string, reportedAt time.Time) *workerState {
 	return &workerState{
 		Worker: w, agent: agent, reportedAt: reportedAt,
-		orphans: make(map[work.RunKey]bool), placedAt: make(map[work.RunKey]time.Time), trackers: make(map[work.RunKey]*tracker), stopRequestedAt: make(map[work.RunKey]time.Time),
+		orphans: make(map[work.RunKey]bool), overlaps: make(map[work.RunKey]bool), placedAt: make(map[work.RunKey]time.Time), trackers: make(map[work.RunKey]*tracker), stopRequestedAt: make(map[work.RunKey]time.Time),
 	}
 }
 
