leader: a term that is over sends no orders

TWICE: a leader that hands over closes its term and revokes its lease, which it has renewed up to 1.2 s ahead. A stream that was woken by a report at that moment could choose its wake-up over the end of the term and answer with ExtendsLease, because leaseExpiry was still in the future. The successor counts the leases of workers that it does not hear from its own election, so the runs of a worker whose report arrived after that were leased for longer than the successor waits before it starts them elsewhere. The same held between the loss of the lease at the store, or a commit that fails on the leader record, and the end of the term, which is up to a renewal interval (300 ms) later.

The term is now marked as over before its streams are closed and its lease is revoked, when the store rejects a renewal, and when the cause of its end is recorded. The mark is read under the lock with which orders are made. From then on, and once the lease has expired by its own clock, no orders are sent.

Ruled out: orders made before the end and sent late. They echo a report that was received before the election of the successor.

--- a/leader/attach.go
+++ b/leader/attach.go
@@ -91,13 +91,17 @@
 	}
 }
 
-// orders returns the orders for the worker of a stream.
+// orders returns the orders for the worker of a stream, and false if there are none
+// because the term is over. The next leader does not know of the reports that arrive from
+// then on, so they must not extend leases.
 func (s *stream) orders() (control.Orders, bool) {
 	t := s.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := uptime.Now()
-	o := control.Orders{Epoch: t.rec.Epoch, Echo: s.stamp, ExtendsLease: now.Before(t.leaseExpiry), Incarnation: s.incarnation}
+	if t.over || !uptime.Now().Before(t.leaseExpiry) {
+		return control.Orders{}, false
+	}
+	o := control.Orders{Epoch: t.rec.Epoch, Echo: s.stamp, ExtendsLease: true, Incarnation: s.incarnation}
 	w, ok := t.workers[s.incarnation]
 	if !ok || !w.attached {
 		return o, true
--- a/leader/term.go
+++ b/leader/term.go
@@ -81,6 +81,7 @@
 	checkpointsSavedAt time.Time               // when checkpoints were last marked for a commit
 	sweptAt            time.Time               // time of the last sweep; used by run only
 	endCause           error                   // why the term has ended
+	over               bool                    // the term has ended or is about to; it orders nothing any more
 }
 
 func newTerm(cfg Config, rec jobstore.LeaderRecord, leaderVersion uint64, lease rosemarysill.LeaseID, leaseExpiry time.Time) *term {
@@ -92,8 +93,14 @@
 	}
 }
 
-// close ends the streams of agents.
-func (t *term) close() { close(t.ended) }
+// close ends the streams of agents. The lease may be released afterwards: a stream that
+// has not noticed the end yet sends no more orders.
+func (t *term) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.over = true
+	close(t.ended)
+}
 
 func (t *term) cause() error {
 	t.mu.Lock()
@@ -106,6 +113,7 @@
 func (t *term) recordEndCause(cause error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.over = true
 	if t.endCause == nil {
 		t.endCause = cause
 	}
@@ -160,6 +168,9 @@
 		return
 	}
 	if errors.Is(err, rosemarysill.ErrLeaseLapsed) {
+		t.mu.Lock()
+		t.over = true
+		t.mu.Unlock()
 		notify(t.leaseLost)
 	}
 	t.cfg.Log.Debug().Err(err).Msg("lease renewal failed")
