work, leader: an end as done counts although its run was taken for ended

TWICE: when a worker is taken for lost, its runs count as ended. If it is heard again, its ends are applied once more and acknowledged, but Progress.End ignores an end whose run is not the present one. The task of a run that had ended as done in the meantime was started again, or a later run of it went on, although the leader acknowledged the end (AckedSeq) and the worker forgot it.

Progress.EndLate marks the task as done by such an end, with all members of its gang, because they share a run and end together. The leader records that before it acknowledges the end, as for other ends, and stops a run of the task that was placed since. A new leader stops it as well, and no run of a task that is done is ordered to start. An end of a run that was never placed (its number is above that of the task) still changes nothing and is logged by LeaderLateEnd.

End itself still ignores ends that are not of the present run, so its tests are unchanged.

--- a/leader/report.go
+++ b/leader/report.go
@@ -155,7 +155,7 @@
 	}
 	stopped := task.Stopping
 	if !s.progress.End(s.job, k, worker, outcome, checkpoint, time.Now()) {
-		t.logLateEnd(worker, k, outcome, false, now)
+		t.endLate(s, worker, k, outcome, now)
 		return
 	}
 	s.dirty = true
--- a/leader/stray.go
+++ b/leader/stray.go
@@ -61,6 +61,39 @@
 	maps.DeleteFunc(w.overlaps, func(k work.RunKey, _ bool) bool { return !w.orphans[k] })
 }
 
+// endLate applies the reported end of a run that is not the present one of its task. An
+// end as done is acknowledged like any other, so the task counts as done, and a later run
+// is stopped.
+func (t *term) endLate(s *jobState, worker string, k work.RunKey, outcome work.Outcome, now time.Time) {
+	applied := outcome == work.OutcomeDone && s.progress.EndLate(s.job, k, time.Now())
+	t.logLateEnd(worker, k, outcome, applied, now)
+	if !applied {
+		return
+	}
+	s.dirty = true
+	if s.progress.State.Final() {
+		t.stopAll(s, "the job is "+string(s.progress.State))
+		return
+	}
+	if s.job.Steps[k.Task.Step].Gang {
+		t.stopGang(s, k.Task, taskDone)
+	} else if task := s.progress.Task(s.job, k.Task); task.Placed() {
+		t.stop(work.RunKey{Task: k.Task, Run: task.Run}, task, taskDone)
+	}
+}
+
+const taskDone = "the task is done"
+
+// stopDone stops the runs of tasks that are done by an earlier run or, in a gang, by
+// another member. An earlier leader may have been about to stop them.
+func (t *term) stopDone(s *jobState) {
+	forEachTask(s, func(k work.TaskKey, task *work.Task) {
+		if task.Done && task.Placed() {
+			t.stop(work.RunKey{Task: k, Run: task.Run}, task, taskDone)
+		}
+	})
+}
+
 // logLateEnd logs the reported end of a run that is not the present one of its task, if
 // it shows that the task was done or that a run that counted as ended was in progress.
 // Ends that an earlier leader has recorded are reported again and are not logged.
--- a/leader/stray_test.go
+++ b/leader/stray_test.go
@@ -164,3 +164,69 @@
 		require.Equal(t, want, f.logged("LeaderRunsOverlap"), outcome)
 	}
 }
+
+// Guards against an end as done that is acknowledged without effect because the run had
+// been taken for lost: the task would start again although the worker may forget the end.
+func TestTaskOfLateEndDoesNotStartAgain(t *testing.T) {
+	f := newStrayFleet(t, work.Step{Count: 2})
+	f.report("a", nothing)
+	first := f.place(0, 1, "a/i/1")
+	f.term.endIncarnation("a/i/1", "ended", uptime.Now())
+	f.report("a", ended(1, first, work.OutcomeDone))
+	s := f.term.jobs["j"]
+	require.True(t, s.progress.Tasks[0].Done)
+	require.True(t, s.dirty, "the end is recorded before it is acknowledged")
+	units := f.term.units(nil)
+	require.Len(t, units, 1)
+	require.Equal(t, []int{1}, units[0].Indexes)
+	require.Contains(t, f.log.String(), `"Applied":true`)
+}
+
+// Guards against a later run of a task that goes on, or that begins, after an earlier one
+// is shown to be done.
+func TestLateEndStopsLaterRun(t *testing.T) {
+	for name, steps := range map[string][]work.Step{
+		"the job is completed": {{Count: 1}},
+		"the job goes on":      {{Count: 1}, {Count: 1, DependsOn: []int{0}}},
+		"gang":                 {{Count: 2, Gang: true}, {Count: 1, DependsOn: []int{0}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStrayFleet(t, steps...)
+			f.report("a", nothing)
+			f.report("b", nothing)
+			first := f.place(0, 1, "a/i/1")
+			f.term.endIncarnation("a/i/1", "ended", uptime.Now())
+			var later []work.RunKey
+			for i := range steps[0].Count {
+				later = append(later, f.place(i, 2, "b/i/1"))
+			}
+			o, _ := f.streams["b"].orders()
+			require.Len(t, o.Starts, len(later))
+			f.report("a", ended(1, first, work.OutcomeDone))
+			o, _ = f.streams["b"].orders()
+			require.Empty(t, o.Starts)
+			require.ElementsMatch(t, later, o.Stops)
+			require.Equal(t, 1, f.logged("LeaderLateEnd"))
+			for i, k := range later {
+				f.report("b", ended(uint64(i+1), k, work.OutcomeStopped))
+			}
+			require.True(t, f.term.jobs["j"].progress.StepDone(f.term.jobs["j"].job, 0, 0))
+			require.False(t, f.term.jobs["j"].progress.Placed())
+		})
+	}
+}
+
+// Guards against a new leader that starts, or leaves running, a later run of a task that
+// is recorded as done.
+func TestDoneTaskIsStoppedAfterTakeover(t *testing.T) {
+	f := newStrayFleet(t, work.Step{Count: 2})
+	f.report("a", nothing)
+	later := f.place(0, 2, "a/i/1")
+	s := f.term.jobs["j"]
+	s.progress.Tasks[0].Done = true
+	o, _ := f.streams["a"].orders()
+	require.Empty(t, o.Starts)
+	f.term.stopDone(s)
+	o, _ = f.streams["a"].orders()
+	require.Equal(t, []work.RunKey{later}, o.Stops)
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -208,7 +208,9 @@
 		if s.progress.State.Final() {
 			s.endLogged = true
 			t.stopAll(s, "the job is "+string(s.progress.State))
+			continue
 		}
+		t.stopDone(s)
 	}
 	return true
 }
--- a/work/progress.go
+++ b/work/progress.go
@@ -169,6 +169,24 @@
 	return true
 }
 
+// EndLate records the end as done of a run that is not the current one of the task,
+// because it counted as ended before, and reports whether p changed. The task is done:
+// its end is acknowledged, so it must not start again. A later run of it stays placed
+// until its own end.
+func (p *Progress) EndLate(j *Job, k RunKey, now time.Time) bool {
+	t := p.Task(j, k.Task)
+	if t == nil || t.Done || k.Run < 1 || k.Run > t.Run || j.Steps[k.Task.Step].LongRunning {
+		return false
+	}
+	var members []Task
+	if j.Steps[k.Task.Step].Gang {
+		members = p.Step(j, k.Task.Occurrence, k.Task.Step)
+	}
+	p.markDone(t, members)
+	p.updateState(now)
+	return true
+}
+
 // countFailure counts a failed run, and marks the job as failed when the task has
 // no attempt left. The members of a gang fail together, so a run of a gang is
 // counted once, in its first member.
--- a/work/progress_test.go
+++ b/work/progress_test.go
@@ -121,3 +121,84 @@
 		}
 	})
 }
+
+// Guards, for random sequences of starts, losses and ends that arrive late or more than
+// once, against a task that starts again after an end as done of one of its runs, and
+// against members of a gang that differ in whether they are done.
+func TestTaskDoneLateNeverStartsAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := job(3, work.Step{Count: 2}, work.Step{Count: 2, Gang: true})
+		p := work.NewProgress(j)
+		type run struct {
+			key    work.RunKey
+			worker string
+		}
+		var runs []run
+		ended := make(map[work.TaskKey]bool) // tasks with an end as done
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			k := work.TaskKey{Job: "j", Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 1).Draw(t, "index")}
+			task := p.Task(j, k)
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				if task.Placed() || task.Done || !p.Ready(j, 0, k.Step, now) {
+					continue
+				}
+				if ended[k] {
+					t.Fatalf("%v starts again after an end as done", k)
+				}
+				worker := rapid.SampledFrom([]string{"w1", "w2"}).Draw(t, "worker")
+				if k.Step == 1 {
+					// A refused member starts elsewhere under the number of the others.
+					other := p.Step(j, 0, 1)[1-k.Index]
+					n := max(task.Run, other.Run) + 1
+					if other.Placed() {
+						n = other.Run
+					}
+					p.Place(task, worker, "", n)
+					runs = append(runs, run{work.RunKey{Task: k, Run: n}, worker})
+					continue
+				}
+				runs = append(runs, run{place(p, j, k, worker), worker})
+			case 1:
+				outcome := rapid.SampledFrom([]work.Outcome{work.OutcomeWorkerLost, work.OutcomeRefused, work.OutcomeStopped}).Draw(t, "how")
+				p.End(j, work.RunKey{Task: k, Run: task.Run}, task.Worker, outcome, "", now)
+			case 2:
+				if len(runs) == 0 {
+					continue
+				}
+				r := rapid.SampledFrom(runs).Draw(t, "run")
+				if !p.End(j, r.key, r.worker, work.OutcomeDone, "", now) {
+					p.EndLate(j, r.key, now)
+				}
+				ended[r.key.Task] = true
+				if r.key.Task.Step == 1 {
+					ended[work.TaskKey{Job: "j", Step: 1, Index: 1 - r.key.Task.Index}] = true
+				}
+				if !p.Task(j, r.key.Task).Done {
+					t.Fatalf("%v is not done after its end as done", r.key)
+				}
+			}
+			if gang := p.Step(j, 0, 1); gang[0].Done != gang[1].Done {
+				t.Fatal("the members of the gang differ")
+			}
+		}
+		if len(ended) == len(p.Tasks) && p.State != work.Completed {
+			t.Fatalf("all tasks have ended as done, but the job is %s", p.State)
+		}
+	})
+}
+
+// Guards against a task that counts as done by the end of a run that was never started,
+// or because a long-running task reports an end as done.
+func TestEndLateNeedsARunOfTheTask(t *testing.T) {
+	j := job(1, work.Step{Count: 1}, work.Step{Count: 1, LongRunning: true})
+	p := work.NewProgress(j)
+	first, long := place(p, j, work.TaskKey{Job: "j"}, "w"), place(p, j, work.TaskKey{Job: "j", Step: 1}, "w")
+	for _, k := range []work.RunKey{
+		{Task: first.Task}, {Task: first.Task, Run: 2}, long, {Task: work.TaskKey{Job: "j", Index: 1}, Run: 1},
+	} {
+		require.False(t, p.EndLate(j, k, now), k)
+	}
+	require.True(t, p.EndLate(j, first, now))
+	require.False(t, p.EndLate(j, first, now))
+}
