leader, jobstore: a new leader waits for all changes before its election

TWICE: a new leader loads the records as soon as its cache shows its own leader record. That is right for a watch, whose changes are in order, but the items of a list are applied one by one in the order of their keys, so rs/leader is there before all of rs/progress/. A cache lists after the store has discarded its history and after a watch that did not deliver (errUndelivered), and on a narrow link or a slow processor the list of some hundred jobs takes long enough. The leader then took jobs for new whose tasks an earlier leader had started, placed them again, and the conflict of its commit was resolved by writing its own values over the earlier ones.

Follower.Position is the revision up to which a copy has all changes; it moves after the last item of a list. load waits for its own record and that position.

Ruled out: waiting for the end of a list only.

go test -race ./leader ./jobstore ./gateway ./runner ./node: ok

--- a/jobstore/delivery.go
+++ b/jobstore/delivery.go
@@ -64,6 +64,14 @@
 	d.interrupt()
 }
 
+// Position returns the revision up to which the copy has all changes. While a list is
+// being applied, the copy has some newer items already.
+func (f *Follower) Position() uint64 {
+	f.delivery.mu.Lock()
+	defer f.delivery.mu.Unlock()
+	return f.delivery.position
+}
+
 // reached records that all changes up to the revision have been delivered.
 func (d *delivery) reached(revision uint64) {
 	d.mu.Lock()
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -212,3 +212,33 @@
 	}, testTimeout, time.Millisecond)
 	require.Equal(t, 2, s.numLists())
 }
+
+// Guards against a position that a copy reports before it has all items of a list: the
+// leader's record is listed before the progress of jobs.
+func TestPositionIsReachedAfterWholeList(t *testing.T) {
+	s := standin.NewTransactions()
+	for _, key := range []string{"p/a", "p/b", "p/c"} {
+		s.Put(key, []byte("1"))
+	}
+	var follower *jobstore.Follower
+	var newest uint64
+	early := 0
+	follower = jobstore.NewFollower(s.View("v"), "p/", func(c rosemarysill.Change) {
+		newest = max(newest, c.Item.Version)
+		if follower.Position() >= c.Item.Version {
+			early++
+		}
+	}, func(error) {}, func() {})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); follower.Run(ctx) }()
+	select {
+	case <-follower.Synced():
+	case <-time.After(testTimeout):
+		t.Error("the list is not applied")
+	}
+	cancel()
+	<-done
+	require.Zero(t, early)
+	require.GreaterOrEqual(t, follower.Position(), newest)
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -176,11 +176,13 @@
 	t.cfg.Log.Debug().Err(err).Msg("lease renewal failed")
 }
 
-// load reads the records once the cache shows the leader record of this entry. Changes
-// arrive in order, so the cache then has everything that earlier leaders wrote.
+// load reads the records once the cache shows the leader record of this entry and has all
+// changes up to it, so that it has everything that earlier leaders wrote. The record
+// alone does not show that: the items of a list are applied one by one, and progress that
+// is missing would let tasks start again.
 func (t *term) load(ctx context.Context) bool {
 	for {
-		if _, at := t.cfg.Cache.LeaderRecord(); at == t.leaderVersion {
+		if _, at := t.cfg.Cache.LeaderRecord(); at == t.leaderVersion && t.cfg.Cache.Position() >= at {
 			break
 		}
 		if ctx.Err() != nil {
