--- a/cmd/soak/workerfaults.go
+++ b/cmd/soak/workerfaults.go
@@ -96,7 +96,9 @@
 	}},
 	{"agent pauses", func(ctx context.Context, _ *system, w *worker, _ *node, d time.Duration) { pause(ctx, w.node, 2*d) }},
 	{"agent is killed", func(_ context.Context, s *system, w *worker, _ *node, d time.Duration) { s.kill(w.node, d) }},
-	{"leader pauses", func(ctx context.Context, _ *system, _ *worker, leader *node, d time.Duration) { pause(ctx, leader, 2*d) }},
+	{"leader pauses", func(ctx context.Context, _ *system, _ *worker, leader *node, d time.Duration) {
+		pause(ctx, leader, 2*d)
+	}},
 	{"leader is killed", func(_ context.Context, s *system, _ *worker, leader *node, d time.Duration) { s.kill(leader, d) }},
 	{"store silent", func(ctx context.Context, _ *system, _ *worker, leader *node, d time.Duration) {
 		withProxyMode(ctx, leader.storeProxy, holdingAll, d)
