leader: a commit never writes over progress that was not read

TWICE: when the guards of a commit did not hold although this entry still led, resolveConflict set the guards to the versions in the store and wrote its own values over the records. Only leaders write progress, so a version that this leader does not know is progress of an earlier leader that is missing in its copy: its runs were dropped and their tasks started again.

Such a commit now ends the term (LeaderLost names the record and both versions). Nothing of it was ordered, ends that it contains are not acknowledged, and the next leader reads the records anew. A commit whose earlier try took effect still finds its own values.

Ruled out: taking over the value that was found. The ends that the dropped decisions contain would be acknowledged with the next batch.

Without the change: "TestCommitConflict/progress_of_an_earlier_leader expected: 1, actual: 2, nothing is written over", the same for progress_removed.

go test -race ./leader: ok go test -race ./node: TestEntryWithoutStoreAccess/losing_replies failed once (504 for a submission) at a load of 26 on 8 cores; three repetitions of the test passed

--- a/leader/commit.go
+++ b/leader/commit.go
@@ -86,7 +86,10 @@
 	}
 }
 
-var errDeposed = errors.New("another entry leads, or the leader record has expired")
+var (
+	errDeposed         = errors.New("another entry leads, or the leader record has expired")
+	errUnknownProgress = errors.New("the store has progress of a job that this leader has not read")
+)
 
 // commit writes a batch. It repeats the commit until the outcome is known. If a try took
 // effect but its response was lost, the next one fails on its guards, and
@@ -110,10 +113,7 @@
 			t.expectDelivery(revision, sent)
 			return nil
 		case errors.Is(err, rosemarysill.ErrVersion):
-			done, err := t.resolveConflict(b, &c, items)
-			if err != nil || done {
-				return err
-			}
+			return t.resolveConflict(b, c, items)
 		default:
 			event.LeaderCommitFailed.Log(t.cfg.Log).Int("Jobs", len(b.changes)).Err(err).Send()
 			uptime.Sleep(ctx, commitRetryDelay)
@@ -128,27 +128,25 @@
 	t.cfg.Cache.Expect(revision, now.Add(max(minDeliveryDelay, deliveryFactor*now.Sub(sent))))
 }
 
-// resolveConflict handles a commit whose guards did not hold. It reports whether an
-// earlier try of the same commit took effect; otherwise it sets the guards of the next
-// try to the current versions.
-func (t *term) resolveConflict(b *batch, c *rosemarysill.Commit, items []rosemarysill.Item) (bool, error) {
+// resolveConflict handles a commit whose guards did not hold. An earlier try of the same
+// commit may have taken effect. Otherwise the records have changes that this leader has
+// not read, and it must not write over them.
+func (t *term) resolveConflict(b *batch, c rosemarysill.Commit, items []rosemarysill.Item) error {
 	found := make(map[string]rosemarysill.Item, len(items))
 	for _, i := range items {
 		found[i.Key] = i
 	}
 	if version := found[jobstore.LeaderKey].Version; version != t.leaderVersion {
-		return false, errors.Wrapf(errDeposed, "commit of %d jobs: leader record has version %d, expected %d", len(b.changes), version, t.leaderVersion)
+		return errors.Wrapf(errDeposed, "commit of %d jobs: leader record has version %d, expected %d", len(b.changes), version, t.leaderVersion)
 	}
-	same := true
 	for i, ch := range b.changes {
-		item := found[c.Guards[i+1].Key]
-		same = same && bytes.Equal(item.Value, ch.value)
-		c.Guards[i+1].Version = item.Version
-	}
-	if same {
-		t.applyCommit(b, found[c.Guards[1].Key].Version)
+		guard := c.Guards[i+1]
+		if item := found[guard.Key]; !bytes.Equal(item.Value, ch.value) {
+			return errors.Wrapf(errUnknownProgress, "commit of %d jobs: %s has version %d, expected %d", len(b.changes), guard.Key, item.Version, guard.Version)
+		}
 	}
-	return same, nil
+	t.applyCommit(b, found[c.Guards[1].Key].Version)
+	return nil
 }
 
 // applyCommit records that a batch is committed and wakes the streams of the workers
