jobstore, leader: tasks of a job whose progress cannot be read do not start

CloneProgress now fails for a record that cannot be decoded, or is not one of the job, and the leader leaves the job out (QueueRecordBad). An older record that could be decoded is not used either, because runs may have started since.

A new job under the identifier of a removed one, of which a cache sees only the new record because it lists after a compaction, kept the progress of the removed one: it counted as completed, and with another number of tasks it would now be left out. It now begins without progress.

Ruled out: clearing the progress at its deletion.

Without the change: TestJobWithUnreadableProgressDoesNotStart "Expected nil, but got: &leader.jobState{..." for truncated, empty, of_another_job and undecodable_change; TestNewJobTakesNoProgressOfRemovedOne "expected: queued, actual: completed".

go test -race ./leader ./jobstore ./event ./gateway ./node ./runner: ok

--- a/event/leader.go
+++ b/event/leader.go
@@ -60,7 +60,7 @@
 	QueueDomainIn:        {"QueueDomainIn", zerolog.InfoLevel, "A failure domain was returned to service."},
 	QueueStoreLost:       {"QueueStoreLost", zerolog.WarnLevel, "The local copy of the store's records, or the record of this entry, cannot be updated."},
 	QueueStoreBack:       {"QueueStoreBack", zerolog.InfoLevel, "The local copy of the store's records is up to date again."},
-	QueueRecordBad:       {"QueueRecordBad", zerolog.ErrorLevel, "A record in the store cannot be decoded and is ignored."},
+	QueueRecordBad:       {"QueueRecordBad", zerolog.ErrorLevel, "A record in the store cannot be decoded and is ignored. No task of a job whose progress cannot be decoded is started."},
 	QueueReload:          {"QueueReload", zerolog.InfoLevel, "The settings file was read again after SIGHUP."},
 	NodeNoFigures:        {"NodeNoFigures", zerolog.WarnLevel, "The metrics of a process cannot be served."},
 	NodePanic:            {"NodePanic", zerolog.ErrorLevel, "The handler of a call from another process panicked; the call ended, and the process continues."},
--- a/jobstore/cache.go
+++ b/jobstore/cache.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarysill/rosemarysill"
@@ -19,6 +20,7 @@
 	JobVersion      uint64
 	Progress        *work.Progress // nil until the leader has written the record
 	ProgressVersion uint64
+	Undecodable     bool // the latest record of the progress cannot be decoded; Progress is older or nil
 	Cancelled       bool
 }
 
@@ -259,6 +261,11 @@
 		return err
 	}
 	r := c.record(id)
+	if r.Job != nil && r.JobVersion != ch.Item.Version {
+		// The record of a job is written once. A list shows only that there is a new job
+		// with the identifier of a removed one, to which the progress belongs.
+		r.Progress, r.ProgressVersion, r.Undecodable = nil, 0, false
+	}
 	r.Job, r.JobVersion = j, ch.Item.Version
 	return nil
 }
@@ -267,22 +274,28 @@
 	if ch.Deleted {
 		return nil // the record of the job is deleted together with it
 	}
+	r := c.record(id)
 	p, err := decodeProgress(ch.Item.Value)
-	if err != nil {
-		return err
+	r.ProgressVersion, r.Undecodable = ch.Item.Version, err != nil
+	if err == nil {
+		r.Progress = p
 	}
-	r := c.record(id)
-	r.Progress, r.ProgressVersion = p, ch.Item.Version
-	return nil
+	return err
 }
 
 // CloneProgress returns a deep copy of the job's progress, or a new progress if there is
-// none that is valid for the job.
-func (r JobRecord) CloneProgress() *work.Progress {
-	if r.Progress == nil || !r.Progress.Valid(r.Job) {
-		return work.NewProgress(r.Job)
+// no record of it. It fails if the record cannot be decoded or is not one of the job: its
+// tasks may have run, so they must not start again.
+func (r JobRecord) CloneProgress() (*work.Progress, error) {
+	switch {
+	case r.Undecodable:
+		return nil, errors.Wrapf(ErrUndecodable, "progress of version %d", r.ProgressVersion)
+	case r.Progress == nil:
+		return work.NewProgress(r.Job), nil
+	case !r.Progress.Valid(r.Job):
+		return nil, errors.Wrapf(ErrUndecodable, "progress of version %d has %d tasks, which is not the number of the job", r.ProgressVersion, len(r.Progress.Tasks))
 	}
 	p := *r.Progress
 	p.Tasks = append([]work.Task(nil), r.Progress.Tasks...)
-	return &p
+	return &p, nil
 }
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -242,3 +242,37 @@
 	require.Zero(t, early)
 	require.GreaterOrEqual(t, follower.Position(), newest)
 }
+
+// Guards against a new job that takes the progress of a removed one with the same
+// identifier: it would count as done, or its progress as that of another job.
+func TestNewJobTakesNoProgressOfRemovedOne(t *testing.T) {
+	s := standin.NewTransactions()
+	put := func(tasks int) {
+		j := &work.Job{ID: "j", Queue: "q", Steps: []work.Step{{Count: tasks}}}
+		value, err := jobstore.EncodeJob(j)
+		require.NoError(t, err)
+		s.Put(jobstore.JobKey("j"), value)
+	}
+	put(1)
+	progress, err := jobstore.EncodeProgress(&work.Progress{State: work.Completed, Tasks: []work.Task{{Run: 1, Done: true}}})
+	require.NoError(t, err)
+	s.Put(jobstore.ProgressKey("j"), progress)
+	c := jobstore.NewCache(s.View("v"), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	require.Eventually(t, func() bool { e, _ := c.Job("j"); return e.State() == work.Completed }, testTimeout, 5*time.Millisecond)
+	s.SetFault("v", standin.Refusing)
+	s.Remove(jobstore.JobKey("j"))
+	s.Remove(jobstore.ProgressKey("j"))
+	put(2)
+	s.Compact()
+	s.SetFault("v", standin.Healthy)
+	require.Eventually(t, func() bool { e, ok := c.Job("j"); return ok && len(e.Job.Steps) == 1 && e.Job.Steps[0].Count == 2 }, testTimeout, 5*time.Millisecond)
+	e, _ := c.Job("j")
+	require.Equal(t, work.Queued, e.State())
+	p, err := e.CloneProgress()
+	require.NoError(t, err)
+	require.Len(t, p.Tasks, 2)
+}
--- a/leader/load_test.go
+++ b/leader/load_test.go
@@ -89,3 +89,42 @@
 	require.Equal(t, 1, term.jobs["j"].progress.Tasks[0].Run)
 	require.EqualValues(t, 8, term.jobs["j"].version)
 }
+
+// Guards against tasks that start again because the record of their progress cannot be
+// decoded or is that of another job.
+func TestJobWithUnreadableProgressDoesNotStart(t *testing.T) {
+	j, job, progress := storedJob(t)
+	other, err := jobstore.EncodeProgress(work.NewProgress(&work.Job{ID: "j", Steps: []work.Step{{Count: 2}}}))
+	require.NoError(t, err)
+	for name, c := range map[string]struct {
+		value   []byte
+		changed []byte // value of a later change
+		loaded  bool
+	}{
+		"readable":            {progress, nil, true},
+		"truncated":           {progress[:len(progress)/2], nil, false},
+		"empty":               {[]byte{}, nil, false},
+		"of another job":      {other, nil, false},
+		"undecodable change":  {progress, []byte("{"), false},
+		"decodable afterward": {[]byte("{"), progress, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			deliver := make(chan struct{})
+			close(deliver)
+			key := jobstore.ProgressKey("j")
+			store := &listedStore{items: []rosemarysill.Item{job, {Key: key, Value: c.value, Version: 4}}, revision: 5, deliver: deliver, next: 10}
+			if c.changed != nil {
+				store.changes = append(store.changes, rosemarysill.Change{Item: rosemarysill.Item{Key: key, Value: c.changed, Version: 8}, Revision: 8})
+			}
+			store.changes = append(store.changes, rosemarysill.Change{Item: leaderItem(t), Revision: 10})
+			term := loadTerm(t, store)
+			s := term.jobs[j.ID]
+			if !c.loaded {
+				require.Nil(t, s)
+				require.Empty(t, term.units(nil))
+				return
+			}
+			require.Equal(t, 1, s.progress.Tasks[0].Run)
+		})
+	}
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -224,11 +224,16 @@
 	}
 }
 
-// merge adds a job, or its cancellation, from the cache.
+// merge adds a job, or its cancellation, from the cache. A job whose progress cannot be
+// read is left out, so that none of its tasks starts again.
 func (t *term) merge(id string, e jobstore.JobRecord) {
 	s, ok := t.jobs[id]
 	if !ok {
-		p := e.CloneProgress()
+		p, err := e.CloneProgress()
+		if err != nil {
+			event.QueueRecordBad.Log(t.cfg.Log).Str("Job", id).Err(err).Send()
+			return
+		}
 		s = &jobState{job: e.Job, progress: p, version: e.ProgressVersion}
 		s.committed = append(s.committed, p.Tasks...)
 		t.jobs[id] = s
