leader: a task is not placed while a worker reports a run of it

TWICE: a run that the leader has taken for ended (refused, lost with its worker) and that a worker still reports as running gets stopped as an orphan. Its task, however, was placed again by the next pass, so that two runs were in progress for as long as the stop took, also when the leader knew of the first one before it placed the second: a start that is reported as refused and as running in the same report, or a worker whose end was presumed and that is heard again while the task waits for capacity.

Such a task now waits until no worker reports a run of it, and a gang until that holds for all members. The runs that a worker lists do not count once all its leases have lapsed, and are gone with the worker, so that the wait ends.

Without the change: "TestTaskWaitsForTheEndOfItsStrayRun/single_task: should have 1 item(s), but has 2", gang "should have 0 item(s), but has 1".

go test -race ./leader ./node: ok

--- a/leader/place.go
+++ b/leader/place.go
@@ -125,6 +125,7 @@
 func (t *term) units(guaranteed map[string]bool) []*schedule.Unit {
 	var units []*schedule.Unit
 	now := time.Now()
+	strays := t.strayTasks()
 	for _, s := range t.jobs {
 		if s.progress.State.Final() {
 			continue
@@ -132,7 +133,7 @@
 		for o := range s.job.NumOccurrences() {
 			for step := range s.job.Steps {
 				if s.progress.Ready(s.job, o, step, now) {
-					units = append(units, t.stepUnits(s, o, step, guaranteed[s.job.ID], now)...)
+					units = append(units, t.stepUnits(s, o, step, guaranteed[s.job.ID], strays, now)...)
 				}
 			}
 		}
@@ -140,22 +141,26 @@
 	return units
 }
 
-// stepUnits returns the waiting units of a step that is ready to run. A gang waits until
-// all runs of its members have ended, unless the others wait for a refused member.
-func (t *term) stepUnits(s *jobState, occurrence, step int, guaranteed bool, now time.Time) []*schedule.Unit {
+// stepUnits returns the waiting units of a step that is ready to run. A task waits until
+// no worker reports a run of it, and a gang until that holds for all members and all
+// their runs have ended, unless the others wait for a refused member.
+func (t *term) stepUnits(s *jobState, occurrence, step int, guaranteed bool, strays map[work.TaskKey]bool, now time.Time) []*schedule.Unit {
 	tasks := s.progress.Step(s.job, occurrence, step)
 	var waiting []int
+	hasStray := false
 	tasksByWorker := make(map[string]int)
 	for i := range tasks {
 		switch {
 		case tasks[i].Placed():
 			tasksByWorker[tasks[i].Worker]++
+		case strays[work.TaskKey{Job: s.job.ID, Occurrence: occurrence, Step: step, Index: i}]:
+			hasStray = true
 		case !tasks[i].Done:
 			waiting = append(waiting, i)
 		}
 	}
 	gang := s.job.Steps[step].Gang
-	if len(waiting) == 0 {
+	if len(waiting) == 0 || gang && hasStray {
 		return nil
 	}
 	unit := schedule.Unit{
--- a/leader/stray.go
+++ b/leader/stray.go
@@ -61,6 +61,21 @@
 	maps.DeleteFunc(w.overlaps, func(k work.RunKey, _ bool) bool { return !w.orphans[k] })
 }
 
+// strayTasks returns the tasks of which workers report runs that are not placed there.
+// The list of a worker whose leases have lapsed is that of its last reply.
+func (t *term) strayTasks() map[work.TaskKey]bool {
+	strays := make(map[work.TaskKey]bool)
+	for _, w := range t.workers {
+		if w.LeasesLapsed {
+			continue
+		}
+		for k := range w.orphans {
+			strays[k.Task] = true
+		}
+	}
+	return strays
+}
+
 // endLate applies the reported end of a run that is not the present one of its task. An
 // end as done is acknowledged like any other, so the task counts as done, and a later run
 // is stopped.
--- a/leader/stray_test.go
+++ b/leader/stray_test.go
@@ -230,3 +230,38 @@
 	o, _ = f.streams["a"].orders()
 	require.Equal(t, []work.RunKey{later}, o.Stops)
 }
+
+// Guards against a task that is placed while a worker still reports a run of it, which
+// the leader has taken for ended and stops.
+func TestTaskWaitsForTheEndOfItsStrayRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		step work.Step
+		want int // units while the run is reported
+	}{
+		"single task": {work.Step{Count: 2}, 1},
+		"gang":        {work.Step{Count: 2, Gang: true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStrayFleet(t, c.step)
+			f.report("a", nothing)
+			first := f.place(0, 1, "a/i/1")
+			f.term.endIncarnation("a/i/1", "ended", uptime.Now())
+			f.report("a", running(first))
+			o, _ := f.streams["a"].orders()
+			require.Equal(t, []work.RunKey{first}, o.Stops)
+			require.Len(t, f.term.units(nil), c.want)
+			f.report("a", ended(1, first, work.OutcomeStopped))
+			require.Len(t, f.term.units(nil), len(newStrayFleet(t, c.step).term.units(nil)), "all tasks wait to be placed")
+			f.report("a", running(first))
+			require.Len(t, f.term.units(nil), c.want)
+			f.report("a", func(r *control.Report) {
+				running(first)(r)
+				r.Worker.LeasesLapsed = true
+			})
+			require.Len(t, f.term.units(nil), len(newStrayFleet(t, c.step).term.units(nil)), "the leases have lapsed")
+			f.report("a", running(first))
+			f.term.endIncarnation("a/i/1", "no report within the lease", uptime.Now())
+			require.Len(t, f.term.units(nil), len(newStrayFleet(t, c.step).term.units(nil)), "the worker is lost")
+		})
+	}
+}
