leader: the refusal of a run that the worker lists has no effect

TWICE: a start that gets no answer is repeated. If the first call takes effect late and the worker refuses the repetition because it has begun to drain or is unhealthy, a report may have the run as refused and as running. The leader ended the run as refused and placed its task elsewhere, while the first run went on until it was stopped as an orphan.

The leader now ignores such a refusal and logs it (LeaderRefused with Listed). The run stays placed and, because it is listed, is not ordered again, so the agent forgets the refusal. A refusal without the run in the list is applied as before.

Without the change: "TestRefusalOfListedRunIsIgnored: Should be true" (the task is still placed).

go test -race ./leader ./event ./node: ok

--- a/event/leader.go
+++ b/event/leader.go
@@ -71,7 +71,7 @@
 	LeaderPlaced:         {"LeaderPlaced", zerolog.InfoLevel, "The start of a run is recorded, and the worker was asked to start it."},
 	LeaderStopped:        {"LeaderStopped", zerolog.InfoLevel, "A run is being stopped."},
 	LeaderRunEnded:       {"LeaderRunEnded", zerolog.InfoLevel, "The leader has processed the end of a run."},
-	LeaderRefused:        {"LeaderRefused", zerolog.InfoLevel, "A worker refused to start a run."},
+	LeaderRefused:        {"LeaderRefused", zerolog.InfoLevel, "A worker refused to start a run. If it lists the run (Listed), an earlier call has started it, and the refusal has no effect."},
 	LeaderJobEnded:       {"LeaderJobEnded", zerolog.InfoLevel, "A job has reached a final state."},
 	LeaderStray:          {"LeaderStray", zerolog.WarnLevel, "A worker reports a run that is not recorded for it; the run is stopped. The line has the present run of the task and why an earlier one counts as ended."},
 	LeaderJob:            {"LeaderJob", zerolog.InfoLevel, "The leader has taken over a job; the line has the shape of the job and the time in which it should finish."},
--- a/leader/report.go
+++ b/leader/report.go
@@ -187,14 +187,19 @@
 // refusalBackoff is how long a worker that refused a start gets no others.
 const refusalBackoff = 500 * time.Millisecond
 
-// applyRefusals applies the starts that the worker has refused.
+// applyRefusals applies the starts that the worker has refused. The refusal of a run that
+// it lists is that of a repeated call: an earlier one has started the run.
 func (t *term) applyRefusals(w *workerState, r control.Report, now time.Time) {
 	for _, f := range r.Refused {
 		_, task := t.task(f.Key)
 		if task == nil || task.Run != f.Key.Run || task.Worker != w.Incarnation {
 			continue
 		}
-		event.LeaderRefused.Log(t.cfg.Log).Str("Job", f.Key.Task.Job).Stringer("Run", f.Key).Str("Worker", w.Incarnation).Str("Why", string(f.Reason)).Send()
+		listed := slices.ContainsFunc(r.Running, func(s work.RunStatus) bool { return s.Key == f.Key })
+		event.LeaderRefused.Log(t.cfg.Log).Str("Job", f.Key.Task.Job).Stringer("Run", f.Key).Str("Worker", w.Incarnation).Str("Why", string(f.Reason)).Bool("Listed", listed).Send()
+		if listed {
+			continue
+		}
 		if !task.Stopping {
 			w.closedUntil = now.Add(refusalBackoff)
 		}
--- a/leader/stray_test.go
+++ b/leader/stray_test.go
@@ -265,3 +265,22 @@
 		})
 	}
 }
+
+// Guards against the refusal of a repeated start that ends the run which an earlier call
+// has started: its task would start elsewhere beside it.
+func TestRefusalOfListedRunIsIgnored(t *testing.T) {
+	f := newStrayFleet(t, work.Step{Count: 1})
+	f.report("a", nothing)
+	k := f.place(0, 1, "a/i/1")
+	refused := func(r *control.Report) {
+		r.Refused = []control.Refusal{{Key: k, Reason: work.RefusedDraining}}
+	}
+	f.report("a", func(r *control.Report) { running(k)(r); refused(r) })
+	require.True(t, f.term.jobs["j"].progress.Placed())
+	require.Zero(t, f.logged("LeaderStray"))
+	o, _ := f.streams["a"].orders()
+	require.Empty(t, o.Starts, "the agent forgets the refusal of a run that is not ordered")
+	require.Empty(t, o.Stops)
+	f.report("a", refused)
+	require.False(t, f.term.jobs["j"].progress.Placed())
+}
