--- a/leader/stray_test.go
+++ b/leader/stray_test.go
@@ -230,3 +230,57 @@
 	o, _ = f.streams["a"].orders()
 	require.Equal(t, []work.RunKey{later}, o.Stops)
 }
+
+// Guards against a task that is placed while a worker still reports a run of it, which
+// the leader has taken for ended and stops.
+func TestTaskWaitsForTheEndOfItsStrayRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		step work.Step
+		want int // units while the run is reported
+	}{
+		"single task": {work.Step{Count: 2}, 1},
+		"gang":        {work.Step{Count: 2, Gang: true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStrayFleet(t, c.step)
+			f.report("a", nothing)
+			first := f.place(0, 1, "a/i/1")
+			f.term.endIncarnation("a/i/1", "ended", uptime.Now())
+			f.report("a", running(first))
+			o, _ := f.streams["a"].orders()
+			require.Equal(t, []work.RunKey{first}, o.Stops)
+			require.Len(t, f.term.units(nil), c.want)
+			f.report("a", ended(1, first, work.OutcomeStopped))
+			require.Len(t, f.term.units(nil), len(newStrayFleet(t, c.step).term.units(nil)), "all tasks wait to be placed")
+			f.report("a", running(first))
+			require.Len(t, f.term.units(nil), c.want)
+			f.report("a", func(r *control.Report) {
+				running(first)(r)
+				r.Worker.LeasesLapsed = true
+			})
+			require.Len(t, f.term.units(nil), len(newStrayFleet(t, c.step).term.units(nil)), "the leases have lapsed")
+			f.report("a", running(first))
+			f.term.endIncarnation("a/i/1", "no report within the lease", uptime.Now())
+			require.Len(t, f.term.units(nil), len(newStrayFleet(t, c.step).term.units(nil)), "the worker is lost")
+		})
+	}
+}
+
+// Guards against the refusal of a repeated start that ends the run which an earlier call
+// has started: its task would start elsewhere beside it.
+func TestRefusalOfListedRunIsIgnored(t *testing.T) {
+	f := newStrayFleet(t, work.Step{Count: 1})
+	f.report("a", nothing)
+	k := f.place(0, 1, "a/i/1")
+	refused := func(r *control.Report) {
+		r.Refused = []control.Refusal{{Key: k, Reason: work.RefusedDraining}}
+	}
+	f.report("a", func(r *control.Report) { running(k)(r); refused(r) })
+	require.True(t, f.term.jobs["j"].progress.Placed())
+	require.Zero(t, f.logged("LeaderStray"))
+	o, _ := f.streams["a"].orders()
+	require.Empty(t, o.Starts, "the agent forgets the refusal of a run that is not ordered")
+	require.Empty(t, o.Stops)
+	f.report("a", refused)
+	require.False(t, f.term.jobs["j"].progress.Placed())
+}
