--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -113,8 +113,13 @@
 	}},
 }
 
-// seriesCount is the number of fault series that run concurrently.
-const seriesCount = 4
+const (
+	// seriesCount is the number of fault series that run concurrently.
+	seriesCount = 4
+	// workerSeriesCount is the number of those beside them that draw from the faults of
+	// workers only.
+	workerSeriesCount = 2
+)
 
 // selection is the kinds of faults and jobs of a run.
 type selection struct {
@@ -135,14 +140,22 @@
 	return slices.Concat(faults, workerFaults)
 }
 
+// series returns the kinds that each fault series draws from.
+func (o selection) series() [][]fault {
+	series := slices.Repeat([][]fault{o.kinds()}, seriesCount)
+	if !o.earliest {
+		series = append(series, slices.Repeat([][]fault{workerFaults}, workerSeriesCount)...)
+	}
+	return series
+}
+
 // injectFaults runs concurrent series of random faults until ctx ends, and
 // returns once all faults have ended. The n-th series draws from its own random
 // generator, seeded with (seed, n).
 func injectFaults(ctx context.Context, s *system, seed uint64, logFault func(string)) {
-	kinds := s.kinds.kinds()
 	var wg sync.WaitGroup
-	for series := range uint64(seriesCount) {
-		r := rand.New(rand.NewPCG(seed, series))
+	for i, kinds := range s.kinds.series() {
+		r := rand.New(rand.NewPCG(seed, uint64(i)))
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				if f := kinds[r.IntN(len(kinds))]; s.kinds.has(f.name) {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"sync"
@@ -24,6 +25,7 @@
 	For     time.Duration `long:"for" default:"20s" description:"Duration of load and faults in each run"`
 	Again   bool          `long:"regressions" description:"Run the regression seeds instead of --seed and --runs"`
 	Without []string      `long:"without" description:"Kind of fault that is not injected, or \"deadly jobs\"; may be repeated"`
+	Jobs    int           `long:"jobs" default:"1" description:"Number of runs at the same time"`
 	Logs    string        `long:"logs" description:"Directory in which the logs of failed runs are kept"`
 }
 
@@ -46,29 +48,34 @@
 	if o.Again {
 		runs = regressions
 	}
-	without := make(map[string]bool)
-	for _, name := range o.Without {
-		without[name] = true
+	without, err := o.without()
+	if err != nil {
+		fmt.Println("soak:", err)
+		os.Exit(2)
+	}
+	results := make([]chan result, len(runs))
+	slots := make(chan struct{}, max(1, o.Jobs))
+	for i := range results {
+		results[i] = make(chan result, 1)
 	}
+	go func() {
+		for i, r := range runs {
+			slots <- struct{}{}
+			go func() {
+				kinds := selection{r.earliest, maps.Clone(without)}
+				for _, name := range r.without {
+					kinds.without[name] = true
+				}
+				summary, violations, err := run(o, r.seed, kinds)
+				results[i] <- result{summary, violations, err}
+				<-slots
+			}()
+		}
+	}()
 	failed := 0
-	for _, r := range runs {
-		seed := r.seed
-		summary, violations, err := run(o, seed, selection{r.earliest, without})
-		switch {
-		case err != nil:
-			fmt.Printf("seed %d: %v\n", seed, err)
-			failed++
-		case len(violations) > 0:
-			fmt.Printf("seed %d: FAILED: %s\n", seed, summary)
-			for _, v := range violations[:min(len(violations), maxPrinted)] {
-				fmt.Println("  ", v)
-			}
-			if more := len(violations) - maxPrinted; more > 0 {
-				fmt.Println("   and", more, "more")
-			}
+	for i, r := range runs {
+		if done := <-results[i]; !done.print(r.seed) {
 			failed++
-		default:
-			fmt.Printf("seed %d: passed: %s\n", seed, summary)
 		}
 	}
 	fmt.Printf("soak: %d passed, %d failed\n", len(runs)-failed, failed)
@@ -77,6 +84,49 @@
 	}
 }
 
+// without returns the kinds that are left out.
+func (o options) without() (map[string]bool, error) {
+	known := map[string]bool{deadlyJobs: true}
+	for _, f := range (selection{}).kinds() {
+		known[f.name] = true
+	}
+	without := make(map[string]bool)
+	for _, name := range o.Without {
+		if !known[name] {
+			return nil, errors.Newf("--without %q: there is no such kind of fault", name)
+		}
+		without[name] = true
+	}
+	return without, nil
+}
+
+// result is the outcome of one run.
+type result struct {
+	summary    string
+	violations []string
+	err        error
+}
+
+// print prints the result and reports whether the run has passed.
+func (r result) print(seed uint64) bool {
+	switch {
+	case r.err != nil:
+		fmt.Printf("seed %d: %v\n", seed, r.err)
+	case len(r.violations) > 0:
+		fmt.Printf("seed %d: FAILED: %s\n", seed, r.summary)
+		for _, v := range r.violations[:min(len(r.violations), maxPrinted)] {
+			fmt.Println("  ", v)
+		}
+		if more := len(r.violations) - maxPrinted; more > 0 {
+			fmt.Println("   and", more, "more")
+		}
+	default:
+		fmt.Printf("seed %d: passed: %s\n", seed, r.summary)
+		return true
+	}
+	return false
+}
+
 // run does one run and returns its summary and the violated guarantees.
 func run(o options, seed uint64, kinds selection) (string, []string, error) {
 	dir, err := os.MkdirTemp("", "soak-")
--- a/cmd/soak/regressions.go
+++ b/cmd/soak/regressions.go
@@ -3,23 +3,30 @@
 // regression is a seed of a run that has failed.
 type regression struct {
 	seed     uint64
-	earliest bool // the run has only the earliest kinds of faults, as the one that failed
+	earliest bool     // the run has only the earliest kinds of faults, as the one that failed
+	without  []string // kinds that were left out
 	cause    string
 }
 
+// calm leaves out the kinds in which the causes of the first regressions with crashes
+// and single lost answers had no part.
+var calm = []string{deadlyJobs, refusesConnections}
+
 // regressions are the seeds of all runs that have failed, with the cause. Timing of
 // processes and network differs between runs, so a seed makes its failure likely
 // but not certain. The tests named in docs/incidents reproduce it reliably.
 var regressions = []regression{
-	{103, true, "ends of runs in a new worker incarnation were discarded unread"},
-	{121, true, "SIGHUP terminated a process that was still starting"},
-	{140, true, "a start was refused as outdated before the end of the previous run was known"},
-	{142, true, "ends of runs in a new worker incarnation were discarded unread"},
-	{145, true, "the worker stand-in ended only some members of a gang"},
-	{149, true, "SIGHUP terminated a process that was still starting"},
-	{150, true, "SIGHUP terminated a process that was still starting"},
-	{203, true, "SIGHUP terminated a process that was still starting"},
-	{315, true, "a start was refused as outdated before the end of the previous run was known"},
-	{431, true, "a run that ended in a later worker incarnation was counted as lost with the earlier one"},
-	{724, true, "the store write of a submission was not answered, the entry it was relayed to refused it, and the job ran"},
+	{103, true, nil, "ends of runs in a new worker incarnation were discarded unread"},
+	{121, true, nil, "SIGHUP terminated a process that was still starting"},
+	{140, true, nil, "a start was refused as outdated before the end of the previous run was known"},
+	{142, true, nil, "ends of runs in a new worker incarnation were discarded unread"},
+	{145, true, nil, "the worker stand-in ended only some members of a gang"},
+	{149, true, nil, "SIGHUP terminated a process that was still starting"},
+	{150, true, nil, "SIGHUP terminated a process that was still starting"},
+	{203, true, nil, "SIGHUP terminated a process that was still starting"},
+	{315, true, nil, "a start was refused as outdated before the end of the previous run was known"},
+	{431, true, nil, "a run that ended in a later worker incarnation was counted as lost with the earlier one"},
+	{724, true, nil, "the store write of a submission was not answered, the entry it was relayed to refused it, and the job ran"},
+	{1001, false, calm, "an end as done was acknowledged and not applied, because its run had been taken for ended"},
+	{1017, false, calm, "the repetition of an unanswered start reached the next incarnation of the worker"},
 }
