runner: a worker that says it is about to end counts as ended only with proof

TWICE: two runs of a task at the same time.

What callers saw: a worker starts again under the identifier that it had, and the message by which its earlier life left is handled late (the agent was paused, or connections overtook each other). The agent took the present incarnation for ended: its runs started elsewhere while they went on here, and its later status reports were ignored for good, because the incarnation was among the ended ones.

Cause: the message carries the identifier alone, and it says that the worker is about to end, not that it has ended. The agent took it for the end of the incarnation that it knew.

Now the message only keeps tasks away from the worker (it is reported as unresponsive, and the agent refuses starts as it does while a worker drains), and a lease renewal is sent at once. The incarnation has ended when a renewal that was sent after the message finds that nothing listens at the worker's address, when the next incarnation has confirmed, or when its leases have lapsed. While it replies, its runs go on being reported, and its next status report lifts the restriction. An incarnation that was taken for ended and sends a status report with a higher sequence number counts again; repetitions of earlier reports no longer do.

What is left: a late message together with refused connections of a worker that lives. Its next status report brings it back, and the leader stops what runs there twice.

Ruled out: ending the restriction with a reply, because a worker that is about to end replies until it has; comparing start times, because the message has none.

--- a/event/runner.go
+++ b/event/runner.go
@@ -4,33 +4,35 @@
 
 // Events of the agent of a worker that runs steps.
 const (
-	RunnerStarted     Event = 1000
-	RunnerStopped     Event = 1001
-	RunnerAttached    Event = 1010
-	RunnerDetached    Event = 1011
-	RunnerWorker      Event = 1020
-	RunnerWorkerLeft  Event = 1021
-	RunnerWorkerState Event = 1022
-	RunnerStart       Event = 1030
-	RunnerStop        Event = 1031
-	RunnerPace        Event = 1032
-	RunnerEnded       Event = 1033
-	RunnerCallFailed  Event = 1040
-	RunnerStoreFailed Event = 1041
+	RunnerStarted       Event = 1000
+	RunnerStopped       Event = 1001
+	RunnerAttached      Event = 1010
+	RunnerDetached      Event = 1011
+	RunnerWorker        Event = 1020
+	RunnerWorkerLeft    Event = 1021
+	RunnerWorkerState   Event = 1022
+	RunnerWorkerLeaving Event = 1023
+	RunnerStart         Event = 1030
+	RunnerStop          Event = 1031
+	RunnerPace          Event = 1032
+	RunnerEnded         Event = 1033
+	RunnerCallFailed    Event = 1040
+	RunnerStoreFailed   Event = 1041
 )
 
 var _ = define(map[Event]Definition{
-	RunnerStarted:     {"RunnerStarted", zerolog.InfoLevel, "The agent of a worker that runs steps has started."},
-	RunnerStopped:     {"RunnerStopped", zerolog.InfoLevel, "The agent of a worker that runs steps has stopped; the worker keeps its runs until their leases expire."},
-	RunnerAttached:    {"RunnerAttached", zerolog.InfoLevel, "The agent has opened a stream to the leader."},
-	RunnerDetached:    {"RunnerDetached", zerolog.WarnLevel, "The stream to the leader has ended; leases are not extended until a new stream is open."},
-	RunnerWorker:      {"RunnerWorker", zerolog.InfoLevel, "A new incarnation of the worker has announced itself."},
-	RunnerWorkerLeft:  {"RunnerWorkerLeft", zerolog.InfoLevel, "The worker has left; its runs have ended."},
-	RunnerWorkerState: {"RunnerWorkerState", zerolog.InfoLevel, "The worker has started to drain, or accepts tasks again."},
-	RunnerStart:       {"RunnerStart", zerolog.InfoLevel, "The worker has replied to a request to start a run."},
-	RunnerStop:        {"RunnerStop", zerolog.InfoLevel, "The worker has replied to a request to stop a run."},
-	RunnerPace:        {"RunnerPace", zerolog.InfoLevel, "The worker has replied to a request to change the pace of a run."},
-	RunnerEnded:       {"RunnerEnded", zerolog.InfoLevel, "The worker reports a run as ended."},
-	RunnerCallFailed:  {"RunnerCallFailed", zerolog.WarnLevel, "The worker did not reply to a call; it may still carry the call out later, until it has received a higher fence."},
-	RunnerStoreFailed: {"RunnerStoreFailed", zerolog.WarnLevel, "The agent cannot read the leader record from the store."},
+	RunnerStarted:       {"RunnerStarted", zerolog.InfoLevel, "The agent of a worker that runs steps has started."},
+	RunnerStopped:       {"RunnerStopped", zerolog.InfoLevel, "The agent of a worker that runs steps has stopped; the worker keeps its runs until their leases expire."},
+	RunnerAttached:      {"RunnerAttached", zerolog.InfoLevel, "The agent has opened a stream to the leader."},
+	RunnerDetached:      {"RunnerDetached", zerolog.WarnLevel, "The stream to the leader has ended; leases are not extended until a new stream is open."},
+	RunnerWorker:        {"RunnerWorker", zerolog.InfoLevel, "A new incarnation of the worker has announced itself."},
+	RunnerWorkerLeft:    {"RunnerWorkerLeft", zerolog.InfoLevel, "The worker has ended, and its runs with it."},
+	RunnerWorkerState:   {"RunnerWorkerState", zerolog.InfoLevel, "The worker has started to drain or to leave, or accepts tasks again."},
+	RunnerWorkerLeaving: {"RunnerWorkerLeaving", zerolog.InfoLevel, "The worker has said that it is about to end; it gets no more tasks. RunnerWorkerLeft follows when nothing listens at its address."},
+	RunnerStart:         {"RunnerStart", zerolog.InfoLevel, "The worker has replied to a request to start a run."},
+	RunnerStop:          {"RunnerStop", zerolog.InfoLevel, "The worker has replied to a request to stop a run."},
+	RunnerPace:          {"RunnerPace", zerolog.InfoLevel, "The worker has replied to a request to change the pace of a run."},
+	RunnerEnded:         {"RunnerEnded", zerolog.InfoLevel, "The worker reports a run as ended."},
+	RunnerCallFailed:    {"RunnerCallFailed", zerolog.WarnLevel, "The worker did not reply to a call; it may still carry the call out later, until it has received a higher fence."},
+	RunnerStoreFailed:   {"RunnerStoreFailed", zerolog.WarnLevel, "The agent cannot read the leader record from the store."},
 })
--- a/runner/incarnation.go
+++ b/runner/incarnation.go
@@ -30,7 +30,7 @@
 	if w.registered && a.StartedAtMS < w.announcement.StartedAtMS {
 		return false
 	}
-	if w.presumedEnded != "" && w.presumedEnded == w.incarnationOf(a) {
+	if w.presumedEnded != "" && w.presumedEnded == w.incarnationOf(a) && a.Sequence > w.announcement.Sequence {
 		w.endedIncarnations = slices.DeleteFunc(w.endedIncarnations, func(ended string) bool { return ended == w.presumedEnded })
 		w.presumedEnded = ""
 	}
@@ -39,7 +39,7 @@
 	}
 	if w.registered && a.ID == w.announcement.ID && a.StartedAtMS == w.announcement.StartedAtMS {
 		if a.Sequence > w.announcement.Sequence {
-			w.announcement, w.announcedAt = a, now
+			w.announcement, w.announcedAt, w.leavingSince = a, now, time.Time{}
 		}
 		return false
 	}
@@ -56,6 +56,7 @@
 	w.announcement, w.announcedAt, w.registered, w.confirmed = a, now, true, false
 	w.fence++
 	w.ackedFence, w.renewedFence, w.ackedSeq, w.running, w.ended, w.refused = 0, 0, 0, nil, nil, nil
+	w.leavingSince, w.noListenerSince = time.Time{}, time.Time{}
 	w.workerClock, w.workerClockAt, w.lastReplyAt, w.failedCalls = 0, time.Time{}, now, 0
 	// An earlier process of this agent may have granted leases up to this time.
 	w.leasedUntil = now.Add(control.Lease)
@@ -72,31 +73,46 @@
 	}
 }
 
-// deregister records that the worker has left.
-func (w *workerState) deregister(id string) {
-	if w.registered && w.announcement.ID == id {
-		w.recordEndedIncarnation(w.incarnation())
-		w.registered, w.confirmed = false, false
-		w.running, w.ended, w.refused = nil, nil, nil
+// recordLeaving records that the worker has said that it is about to end, and reports
+// whether that concerns the current incarnation. Such a message names no incarnation and
+// may be late, so it is no proof of an end: the worker only gets no more tasks until its
+// next status report.
+func (w *workerState) recordLeaving(id string, now time.Time) bool {
+	if !w.registered || w.announcement.ID != id {
+		return false
 	}
+	w.leavingSince = now
+	return true
+}
+
+func (w *workerState) leaving() bool { return !w.leavingSince.IsZero() }
+
+// recordEnd records that the worker's process has ended. A later status report of the
+// same incarnation reverses this, and the leader then stops the runs that are still
+// running there.
+func (w *workerState) recordEnd() {
+	w.presumedEnded = w.incarnation()
+	w.recordEndedIncarnation(w.presumedEnded)
+	w.registered, w.confirmed = false, false
+	w.running, w.ended, w.refused = nil, nil, nil
+	w.leavingSince, w.noListenerSince = time.Time{}, time.Time{}
 }
 
 // presumeEndedAfter is how long nothing has to listen at a worker's address until its
 // process is presumed ended. It spans several calls.
 const presumeEndedAfter = 400 * time.Millisecond
 
-// recordNoListener records that nothing listens at the worker's address and reports
-// whether the incarnation is now presumed ended. A later status report of the same
-// incarnation reverses this, and the leader then stops the runs that are still
-// running there.
-func (w *workerState) recordNoListener(now time.Time) bool {
+// recordNoListener records that a call that was sent at the given time has found that
+// nothing listens at the worker's address, and reports whether the incarnation now
+// counts as ended. One call is enough after the worker has said that it is about to end.
+func (w *workerState) recordNoListener(sent, now time.Time) bool {
 	if w.noListenerSince.IsZero() {
 		w.noListenerSince = now
 	}
-	if !w.registered || now.Sub(w.noListenerSince) < presumeEndedAfter {
+	left := w.leaving() && sent.After(w.leavingSince)
+	if !w.registered || (!left && now.Sub(w.noListenerSince) < presumeEndedAfter) {
 		return false
 	}
-	w.noListenerSince, w.presumedEnded = time.Time{}, w.incarnation()
-	w.deregister(w.announcement.ID)
+	w.recordEnd()
 	return true
 }
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -94,7 +94,7 @@
 
 // attemptStart makes one start call. It reports whether the worker has accepted or
 // refused the start, and whether the agent must not repeat it without a new order. A
-// draining worker gets no call; its refusal is recorded and settled is false. A start
+// draining or leaving worker gets no call; its refusal is recorded and settled is false. A start
 // refused as outdated is not settled either until the next lease renewal.
 func (r *Runner) attemptStart(ctx context.Context, incarnation string, s work.Start, ordered time.Time) (settled, needsNewOrder bool) {
 	r.mu.Lock()
@@ -106,7 +106,7 @@
 	id, fence := w.announcement.ID, w.fence
 	now := uptime.Now()
 	until := w.grantLease(now)
-	draining := w.announcement.State == work.WorkerDraining
+	draining := w.announcement.State == work.WorkerDraining || w.leaving()
 	if draining || until == 0 || now.Sub(ordered) > control.OrderMaxAge || !w.shouldStart(s.Key) {
 		if draining {
 			w.recordRefusal(s.Key, work.RefusedDraining)
--- a/runner/orders_test.go
+++ b/runner/orders_test.go
@@ -249,7 +249,7 @@
 		r.worker.renewAt(work.RuntimeReply{Clock: time.Second}, r.worker.fence, now)
 		r.worker.applyLease(control.Orders{Epoch: 1, Echo: now, ExtendsLease: true, Incarnation: r.worker.incarnation()})
 	}
-	left := func(r *Runner) { r.worker.deregister("i") }
+	left := func(r *Runner) { r.worker.recordEnd() }
 	unconfirmed := func(r *Runner) {
 		r.Announce(work.Announcement{ID: "i", StartedAtMS: 2, Sequence: 1, State: work.WorkerReady})
 	}
--- a/runner/renewal.go
+++ b/runner/renewal.go
@@ -73,7 +73,7 @@
 		w.raiseFence(fence + 1)
 		w.recordFailedCall()
 		event.RunnerCallFailed.Log(r.cfg.Log).Str("Call", "hold").Str("Worker", incarnation).Err(err).Send()
-		if errors.Is(err, work.ErrNoListener) && w.recordNoListener(uptime.Now()) {
+		if errors.Is(err, work.ErrNoListener) && w.recordNoListener(sent, uptime.Now()) {
 			event.RunnerWorkerLeft.Log(r.cfg.Log).Str("Worker", incarnation).Str("Why", "nothing listens at its address").Send()
 			notify(r.reportNow)
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -106,23 +106,27 @@
 func (r *Runner) Announce(a work.Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	previous := r.worker.announcement.State
+	previous, wasLeaving := r.worker.announcement.State, r.worker.leaving()
 	if r.worker.applyAnnouncement(a, uptime.Now()) {
 		event.RunnerWorker.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Service", a.Service).Str("Rack", a.Rack).Send()
 		notify(r.renewNow)
-	} else if state := r.worker.announcement.State; state != previous {
+	} else if state := r.worker.announcement.State; state != previous || r.worker.leaving() != wasLeaving {
 		event.RunnerWorkerState.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("State", string(state)).Send()
 		notify(r.reportNow)
 	}
 }
 
-// Leave implements work.Registrar.
+// Leave implements work.Registrar. A lease renewal is sent at once; it shows whether the
+// worker has ended.
 func (r *Runner) Leave(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.worker.deregister(id)
-	event.RunnerWorkerLeft.Log(r.cfg.Log).Str("Worker", id).Send()
-	notify(r.reportNow)
+	current := r.worker.recordLeaving(id, uptime.Now())
+	event.RunnerWorkerLeaving.Log(r.cfg.Log).Str("Worker", id).Bool("Current", current).Send()
+	if current {
+		r.interruptRenewal()
+		notify(r.reportNow)
+	}
 }
 
 func notify(c chan struct{}) {
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -28,9 +28,10 @@
 	agent             string
 	announcement      work.Announcement
 	announcedAt       time.Time // when announcement arrived
-	registered        bool      // the worker has announced itself and has not left
+	registered        bool      // the worker has announced itself and has not ended
 	confirmed         bool      // it has accepted a lease renewal with the current fence in this incarnation
 	endedIncarnations []string  // oldest first
+	leavingSince      time.Time // when the worker has said that it is about to end, zero after a later status report
 	presumedEnded     string    // incarnation that is taken for ended because nothing listens at its address
 	noListenerSince   time.Time // first call that found no listener at the worker's address, zero after a reply
 
@@ -192,9 +193,9 @@
 	r.Worker = &control.Worker{
 		Incarnation: w.incarnation(), ID: a.ID, Service: a.Service, Domain: a.Domain, Rack: a.Rack, Labels: a.Labels,
 		Capacity: a.Capacity, Draining: a.State == work.WorkerDraining, Remaining: max(0, a.Remaining-now.Sub(w.announcedAt)),
-		Unresponsive: w.unresponsive(now),
+		Unresponsive: w.leaving() || w.unresponsive(now),
 	}
-	r.Worker.LeasesLapsed = r.Worker.Unresponsive && now.After(w.leasedUntil.Add(control.LapseMargin))
+	r.Worker.LeasesLapsed = w.unresponsive(now) && now.After(w.leasedUntil.Add(control.LapseMargin))
 	r.Running, r.Ended, r.Refused = slices.Clone(w.running), slices.Clone(w.ended), slices.Clone(w.refused)
 	return r
 }
--- a/work/runtime.go
+++ b/work/runtime.go
@@ -114,6 +114,7 @@
 type Registrar interface {
 	// Announce processes an announcement.
 	Announce(a Announcement)
-	// Leave records that the worker has left.
+	// Leave records that the worker has said that it is about to end. The message
+	// names no incarnation and may be handled late.
 	Leave(id string)
 }
