leader: a report that is older than the latest one is rejected

If a network cut delays the opening of a stream with its first report, the agent has long opened another when it arrives, but it has the highest number: its old report was applied as the newest, with leases that count as lapsed or without runs that have started since, and the present stream was rejected.

Reports of one incarnation are now applied in the order of their stamps, which are taken from the clock of the agent's machine since its boot. An older one ends its stream and leaves the present one in place.

Without the change: "TestOldReportOnDelayedStream: Expected error with ... in chain but got nil".

go test -race ./leader ./node: ok

--- a/leader/report.go
+++ b/leader/report.go
@@ -13,13 +13,17 @@
 )
 
 // report applies a report of an agent. A report on an earlier stream than the latest one
-// of the agent may be outdated and is rejected.
+// of the agent may be outdated and is rejected. So is an older report on a later stream,
+// whose opening was delayed.
 func (t *term) report(s *stream, r control.Report) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s.number < t.latestStreams[r.Agent] {
 		return errors.Wrapf(errSuperseded, "report on stream %d of agent %q, latest is %d", s.number, r.Agent, t.latestStreams[r.Agent])
 	}
+	if w := t.reporter(r); w != nil && r.Stamp.Before(w.stamp) {
+		return errors.Wrapf(errSuperseded, "report of agent %q is %v older than the latest one", r.Agent, w.stamp.Sub(r.Stamp))
+	}
 	t.latestStreams[r.Agent] = s.number
 	now := uptime.Now()
 	s.stamp = r.Stamp
@@ -46,6 +50,15 @@
 	return nil
 }
 
+// reporter returns the state of the worker that a report is about, or nil if it has not
+// reported in this term.
+func (t *term) reporter(r control.Report) *workerState {
+	if r.Worker == nil {
+		return nil
+	}
+	return t.workers[r.Worker.Incarnation]
+}
+
 // needsDecision reports whether a report calls for a scheduling pass at once. Most
 // reports only say that runs go on, and a pass looks at the whole fleet: at 1,100
 // workers there would be 2,750 passes a second. The next periodic pass takes those
@@ -75,7 +88,7 @@
 	if r.Worker.Unresponsive && !w.Unresponsive {
 		t.avoid(w, "does not respond to its agent", now)
 	}
-	w.Worker, w.agent, w.attached, w.reportedAt, w.running = *r.Worker, r.Agent, true, now, r.Running
+	w.Worker, w.agent, w.attached, w.reportedAt, w.stamp, w.running = *r.Worker, r.Agent, true, now, r.Stamp, r.Running
 	s.incarnation = id
 	t.streams[id] = s.wake
 	return w
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -63,6 +63,29 @@
 	require.Empty(t, term.workers[id].orphans)
 }
 
+// Guards against a stream whose opening and first report are delayed by a network cut, so
+// that it seems to be the newest: its report is older than those already applied.
+func TestOldReportOnDelayedStream(t *testing.T) {
+	const id = "a/i/1"
+	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
+	sent := uptime.Now()
+	report := func(stamp time.Time, keys ...work.RunKey) control.Report {
+		r := control.Report{Agent: "a", Stamp: stamp, Worker: &control.Worker{Incarnation: id}}
+		for _, k := range keys {
+			r.Running = append(r.Running, work.RunStatus{Key: k})
+		}
+		return r
+	}
+	orphan := work.RunKey{Task: work.TaskKey{Job: "j"}, Run: 1}
+	current := term.newStream()
+	require.NoError(t, term.report(current, report(sent.Add(time.Second), orphan)))
+	delayed := term.newStream()
+	require.ErrorIs(t, term.report(delayed, report(sent)), errSuperseded)
+	require.Len(t, term.workers[id].orphans, 1)
+	require.NoError(t, term.report(current, report(sent.Add(2*time.Second), orphan)), "the current stream goes on")
+	require.Equal(t, sent.Add(2*time.Second), current.stamp)
+}
+
 // Guards against a scheduling pass for each report of each agent, since a pass looks at
 // the whole fleet, and against changes that wait for the next periodic pass.
 func TestReportsThatCauseDecisions(t *testing.T) {
--- a/leader/term.go
+++ b/leader/term.go
@@ -35,6 +35,7 @@
 	control.Worker
 	agent           string
 	reportedAt      time.Time // receipt of the last report
+	stamp           time.Time // of the last report, by the agent's clock
 	attached        bool      // has reported in this term; others are known from records only
 	running         []work.RunStatus
 	appliedSeq      uint64                    // last run end that is applied to the progress of jobs
