leader: a refused gang member is not placed on the same worker again

Half a second after the refusal, when the worker takes tasks again, the member could be placed on it once more. A report of the first refusal that is delayed for that long was then taken as that of the second start, which may have taken effect, and the member was placed on a third worker.

A placement of the same run on the worker that refused it is now left out; if no other worker has room, the gang is stopped and starts under another number, as it is when no worker has room at all.

Ruled out: ignoring a refusal that was reported before. It may be the refusal of the second start, and the member would wait for ever.

Without the change: "TestRefusedMemberIsNotPlacedOnTheSameWorker: Should be empty, but was a/i/1".

go test -race ./leader ./node: ok

--- a/leader/gang.go
+++ b/leader/gang.go
@@ -74,6 +74,33 @@
 	return placed > 0
 }
 
+// hasRefusedMember reports whether the worker has refused the run of the gang member that
+// would be placed on it. A later report may repeat that refusal, because the run keeps its
+// number, and it cannot be told from the refusal of a second start there.
+func (t *term) hasRefusedMember(p schedule.Placement) bool {
+	s, _ := t.task(work.RunKey{Task: p.Task})
+	if !s.job.Steps[p.Task.Step].Gang {
+		return false
+	}
+	run := gangRunNumber(s.progress.Step(s.job, p.Task.Occurrence, p.Task.Step))
+	return t.workers[p.Worker].refusedMembers[work.RunKey{Task: p.Task, Run: run}]
+}
+
+// maxRefusedMembers bounds the refused runs that are remembered for a worker. Only those
+// of the last second matter, while other members of the gang wait.
+const maxRefusedMembers = 256
+
+// recordRefusedMember records that a worker has refused the run of a gang member.
+func (w *workerState) recordRefusedMember(s *jobState, k work.RunKey) {
+	if !s.job.Steps[k.Task.Step].Gang {
+		return
+	}
+	if w.refusedMembers == nil || len(w.refusedMembers) >= maxRefusedMembers {
+		w.refusedMembers = make(map[work.RunKey]bool)
+	}
+	w.refusedMembers[k] = true
+}
+
 // markAsCompletion marks the unit as one that completes a gang, in the rack of the
 // placed members. It reports false, and the unit must not be used, if the placed members
 // do not wait or are being stopped.
--- a/leader/place.go
+++ b/leader/place.go
@@ -27,7 +27,9 @@
 		t.stop(k, task, "preempted by a more urgent job")
 	}
 	for _, p := range plan.Placements {
-		t.placeTask(p, now)
+		if !t.hasRefusedMember(p) {
+			t.placeTask(p, now)
+		}
 	}
 	t.stopIncompleteGangs(units)
 }
--- a/leader/report.go
+++ b/leader/report.go
@@ -204,7 +204,7 @@
 // it lists is that of a repeated call: an earlier one has started the run.
 func (t *term) applyRefusals(w *workerState, r control.Report, now time.Time) {
 	for _, f := range r.Refused {
-		_, task := t.task(f.Key)
+		s, task := t.task(f.Key)
 		if task == nil || task.Run != f.Key.Run || task.Worker != w.Incarnation {
 			continue
 		}
@@ -213,6 +213,7 @@
 		if listed {
 			continue
 		}
+		w.recordRefusedMember(s, f.Key)
 		if !task.Stopping {
 			w.closedUntil = now.Add(refusalBackoff)
 		}
--- a/leader/stray_test.go
+++ b/leader/stray_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/jobstore"
+	"github.com/rosemarysill/rosemarysill/meter"
+	"github.com/rosemarysill/rosemarysill/queue"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -284,3 +286,34 @@
 	f.report("a", refused)
 	require.False(t, f.term.jobs["j"].progress.Placed())
 }
+
+// openDeclarations is a configuration without accounts in which no domain is out.
+type openDeclarations struct{ Declarations }
+
+func (openDeclarations) Configuration() *queue.Configuration { return nil }
+func (openDeclarations) DomainOut(string) bool               { return false }
+
+// Guards against a refused member of a gang that is placed again on the worker that has
+// refused it: the run keeps its number, so a late report of the first refusal would end
+// the second run, which may have started, and the member would start a third time.
+func TestRefusedMemberIsNotPlacedOnTheSameWorker(t *testing.T) {
+	f := newStrayFleet(t, work.Step{Count: 2, Gang: true, Shape: work.Shape{Accelerators: 8}})
+	f.term.cfg = f.term.cfg.withDefaults()
+	f.term.cfg.Declarations, f.term.cfg.Meter = openDeclarations{}, meter.New()
+	f.report("a", nothing)
+	f.report("b", nothing)
+	refused, waits := f.place(0, 1, "a/i/1"), f.place(1, 1, "b/i/1")
+	f.report("b", running(waits))
+	f.report("a", func(r *control.Report) {
+		r.Refused = []control.Refusal{{Key: refused, Reason: work.RefusedNoCapacity}}
+	})
+	f.term.workers["a/i/1"].closedUntil = uptime.Now().Add(-time.Millisecond)
+	f.term.place(uptime.Now())
+	tasks := f.term.jobs["j"].progress.Tasks
+	require.Empty(t, tasks[0].Worker)
+	require.True(t, tasks[1].Stopping, "the gang starts again under another number")
+	f.report("b", ended(1, waits, work.OutcomeStopped))
+	f.term.place(uptime.Now())
+	require.Equal(t, 2, tasks[0].Run)
+	require.NotEmpty(t, tasks[0].Worker)
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -42,6 +42,7 @@
 	committedSeq    uint64                    // last run end that is committed
 	closedUntil     time.Time                 // the worker gets no tasks until then
 	orphans         map[work.RunKey]bool      // reported runs that are not placed here
+	refusedMembers  map[work.RunKey]bool      // runs of gang members that the worker has refused
 	overlaps        map[work.RunKey]bool      // orphans whose task is placed, which is logged
 	placedAt        map[work.RunKey]time.Time // runs that are placed here
 	stopRequestedAt map[work.RunKey]time.Time // runs that are being stopped
