leader: a run whose order may be on its way is not lost with lapsed leases

This takes an agent that is heard again after its leases have lapsed and orders that are delayed by a report interval.

Of such a worker the leader still takes the runs for lost that it lists. One that it does not list is not ordered any more, and is taken for lost when its last order is older than control.OrderMaxAge, after which the agent drops it.

--- a/leader/attach.go
+++ b/leader/attach.go
@@ -122,8 +122,8 @@
 }
 
 // addRunOrder adds the start or stop of a run that is placed on the worker. A start is
-// ordered only once the placement is committed, and not if the worker lists the run or
-// the task is done.
+// ordered only once the placement is committed, and not if the worker lists the run, the
+// task is done, or the run will be taken for lost because the leases have lapsed.
 func (t *term) addRunOrder(o *control.Orders, w *workerState, k work.RunKey, listed bool) {
 	s, task := t.task(k)
 	if task == nil || task.Worker != w.Incarnation || task.Run != k.Run {
@@ -133,7 +133,7 @@
 		o.Stops = append(o.Stops, k)
 		return
 	}
-	if listed || task.Done || !t.isCommitted(s, k, w.Incarnation) {
+	if listed || task.Done || w.LeasesLapsed || !t.isCommitted(s, k, w.Incarnation) {
 		return
 	}
 	o.Starts = append(o.Starts, work.Start{Key: k, Spec: s.job.Spec, Checkpoint: task.Checkpoint, Ticket: task.Ticket})
--- a/leader/report.go
+++ b/leader/report.go
@@ -44,9 +44,7 @@
 	t.applyEnds(w, r, now)
 	t.applyRefusals(w, r, now)
 	t.applyRuns(w, r, now)
-	if r.Worker.LeasesLapsed {
-		t.endAllRuns(w.Incarnation, "all leases have lapsed", now)
-	}
+	t.endLapsedRuns(w, now)
 	return nil
 }
 
@@ -278,13 +276,35 @@
 	delete(t.workers, id)
 }
 
+// endLapsedRuns applies the loss of the runs of a worker whose leases have all lapsed. A
+// run that it does not list may still begin, because its order may be on its way to the
+// agent. No more orders are sent meanwhile, and the agent drops that one after
+// control.OrderMaxAge.
+func (t *term) endLapsedRuns(w *workerState, now time.Time) {
+	if !w.LeasesLapsed {
+		w.lapsedSince = time.Time{}
+		return
+	}
+	if w.lapsedSince.IsZero() {
+		w.lapsedSince = now
+	}
+	t.endRuns(w.Incarnation, "all leases have lapsed", now, func(k work.RunKey) bool {
+		return now.Sub(w.lapsedSince) > control.OrderMaxAge || slices.ContainsFunc(w.running, func(r work.RunStatus) bool { return r.Key == k })
+	})
+}
+
 // endAllRuns applies the loss of all runs of an incarnation.
 func (t *term) endAllRuns(id, cause string, now time.Time) {
+	t.endRuns(id, cause, now, func(work.RunKey) bool { return true })
+}
+
+// endRuns applies the loss of those runs of an incarnation that are lost.
+func (t *term) endRuns(id, cause string, now time.Time, isLost func(work.RunKey) bool) {
 	var lost []work.RunKey
 	for _, s := range t.jobs {
 		forEachTask(s, func(k work.TaskKey, task *work.Task) {
-			if task.Worker == id {
-				lost = append(lost, work.RunKey{Task: k, Run: task.Run})
+			if run := (work.RunKey{Task: k, Run: task.Run}); task.Worker == id && isLost(run) {
+				lost = append(lost, run)
 			}
 		})
 	}
--- a/leader/term.go
+++ b/leader/term.go
@@ -36,6 +36,7 @@
 	agent           string
 	reportedAt      time.Time // receipt of the last report
 	stamp           time.Time // of the last report, by the agent's clock
+	lapsedSince     time.Time // when the agent first reported that all leases have lapsed; zero after another report
 	attached        bool      // has reported in this term; others are known from records only
 	running         []work.RunStatus
 	appliedSeq      uint64                    // last run end that is applied to the progress of jobs
