spec: replies to refused starts may come after a later lease renewal

Now the refusal of a start is under way for a while, and two variants leave out what keeps it from being recorded: REFUSE_LISTED (a hold has listed the run in the meantime) and REFUSE_UNANSWERED (an earlier start without an answer, and no hold since).

Not in the model: the second life of a worker.

--- a/spec/run.pml
+++ b/spec/run.pml
@@ -30,6 +30,7 @@
 byte a_running[2], a_ended[2];  /* as the latest lists say */
 bool a_done[2];                 /* the end was done */
 byte order_epoch[2], order_run[2];
+byte declined[2];               /* start that was refused; the reply is under way */
 
 /* Workers. */
 byte w_fence[2], w_running[2], w_ended[2], w_latest[2], late_run[2], late_fence[2];
@@ -70,9 +71,9 @@
 }
 
 /* take applies a report to the decisions of leader l. */
-inline take(l, a, ended, done, declined, lapsed) {
+inline take(l, a, ended, done, denied, lapsed) {
 	if
-	:: m_worker[l] == a + 1 && (lapsed || (m_run[l] == ended && ended != NONE) || (m_run[l] == declined && declined != NONE)) ->
+	:: m_worker[l] == a + 1 && (lapsed || (m_run[l] == ended && ended != NONE) || (m_run[l] == denied && denied != NONE)) ->
 		m_worker[l] = NONE;
 		m_done[l] = m_done[l] || (m_run[l] == ended && done)
 	:: else -> skip
@@ -91,6 +92,18 @@
 #define IS_REFUSED(a) (refused[a] == order_run[a])
 #endif
 
+/* What keeps a refusal from being recorded: the run is listed, or an earlier
+   start of it without an answer was or may still be carried out. */
+#define LISTED(a) (a_running[a] == declined[a] || a_ended[a] == declined[a])
+#define UNANSWERED(a) (unanswered[a] == declined[a])
+#if defined(REFUSE_LISTED)
+#define MAY_RUN(a) UNANSWERED(a)
+#elif defined(REFUSE_UNANSWERED)
+#define MAY_RUN(a) LISTED(a)
+#else
+#define MAY_RUN(a) (LISTED(a) || UNANSWERED(a))
+#endif
+
 #ifdef NO_GUARD
 #define GUARD(l) true
 #else
@@ -147,11 +160,12 @@
 		fi }
 
 /* An agent takes an order, which may be repeated. The start has an answer, or
-   has none and is carried out now, later or never. A hold shows what runs and
+   has none and is carried out now, later or never. The answer that it is refused
+   may come after a hold. A hold shows what runs and
    what has ended, and settles starts without an answer: lower fences have no
    effect any more. A start that comes after its deadline has none either. */
 #define AGENT(a) \
-	:: atomic { order_run[a] != NONE -> \
+	:: atomic { order_run[a] != NONE && declined[a] == NONE -> \
 		if \
 		:: order_epoch[a] < a_epoch[a] || a_running[a] == order_run[a] || a_ended[a] == order_run[a] || IS_REFUSED(a) || !leased[a] -> skip \
 		:: else -> \
@@ -163,13 +177,19 @@
 			:: fence[a] <= LOSSES && late_run[a] == NONE -> \
 				late_run[a] = order_run[a]; late_fence[a] = fence[a]; unheard(a, order_run[a]) \
 			:: fence[a] <= LOSSES -> unheard(a, order_run[a]) \
-			:: unanswered[a] != order_run[a] && refused[a] == NONE -> refused[a] = order_run[a] \
+			:: declined[a] = order_run[a] \
 			fi \
 		fi; \
 		if \
 		:: true -> order_run[a] = NONE; order_epoch[a] = NONE \
 		:: true -> skip \
 		fi } \
+	:: atomic { declined[a] != NONE -> \
+		if \
+		:: MAY_RUN(a) || refused[a] != NONE -> skip \
+		:: else -> refused[a] = declined[a] \
+		fi; \
+		declined[a] = NONE } \
 	:: atomic { late_run[a] != NONE -> execute(a, late_run[a], late_fence[a]); late_run[a] = NONE; late_fence[a] = 0 } \
 	:: atomic { fence[a] >= w_fence[a] -> \
 		RAISE(a); a_running[a] = w_running[a]; a_ended[a] = w_ended[a]; a_done[a] = w_done[a]; \
