runner: runs that the worker still lists after their lease has lapsed are stopped

What callers saw: nothing yet. When a machine is suspended, the agent's clock counts the time and the worker's steady clock does not. The worker wakes with runs whose leases have lapsed for the leader, which has started them elsewhere, and lets them go on for the rest of the lease by its own clock, up to 6.3 s. The leader stops them only if the agent reaches it before.

The agent grants no lease then, but nothing made it stop the runs. Now a lease renewal that was sent after leasedUntil and LapseMargin, and whose reply lists runs as running, has them stopped. The worker's clock is at most 2% slow while the machine runs, which the leases allow for, so that no run is listed then unless the clock stood still.

Ruled out: comparing the two clocks, because the end of the lease by the agent's clock is what the leader goes by.

--- a/event/runner.go
+++ b/event/runner.go
@@ -16,6 +16,7 @@
 	RunnerStop          Event = 1031
 	RunnerPace          Event = 1032
 	RunnerEnded         Event = 1033
+	RunnerLapsed        Event = 1034
 	RunnerCallFailed    Event = 1040
 	RunnerStoreFailed   Event = 1041
 )
@@ -33,6 +34,7 @@
 	RunnerStop:          {"RunnerStop", zerolog.InfoLevel, "The worker has replied to a request to stop a run."},
 	RunnerPace:          {"RunnerPace", zerolog.InfoLevel, "The worker has replied to a request to change the pace of a run."},
 	RunnerEnded:         {"RunnerEnded", zerolog.InfoLevel, "The worker reports a run as ended."},
+	RunnerLapsed:        {"RunnerLapsed", zerolog.WarnLevel, "The lease of a run has lapsed, and the worker, whose clock does not count the time for which its machine is suspended, still lists the run; the run is stopped."},
 	RunnerCallFailed:    {"RunnerCallFailed", zerolog.WarnLevel, "The worker did not reply to a call; it may still carry the call out later, until it has received a higher fence."},
 	RunnerStoreFailed:   {"RunnerStoreFailed", zerolog.WarnLevel, "The agent cannot read the leader record from the store."},
 })
--- a/runner/renewal.go
+++ b/runner/renewal.go
@@ -86,4 +86,10 @@
 		}
 		notify(r.reportNow)
 	}
+	for _, k := range w.lapsedRuns(sent) {
+		r.runOrder(ctx, k, w.shouldStop(k, uptime.Now()), func() bool {
+			event.RunnerLapsed.Log(r.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", incarnation).Send()
+			return r.stopRun(ctx, incarnation, k)
+		})
+	}
 }
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -106,6 +106,21 @@
 	return slices.EqualFunc(a, b, func(x, y work.RunStatus) bool { return x.Key == y.Key && x.Checkpoint == y.Checkpoint })
 }
 
+// lapsedRuns returns the runs that the worker still lists as running in the reply to a
+// lease renewal, although their leases have lapsed by the agent's clock. The leader may
+// have started them on another worker. The worker's clock does not count the time for
+// which the machine was suspended.
+func (w *workerState) lapsedRuns(sent time.Time) []work.RunKey {
+	if !sent.After(w.leasedUntil.Add(control.LapseMargin)) {
+		return nil
+	}
+	var lapsed []work.RunKey
+	for _, s := range w.running {
+		lapsed = append(lapsed, s.Key)
+	}
+	return lapsed
+}
+
 // hasEnded reports whether the run is listed as ended.
 func (w *workerState) hasEnded(k work.RunKey) bool {
 	return slices.ContainsFunc(w.ended, func(e work.RunEnd) bool { return e.Key == k })
