leader: runs listed by a worker whose leases have lapsed are no overlap

TWICE, its observability: an agent goes on to report the runs that a worker listed in its last reply, also when the worker does not respond until all leases have lapsed. Their tasks are placed again then, as they should be, and each such run would have been logged as LeaderRunsOverlap. If the worker responds and lists the run again, the overlap is logged.

Without the change: "TestRunsOfLapsedWorkerAreNoOverlap: Should be zero, but was 1".

go test -race ./leader: ok

--- a/leader/stray.go
+++ b/leader/stray.go
@@ -53,7 +53,8 @@
 		if !known[run.Key] {
 			t.describeStray(event.LeaderStray.Log(t.cfg.Log), w, run.Key, now).Int("Percent", run.Percent).Send()
 		}
-		if _, task := t.task(run.Key); task != nil && task.Placed() && !w.overlaps[run.Key] {
+		// The list of a worker whose leases have lapsed is that of its last reply.
+		if _, task := t.task(run.Key); task != nil && task.Placed() && !w.LeasesLapsed && !w.overlaps[run.Key] {
 			w.overlaps[run.Key] = true
 			t.describeStray(event.LeaderRunsOverlap.Log(t.cfg.Log), w, run.Key, now).Int("Percent", run.Percent).Send()
 		}
--- a/leader/stray_test.go
+++ b/leader/stray_test.go
@@ -344,3 +344,20 @@
 	f.report("a", lapsed)
 	require.True(t, s.progress.Tasks[1].Placed(), "the wait begins anew")
 }
+
+// Guards against an error line for each run of a worker that does not respond: the agent
+// goes on to report the runs that it last listed, although their leases have lapsed.
+func TestRunsOfLapsedWorkerAreNoOverlap(t *testing.T) {
+	f := newStrayFleet(t, work.Step{Count: 1})
+	f.report("a", nothing)
+	f.report("b", nothing)
+	first := f.place(0, 1, "a/i/1")
+	lapsed := func(r *control.Report) { running(first)(r); r.Worker.LeasesLapsed = true }
+	f.report("a", lapsed)
+	f.place(0, 2, "b/i/1")
+	f.report("a", lapsed)
+	f.report("a", lapsed)
+	require.Zero(t, f.logged("LeaderRunsOverlap"))
+	f.report("a", running(first))
+	require.Equal(t, 1, f.logged("LeaderRunsOverlap"), "the worker responds and still lists the run")
+}
