runner: runs whose leases have lapsed are reported again

Without the list, every run of an unresponsive worker would have been lost 2 s later, a long-running task more than 8 s after its worker in place of 6.6 s.

The list is back.

After: go test -race ./runner passes.

--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -197,8 +197,5 @@
 	}
 	r.Worker.LeasesLapsed = w.unresponsive(now) && now.After(w.leasedUntil.Add(control.LapseMargin))
 	r.Running, r.Ended, r.Refused = slices.Clone(w.running), slices.Clone(w.ended), slices.Clone(w.refused)
-	if r.Worker.LeasesLapsed {
-		r.Running = nil
-	}
 	return r
 }
