--- a/runner/worker_state_test.go
+++ b/runner/worker_state_test.go
@@ -117,6 +117,21 @@
 	require.True(t, w.report(lapsedAt.Add(100*time.Millisecond)).Worker.LeasesLapsed)
 }
 
+// Guards against a leader that waits longer than the leases for runs that had begun: it
+// tells them by this list from runs whose order may still be on its way.
+func TestLapsedRunsAreReported(t *testing.T) {
+	w := newConfirmedWorker(1)
+	w.applyLease(control.Orders{Epoch: 1, Echo: at(0), ExtendsLease: true})
+	w.grantLease(at(0))
+	running := []work.RunStatus{{Key: key(0)}}
+	ended := []work.RunEnd{{Seq: 1, Key: key(1), Outcome: work.OutcomeDone}}
+	w.renewAt(work.RuntimeReply{Clock: time.Second, Running: running, Ended: ended}, w.fence, at(10))
+	report := w.report(at(0).Add(control.Lease + control.LapseMargin + 100*time.Millisecond))
+	require.True(t, report.Worker.LeasesLapsed)
+	require.Equal(t, running, report.Running)
+	require.Equal(t, ended, report.Ended, "the leader has not recorded it")
+}
+
 // Guards against fences that stay lower than those of an earlier process of the agent
 // whose clock was ahead.
 func TestFenceExceedsEarlierAgent(t *testing.T) {
