--- a/event/runner.go
+++ b/event/runner.go
@@ -11,6 +11,7 @@
 	RunnerWorker      Event = 1020
 	RunnerWorkerLeft  Event = 1021
 	RunnerWorkerState Event = 1022
+	RunnerCapacity    Event = 1025
 	RunnerStart       Event = 1030
 	RunnerStop        Event = 1031
 	RunnerPace        Event = 1032
@@ -27,6 +28,7 @@
 	RunnerWorker:      {"RunnerWorker", zerolog.InfoLevel, "A new incarnation of the worker has announced itself."},
 	RunnerWorkerLeft:  {"RunnerWorkerLeft", zerolog.InfoLevel, "The worker has left; its runs have ended."},
 	RunnerWorkerState: {"RunnerWorkerState", zerolog.InfoLevel, "The worker has started to drain, or accepts tasks again."},
+	RunnerCapacity:    {"RunnerCapacity", zerolog.InfoLevel, "The capacity that the worker announces has changed."},
 	RunnerStart:       {"RunnerStart", zerolog.InfoLevel, "The worker has replied to a request to start a run."},
 	RunnerStop:        {"RunnerStop", zerolog.InfoLevel, "The worker has replied to a request to stop a run."},
 	RunnerPace:        {"RunnerPace", zerolog.InfoLevel, "The worker has replied to a request to change the pace of a run."},
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -106,12 +106,19 @@
 func (r *Runner) Announce(a work.Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	previous := r.worker.announcement.State
+	previous := r.worker.announcement
 	if r.worker.applyAnnouncement(a, uptime.Now()) {
 		event.RunnerWorker.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Service", a.Service).Str("Rack", a.Rack).Send()
 		notify(r.renewNow)
-	} else if state := r.worker.announcement.State; state != previous {
-		event.RunnerWorkerState.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("State", string(state)).Send()
+		return
+	}
+	current := r.worker.announcement
+	if current.State != previous.State {
+		event.RunnerWorkerState.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("State", string(current.State)).Send()
+		notify(r.reportNow)
+	}
+	if current.Capacity != previous.Capacity {
+		event.RunnerCapacity.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Interface("Before", previous.Capacity).Interface("Capacity", current.Capacity).Send()
 		notify(r.reportNow)
 	}
 }
