leader: decide at once when the capacity of a worker changes (LIMIT)

What was seen: a report with another capacity waited for the next periodic pass, up to 100 ms, both for units that fit again and for those that a shrunk worker can no longer take.

Cause: needsDecision did not compare the capacity.

Failed before:

--- FAIL: TestReportsThatCauseDecisions/capacity_shrinks report_test.go:105: Should be false --- FAIL: TestReportsThatCauseDecisions/capacity_grows report_test.go:105: Should be false

go test -race ./leader: ok in 19.1 s.

--- a/leader/report.go
+++ b/leader/report.go
@@ -56,7 +56,7 @@
 	}
 	w, ok := t.workers[r.Worker.Incarnation]
 	return !ok || !w.attached || r.Worker.LeasesLapsed || r.Worker.Draining != w.Draining || r.Worker.Unresponsive != w.Unresponsive ||
-		len(r.Refused) > 0 || len(r.EndedIncarnations) > 0 || (len(r.Ended) > 0 && r.Ended[len(r.Ended)-1].Seq > w.appliedSeq)
+		r.Worker.Capacity != w.Capacity || len(r.Refused) > 0 || len(r.EndedIncarnations) > 0 || (len(r.Ended) > 0 && r.Ended[len(r.Ended)-1].Seq > w.appliedSeq)
 }
 
 // worker returns the state of the reported incarnation, updated from the report.
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -78,6 +78,8 @@
 		"start refused":       {func(r *control.Report) { r.Refused = []control.Refusal{{Key: key}} }, true},
 		"worker drains":       {func(r *control.Report) { r.Worker.Draining = true }, true},
 		"worker unresponsive": {func(r *control.Report) { r.Worker.Unresponsive = true }, true},
+		"capacity shrinks":    {func(r *control.Report) { r.Worker.Capacity.Accelerators = 4 }, true},
+		"capacity grows":      {func(r *control.Report) { r.Worker.Capacity.Accelerators = 16 }, true},
 		"leases lapsed":       {func(r *control.Report) { r.Worker.LeasesLapsed = true }, true},
 		"incarnation ended":   {func(r *control.Report) { r.EndedIncarnations = []string{"a/i/0"} }, true},
 		"next incarnation":    {func(r *control.Report) { r.Worker.Incarnation = "a/i/2" }, true},
@@ -87,11 +89,13 @@
 		t.Run(name, func(t *testing.T) {
 			term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
 			stream := term.newStream()
-			first := control.Report{Agent: "a", Stamp: uptime.Now(), Worker: &control.Worker{Incarnation: id}}
+			worker := control.Worker{Incarnation: id, Capacity: work.Shape{Accelerators: 8}}
+			first := control.Report{Agent: "a", Stamp: uptime.Now(), Worker: &worker}
 			require.NoError(t, term.report(stream, first))
 			<-term.wake
 			term.workers[id].appliedSeq = 2
-			next := control.Report{Agent: "a", Stamp: uptime.Now(), Worker: &control.Worker{Incarnation: id}}
+			reported := worker
+			next := control.Report{Agent: "a", Stamp: uptime.Now(), Worker: &reported}
 			c.change(&next)
 			require.NoError(t, term.report(stream, next))
 			select {
