runner: refuse a start that no longer fits the announced capacity (LIMIT)

What was seen: a start that was decided before its worker shrank was carried out on the shrunk worker. Orders follow from committed placements and nothing after the decision looked at the capacity, so that a commit that took a second, or a paused leader, put seconds between the two. A worker that does not guard its capacity takes every start.

The agent is the only caller of its worker and hears the announcements first, so the last check stands there, directly before the call: the demand of the start beside the runs that the worker lists and that have not ended, the starts that are being called, and those without a reply that may still be carried out (no accepted renewal with a higher fence yet). What does not fit is refused as RefusedNoCapacity through recordRefusal, which still asks for proof when an earlier call got no reply; the leader places the task elsewhere. Starts carry their demand, and orders with starts carry the demand of the listed runs, because an agent that has been restarted does not know it. A listed run of unknown demand leaves no capacity for others.

Failed before:

--- FAIL: TestCapacityShrinksDuringCommit Should be empty, but was [start of wide 0.0.0/1 takes {1000 100 8} of {4000 4000 4} at i-agent0 start of wide 0.0.1/1 takes {1000 100 8} of {4000 4000 4} at i-agent1] --- FAIL: TestStartThatDoesNotFitIsRefused/capacity_has_shrunk "[0.0.0/1]" should have 0 item(s), but has 1

Shown to be needed: without the starts that got no reply, TestNoStartExceedsAnnouncedCapacity fails (started {2000 200 2} with {1000 100 1} in use of {2000 200 2}); without the demands of listed runs, TestRestartedAgentKnowsDemandOfRuns fails (nothing starts beside the run).

Ruled out: a check in the leader before the order. It would leave the time from the order to the call, and the leader cannot tell whether an earlier order for the run is being carried out.

go test -race ./runner ./leader ./standin ./control ./work ./event ./platform ./node: ok.

--- a/control/message.go
+++ b/control/message.go
@@ -85,6 +85,12 @@
 	Percent int
 }
 
+// Reservation is the capacity that a run takes on its worker.
+type Reservation struct {
+	Key    work.RunKey
+	Demand work.Shape
+}
+
 // Orders is a message with the leader's orders for one worker.
 type Orders struct {
 	Epoch        uint64
@@ -94,5 +100,6 @@
 	AckedSeq     uint64    `json:"Seen"` // ends of runs up to this sequence number are recorded
 	Starts       []work.Start
 	Stops        []work.RunKey
-	Throttles    []Throttle `json:"Paces"`
+	Throttles    []Throttle    `json:"Paces"`
+	Reserved     []Reservation `json:",omitempty"` // of the runs that the worker lists, if there are starts
 }
--- a/event/runner.go
+++ b/event/runner.go
@@ -14,6 +14,7 @@
 	RunnerCapacity    Event = 1025
 	RunnerStart       Event = 1030
 	RunnerStop        Event = 1031
+	RunnerNoCapacity  Event = 1035
 	RunnerPace        Event = 1032
 	RunnerEnded       Event = 1033
 	RunnerCallFailed  Event = 1040
@@ -30,6 +31,7 @@
 	RunnerWorkerState: {"RunnerWorkerState", zerolog.InfoLevel, "The worker has started to drain, or accepts tasks again."},
 	RunnerCapacity:    {"RunnerCapacity", zerolog.InfoLevel, "The capacity that the worker announces has changed."},
 	RunnerStart:       {"RunnerStart", zerolog.InfoLevel, "The worker has replied to a request to start a run."},
+	RunnerNoCapacity:  {"RunnerNoCapacity", zerolog.InfoLevel, "The agent does not pass a start on, because it does not fit the capacity that the worker announces beside the runs there; if it is refused, the leader places the task elsewhere."},
 	RunnerStop:        {"RunnerStop", zerolog.InfoLevel, "The worker has replied to a request to stop a run."},
 	RunnerPace:        {"RunnerPace", zerolog.InfoLevel, "The worker has replied to a request to change the pace of a run."},
 	RunnerEnded:       {"RunnerEnded", zerolog.InfoLevel, "The worker reports a run as ended."},
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/schedule"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -113,6 +114,9 @@
 	for k := range w.orphans {
 		o.Stops = append(o.Stops, k)
 	}
+	if len(o.Starts) > 0 {
+		o.Reserved = t.reservations(w)
+	}
 	t.addThrottles(&o, w)
 	return o, true
 }
@@ -131,7 +135,7 @@
 	if listed || !t.isCommitted(s, k, w.Incarnation) {
 		return
 	}
-	o.Starts = append(o.Starts, work.Start{Key: k, Spec: s.job.Spec, Checkpoint: task.Checkpoint, Ticket: task.Ticket})
+	o.Starts = append(o.Starts, work.Start{Key: k, Spec: s.job.Spec, Checkpoint: task.Checkpoint, Ticket: task.Ticket, Demand: schedule.Demand(s.job.Steps[k.Task.Step])})
 }
 
 // isCommitted reports whether the placement of a run on the worker is committed.
--- a/leader/capacity.go
+++ b/leader/capacity.go
@@ -4,11 +4,23 @@
 	"fmt"
 	"time"
 
+	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/schedule"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
+// reservations returns the capacity that each reported run of a known job takes.
+func (t *term) reservations(w *workerState) []control.Reservation {
+	var reserved []control.Reservation
+	for _, run := range w.running {
+		if s, task := t.task(run.Key); task != nil {
+			reserved = append(reserved, control.Reservation{Key: run.Key, Demand: schedule.Demand(s.job.Steps[run.Key.Task.Step])})
+		}
+	}
+	return reserved
+}
+
 // reportedDemand returns the capacity that the reported runs of a worker take, including
 // runs that are being stopped and orphans. Runs of unknown jobs are left out, because
 // nothing is known about their shape.
--- /dev/null
+++ b/leader/capacity_cluster_test.go
@@ -0,0 +1,60 @@
+package leader_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill/standin"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// Guards against a start that is decided before a worker shrinks and ordered after the
+// commit, which a slow store delays by seconds: orders follow from committed placements.
+func TestCapacityShrinksDuringCommit(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 2)
+	c.store.LateBy = time.Second
+	leader := c.awaitLeader()
+	c.submit("warm", step(16, 50*time.Millisecond)) // both workers are known once it is done
+	c.awaitState("warm", work.Completed)
+
+	c.store.SetFault(leader, standin.Late)
+	wide := step(2, 100*time.Millisecond)
+	wide.Shape.Accelerators = 8
+	c.submit("wide", wide)
+	time.Sleep(300 * time.Millisecond) // the decision takes milliseconds; its commit takes a second
+	for _, a := range c.agents {
+		c.setCapacity(a, 4)
+	}
+	c.store.SetFault(leader, standin.Healthy)
+	time.Sleep(1500 * time.Millisecond) // the commit is done, and starts would be ordered
+	c.requireNoBreaches()
+	require.NotEqual(t, work.Completed, c.state("wide"))
+
+	c.agents["agent1"].worker.SetCapacity(work.Shape{})
+	c.setCapacity(c.agents["agent1"], 8)
+	c.awaitState("wide", work.Completed)
+	c.requireNoBreaches()
+}
+
+// Guards against an agent that, after a restart, refuses all starts beside runs whose
+// demand it does not know, or counts those runs as nothing.
+func TestRestartedAgentKnowsDemandOfRuns(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 1)
+	a := c.agents["agent0"]
+	a.worker.SetCapacity(a.capacity)
+	long := step(1, time.Second)
+	long.Shape.Accelerators = 6
+	c.submitJob(&work.Job{ID: "long", Service: "s", MaxAttempts: 2, Accepted: time.Now(), Steps: []work.Step{long}, Spec: spec(5*time.Second, "")})
+	require.Eventually(t, func() bool { return a.worker.Runs() == 1 }, 20*time.Second, 10*time.Millisecond)
+	a.kill()
+	c.addAgent("agent0", a.worker)
+	c.submit("fits", step(2, 50*time.Millisecond))
+	c.awaitState("fits", work.Completed)
+	require.Equal(t, work.Running, c.state("long"))
+	c.awaitState("long", work.Completed)
+	c.requireNoBreaches()
+}
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -76,6 +76,8 @@
 	worker *standin.StepWorker
 	name   string
 	seq    uint64
+
+	capacity work.Shape // announced
 }
 
 // cluster is a set of entries and agents with stand-ins for the store and the workers.
@@ -167,7 +169,7 @@
 
 func (c *cluster) addAgent(name string, worker *standin.StepWorker) {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &agent{process: process{cancel, make(chan struct{})}, worker: worker, name: name}
+	a := &agent{process: process{cancel, make(chan struct{})}, worker: worker, name: name, capacity: work.Shape{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}}
 	a.runner = runner.New(runner.Config{
 		Name: name, Store: c.store.View(name), Runtime: worker, Log: zerolog.Nop(),
 		Register: func(work.Registrar) http.Handler { return http.NotFoundHandler() },
@@ -187,10 +189,19 @@
 	a.seq++
 	a.runner.Announce(work.Announcement{
 		ID: "i-" + a.name, StartedAtMS: a.worker.Born(), Sequence: a.seq, Service: "s", Domain: "d-" + a.name, Rack: "r1-1", State: state,
-		Remaining: remaining, Capacity: work.Shape{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8},
+		Remaining: remaining, Capacity: a.capacity,
 	})
 }
 
+// setCapacity changes the capacity of a worker. Starts that the worker gets while its
+// agent takes the report of a smaller one are not breaches.
+func (c *cluster) setCapacity(a *agent, accelerators int64) {
+	a.capacity = work.Shape{MilliCPU: 1000 * accelerators, MemoryMB: 1000 * accelerators, Accelerators: accelerators}
+	c.announce(a, work.WorkerReady, 0)
+	time.Sleep(50 * time.Millisecond) // calls of the stand-in take less
+	a.worker.SetCapacity(a.capacity)
+}
+
 // submit records a job with the given steps.
 func (c *cluster) submit(id string, steps ...work.Step) *work.Job {
 	j := &work.Job{ID: id, Service: "s", Queue: "q", MaxAttempts: 2, Accepted: time.Now(), Steps: steps}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -20,6 +20,7 @@
 		return
 	}
 	r.worker.pruneRefusals(o)
+	r.worker.recordDemands(o.Reserved)
 	for _, s := range o.Starts {
 		r.runOrder(ctx, s.Key, r.worker.shouldStart(s.Key), func() bool { return r.startRun(ctx, s, o.Echo) })
 	}
@@ -110,10 +111,18 @@
 		r.mu.Unlock()
 		return false, true
 	}
+	if !w.reserve(s) {
+		refused := w.recordRefusal(s.Key, work.RefusedNoCapacity)
+		event.RunnerNoCapacity.Log(r.cfg.Log).Str("Job", s.Key.Task.Job).Stringer("Run", s.Key).Str("Worker", incarnation).
+			Interface("Demand", s.Demand).Interface("Capacity", w.announcement.Capacity).Bool("Refused", refused).Send()
+		r.mu.Unlock()
+		return refused, true
+	}
 	r.mu.Unlock()
 	reply, err := r.cfg.Runtime.Start(ctx, callTimeout, id, fence, s, until)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(w.startsInFlight, s.Key)
 	if w.incarnation() != incarnation {
 		return false, true
 	}
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -53,10 +53,12 @@
 	acceptedStarts       map[work.RunKey]time.Time  // when the worker has accepted a start
 	settledRuns          map[work.RunKey]settledRun // runs whose stop the worker has answered, or whose start it refused as outdated
 	throttles            map[work.RunKey]int        // speeds in percent that the worker has accepted
+	demands              map[work.RunKey]work.Shape // capacity that runs take, as far as it is known
+	startsInFlight       map[work.RunKey]bool       // starts that are being called
 }
 
 func newWorkerState(agent string, fence int64) *workerState {
-	return &workerState{agent: agent, fence: fence, unansweredStarts: make(map[work.RunKey]int64), settledRuns: make(map[work.RunKey]settledRun), acceptedStarts: make(map[work.RunKey]time.Time), throttles: make(map[work.RunKey]int)}
+	return &workerState{agent: agent, fence: fence, unansweredStarts: make(map[work.RunKey]int64), settledRuns: make(map[work.RunKey]settledRun), acceptedStarts: make(map[work.RunKey]time.Time), throttles: make(map[work.RunKey]int), demands: make(map[work.RunKey]work.Shape), startsInFlight: make(map[work.RunKey]bool)}
 }
 
 // applyLease takes the lease and the acknowledged sequence number from the leader's
--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -80,9 +80,10 @@
 			return work.RefusedLate
 		}
 		w.set.check(s.Key)
+		w.checkCapacity(s)
 		w.set.started[s.Key]++
 		w.starts++
-		w.runs[s.Key] = &stepRun{spec: s.Spec, come: now, saved: s.Checkpoint}
+		w.runs[s.Key] = &stepRun{spec: s.Spec, demand: s.Demand, come: now, saved: s.Checkpoint}
 		w.set.advance(now)
 		return work.Accepted
 	})
--- a/standin/steprun.go
+++ b/standin/steprun.go
@@ -17,6 +17,7 @@
 
 type stepRun struct {
 	spec    string
+	demand  work.Shape
 	began   time.Time // zero while it waits for its gang
 	come    time.Time
 	stopped time.Time // zero unless it is being stopped
@@ -76,6 +77,20 @@
 	return n
 }
 
+// checkCapacity notes a start that brings the worker over its capacity, if that is set.
+func (w *StepWorker) checkCapacity(s work.Start) {
+	if w.capacity == (work.Shape{}) {
+		return
+	}
+	used := s.Demand
+	for _, r := range w.runs {
+		used = used.Add(r.demand)
+	}
+	if !used.FitsIn(w.capacity) {
+		w.set.overlap = append(w.set.overlap, fmt.Sprintf("start of %s %v takes %v of %v at %s", s.Key.Task.Job, s.Key, used, w.capacity, w.id))
+	}
+}
+
 // check notes a start that the promises forbid.
 func (s *Steps) check(k work.RunKey) {
 	for _, w := range s.workers {
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -59,6 +59,8 @@
 	runs   map[work.RunKey]*stepRun
 	ended  []endedRun
 	latest map[work.TaskKey]int // highest run that was stopped or has ended
+
+	capacity work.Shape // that starts must not exceed; zero if there is no limit
 }
 
 var _ work.Runtime = (*StepWorker)(nil)
@@ -117,8 +119,16 @@
 	w.mute, w.late = by > 0, by
 }
 
+// SetCapacity sets the capacity that starts must not exceed. The worker accepts those
+// that do and notes them as breaches.
+func (w *StepWorker) SetCapacity(capacity work.Shape) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.capacity = capacity
+}
+
 // Breaches returns what broke the promise that a task runs once at a time and
-// not after it was done.
+// not after it was done, and the starts that exceeded a capacity.
 func (s *Steps) Breaches() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/work/runtime.go
+++ b/work/runtime.go
@@ -57,6 +57,7 @@
 	Spec       string
 	Checkpoint string `json:"Saved"`
 	Ticket     string
+	Demand     Shape // capacity that the run takes on its worker
 }
 
 // LeaseRenewal extends the leases of all runs of a worker and requests its status.
