leader: count every run that a worker lists (LIMIT)

What was seen: a worker with a run whose job has no record, because the record was removed or cannot be read, got tasks for all of its capacity, as if that run took none.

Cause: the fleet of a scheduling pass had the runs placed on a worker and, of the others that it lists, those of known jobs as they were at its last report. It now goes by the list itself: a listed run that is not placed there takes its demand until its end is listed, and while the demand of one is not known the worker gets no further tasks. Such a run is stopped anyway.

Failed before, by a property over random starts, ends, refusals, strays and capacities:

--- FAIL: TestNoPlacementExceedsKnownCapacity a task is placed beside run unknown 0.0.1/1, whose demand is unknown

With listed runs of known jobs left out, it fails with {9000 900 9} placed on {8000 800 8}.

go test -race ./leader: ok.

--- a/leader/capacity.go
+++ b/leader/capacity.go
@@ -10,6 +10,27 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
+// addUnplacedRuns adds the reported runs that are not placed on the worker, which take
+// capacity until the worker lists their end. It reports whether the demand of all is
+// known. That of a run whose job has no record is not, so that nothing fits for sure
+// until it has ended.
+func (t *term) addUnplacedRuns(sw *schedule.Worker, w *workerState) bool {
+	known := true
+	for _, run := range w.running {
+		if _, placed := w.placedAt[run.Key]; placed {
+			continue
+		}
+		s, task := t.task(run.Key)
+		if task == nil {
+			known = false
+			continue
+		}
+		step := s.job.Steps[run.Key.Task.Step]
+		sw.Runs = append(sw.Runs, schedule.Run{Key: run.Key, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Stopping: true})
+	}
+	return known
+}
+
 // reservations returns the capacity that each reported run of a known job takes.
 func (t *term) reservations(w *workerState) []control.Reservation {
 	var reserved []control.Reservation
--- a/leader/place.go
+++ b/leader/place.go
@@ -245,11 +245,7 @@
 				sw.Runs = append(sw.Runs, run)
 			}
 		}
-		for k := range w.orphans {
-			if s, ok := t.jobs[k.Task.Job]; ok && s.progress.Task(s.job, k.Task) != nil {
-				sw.Runs = append(sw.Runs, schedule.Run{Key: k, Demand: schedule.Demand(s.job.Steps[k.Task.Step]), Stopping: true})
-			}
-		}
+		sw.Schedulable = t.addUnplacedRuns(sw, w) && sw.Schedulable
 		fleet = append(fleet, sw)
 	}
 	return fleet
