--- a/leader/capacity_property_test.go
+++ b/leader/capacity_property_test.go
@@ -177,3 +177,30 @@
 	})
 	require.NotZero(t, placements)
 }
+
+// Guards against capacity that has grown again and stays unused for the pause that
+// follows a refused start.
+func TestGrownCapacityIsUsedAtOnce(t *testing.T) {
+	m := newFleetModel(1)
+	w := m.workers[0]
+	m.submit(1, work.Step{Count: 1, Shape: accelerators(6), Estimate: time.Second})
+	require.Equal(t, 1, m.place(t))
+	w.capacity = accelerators(4)
+	w.refused = []control.Refusal{{Key: work.RunKey{Task: work.TaskKey{Job: "j0"}, Run: 1}, Reason: work.RefusedNoCapacity}}
+	m.report(w)
+	require.Zero(t, m.place(t), "it does not fit")
+	w.capacity = accelerators(8)
+	m.report(w)
+	require.Equal(t, 1, m.place(t))
+}
+
+// Guards against starts that are ordered again and again from a worker that refuses them
+// for lack of a capacity that it announces.
+func TestWorkerWithoutRoomGetsNothingForAWhile(t *testing.T) {
+	m := newFleetModel(1)
+	m.submit(1, work.Step{Count: 1, Shape: accelerators(6), Estimate: time.Second})
+	require.Equal(t, 1, m.place(t))
+	m.workers[0].refused = []control.Refusal{{Key: work.RunKey{Task: work.TaskKey{Job: "j0"}, Run: 1}, Reason: work.RefusedNoCapacity}}
+	m.report(m.workers[0])
+	require.Zero(t, m.place(t))
+}
--- a/leader/place.go
+++ b/leader/place.go
@@ -275,7 +275,7 @@
 // isSchedulable reports whether a worker may get tasks.
 func (t *term) isSchedulable(w *workerState, now time.Time) bool {
 	_, streaming := t.streams[w.Incarnation]
-	return streaming && !w.Draining && !w.Unresponsive && now.After(w.closedUntil) && now.Sub(w.reportedAt) < maxReportAge &&
+	return streaming && !w.Draining && !w.Unresponsive && now.After(w.closedUntil) && now.After(w.noCapacityUntil) && now.Sub(w.reportedAt) < maxReportAge &&
 		!t.cfg.Declarations.DomainOut(w.Domain) && !w.health.isAvoided(now)
 }
 
--- a/leader/report.go
+++ b/leader/report.go
@@ -75,6 +75,9 @@
 	if r.Worker.Unresponsive && !w.Unresponsive {
 		t.avoid(w, "does not respond to its agent", now)
 	}
+	if r.Worker.Capacity != w.Capacity {
+		w.noCapacityUntil = time.Time{} // the refusal was about the earlier capacity
+	}
 	w.Worker, w.agent, w.attached, w.reportedAt, w.running = *r.Worker, r.Agent, true, now, r.Running
 	s.incarnation = id
 	t.streams[id] = s.wake
@@ -192,7 +195,11 @@
 			continue
 		}
 		event.LeaderRefused.Log(t.cfg.Log).Str("Job", f.Key.Task.Job).Stringer("Run", f.Key).Str("Worker", w.Incarnation).Str("Why", string(f.Reason)).Send()
-		if !task.Stopping {
+		switch {
+		case task.Stopping:
+		case f.Reason == work.RefusedNoCapacity:
+			w.noCapacityUntil = now.Add(refusalBackoff)
+		default:
 			w.closedUntil = now.Add(refusalBackoff)
 		}
 		if f.Reason == work.RefusedUnresponsive || f.Reason == work.RefusedUnhealthy {
--- a/leader/term.go
+++ b/leader/term.go
@@ -39,6 +39,7 @@
 	appliedSeq      uint64                    // last run end that is applied to the progress of jobs
 	committedSeq    uint64                    // last run end that is committed
 	closedUntil     time.Time                 // the worker gets no tasks until then
+	noCapacityUntil time.Time                 // the same, because it has refused a start for lack of capacity
 	orphans         map[work.RunKey]bool      // reported runs that are not placed here
 	placedAt        map[work.RunKey]time.Time // runs that are placed here
 	stopRequestedAt map[work.RunKey]time.Time // runs that are being stopped
