--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -75,7 +75,7 @@
 	rackIndex     int          // of the rack, by first occurrence in pass.workers
 	free          work.Shape   // not used by runs, less reservations beyond what ending ones release
 	projectedFree work.Shape   // after runs that stop or end soon, less all reservations
-	freeCores     float64      // free, in cores
+	freeCores     float64      // free, in cores; 0 if a resource is lacking
 	idleMilliCPU  int64        // not declared by any run, best-effort ones included
 	runsByCost    []*placedRun // ascending by gangStopCost; set by indexRuns
 	keptForUrgent bool         // not available to deferrable single tasks without a DataRack
@@ -92,23 +92,32 @@
 			state.projectedFree = state.projectedFree.Sub(run.Demand)
 		}
 	}
-	state.freeCores = state.free.Cores()
+	state.freeCores = usableCores(state.free)
 	return state
 }
 
+// usableCores returns the size of free capacity in cores. A worker that has shrunk below
+// what its runs take lacks some resource, and then no task fits there.
+func usableCores(free work.Shape) float64 {
+	if !(work.Shape{}).FitsIn(free) {
+		return 0
+	}
+	return free.Cores()
+}
+
 // reserve sets a demand aside for a unit that starts once runs have ended. It takes
 // capacity that is about to be released first, and free capacity for the rest.
 func (w *workerState) reserve(d work.Shape) {
 	w.projectedFree = w.projectedFree.Sub(d)
 	w.free = minShape(w.free, w.projectedFree)
-	w.freeCores = w.free.Cores()
+	w.freeCores = usableCores(w.free)
 }
 
 // allocate assigns a demand to a task that starts now.
 func (w *workerState) allocate(d work.Shape) {
 	w.projectedFree = w.projectedFree.Sub(d)
 	w.free = w.free.Sub(d)
-	w.freeCores = w.free.Cores()
+	w.freeCores = usableCores(w.free)
 }
 
 func minShape(a, b work.Shape) work.Shape {
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -54,6 +54,9 @@
 			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/drawInt(1, 4, "rack")), Schedulable: !drawOneIn(9, "closed"), Suspect: drawOneIn(9, "suspect"),
 			Capacity: work.Shape{MilliCPU: 32000, MemoryMB: 65536, Accelerators: 8},
 		}
+		if drawOneIn(3, "shrunk") { // below what its runs take, in one resource or several
+			w.Capacity = work.Shape{MilliCPU: 1000 * int64(drawInt(0, 32, "cores left")), MemoryMB: int64(drawInt(0, 600, "MB left")), Accelerators: int64(drawInt(0, 8, "accelerators left"))}
+		}
 		for n := range drawInt(0, 4, "runs") {
 			a := int64(drawInt(0, 3, "accelerators"))
 			d := work.Shape{MilliCPU: 1000 * a, MemoryMB: 100, Accelerators: a}
@@ -339,12 +342,12 @@
 		remaining := p.urgentReserve
 		racks := refRacksFullestFirst(p.workers)
 		for i := len(racks) - 1; i >= 0 && remaining > 0; i-- {
-			slices.SortStableFunc(racks[i], func(a, b *refWorker) int { return cmp.Compare(b.free.Cores(), a.free.Cores()) })
+			slices.SortStableFunc(racks[i], func(a, b *refWorker) int { return cmp.Compare(refUsableCores(b), refUsableCores(a)) })
 			for _, w := range racks[i] {
 				if remaining > 0 && w.Schedulable {
 					p.keptForUrgent[w] = true
 					p.keptFromGangs[w] = i >= len(racks)-int(urgentRackShare*float64(len(racks)))
-					remaining -= w.free.Cores()
+					remaining -= refUsableCores(w)
 				}
 			}
 		}
@@ -391,11 +394,18 @@
 func refFreeCores(workers []*refWorker) float64 {
 	var n float64
 	for _, w := range workers {
-		n += w.free.Cores()
+		n += refUsableCores(w)
 	}
 	return n
 }
 
+func refUsableCores(w *refWorker) float64 {
+	if w.free.MilliCPU < 0 || w.free.MemoryMB < 0 || w.free.Accelerators < 0 {
+		return 0
+	}
+	return w.free.Cores()
+}
+
 func refSelectWorkers(u *Unit, workers []*refWorker, available func(*refWorker) work.Shape) []*refWorker {
 	d, s := Demand(u.step()), u.step()
 	remaining := make([]work.Shape, len(workers))
