leader: tell a shrunk worker from overcommitment, and log changes of capacity (LIMIT)

What was seen: LeaderOvercommitted, which asks operators to report a fault of this system, was logged for every worker whose capacity shrank below what it ran, and the logs did not show that, or when, a capacity had changed.

All runs at a worker fitted the capacity that was known when the last task was placed there, and ends only take from their demand. The leader keeps that capacity: what exceeds it is a fault as before, what exceeds only the present one is LeaderShrunk. Before the first placement of a term it is the largest capacity that the agent has known, which reports carry while it is not the present one. LeaderCapacity has the capacity before and after a change, and the runs.

Failed before:

--- FAIL: TestShrunkWorkerIsNotOvercommitted/shrinks expected: LeaderCapacity, LeaderShrunk; actual: LeaderOvercommitted --- FAIL: TestShrunkWorkerIsNotOvercommitted/had_shrunk_before_the_election expected: LeaderShrunk; actual: LeaderOvercommitted --- FAIL: TestChangeOfCapacityIsLogged

The cases "more than before it shrank", "more than was placed since it shrank" and "never shrank" hold the error for real excess, and TestOvercommittedWorkerIsLogged is unchanged.

Limit: if the agent and the leader are both new, nobody knows an earlier capacity, and a worker that shrank before is logged as overcommitted.

go test -race ./leader ./runner ./control ./event: ok.

--- a/control/message.go
+++ b/control/message.go
@@ -49,17 +49,20 @@
 
 // Worker describes the present incarnation of an agent's worker.
 type Worker struct {
-	Incarnation  string
-	ID           string // from the worker's announcement
-	Service      string
-	Domain       string
-	Rack         string
-	Labels       []string
-	Capacity     work.Shape
-	Draining     bool
-	Remaining    time.Duration // least time until a draining worker shuts down
-	Unresponsive bool          `json:"Silent"` // the worker does not answer the agent's calls
-	LeasesLapsed bool          `json:"Lapsed"` // the worker has been unresponsive until the leases of all its runs lapsed
+	Incarnation string
+	ID          string // from the worker's announcement
+	Service     string
+	Domain      string
+	Rack        string
+	Labels      []string
+	Capacity    work.Shape
+	// LargestCapacity is the largest capacity, by resource, that the agent has known in
+	// this incarnation, if that is not Capacity.
+	LargestCapacity work.Shape `json:",omitzero"`
+	Draining        bool
+	Remaining       time.Duration // least time until a draining worker shuts down
+	Unresponsive    bool          `json:"Silent"` // the worker does not answer the agent's calls
+	LeasesLapsed    bool          `json:"Lapsed"` // the worker has been unresponsive until the leases of all its runs lapsed
 }
 
 // Refusal is the refusal of an order by the worker.
--- a/event/leader.go
+++ b/event/leader.go
@@ -37,6 +37,8 @@
 	LeaderWorkerLost     Event = 1171
 	LeaderWorkerAvoided  Event = 1172
 	LeaderOvercommitted  Event = 1173
+	LeaderCapacity       Event = 1176
+	LeaderShrunk         Event = 1177
 	LeaderMachineOrdered Event = 1180
 	LeaderMachineFailed  Event = 1181
 	LeaderAdvice         Event = 1182
@@ -76,7 +78,9 @@
 	LeaderWorkerSeen:     {"LeaderWorkerSeen", zerolog.InfoLevel, "A worker has become available."},
 	LeaderWorkerLost:     {"LeaderWorkerLost", zerolog.WarnLevel, "A worker has left, or the leases of its runs have expired; its runs count as ended."},
 	LeaderWorkerAvoided:  {"LeaderWorkerAvoided", zerolog.WarnLevel, "A worker temporarily gets no tasks, because its runs failed or are stalled."},
-	LeaderOvercommitted:  {"LeaderOvercommitted", zerolog.ErrorLevel, "The runs that a worker reports exceed its capacity; the line has what the leader knows about them."},
+	LeaderOvercommitted:  {"LeaderOvercommitted", zerolog.ErrorLevel, "The runs that a worker reports exceed its capacity, and did so when the last task was placed there: a fault of this system. The line has what the leader knows about them."},
+	LeaderCapacity:       {"LeaderCapacity", zerolog.InfoLevel, "The capacity that a worker announces has changed; the line has the earlier one and the runs there."},
+	LeaderShrunk:         {"LeaderShrunk", zerolog.InfoLevel, "The capacity of a worker has shrunk below what its runs take: no fault. The runs go on, and the worker gets no tasks until they fit."},
 	LeaderMachineOrdered: {"LeaderMachineOrdered", zerolog.InfoLevel, "A machine was requested to move or to shut down for maintenance."},
 	LeaderMachineFailed:  {"LeaderMachineFailed", zerolog.WarnLevel, "A call to the machine manager failed, or a maintenance wave could not be recorded."},
 	LeaderAdvice:         {"LeaderAdvice", zerolog.InfoLevel, "The advice service was asked which workers may run a step."},
--- a/leader/capacity.go
+++ b/leader/capacity.go
@@ -55,17 +55,55 @@
 	return demand
 }
 
+// excess tells why the reported runs of a worker exceed its capacity.
+type excess int
+
+const (
+	noExcess     excess = iota
+	shrunkExcess        // they fitted when the last task was placed there, and the capacity has shrunk since
+	placedExcess        // they did not; placement rules that out
+)
+
+// excessOf returns why the demand of the reported runs exceeds the capacity. All runs at
+// a worker fitted the capacity that was known when the last task was placed there, or
+// else the largest one that its agent has known, and ends only take from their demand.
+func (w *workerState) excessOf(demand work.Shape) excess {
+	switch {
+	case demand.FitsIn(w.Capacity):
+		return noExcess
+	case demand.FitsIn(w.placedUnder):
+		return shrunkExcess
+	default:
+		return placedExcess
+	}
+}
+
 // checkCapacity logs what is known about a worker whose reported runs exceed its
-// capacity, which placement rules out. It logs once until the excess has ended.
+// capacity. It logs once until the reason changes or the excess has ended.
 func (t *term) checkCapacity(w *workerState, now time.Time) {
 	demand := t.reportedDemand(w)
-	exceeded := !demand.FitsIn(w.Capacity)
-	if exceeded && !w.overcommitted {
-		event.LeaderOvercommitted.Log(t.cfg.Log).Str("Worker", w.Incarnation).Interface("Capacity", w.Capacity).Interface("Demand", demand).
+	reason := w.excessOf(demand)
+	e := event.LeaderOvercommitted
+	if reason == shrunkExcess {
+		e = event.LeaderShrunk
+	}
+	if reason != noExcess && reason != w.excess {
+		e.Log(t.cfg.Log).Str("Worker", w.Incarnation).Interface("Capacity", w.Capacity).Interface("PlacedUnder", w.placedUnder).Interface("Demand", demand).
 			Strs("Running", t.describeRuns(w, now)).Dur("SinceElection", now.Sub(t.elected)).Uint64("Epoch", t.rec.Epoch).
 			Bool("Draining", w.Draining).Bool("Unresponsive", w.Unresponsive).Uint64("AppliedSeq", w.appliedSeq).Uint64("CommittedSeq", w.committedSeq).Send()
 	}
-	w.overcommitted = exceeded
+	w.excess = reason
+}
+
+// updateCapacity applies a change of the capacity of a worker that has reported before
+// with the given one. The report has been taken over.
+func (t *term) updateCapacity(w *workerState, before work.Shape, now time.Time) {
+	if w.Capacity == before {
+		return
+	}
+	w.noCapacityUntil = time.Time{} // the refusal was about the earlier capacity
+	event.LeaderCapacity.Log(t.cfg.Log).Str("Worker", w.Incarnation).Str("Agent", w.agent).Interface("Before", before).Interface("Capacity", w.Capacity).
+		Interface("Demand", t.reportedDemand(w)).Strs("Running", t.describeRuns(w, now)).Send()
 }
 
 // describeRuns describes the reported runs of a worker, with the times since they were
--- a/leader/place.go
+++ b/leader/place.go
@@ -74,7 +74,8 @@
 	}
 	s.progress.Place(task, p.Worker, p.Ticket, k.Run)
 	s.dirty = true
-	t.workers[p.Worker].placedAt[k] = now
+	w := t.workers[p.Worker]
+	w.placedAt[k], w.placedUnder = now, w.Capacity
 	event.LeaderPlaced.Log(t.cfg.Log).Str("Job", p.Task.Job).Stringer("Run", k).Str("Worker", p.Worker).Int("Priority", s.job.Priority).
 		Dur("Waited", time.Since(s.job.Accepted)).Uint64("Epoch", t.rec.Epoch).Send()
 }
--- a/leader/report.go
+++ b/leader/report.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -75,10 +76,13 @@
 	if r.Worker.Unresponsive && !w.Unresponsive {
 		t.avoid(w, "does not respond to its agent", now)
 	}
-	if r.Worker.Capacity != w.Capacity {
-		w.noCapacityUntil = time.Time{} // the refusal was about the earlier capacity
-	}
+	before, known := w.Capacity, w.attached
 	w.Worker, w.agent, w.attached, w.reportedAt, w.running = *r.Worker, r.Agent, true, now, r.Running
+	if known {
+		t.updateCapacity(w, before, now)
+	} else {
+		w.placedUnder = cmp.Or(w.LargestCapacity, w.Capacity)
+	}
 	s.incarnation = id
 	t.streams[id] = s.wake
 	return w
--- a/leader/term.go
+++ b/leader/term.go
@@ -46,7 +46,8 @@
 	trackers        map[work.RunKey]*tracker
 	health          health
 	throttle        throttle
-	overcommitted   bool // the reported runs exceed the capacity, and that is logged
+	placedUnder     work.Shape // capacity by which the last task was placed here; before that, the largest one known
+	excess          excess     // of the reported runs over the capacity; it is logged
 }
 
 // term is the state of the leader from its election until another may lead.
--- a/runner/capacity.go
+++ b/runner/capacity.go
@@ -79,3 +79,21 @@
 		}
 	}
 }
+
+// recordCapacity records the announced capacity in the largest one of the incarnation.
+func (w *workerState) recordCapacity() {
+	if w.largestCapacityOf != w.incarnation() {
+		w.largestCapacityOf, w.largestCapacity = w.incarnation(), work.Shape{}
+	}
+	c, l := w.announcement.Capacity, w.largestCapacity
+	w.largestCapacity = work.Shape{MilliCPU: max(c.MilliCPU, l.MilliCPU), MemoryMB: max(c.MemoryMB, l.MemoryMB), Accelerators: max(c.Accelerators, l.Accelerators)}
+}
+
+// formerCapacity returns the largest capacity of the incarnation if it is not the
+// announced one. It tells the leader that runs which no longer fit were within it.
+func (w *workerState) formerCapacity() work.Shape {
+	if w.largestCapacityOf != w.incarnation() || w.largestCapacity == w.announcement.Capacity {
+		return work.Shape{}
+	}
+	return w.largestCapacity
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -107,7 +107,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	previous := r.worker.announcement
-	if r.worker.applyAnnouncement(a, uptime.Now()) {
+	begun := r.worker.applyAnnouncement(a, uptime.Now())
+	r.worker.recordCapacity()
+	if begun {
 		event.RunnerWorker.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Service", a.Service).Str("Rack", a.Rack).Send()
 		notify(r.renewNow)
 		return
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -55,6 +55,8 @@
 	throttles            map[work.RunKey]int        // speeds in percent that the worker has accepted
 	demands              map[work.RunKey]work.Shape // capacity that runs take, as far as it is known
 	startsInFlight       map[work.RunKey]bool       // starts that are being called
+	largestCapacity      work.Shape                 // announced by the incarnation largestCapacityOf, by resource
+	largestCapacityOf    string
 }
 
 func newWorkerState(agent string, fence int64) *workerState {
@@ -193,7 +195,7 @@
 	a := w.announcement
 	r.Worker = &control.Worker{
 		Incarnation: w.incarnation(), ID: a.ID, Service: a.Service, Domain: a.Domain, Rack: a.Rack, Labels: a.Labels,
-		Capacity: a.Capacity, Draining: a.State == work.WorkerDraining, Remaining: max(0, a.Remaining-now.Sub(w.announcedAt)),
+		Capacity: a.Capacity, LargestCapacity: w.formerCapacity(), Draining: a.State == work.WorkerDraining, Remaining: max(0, a.Remaining-now.Sub(w.announcedAt)),
 		Unresponsive: w.unresponsive(now),
 	}
 	r.Worker.LeasesLapsed = r.Worker.Unresponsive && now.After(w.leasedUntil.Add(control.LapseMargin))
