--- a/loss/day.go
+++ b/loss/day.go
@@ -78,11 +78,11 @@
 			j.Ended, j.State = l.Time, work.State(l.Value("State"))
 		}
 	case "LeaderWorkerSeen":
-		w := knownWorker{incarnation: l.Value("Worker")}
-		if err := json.Unmarshal([]byte(cmp.Or(l.Value("Capacity"), "{}")), &w.capacity); err != nil {
-			return err
+		return d.workerCapacity(l)
+	case "LeaderCapacity":
+		if d.workers[l.Value("Agent")].incarnation == l.Value("Worker") {
+			return d.workerCapacity(l)
 		}
-		d.setWorker(l, w)
 	case "LeaderWorkerLost":
 		if d.workers[l.Value("Agent")].incarnation == l.Value("Worker") {
 			d.setWorker(l, knownWorker{})
@@ -174,6 +174,16 @@
 	return members
 }
 
+// workerCapacity takes the capacity of a worker, which may change while it runs.
+func (d *Day) workerCapacity(l history.Line) error {
+	w := knownWorker{incarnation: l.Value("Worker")}
+	if err := json.Unmarshal([]byte(cmp.Or(l.Value("Capacity"), "{}")), &w.capacity); err != nil {
+		return err
+	}
+	d.setWorker(l, w)
+	return nil
+}
+
 func (d *Day) setWorker(l history.Line, w knownWorker) {
 	d.workers[l.Value("Agent")] = w
 	var total work.Shape
--- a/loss/day_test.go
+++ b/loss/day_test.go
@@ -1,6 +1,7 @@
 package loss
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -79,6 +80,7 @@
 		"priority":      `{"Name":"LeaderJob","Job":"j","Steps":"1x1a1c1M","Estimate":1,"Objective":1}`,
 		"duration":      `{"Name":"LeaderJob","Job":"j","Priority":1,"Steps":"1x1a1c1M","Estimate":"long","Objective":1}`,
 		"capacity":      `{"Name":"LeaderWorkerSeen","Worker":"a/i/1","Agent":"a","Capacity":8}`,
+		"new capacity":  `{"Name":"LeaderCapacity","Worker":"a/i/1","Agent":"a","Capacity":8}`,
 		"run":           `{"Name":"LeaderPlaced","Job":"batch","Run":"0.0/1","Worker":"a/i/1"}`,
 		"unknown step":  `{"Name":"LeaderPlaced","Job":"batch","Run":"0.7.0/1","Worker":"a/i/1"}`,
 		"number of run": `{"Name":"LeaderPlaced","Job":"batch","Run":"0.0.0/x","Worker":"a/i/1"}`,
@@ -91,3 +93,30 @@
 		})
 	}
 }
+
+// Guards against a bound that counts capacity which a worker did not have any more when
+// the jobs ran, or that misses capacity which has grown.
+func TestBoundFollowsCapacity(t *testing.T) {
+	change := func(worker, at string, accelerators int) string {
+		return fmt.Sprintf(`{"Name":"LeaderCapacity","Worker":%q,"Agent":"a","Before":{},"Capacity":{"MilliCPU":32000,"MemoryMB":1000,"Accelerators":%d},"time":"2026-01-01T00:00:%sZ"}`+"\n", worker, accelerators, at)
+	}
+	for name, c := range map[string]struct {
+		lines string
+		want  float64
+	}{
+		"unchanged": {"", 1},
+		// At half speed the urgent job takes 4 s, so it is late (1 of 5), and the batch job
+		// has 7 of its 8 s when the logs end.
+		"shrinks":                     {change("a/i/1", "00", 4), 1.0 / 5},
+		"shrinks and grows":           {change("a/i/1", "00", 4) + change("a/i/1", "00.5", 8), 1},
+		"line of an earlier instance": {change("a/i/0", "00", 4), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r history.Reader
+			require.NoError(t, r.Read("log", strings.NewReader(logOf+c.lines)))
+			d, err := NewDay(r.Lines)
+			require.NoError(t, err)
+			require.InDelta(t, c.want, d.Bound(Worths{0: {OnTime: 4, Late: 1}}).Share(), 1e-9)
+		})
+	}
+}
