--- a/leader/capacity.go
+++ b/leader/capacity.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -69,7 +70,7 @@
 // else the largest one that its agent has known, and ends only take from their demand.
 func (w *workerState) excessOf(demand work.Shape) excess {
 	switch {
-	case demand.FitsIn(w.Capacity):
+	case demand.FitsIn(w.Capacity), w.placedUnder == work.Shape{}: // the latter: no capacity is announced yet
 		return noExcess
 	case demand.FitsIn(w.placedUnder):
 		return shrunkExcess
@@ -102,6 +103,7 @@
 		return
 	}
 	w.noCapacityUntil = time.Time{} // the refusal was about the earlier capacity
+	w.placedUnder = cmp.Or(w.placedUnder, w.Capacity)
 	event.LeaderCapacity.Log(t.cfg.Log).Str("Worker", w.Incarnation).Str("Agent", w.agent).Interface("Before", before).Interface("Capacity", w.Capacity).
 		Interface("Demand", t.reportedDemand(w)).Strs("Running", t.describeRuns(w, now)).Send()
 }
--- a/leader/capacity_test.go
+++ b/leader/capacity_test.go
@@ -93,6 +93,14 @@
 			w.running = []work.RunKey{run(0), run(1)}
 			m.report(w)
 		}, []string{"LeaderOvercommitted"}},
+		"not announced at first": {0, 0, func(m *fleetModel, w *reportingWorker) {
+			w.running = []work.RunKey{run(0)}
+			m.report(w)
+			w.capacity = accelerators(8)
+			m.report(w)
+			w.capacity = accelerators(2)
+			m.report(w)
+		}, []string{"LeaderCapacity", "LeaderCapacity", "LeaderShrunk"}},
 		"never shrank": {8, 8, func(m *fleetModel, w *reportingWorker) {
 			w.running = []work.RunKey{run(0), run(1), run(2)}
 			m.report(w)
--- a/runner/capacity_test.go
+++ b/runner/capacity_test.go
@@ -240,3 +240,26 @@
 		}
 	})
 }
+
+// Guards against starts by the capacity of an earlier incarnation, which may have been
+// larger: a lease renewal shows a restart before the worker announces itself again.
+func TestCapacityOfNextIncarnationIsAwaited(t *testing.T) {
+	r := New(Config{Name: "a", Log: zerolog.Nop()})
+	w := r.worker
+	a := work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 7, State: work.WorkerReady, Capacity: accelerators(8)}
+	r.Announce(a)
+	w.renewAt(work.RuntimeReply{Clock: time.Second}, w.fence, at(0))
+	require.True(t, w.reserve(work.Start{Key: key(0), Demand: accelerators(2)}))
+	delete(w.startsInFlight, key(0))
+
+	w.renewAt(work.RuntimeReply{Clock: time.Second, StartedAtMS: 2}, w.fence, at(10))
+	w.renewAt(work.RuntimeReply{Clock: time.Second, StartedAtMS: 2}, w.fence, at(20))
+	require.Zero(t, w.report(at(20)).Worker.Capacity)
+	require.False(t, w.reserve(work.Start{Key: key(0), Demand: accelerators(2)}))
+
+	a.StartedAtMS, a.Sequence, a.Capacity = 2, 1, accelerators(4)
+	r.Announce(a)
+	require.Len(t, r.reportNow, 1, "it is reported at once")
+	require.True(t, w.reserve(work.Start{Key: key(0), Demand: accelerators(2)}))
+	require.Zero(t, w.report(at(20)).Worker.LargestCapacity)
+}
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -38,7 +38,7 @@
 	}
 	if reply.StartedAtMS > w.announcement.StartedAtMS {
 		a := w.announcement
-		a.StartedAtMS, a.Sequence = reply.StartedAtMS, 0
+		a.StartedAtMS, a.Sequence, a.Capacity = reply.StartedAtMS, 0, work.Shape{} // not announced yet
 		w.startIncarnation(a, now)
 		return true
 	}
