leader: ask for advice by the demand of a step (LIMIT)

What was seen: a best-effort step of an advised queue was not asked about workers whose announced processor time is below the step's, although it reserves none and placement would take them. With a capacity that shrinks these are workers that have shrunk, and a step could be left without tickets.

Cause: eligibleWorkers compared the whole shape, placement the demand.

Failed before:

--- FAIL: TestAdviceIsRequestedByDemand/best_effort "[]" should have 1 item(s), but has 0

go test -race ./leader: ok.

--- a/leader/advice.go
+++ b/leader/advice.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/schedule"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -187,7 +188,7 @@
 func (t *term) eligibleWorkers(j *work.Job, s work.Step, now time.Time) []string {
 	var found []*workerState
 	for _, w := range t.workers {
-		if w.attached && w.Service == j.Service && t.isSchedulable(w, now) && s.Shape.FitsIn(w.Capacity) &&
+		if w.attached && w.Service == j.Service && t.isSchedulable(w, now) && schedule.Demand(s).FitsIn(w.Capacity) &&
 			(s.RequiredLabel == "" || slices.Contains(w.Labels, s.RequiredLabel)) && w.ID != "" {
 			found = append(found, w)
 		}
--- a/leader/advice_test.go
+++ b/leader/advice_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -25,3 +26,23 @@
 	require.Empty(t, a.validTickets(at(2800)), "an order takes time to arrive")
 	require.Equal(t, []string{"B", "C"}, a.nextWorkers(workers[:30], 2, at(2800)), "allowed workers stay allowed; only their tickets are requested again")
 }
+
+// Guards against best-effort steps that never get a ticket for a worker which has shrunk:
+// they reserve no processor time there.
+func TestAdviceIsRequestedByDemand(t *testing.T) {
+	m := newFleetModel(1)
+	w := m.workers[0]
+	w.capacity = work.Shape{MilliCPU: 1000, MemoryMB: 1000}
+	m.report(w)
+	j := &work.Job{ID: "j", Service: "s"}
+	for name, c := range map[string]struct {
+		step work.Step
+		want int
+	}{
+		"reserves processor time": {work.Step{Shape: work.Shape{MilliCPU: 2000, MemoryMB: 100}}, 0},
+		"best effort":             {work.Step{Shape: work.Shape{MilliCPU: 2000, MemoryMB: 100}, BestEffort: true}, 1},
+		"too much memory":         {work.Step{Shape: work.Shape{MemoryMB: 2000}, BestEffort: true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) { require.Len(t, m.term.eligibleWorkers(j, c.step, uptime.Now()), c.want) })
+	}
+}
