--- a/event/leader.go
+++ b/event/leader.go
@@ -33,6 +33,8 @@
 	LeaderJobEnded       Event = 1164
 	LeaderStray          Event = 1165
 	LeaderJob            Event = 1166
+	LeaderRunsOverlap    Event = 1167
+	LeaderLateEnd        Event = 1168
 	LeaderWorkerSeen     Event = 1170
 	LeaderWorkerLost     Event = 1171
 	LeaderWorkerAvoided  Event = 1172
@@ -60,7 +62,7 @@
 	QueueDomainIn:        {"QueueDomainIn", zerolog.InfoLevel, "A failure domain was returned to service."},
 	QueueStoreLost:       {"QueueStoreLost", zerolog.WarnLevel, "The local copy of the store's records, or the record of this entry, cannot be updated."},
 	QueueStoreBack:       {"QueueStoreBack", zerolog.InfoLevel, "The local copy of the store's records is up to date again."},
-	QueueRecordBad:       {"QueueRecordBad", zerolog.ErrorLevel, "A record in the store cannot be decoded and is ignored."},
+	QueueRecordBad:       {"QueueRecordBad", zerolog.ErrorLevel, "A record in the store cannot be decoded and is ignored. No task of a job whose progress cannot be decoded is started."},
 	QueueReload:          {"QueueReload", zerolog.InfoLevel, "The settings file was read again after SIGHUP."},
 	NodeNoFigures:        {"NodeNoFigures", zerolog.WarnLevel, "The metrics of a process cannot be served."},
 	NodePanic:            {"NodePanic", zerolog.ErrorLevel, "The handler of a call from another process panicked; the call ended, and the process continues."},
@@ -71,10 +73,12 @@
 	LeaderPlaced:         {"LeaderPlaced", zerolog.InfoLevel, "The start of a run is recorded, and the worker was asked to start it."},
 	LeaderStopped:        {"LeaderStopped", zerolog.InfoLevel, "A run is being stopped."},
 	LeaderRunEnded:       {"LeaderRunEnded", zerolog.InfoLevel, "The leader has processed the end of a run."},
-	LeaderRefused:        {"LeaderRefused", zerolog.InfoLevel, "A worker refused to start a run."},
+	LeaderRefused:        {"LeaderRefused", zerolog.InfoLevel, "A worker refused to start a run. If it lists the run (Listed), an earlier call has started it, and the refusal has no effect."},
 	LeaderJobEnded:       {"LeaderJobEnded", zerolog.InfoLevel, "A job has reached a final state."},
-	LeaderStray:          {"LeaderStray", zerolog.WarnLevel, "A worker reports a run that is not recorded for it; the run is stopped."},
+	LeaderStray:          {"LeaderStray", zerolog.WarnLevel, "A worker reports a run that is not recorded for it; the run is stopped. The line has the present run of the task and why an earlier one counts as ended."},
 	LeaderJob:            {"LeaderJob", zerolog.InfoLevel, "The leader has taken over a job; the line has the shape of the job and the time in which it should finish."},
+	LeaderRunsOverlap:    {"LeaderRunsOverlap", zerolog.ErrorLevel, "Two runs of a task are or were in progress at the same time: a worker reports one that is not the present run of the task."},
+	LeaderLateEnd:        {"LeaderLateEnd", zerolog.WarnLevel, "A run that is not the present one of its task has ended as done; Applied says whether the task counts as done."},
 	LeaderWorkerSeen:     {"LeaderWorkerSeen", zerolog.InfoLevel, "A worker has become available."},
 	LeaderWorkerLost:     {"LeaderWorkerLost", zerolog.WarnLevel, "A worker has left, or the leases of its runs have expired; its runs count as ended."},
 	LeaderWorkerAvoided:  {"LeaderWorkerAvoided", zerolog.WarnLevel, "A worker temporarily gets no tasks, because its runs failed or are stalled."},
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -92,13 +92,17 @@
 	}
 }
 
-// orders returns the orders for the worker of a stream.
+// orders returns the orders for the worker of a stream, and false if there are none
+// because the term is over. The next leader does not know of the reports that arrive from
+// then on, so they must not extend leases.
 func (s *stream) orders() (control.Orders, bool) {
 	t := s.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := uptime.Now()
-	o := control.Orders{Epoch: t.rec.Epoch, Echo: s.stamp, ExtendsLease: now.Before(t.leaseExpiry), Incarnation: s.incarnation}
+	if t.over || !uptime.Now().Before(t.leaseExpiry) {
+		return control.Orders{}, false
+	}
+	o := control.Orders{Epoch: t.rec.Epoch, Echo: s.stamp, ExtendsLease: true, Incarnation: s.incarnation}
 	w, ok := t.workers[s.incarnation]
 	if !ok || !w.attached {
 		return o, true
@@ -122,7 +126,8 @@
 }
 
 // addRunOrder adds the start or stop of a run that is placed on the worker. A start is
-// ordered only once the placement is committed, and not if the worker lists the run.
+// ordered only once the placement is committed, and not if the worker lists the run or
+// the task is done.
 func (t *term) addRunOrder(o *control.Orders, w *workerState, k work.RunKey, listed bool) {
 	s, task := t.task(k)
 	if task == nil || task.Worker != w.Incarnation || task.Run != k.Run {
@@ -132,7 +137,7 @@
 		o.Stops = append(o.Stops, k)
 		return
 	}
-	if listed || !t.isCommitted(s, k, w.Incarnation) {
+	if listed || task.Done || !t.isCommitted(s, k, w.Incarnation) {
 		return
 	}
 	o.Starts = append(o.Starts, work.Start{Key: k, Spec: s.job.Spec, Checkpoint: task.Checkpoint, Ticket: task.Ticket, Demand: schedule.Demand(s.job.Steps[k.Task.Step])})
--- a/leader/report.go
+++ b/leader/report.go
@@ -14,13 +14,17 @@
 )
 
 // report applies a report of an agent. A report on an earlier stream than the latest one
-// of the agent may be outdated and is rejected.
+// of the agent may be outdated and is rejected. So is an older report on a later stream,
+// whose opening was delayed.
 func (t *term) report(s *stream, r control.Report) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s.number < t.latestStreams[r.Agent] {
 		return errors.Wrapf(errSuperseded, "report on stream %d of agent %q, latest is %d", s.number, r.Agent, t.latestStreams[r.Agent])
 	}
+	if w := t.reporter(r); w != nil && r.Stamp.Before(w.stamp) {
+		return errors.Wrapf(errSuperseded, "report of agent %q is %v older than the latest one", r.Agent, w.stamp.Sub(r.Stamp))
+	}
 	t.latestStreams[r.Agent] = s.number
 	now := uptime.Now()
 	s.stamp = r.Stamp
@@ -42,11 +46,20 @@
 	t.applyRefusals(w, r, now)
 	t.applyRuns(w, r, now)
 	if r.Worker.LeasesLapsed {
-		t.endAllRuns(w.Incarnation, now)
+		t.endAllRuns(w.Incarnation, "all leases have lapsed", now)
 	}
 	return nil
 }
 
+// reporter returns the state of the worker that a report is about, or nil if it has not
+// reported in this term.
+func (t *term) reporter(r control.Report) *workerState {
+	if r.Worker == nil {
+		return nil
+	}
+	return t.workers[r.Worker.Incarnation]
+}
+
 // needsDecision reports whether a report calls for a scheduling pass at once. Most
 // reports only say that runs go on, and a pass looks at the whole fleet: at 1,100
 // workers there would be 2,750 passes a second. The next periodic pass takes those
@@ -77,7 +90,7 @@
 		t.avoid(w, "does not respond to its agent", now)
 	}
 	before, known := w.Capacity, w.attached
-	w.Worker, w.agent, w.attached, w.reportedAt, w.running = *r.Worker, r.Agent, true, now, r.Running
+	w.Worker, w.agent, w.attached, w.reportedAt, w.stamp, w.running = *r.Worker, r.Agent, true, now, r.Stamp, r.Running
 	if known {
 		t.updateCapacity(w, before, now)
 	} else {
@@ -157,13 +170,16 @@
 		delete(w.stopRequestedAt, k)
 	}
 	if task == nil {
+		t.logLateEnd(worker, k, outcome, false, now)
 		return
 	}
 	stopped := task.Stopping
 	if !s.progress.End(s.job, k, worker, outcome, checkpoint, time.Now()) {
+		t.endLate(s, worker, k, outcome, now)
 		return
 	}
 	s.dirty = true
+	s.recordEnd(k, worker, outcome, now)
 	if w := t.workers[worker]; w != nil && !stopped {
 		t.recordOutcome(w, k, outcome, now)
 	}
@@ -191,14 +207,19 @@
 // refusalBackoff is how long a worker that refused a start gets no others.
 const refusalBackoff = 500 * time.Millisecond
 
-// applyRefusals applies the starts that the worker has refused.
+// applyRefusals applies the starts that the worker has refused. The refusal of a run that
+// it lists is that of a repeated call: an earlier one has started the run.
 func (t *term) applyRefusals(w *workerState, r control.Report, now time.Time) {
 	for _, f := range r.Refused {
 		_, task := t.task(f.Key)
 		if task == nil || task.Run != f.Key.Run || task.Worker != w.Incarnation {
 			continue
 		}
-		event.LeaderRefused.Log(t.cfg.Log).Str("Job", f.Key.Task.Job).Stringer("Run", f.Key).Str("Worker", w.Incarnation).Str("Why", string(f.Reason)).Send()
+		listed := slices.ContainsFunc(r.Running, func(s work.RunStatus) bool { return s.Key == f.Key })
+		event.LeaderRefused.Log(t.cfg.Log).Str("Job", f.Key.Task.Job).Stringer("Run", f.Key).Str("Worker", w.Incarnation).Str("Why", string(f.Reason)).Bool("Listed", listed).Send()
+		if listed {
+			continue
+		}
 		switch {
 		case task.Stopping:
 		case f.Reason == work.RefusedNoCapacity:
@@ -210,18 +231,18 @@
 			t.avoid(w, "refused a start as unresponsive or unhealthy", now)
 		}
 		t.endRun(w.Incarnation, f.Key, work.OutcomeRefused, "", now)
+		t.recordCause(f.Key, string(f.Reason))
 	}
 }
 
 // applyRuns applies the list of runs on the worker. Runs that are not placed there are
 // orphans, which get stopped.
 func (t *term) applyRuns(w *workerState, r control.Report, now time.Time) {
-	clear(w.orphans)
+	var strays []work.RunStatus
 	for _, run := range r.Running {
 		s, task := t.task(run.Key)
 		if task == nil || task.Run != run.Key.Run || task.Worker != w.Incarnation {
-			w.orphans[run.Key] = true
-			event.LeaderStray.Log(t.cfg.Log).Str("Job", run.Key.Task.Job).Stringer("Run", run.Key).Str("Worker", w.Incarnation).Send()
+			strays = append(strays, run)
 			continue
 		}
 		var members []work.Task
@@ -233,6 +254,7 @@
 		task.Percent = run.Percent
 		t.trackRun(w, run, now)
 	}
+	t.applyStrays(w, strays, now)
 	t.checkCapacity(w, now)
 	t.drainWorker(w, now)
 	t.updateThrottle(w, now)
@@ -262,12 +284,12 @@
 	if w, ok := t.workers[id]; ok {
 		event.LeaderWorkerLost.Log(t.cfg.Log).Str("Worker", id).Str("Agent", w.agent).Str("Why", reason).Send()
 	}
-	t.endAllRuns(id, now)
+	t.endAllRuns(id, reason, now)
 	delete(t.workers, id)
 }
 
 // endAllRuns applies the loss of all runs of an incarnation.
-func (t *term) endAllRuns(id string, now time.Time) {
+func (t *term) endAllRuns(id, cause string, now time.Time) {
 	var lost []work.RunKey
 	for _, s := range t.jobs {
 		forEachTask(s, func(k work.TaskKey, task *work.Task) {
@@ -278,5 +300,6 @@
 	}
 	for _, k := range lost {
 		t.endRun(id, k, work.OutcomeWorkerLost, "", now)
+		t.recordCause(k, cause)
 	}
 }
--- a/runner/orders_test.go
+++ b/runner/orders_test.go
@@ -78,7 +78,7 @@
 			r.worker.applyAnnouncement(work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 1, State: work.WorkerReady}, now)
 			r.worker.renewAt(work.RuntimeReply{Clock: time.Second}, r.worker.fence, now)
 			r.worker.applyLease(control.Orders{Epoch: 1, Echo: now, ExtendsLease: true, Incarnation: r.worker.incarnation()})
-			r.startRun(context.Background(), work.Start{Key: key(0)}, now.Add(-c.age))
+			r.startRun(context.Background(), r.worker.incarnation(), work.Start{Key: key(0)}, now.Add(-c.age))
 			require.Equal(t, c.want, worker.count())
 		})
 	}
@@ -148,3 +148,126 @@
 		})
 	}
 }
+
+// scriptedWorker is a worker that replies to each start by the next function, and to
+// nothing else.
+type scriptedWorker struct {
+	work.Runtime
+	starts []func() (work.RuntimeReply, error)
+	calls  []string // with the identifiers that they were meant for
+}
+
+func (w *scriptedWorker) Start(_ context.Context, _ time.Duration, id string, _ int64, _ work.Start, _ time.Duration) (work.RuntimeReply, error) {
+	w.calls = append(w.calls, "start "+id)
+	if len(w.starts) == 0 {
+		return unanswered()
+	}
+	next := w.starts[0]
+	w.starts = w.starts[1:]
+	return next()
+}
+
+func (w *scriptedWorker) Stop(_ context.Context, _ time.Duration, id string, _ int64, _ work.RunKey) (work.RuntimeReply, error) {
+	w.calls = append(w.calls, "stop "+id)
+	return unanswered()
+}
+
+func (w *scriptedWorker) Throttle(_ context.Context, _ time.Duration, id string, _ int64, _ work.RunKey, _ int) (work.RuntimeReply, error) {
+	w.calls = append(w.calls, "pace "+id)
+	return unanswered()
+}
+
+func unanswered() (work.RuntimeReply, error) {
+	return work.RuntimeReply{}, errors.New("connection reset")
+}
+
+// newScriptedRunner returns an agent whose worker has confirmed its incarnation and may
+// be granted leases.
+func newScriptedRunner(starts ...func() (work.RuntimeReply, error)) (*Runner, *scriptedWorker) {
+	worker := &scriptedWorker{starts: starts}
+	r := New(Config{Name: "a", Runtime: worker, Log: zerolog.Nop()})
+	now := uptime.Now()
+	r.worker.applyAnnouncement(work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 1, State: work.WorkerReady}, now)
+	r.worker.renewAt(work.RuntimeReply{Clock: time.Second}, r.worker.fence, now)
+	r.worker.applyLease(control.Orders{Epoch: 1, Echo: now, ExtendsLease: true, Incarnation: r.worker.incarnation()})
+	return r, worker
+}
+
+// Guards against a refusal of a run that the worker has: a start without a reply is
+// carried out, the next lease renewal lists the run, and the second attempt is refused.
+// The leader would place the run on another worker while it is running here.
+func TestListedRunIsNotRefused(t *testing.T) {
+	listed := func(r *Runner) {
+		running := []work.RunStatus{{Key: key(0)}}
+		r.handleRenewal(t.Context(), r.worker.incarnation(), r.worker.fence, uptime.Now(), work.RuntimeReply{Clock: time.Second, Running: running}, nil)
+	}
+	attempt := func(r *Runner) {
+		r.attemptStart(t.Context(), r.worker.incarnation(), work.Start{Key: key(0)}, uptime.Now())
+	}
+
+	t.Run("the worker drains before the second attempt", func(t *testing.T) {
+		r, worker := newScriptedRunner(unanswered)
+		attempt(r)
+		listed(r)
+		r.Announce(work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 2, State: work.WorkerDraining})
+		attempt(r)
+		require.Len(t, worker.calls, 1)
+		require.Empty(t, r.worker.report(uptime.Now()).Refused)
+		require.True(t, r.worker.hasRun(key(0)))
+	})
+	t.Run("the second attempt is in flight", func(t *testing.T) {
+		var r *Runner
+		r, _ = newScriptedRunner(unanswered, func() (work.RuntimeReply, error) {
+			listed(r)
+			return work.RuntimeReply{Refusal: work.RefusedUnhealthy}, nil
+		})
+		attempt(r)
+		attempt(r)
+		require.Empty(t, r.worker.report(uptime.Now()).Refused)
+		require.True(t, r.worker.hasRun(key(0)))
+	})
+	t.Run("the list of runs is not known yet", func(t *testing.T) {
+		var r *Runner
+		r, _ = newScriptedRunner(unanswered, func() (work.RuntimeReply, error) {
+			r.worker.applyReply(work.RuntimeReply{Clock: time.Second}, r.worker.fence, uptime.Now()) // of another order
+			return work.RuntimeReply{Refusal: work.RefusedUnhealthy}, nil
+		})
+		attempt(r)
+		attempt(r)
+		require.Empty(t, r.worker.report(uptime.Now()).Refused)
+	})
+}
+
+// Guards against an order that outlives the incarnation that it was meant for: the
+// leader has been told that the incarnation has ended and has placed the run on another
+// worker, so the order must not reach the next incarnation. Nor may it reach one that
+// has left.
+func TestOrderDoesNotReachAnotherIncarnation(t *testing.T) {
+	next := func(r *Runner) {
+		r.Announce(work.Announcement{ID: "i2", StartedAtMS: 2, Sequence: 1, State: work.WorkerReady})
+		now := uptime.Now()
+		r.worker.renewAt(work.RuntimeReply{Clock: time.Second}, r.worker.fence, now)
+		r.worker.applyLease(control.Orders{Epoch: 1, Echo: now, ExtendsLease: true, Incarnation: r.worker.incarnation()})
+	}
+	left := func(r *Runner) { r.worker.deregister("i") }
+	unconfirmed := func(r *Runner) {
+		r.Announce(work.Announcement{ID: "i", StartedAtMS: 2, Sequence: 1, State: work.WorkerReady})
+	}
+	for name, change := range map[string]func(*Runner){"next incarnation": next, "worker that has left": left, "unconfirmed incarnation": unconfirmed} {
+		t.Run(name, func(t *testing.T) {
+			var r *Runner
+			r, worker := newScriptedRunner(func() (work.RuntimeReply, error) {
+				change(r)
+				return unanswered()
+			})
+			incarnation := r.worker.incarnation()
+			r.startRun(t.Context(), incarnation, work.Start{Key: key(0)}, uptime.Now())
+			r.startRun(t.Context(), incarnation, work.Start{Key: key(1)}, uptime.Now())
+			r.stopRun(t.Context(), incarnation, key(0))
+			r.throttleRun(t.Context(), incarnation, control.Throttle{Key: key(0), Percent: 50})
+			require.Equal(t, []string{"start i"}, worker.calls)
+			require.Empty(t, r.worker.refused)
+			require.Empty(t, r.worker.unansweredStarts)
+		})
+	}
+}
