--- a/leader/report.go
+++ b/leader/report.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -67,7 +68,7 @@
 	}
 	w, ok := t.workers[r.Worker.Incarnation]
 	return !ok || !w.attached || r.Worker.LeasesLapsed || r.Worker.Draining != w.Draining || r.Worker.Unresponsive != w.Unresponsive ||
-		len(r.Refused) > 0 || len(r.EndedIncarnations) > 0 || (len(r.Ended) > 0 && r.Ended[len(r.Ended)-1].Seq > w.appliedSeq)
+		r.Worker.Capacity != w.Capacity || len(r.Refused) > 0 || len(r.EndedIncarnations) > 0 || (len(r.Ended) > 0 && r.Ended[len(r.Ended)-1].Seq > w.appliedSeq)
 }
 
 // worker returns the state of the reported incarnation, updated from the report.
@@ -86,7 +87,13 @@
 	if r.Worker.Unresponsive && !w.Unresponsive {
 		t.avoid(w, "does not respond to its agent", now)
 	}
+	before, known := w.Capacity, w.attached
 	w.Worker, w.agent, w.attached, w.reportedAt, w.stamp, w.running = *r.Worker, r.Agent, true, now, r.Stamp, r.Running
+	if known {
+		t.updateCapacity(w, before, now)
+	} else {
+		w.placedUnder = cmp.Or(w.LargestCapacity, w.Capacity)
+	}
 	s.incarnation = id
 	t.streams[id] = s.wake
 	return w
@@ -212,7 +219,11 @@
 			continue
 		}
 		w.recordRefusedMember(s, f.Key)
-		if !task.Stopping {
+		switch {
+		case task.Stopping:
+		case f.Reason == work.RefusedNoCapacity:
+			w.noCapacityUntil = now.Add(refusalBackoff)
+		default:
 			w.closedUntil = now.Add(refusalBackoff)
 		}
 		if f.Reason == work.RefusedUnresponsive || f.Reason == work.RefusedUnhealthy {
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -54,10 +54,14 @@
 	acceptedStarts       map[work.RunKey]time.Time  // when the worker has accepted a start
 	settledRuns          map[work.RunKey]settledRun // runs whose stop the worker has answered, or whose start it refused as outdated
 	throttles            map[work.RunKey]int        // speeds in percent that the worker has accepted
+	demands              map[work.RunKey]work.Shape // capacity that runs take, as far as it is known
+	startsInFlight       map[work.RunKey]bool       // starts that are being called
+	largestCapacity      work.Shape                 // announced by the incarnation largestCapacityOf, by resource
+	largestCapacityOf    string
 }
 
 func newWorkerState(agent string, fence int64) *workerState {
-	return &workerState{agent: agent, fence: fence, unansweredStarts: make(map[work.RunKey]int64), settledRuns: make(map[work.RunKey]settledRun), acceptedStarts: make(map[work.RunKey]time.Time), throttles: make(map[work.RunKey]int)}
+	return &workerState{agent: agent, fence: fence, unansweredStarts: make(map[work.RunKey]int64), settledRuns: make(map[work.RunKey]settledRun), acceptedStarts: make(map[work.RunKey]time.Time), throttles: make(map[work.RunKey]int), demands: make(map[work.RunKey]work.Shape), startsInFlight: make(map[work.RunKey]bool)}
 }
 
 // applyLease takes the lease and the acknowledged sequence number from the leader's
@@ -192,7 +196,7 @@
 	a := w.announcement
 	r.Worker = &control.Worker{
 		Incarnation: w.incarnation(), ID: a.ID, Service: a.Service, Domain: a.Domain, Rack: a.Rack, Labels: a.Labels,
-		Capacity: a.Capacity, Draining: a.State == work.WorkerDraining, Remaining: max(0, a.Remaining-now.Sub(w.announcedAt)),
+		Capacity: a.Capacity, LargestCapacity: w.formerCapacity(), Draining: a.State == work.WorkerDraining, Remaining: max(0, a.Remaining-now.Sub(w.announcedAt)),
 		Unresponsive: w.leaving() || w.unresponsive(now),
 	}
 	r.Worker.LeasesLapsed = w.unresponsive(now) && now.After(w.leasedUntil.Add(control.LapseMargin))
