--- a/leader/place.go
+++ b/leader/place.go
@@ -76,7 +76,8 @@
 	}
 	s.progress.Place(task, p.Worker, p.Ticket, k.Run)
 	s.dirty = true
-	t.workers[p.Worker].placedAt[k] = now
+	w := t.workers[p.Worker]
+	w.placedAt[k], w.placedUnder = now, w.Capacity
 	event.LeaderPlaced.Log(t.cfg.Log).Str("Job", p.Task.Job).Stringer("Run", k).Str("Worker", p.Worker).Int("Priority", s.job.Priority).
 		Dur("Waited", time.Since(s.job.Accepted)).Uint64("Epoch", t.rec.Epoch).Send()
 }
@@ -252,11 +253,7 @@
 				sw.Runs = append(sw.Runs, run)
 			}
 		}
-		for k := range w.orphans {
-			if s, ok := t.jobs[k.Task.Job]; ok && s.progress.Task(s.job, k.Task) != nil {
-				sw.Runs = append(sw.Runs, schedule.Run{Key: k, Demand: schedule.Demand(s.job.Steps[k.Task.Step]), Stopping: true})
-			}
-		}
+		sw.Schedulable = t.addUnplacedRuns(sw, w) && sw.Schedulable
 		fleet = append(fleet, sw)
 	}
 	return fleet
@@ -286,7 +283,7 @@
 // isSchedulable reports whether a worker may get tasks.
 func (t *term) isSchedulable(w *workerState, now time.Time) bool {
 	_, streaming := t.streams[w.Incarnation]
-	return streaming && !w.Draining && !w.Unresponsive && now.After(w.closedUntil) && now.Sub(w.reportedAt) < maxReportAge &&
+	return streaming && !w.Draining && !w.Unresponsive && now.After(w.closedUntil) && now.After(w.noCapacityUntil) && now.Sub(w.reportedAt) < maxReportAge &&
 		!t.cfg.Declarations.DomainOut(w.Domain) && !w.health.isAvoided(now)
 }
 
--- a/leader/term.go
+++ b/leader/term.go
@@ -42,6 +42,7 @@
 	appliedSeq      uint64                         // last run end that is applied to the progress of jobs
 	committedSeq    uint64                         // last run end that is committed
 	closedUntil     time.Time                      // the worker gets no tasks until then
+	noCapacityUntil time.Time                      // the same, because it has refused a start for lack of capacity
 	orphans         map[work.RunKey]bool           // reported runs that are not placed here
 	refusedMembers  map[work.RunKey]bool           // runs of gang members that the worker has refused
 	overlaps        map[work.RunKey]bool           // orphans whose task is placed, which is logged
@@ -51,7 +52,8 @@
 	trackers        map[work.RunKey]*tracker
 	health          health
 	throttle        throttle
-	overcommitted   bool // the reported runs exceed the capacity, and that is logged
+	placedUnder     work.Shape // capacity by which the last task was placed here; before that, the largest one known
+	excess          excess     // of the reported runs over the capacity; it is logged
 }
 
 // term is the state of the leader from its election until another may lead.
--- a/standin/stepcapacity.go
+++ b/standin/stepcapacity.go
@@ -31,15 +31,28 @@
 	return fmt.Sprintf("%s%dc/%dm/%da", SpecNeeds, s.MilliCPU, s.MemoryMB, s.Accelerators)
 }
 
-// needs returns the demand of a run.
+// needs returns the demand of a run: that of its start or, as a start that has come
+// over the network has none, that of its specification.
 func (r *stepRun) needs() work.Shape {
-	var s work.Shape
+	s := r.demand
+	if s != (work.Shape{}) {
+		return s
+	}
 	_, _ = fmt.Sscanf(r.word(SpecNeeds), "%dc/%dm/%da", &s.MilliCPU, &s.MemoryMB, &s.Accelerators) // without the word it needs nothing
 	return s
 }
 
-// SetCapacity sets the capacity of the worker.
+// SetCapacity sets the capacity that starts must not exceed from now on; zero sets no
+// limit. The worker accepts those that do and notes them as breaches.
 func (w *StepWorker) SetCapacity(s work.Shape) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.capacity = stepCapacity{limited: s != (work.Shape{}), now: s, version: w.capacity.version + 1}
+}
+
+// Resize changes the capacity of the worker. A smaller one counts ShrinkNotice after a
+// report has shown it.
+func (w *StepWorker) Resize(s work.Shape) {
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
 	c := &w.capacity
--- a/standin/stepcapacity_test.go
+++ b/standin/stepcapacity_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -18,9 +19,9 @@
 	spec := "for=30s " + Needs(work.Shape{MilliCPU: 1000, Accelerators: 2})
 	// shrink lets a run of 2 accelerators start on a worker of 4 and shrinks it to 2.
 	shrink := func(f *fleet) StepReport {
-		f.workers[0].SetCapacity(capacity(4))
+		f.workers[0].Resize(capacity(4))
 		f.mustStart(0, taskRun(0, 1), spec)
-		f.workers[0].SetCapacity(capacity(2))
+		f.workers[0].Resize(capacity(2))
 		r, up := f.workers[0].Report()
 		require.True(f.T, up)
 		require.Equal(f.T, capacity(2), r.Capacity)
@@ -31,12 +32,32 @@
 		play   func(f *fleet)
 	}{
 		"a run too many": {true, func(f *fleet) {
-			f.workers[0].SetCapacity(capacity(3))
+			f.workers[0].Resize(capacity(3))
+			f.mustStart(0, taskRun(0, 1), spec)
+			f.mustStart(0, taskRun(1, 1), spec)
+		}},
+		"a smaller capacity that is set without notice": {true, func(f *fleet) {
+			shrink(f)
+			f.workers[0].SetCapacity(capacity(2))
+			f.mustStart(0, taskRun(1, 1), spec)
+		}},
+		"a demand that only the start has": {true, func(f *fleet) {
+			w := f.workers[0]
+			w.SetCapacity(capacity(3))
+			for n := range 2 {
+				reply, err := w.Start(context.Background(), time.Second, "", int64(n), work.Start{Key: taskRun(n, 1), Demand: work.Shape{Accelerators: 2}}, 10*time.Second)
+				require.NoError(f.T, err)
+				require.Equal(f.T, work.Accepted, reply.Refusal)
+			}
+		}},
+		"no capacity": {false, func(f *fleet) {
+			f.workers[0].SetCapacity(capacity(2))
+			f.workers[0].SetCapacity(work.Shape{})
 			f.mustStart(0, taskRun(0, 1), spec)
 			f.mustStart(0, taskRun(1, 1), spec)
 		}},
 		"a run beside one that is being stopped": {true, func(f *fleet) {
-			f.workers[0].SetCapacity(capacity(3))
+			f.workers[0].Resize(capacity(3))
 			f.mustStart(0, taskRun(0, 1), spec)
 			f.stop(0, taskRun(0, 1))
 			f.mustStart(0, taskRun(1, 1), spec)
@@ -64,16 +85,16 @@
 		}},
 		"a start that needs nothing of what is exceeded": {false, func(f *fleet) {
 			f.workers[0].Reported(shrink(f))
-			f.workers[0].SetCapacity(capacity(1))
+			f.workers[0].Resize(capacity(1))
 			r, _ := f.workers[0].Report()
 			f.workers[0].Reported(r)
 			time.Sleep(ShrinkNotice)
 			f.mustStart(0, taskRun(1, 1), Needs(work.Shape{MilliCPU: 7000}))
 		}},
 		"a larger capacity": {false, func(f *fleet) {
-			f.workers[0].SetCapacity(capacity(2))
+			f.workers[0].Resize(capacity(2))
 			f.mustStart(0, taskRun(0, 1), spec)
-			f.workers[0].SetCapacity(capacity(4))
+			f.workers[0].Resize(capacity(4))
 			f.mustStart(0, taskRun(1, 1), spec)
 		}},
 		"a late start that came before the end of the notice": {false, func(f *fleet) {
@@ -86,7 +107,7 @@
 			require.Equal(f.T, 2, f.workers[0].Runs())
 		}},
 		"a run after the other one was stopped": {false, func(f *fleet) {
-			f.workers[0].SetCapacity(capacity(3))
+			f.workers[0].Resize(capacity(3))
 			f.mustStart(0, taskRun(0, 1), spec)
 			f.stop(0, taskRun(0, 1))
 			time.Sleep(f.StopGrace)
--- a/standin/steprun.go
+++ b/standin/steprun.go
@@ -17,6 +17,7 @@
 
 type stepRun struct {
 	spec    string
+	demand  work.Shape
 	began   time.Time // zero while it waits for its gang
 	come    time.Time
 	stopped time.Time // zero unless it is being stopped
