--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -125,6 +125,7 @@
 type selection struct {
 	earliest bool            // only those of faults, and no deadly jobs
 	without  map[string]bool // kinds that are drawn and not injected
+	only     map[string]bool // kinds to draw from; empty for all
 }
 
 // deadlyJobs is the name of the jobs whose tasks crash the workers.
@@ -142,6 +143,10 @@
 
 // series returns the kinds that each fault series draws from.
 func (o selection) series() [][]fault {
+	if len(o.only) > 0 {
+		only := slices.DeleteFunc(o.kinds(), func(f fault) bool { return !o.only[f.name] })
+		return slices.Repeat([][]fault{only}, seriesCount+workerSeriesCount)
+	}
 	series := slices.Repeat([][]fault{o.kinds()}, seriesCount)
 	if !o.earliest {
 		series = append(series, slices.Repeat([][]fault{workerFaults}, workerSeriesCount)...)
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	Again   bool          `long:"regressions" description:"Run the regression seeds instead of --seed and --runs"`
 	Without []string      `long:"without" description:"Kind of fault that is not injected, or \"deadly jobs\"; may be repeated"`
 	Jobs    int           `long:"jobs" default:"1" description:"Number of runs at the same time"`
+	Only    []string      `long:"only" description:"Kind of fault to draw from, instead of all; may be repeated"`
 	Logs    string        `long:"logs" description:"Directory in which the logs of failed runs are kept"`
 }
 
@@ -48,7 +49,7 @@
 	if o.Again {
 		runs = regressions
 	}
-	without, err := o.without()
+	selected, err := o.selection()
 	if err != nil {
 		fmt.Println("soak:", err)
 		os.Exit(2)
@@ -62,7 +63,7 @@
 		for i, r := range runs {
 			slots <- struct{}{}
 			go func() {
-				kinds := selection{r.earliest, maps.Clone(without)}
+				kinds := selection{r.earliest, maps.Clone(selected.without), selected.only}
 				for _, name := range r.without {
 					kinds.without[name] = true
 				}
@@ -84,20 +85,25 @@
 	}
 }
 
-// without returns the kinds that are left out.
-func (o options) without() (map[string]bool, error) {
+// selection returns the kinds that --without and --only select.
+func (o options) selection() (selection, error) {
 	known := map[string]bool{deadlyJobs: true}
 	for _, f := range (selection{}).kinds() {
 		known[f.name] = true
 	}
-	without := make(map[string]bool)
-	for _, name := range o.Without {
-		if !known[name] {
-			return nil, errors.Newf("--without %q: there is no such kind of fault", name)
+	kinds := selection{without: make(map[string]bool), only: make(map[string]bool)}
+	for _, list := range []struct {
+		names []string
+		set   map[string]bool
+	}{{o.Without, kinds.without}, {o.Only, kinds.only}} {
+		for _, name := range list.names {
+			if !known[name] {
+				return kinds, errors.Newf("there is no kind of fault %q", name)
+			}
+			list.set[name] = true
 		}
-		without[name] = true
 	}
-	return without, nil
+	return kinds, nil
 }
 
 // result is the outcome of one run.
--- a/cmd/soak/system.go
+++ b/cmd/soak/system.go
@@ -152,7 +152,7 @@
 		return err
 	}
 	w := &worker{StepWorker: s.steps.Add(fmt.Sprintf("i-%d", i)), node: n, labels: []string{"a", fmt.Sprintf("r%d-1", i%2)}}
-	w.SetCapacity(fullCapacity)
+	w.Resize(fullCapacity)
 	s.workers = append(s.workers, w)
 	server, address, err := serve(platform.WorkerHandler(w))
 	if err != nil {
--- a/cmd/soak/workerfaults.go
+++ b/cmd/soak/workerfaults.go
@@ -148,9 +148,9 @@
 	}},
 	{"capacity changes", func(ctx context.Context, s *system, r *rand.Rand) {
 		w := randomWorker(r, s)
-		w.SetCapacity(work.Shape{MilliCPU: 500 * int64(1+r.IntN(12)), MemoryMB: 8000, Accelerators: int64(r.IntN(8))})
+		w.Resize(work.Shape{MilliCPU: 500 * int64(1+r.IntN(12)), MemoryMB: 8000, Accelerators: int64(r.IntN(8))})
 		uptime.Sleep(ctx, randomDuration(r, 500, 9000))
-		w.SetCapacity(fullCapacity)
+		w.Resize(fullCapacity)
 	}},
 	{"worker leaves", func(ctx context.Context, s *system, r *rand.Rand) {
 		randomWorker(r, s).leave(ctx, randomDuration(r, 0, 1500), randomDuration(r, 300, 2500), r.IntN(2) == 0, r.IntN(2) == 0)
