runner: a worker at whose address nothing listens counts as ended only with proof

TWICE: two runs of a task at the same time.

What callers saw: 400 ms after the first refused connection the agent reported the worker's incarnation as ended, and the leader started its tasks elsewhere. A worker that only refuses connections goes on with its runs. A start without a reply may also be carried out in the next incarnation of the same identifier, which has seen no fence yet.

Now an incarnation is reported as ended when the next one has accepted a lease renewal with the raised fence, or when it has said that it was about to end and nothing listens since. While nothing listens the worker gets no lease, from the first refused call on. After 400 ms it is reported as unresponsive, so that it gets no tasks, with the new field Worker.NoListener. LeasesLapsed then ends its runs as it does for silent workers. RunnerNoListener is logged once.

Weighed: - All established connections are reset and new ones refused: taken together a sign of a crash, and 3 s faster. A network that resets and refuses looks the same while the worker goes on, and a late start in the next incarnation is not covered.

Tests: TestWorkerWithoutListener stated the old promise (ended after 400 ms). It is replaced by one of the same name for the new one: never ended by refused connections, no lease from the first one on, reported after 400 ms and not before, lapsed no earlier and no later than by the lease, and forgotten after a reply.

--- a/control/message.go
+++ b/control/message.go
@@ -63,6 +63,7 @@
 	Remaining       time.Duration // least time until a draining worker shuts down
 	Unresponsive    bool          `json:"Silent"` // the worker does not answer the agent's calls
 	LeasesLapsed    bool          `json:"Lapsed"` // the worker has been unresponsive until the leases of all its runs lapsed
+	NoListener      bool          // nothing listens at the worker's address
 }
 
 // Refusal is the refusal of an order by the worker.
--- a/event/runner.go
+++ b/event/runner.go
@@ -12,6 +12,7 @@
 	RunnerWorkerLeft    Event = 1021
 	RunnerWorkerState   Event = 1022
 	RunnerWorkerLeaving Event = 1023
+	RunnerNoListener    Event = 1024
 	RunnerCapacity      Event = 1025
 	RunnerStart         Event = 1030
 	RunnerStop          Event = 1031
@@ -32,6 +33,7 @@
 	RunnerWorkerLeft:    {"RunnerWorkerLeft", zerolog.InfoLevel, "The worker has ended, and its runs with it."},
 	RunnerWorkerState:   {"RunnerWorkerState", zerolog.InfoLevel, "The worker has started to drain or to leave, or accepts tasks again."},
 	RunnerWorkerLeaving: {"RunnerWorkerLeaving", zerolog.InfoLevel, "The worker has said that it is about to end; it gets no more tasks. RunnerWorkerLeft follows when nothing listens at its address."},
+	RunnerNoListener:    {"RunnerNoListener", zerolog.WarnLevel, "Nothing listens at the worker's address; it gets no more tasks and no leases. Its runs count as ended when its next incarnation has confirmed or their leases have lapsed."},
 	RunnerCapacity:      {"RunnerCapacity", zerolog.InfoLevel, "The capacity that the worker announces has changed."},
 	RunnerStart:         {"RunnerStart", zerolog.InfoLevel, "The worker has replied to a request to start a run."},
 	RunnerStop:          {"RunnerStop", zerolog.InfoLevel, "The worker has replied to a request to stop a run."},
--- a/runner/incarnation.go
+++ b/runner/incarnation.go
@@ -56,7 +56,7 @@
 	w.announcement, w.announcedAt, w.registered, w.confirmed = a, now, true, false
 	w.fence++
 	w.ackedFence, w.renewedFence, w.ackedSeq, w.running, w.ended, w.refused = 0, 0, 0, nil, nil, nil
-	w.leavingSince, w.noListenerSince = time.Time{}, time.Time{}
+	w.leavingSince, w.noListenerSince, w.noListener = time.Time{}, time.Time{}, false
 	w.workerClock, w.workerClockAt, w.lastReplyAt, w.failedCalls = 0, time.Time{}, now, 0
 	// An earlier process of this agent may have granted leases up to this time.
 	w.leasedUntil = now.Add(control.Lease)
@@ -95,22 +95,23 @@
 	w.recordEndedIncarnation(w.presumedEnded)
 	w.registered, w.confirmed = false, false
 	w.running, w.ended, w.refused = nil, nil, nil
-	w.leavingSince, w.noListenerSince = time.Time{}, time.Time{}
+	w.leavingSince, w.noListenerSince, w.noListener = time.Time{}, time.Time{}, false
 }
 
-// presumeEndedAfter is how long nothing has to listen at a worker's address until its
-// process is presumed ended. It spans several calls.
-const presumeEndedAfter = 400 * time.Millisecond
+// noListenerAfter is how long nothing has to listen at a worker's address until it is
+// reported. It spans several calls.
+const noListenerAfter = 400 * time.Millisecond
 
 // recordNoListener records that a call that was sent at the given time has found that
-// nothing listens at the worker's address, and reports whether the incarnation now
-// counts as ended. One call is enough after the worker has said that it is about to end.
+// nothing listens at the worker's address, and reports whether the incarnation has ended.
+// A worker that only refuses connections goes on with its runs, so it has ended only if
+// it has said before that it was about to end.
 func (w *workerState) recordNoListener(sent, now time.Time) bool {
 	if w.noListenerSince.IsZero() {
 		w.noListenerSince = now
 	}
-	left := w.leaving() && sent.After(w.leavingSince)
-	if !w.registered || (!left && now.Sub(w.noListenerSince) < presumeEndedAfter) {
+	w.noListener = now.Sub(w.noListenerSince) >= noListenerAfter
+	if !w.registered || !w.leaving() || !sent.After(w.leavingSince) {
 		return false
 	}
 	w.recordEnd()
--- a/runner/renewal.go
+++ b/runner/renewal.go
@@ -73,9 +73,8 @@
 		w.raiseFence(fence + 1)
 		w.recordFailedCall()
 		event.RunnerCallFailed.Log(r.cfg.Log).Str("Call", "hold").Str("Worker", incarnation).Err(err).Send()
-		if errors.Is(err, work.ErrNoListener) && w.recordNoListener(sent, uptime.Now()) {
-			event.RunnerWorkerLeft.Log(r.cfg.Log).Str("Worker", incarnation).Str("Why", "nothing listens at its address").Send()
-			notify(r.reportNow)
+		if errors.Is(err, work.ErrNoListener) {
+			r.handleNoListener(incarnation, sent)
 		}
 		return
 	}
@@ -93,3 +92,18 @@
 		})
 	}
 }
+
+// handleNoListener processes a lease renewal that has found that nothing listens at the
+// worker's address. The caller holds mu.
+func (r *Runner) handleNoListener(incarnation string, sent time.Time) {
+	before := r.worker.noListener
+	switch {
+	case r.worker.recordNoListener(sent, uptime.Now()):
+		event.RunnerWorkerLeft.Log(r.cfg.Log).Str("Worker", incarnation).Str("Why", "nothing listens at its address").Send()
+	case r.worker.noListener && !before:
+		event.RunnerNoListener.Log(r.cfg.Log).Str("Worker", incarnation).Send()
+	default:
+		return
+	}
+	notify(r.reportNow)
+}
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -32,8 +32,9 @@
 	confirmed         bool      // it has accepted a lease renewal with the current fence in this incarnation
 	endedIncarnations []string  // oldest first
 	leavingSince      time.Time // when the worker has said that it is about to end, zero after a later status report
-	presumedEnded     string    // incarnation that is taken for ended because nothing listens at its address
+	presumedEnded     string    // incarnation that has said that it was about to end, and at whose address nothing listened then
 	noListenerSince   time.Time // first call that found no listener at the worker's address, zero after a reply
+	noListener        bool      // that was so for noListenerAfter
 
 	fence                int64         // fence of the next call
 	ackedFence           int64         // highest fence of a call to which the worker has replied
@@ -86,10 +87,10 @@
 // by control.ClockDrift, because the worker's clock may be slow. A worker without a
 // reply for unresponsiveAfter gets no lease: a call without a reply may have been
 // carried out, so leasedUntil would move on with every failed call and the leases would
-// never lapse.
+// never lapse. A worker at whose address nothing listens gets none either.
 func (w *workerState) grantLease(now time.Time) time.Duration {
 	until := w.leaseStart.Add(control.Lease)
-	if w.workerClockAt.IsZero() || !until.After(now) || now.Sub(w.lastReplyAt) > unresponsiveAfter {
+	if w.workerClockAt.IsZero() || !until.After(now) || now.Sub(w.lastReplyAt) > unresponsiveAfter || !w.noListenerSince.IsZero() {
 		return 0
 	}
 	remaining := until.Sub(w.workerClockAt)
@@ -103,7 +104,7 @@
 // the reply says nothing about the current incarnation, or if the worker refuses the
 // fence as too low.
 func (w *workerState) applyReply(reply work.RuntimeReply, fence int64, now time.Time) bool {
-	w.noListenerSince = time.Time{}
+	w.noListenerSince, w.noListener = time.Time{}, false
 	if reply.Refusal == work.RefusedInstance {
 		return false
 	}
@@ -169,10 +170,10 @@
 }
 
 // unresponsive reports whether the worker has not replied for so long, or to so many
-// calls, that it gets no more tasks.
+// calls, that it gets no more tasks, or nothing listens at its address.
 func (w *workerState) unresponsive(now time.Time) bool {
 	since := now.Sub(w.lastReplyAt)
-	return since > unresponsiveAfter || (w.failedCalls >= maxFailedCalls && since > failedCallsGrace)
+	return w.noListener || since > unresponsiveAfter || (w.failedCalls >= maxFailedCalls && since > failedCallsGrace)
 }
 
 // recordFailedStart records a start that got no reply. The fence rises, so that the
@@ -197,7 +198,7 @@
 	r.Worker = &control.Worker{
 		Incarnation: w.incarnation(), ID: a.ID, Service: a.Service, Domain: a.Domain, Rack: a.Rack, Labels: a.Labels,
 		Capacity: a.Capacity, LargestCapacity: w.formerCapacity(), Draining: a.State == work.WorkerDraining, Remaining: max(0, a.Remaining-now.Sub(w.announcedAt)),
-		Unresponsive: w.leaving() || w.unresponsive(now),
+		Unresponsive: w.leaving() || w.unresponsive(now), NoListener: w.noListener,
 	}
 	r.Worker.LeasesLapsed = w.unresponsive(now) && now.After(w.leasedUntil.Add(control.LapseMargin))
 	r.Running, r.Ended, r.Refused = slices.Clone(w.running), slices.Clone(w.ended), slices.Clone(w.refused)
--- a/runner/worker_state_test.go
+++ b/runner/worker_state_test.go
@@ -153,20 +153,64 @@
 	require.True(t, w.report(lapsedAt).Worker.LeasesLapsed)
 }
 
-// Guards against waiting for leases to lapse although nothing listens at the worker's
-// address, and against presuming a worker ended because it refused connections for a
-// moment.
+// Guards against an end that is presumed and not proved: a worker that only refuses
+// connections goes on with its runs, so they count as ended only when its leases have
+// lapsed. It gets no tasks and no leases meanwhile. Guards also against a worker that is
+// reported for having refused connections for a moment.
 func TestWorkerWithoutListener(t *testing.T) {
 	w := newConfirmedWorker(1)
 	first := w.incarnation()
-	require.False(t, w.recordNoListener(at(0), at(0)))
-	require.False(t, w.recordNoListener(at(300), at(300)))
+	w.applyLease(control.Orders{Epoch: 1, Echo: at(0), ExtendsLease: true})
+	require.NotZero(t, w.grantLease(at(0)))
+	lapsedAt := at(0).Add(control.Lease + control.LapseMargin)
+	refuse := func(ms int) bool { return w.recordNoListener(at(ms), at(ms)) }
+
+	require.False(t, refuse(0))
+	require.False(t, refuse(300))
+	require.Zero(t, w.grantLease(at(300)), "the calls do not reach the worker")
 	w.renewAt(work.RuntimeReply{Clock: time.Second}, w.fence, at(350))
-	require.False(t, w.recordNoListener(at(500), at(500)), "it has replied in between")
-	require.True(t, w.recordNoListener(at(1000), at(1000)))
-	require.Contains(t, w.report(at(1000)).EndedIncarnations, first)
-	require.True(t, w.applyAnnouncement(work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 2, State: work.WorkerReady}, at(1100)), "the incarnation reports again")
-	require.NotContains(t, w.report(at(1100)).EndedIncarnations, first)
+	require.NotZero(t, w.grantLease(at(360)))
+	require.False(t, refuse(500))
+	require.False(t, w.report(at(850)).Worker.NoListener, "it has replied in between")
+	require.False(t, w.report(at(850)).Worker.Unresponsive)
+
+	require.False(t, refuse(910))
+	w.applyLease(control.Orders{Epoch: 1, Echo: at(900), ExtendsLease: true})
+	for now := at(910); !now.After(lapsedAt); now = now.Add(100 * time.Millisecond) {
+		require.False(t, w.recordNoListener(now, now))
+		require.Zero(t, w.grantLease(now))
+		report := w.report(now)
+		require.True(t, report.Worker.NoListener)
+		require.True(t, report.Worker.Unresponsive)
+		require.False(t, report.Worker.LeasesLapsed)
+		require.NotContains(t, report.EndedIncarnations, first)
+	}
+	require.True(t, w.report(lapsedAt.Add(100*time.Millisecond)).Worker.LeasesLapsed)
+
+	w.renewAt(work.RuntimeReply{Clock: 8 * time.Second}, w.fence, at(8000))
+	report := w.report(at(8000))
+	require.False(t, report.Worker.NoListener, "it listens again")
+	require.False(t, report.Worker.LeasesLapsed)
+}
+
+// Guards against a crashed worker whose runs wait for their leases to lapse although its
+// next incarnation has confirmed, and against runs that are taken for ended before that:
+// a start without a reply may have begun them in it.
+func TestNextIncarnationProvesEnd(t *testing.T) {
+	w := newConfirmedWorker(1)
+	first := w.incarnation()
+	w.recordNoListener(at(100), at(100))
+	w.recordNoListener(at(600), at(600))
+	require.True(t, w.report(at(600)).Worker.NoListener)
+	require.True(t, w.applyAnnouncement(work.Announcement{ID: "i", StartedAtMS: 2, Sequence: 1, State: work.WorkerReady}, at(700)))
+	report := w.report(at(700))
+	require.Nil(t, report.Worker)
+	require.Empty(t, report.EndedIncarnations)
+	w.renewAt(work.RuntimeReply{Clock: time.Second}, w.fence, at(710))
+	report = w.report(at(710))
+	require.Contains(t, report.EndedIncarnations, first)
+	require.False(t, report.Worker.NoListener)
+	require.False(t, report.Worker.Unresponsive)
 }
 
 // Guards against a renewal reply that arrives out of order: it was made before a run
--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -14,6 +14,9 @@
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
 	w.calls++
+	if w.closed {
+		return work.RuntimeReply{}, work.ErrNoListener
+	}
 	if w.dark {
 		return work.RuntimeReply{}, errors.New("no answer")
 	}
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -48,6 +48,7 @@
 	id   string
 
 	dark   bool // answers nothing
+	closed bool // refuses connections
 	deaf   bool // answers no start, and carries none out
 	mute   bool // carries calls out late, and answers nothing
 	late   time.Duration
@@ -92,7 +93,7 @@
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
 	w.reset(time.Now())
-	w.dark = false
+	w.dark, w.closed = false, false
 }
 
 // SetDark makes the worker answer nothing. Its runs go on until their leases
@@ -103,6 +104,13 @@
 	w.dark = dark
 }
 
+// SetClosed makes the worker refuse connections. Its runs go on until their leases lapse.
+func (w *StepWorker) SetClosed(closed bool) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.closed = closed
+}
+
 // SetDeaf makes the worker leave starts unanswered and not carry them out, while
 // it answers all other calls.
 func (w *StepWorker) SetDeaf(deaf bool) {
