leader: an outdated list and an end after lapsed leases show no overlap

A stray run counts as in progress once its status differs from that in the last report in which the worker did not respond. A late end shows an overlap only after a refusal or the reported end of the incarnation; after a lapse it is LeaderLateEnd, if it is done.

This replaces TestRunsOfLapsedWorkerAreNoOverlap of today, which expected a line for the unchanged list of a worker that has replied to another call; the new test expects one as soon as the status changes. TestEndOfRunThatCountedAsEnded has two more cases.

Without the change: "TestOutdatedListShowsNoOverlap: Should be zero, but was 1", "TestEndOfRunThatCountedAsEndedIsLogged/not_heard,_done expected: 0, actual: 1".

go test -race ./leader ./node: ok

--- a/leader/report.go
+++ b/leader/report.go
@@ -36,7 +36,7 @@
 		t.adopt(w, r, now)
 	}
 	for _, g := range t.predecessors(r) {
-		t.endIncarnation(g, "ended", now)
+		t.endIncarnation(g, causeEnded, now)
 	}
 	if w == nil {
 		return nil
--- a/leader/stray.go
+++ b/leader/stray.go
@@ -20,6 +20,9 @@
 	at      time.Time
 }
 
+// causeEnded is the cause of an end with an incarnation that its agent reports as ended.
+const causeEnded = "ended"
+
 // recordEnd records the end of a run in this term.
 func (s *jobState) recordEnd(k work.RunKey, worker string, outcome work.Outcome, now time.Time) {
 	if outcome == work.OutcomeDone {
@@ -44,7 +47,8 @@
 }
 
 // applyStrays makes the reported runs that are not placed on a worker its orphans, and
-// logs each once.
+// logs each once. An agent reports the list of its worker's last reply. If the worker does
+// not respond, a run in it may have ended, until its status has changed.
 func (t *term) applyStrays(w *workerState, strays []work.RunStatus, now time.Time) {
 	known := maps.Clone(w.orphans)
 	clear(w.orphans)
@@ -53,13 +57,16 @@
 		if !known[run.Key] {
 			t.describeStray(event.LeaderStray.Log(t.cfg.Log), w, run.Key, now).Int("Percent", run.Percent).Send()
 		}
-		// The list of a worker whose leases have lapsed is that of its last reply.
-		if _, task := t.task(run.Key); task != nil && task.Placed() && !w.LeasesLapsed && !w.overlaps[run.Key] {
+		if w.Unresponsive || w.LeasesLapsed {
+			w.outdated[run.Key] = run
+		}
+		if _, task := t.task(run.Key); task != nil && task.Placed() && w.outdated[run.Key] != run && !w.overlaps[run.Key] {
 			w.overlaps[run.Key] = true
 			t.describeStray(event.LeaderRunsOverlap.Log(t.cfg.Log), w, run.Key, now).Int("Percent", run.Percent).Send()
 		}
 	}
 	maps.DeleteFunc(w.overlaps, func(k work.RunKey, _ bool) bool { return !w.orphans[k] })
+	maps.DeleteFunc(w.outdated, func(k work.RunKey, _ work.RunStatus) bool { return !w.orphans[k] })
 }
 
 // strayTasks returns the tasks of which workers report runs that are not placed there.
@@ -111,7 +118,8 @@
 }
 
 // logLateEnd logs the reported end of a run that is not the present one of its task, if
-// it shows that the task was done or that a run that counted as ended was in progress.
+// it shows that the task was done, or that a run was in progress that counted as refused
+// or as gone with its worker. A run whose lease has lapsed may have ended before.
 // Ends that an earlier leader has recorded are reported again and are not logged.
 func (t *term) logLateEnd(worker string, k work.RunKey, outcome work.Outcome, applied bool, now time.Time) {
 	w := t.workers[worker]
@@ -126,7 +134,7 @@
 		return
 	}
 	e := s.ends[k.Task]
-	assumed := e.run == k.Run && (e.outcome == work.OutcomeWorkerLost || e.outcome == work.OutcomeRefused)
+	assumed := e.run == k.Run && (e.outcome == work.OutcomeRefused || e.cause == causeEnded)
 	if assumed && outcome != work.OutcomeLeaseLapsed && outcome != work.OutcomeStopped {
 		t.describeStray(event.LeaderRunsOverlap.Log(t.cfg.Log), w, k, now).Str("How", string(outcome)).Send()
 	}
--- a/leader/term.go
+++ b/leader/term.go
@@ -39,14 +39,15 @@
 	lapsedSince     time.Time // when the agent first reported that all leases have lapsed; zero after another report
 	attached        bool      // has reported in this term; others are known from records only
 	running         []work.RunStatus
-	appliedSeq      uint64                    // last run end that is applied to the progress of jobs
-	committedSeq    uint64                    // last run end that is committed
-	closedUntil     time.Time                 // the worker gets no tasks until then
-	orphans         map[work.RunKey]bool      // reported runs that are not placed here
-	refusedMembers  map[work.RunKey]bool      // runs of gang members that the worker has refused
-	overlaps        map[work.RunKey]bool      // orphans whose task is placed, which is logged
-	placedAt        map[work.RunKey]time.Time // runs that are placed here
-	stopRequestedAt map[work.RunKey]time.Time // runs that are being stopped
+	appliedSeq      uint64                         // last run end that is applied to the progress of jobs
+	committedSeq    uint64                         // last run end that is committed
+	closedUntil     time.Time                      // the worker gets no tasks until then
+	orphans         map[work.RunKey]bool           // reported runs that are not placed here
+	refusedMembers  map[work.RunKey]bool           // runs of gang members that the worker has refused
+	overlaps        map[work.RunKey]bool           // orphans whose task is placed, which is logged
+	outdated        map[work.RunKey]work.RunStatus // orphans as listed when the worker last did not respond
+	placedAt        map[work.RunKey]time.Time      // runs that are placed here
+	stopRequestedAt map[work.RunKey]time.Time      // runs that are being stopped
 	trackers        map[work.RunKey]*tracker
 	health          health
 	throttle        throttle
@@ -223,7 +224,7 @@
 func newWorkerState(w control.Worker, agent string, reportedAt time.Time) *workerState {
 	return &workerState{
 		Worker: w, agent: agent, reportedAt: reportedAt,
-		orphans: make(map[work.RunKey]bool), overlaps: make(map[work.RunKey]bool), placedAt: make(map[work.RunKey]time.Time), trackers: make(map[work.RunKey]*tracker), stopRequestedAt: make(map[work.RunKey]time.Time),
+		orphans: make(map[work.RunKey]bool), overlaps: make(map[work.RunKey]bool), outdated: make(map[work.RunKey]work.RunStatus), placedAt: make(map[work.RunKey]time.Time), trackers: make(map[work.RunKey]*tracker), stopRequestedAt: make(map[work.RunKey]time.Time),
 	}
 }
 
