--- a/leader/term.go
+++ b/leader/term.go
@@ -42,7 +42,10 @@
 	appliedSeq      uint64                         // last run end that is applied to the progress of jobs
 	committedSeq    uint64                         // last run end that is committed
 	closedUntil     time.Time                      // the worker gets no tasks until then
+<<<<<<< HEAD
 	noCapacityUntil time.Time                      // the same, because it has refused a start for lack of capacity
+=======
+>>>>>>> leader
 	orphans         map[work.RunKey]bool           // reported runs that are not placed here
 	refusedMembers  map[work.RunKey]bool           // runs of gang members that the worker has refused
 	overlaps        map[work.RunKey]bool           // orphans whose task is placed, which is logged
