--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -21,7 +21,7 @@
 	defer w.set.mu.Unlock()
 	w.calls++
 	switch {
-	case w.down:
+	case w.down, w.closed:
 		return work.RuntimeReply{}, errRefused
 	case w.dark, fault == StartDropped:
 		return work.RuntimeReply{}, errNoAnswer
--- a/standin/stepcrash.go
+++ b/standin/stepcrash.go
@@ -121,7 +121,7 @@
 	}
 	w.id = id
 	w.reset(time.Now())
-	w.down, w.dark = false, false
+	w.down, w.dark, w.closed = false, false, false
 	w.observe(WorkerUp, work.RunKey{}, "")
 	for _, carry := range w.waiting {
 		carry()
@@ -146,6 +146,6 @@
 		return
 	}
 	w.reset(time.Now())
-	w.dark = false
+	w.dark, w.closed = false, false
 	w.observe(WorkerUp, work.RunKey{}, "restart")
 }
--- a/standin/stepfault.go
+++ b/standin/stepfault.go
@@ -50,6 +50,13 @@
 	w.dark = dark
 }
 
+// SetClosed makes the worker refuse connections. Its runs go on until their leases lapse.
+func (w *StepWorker) SetClosed(closed bool) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.closed = closed
+}
+
 // SetDeaf makes the worker leave starts unanswered and not carry them out, while
 // it answers all other calls.
 func (w *StepWorker) SetDeaf(deaf bool) {
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -71,6 +71,7 @@
 
 	down    bool // its process has ended
 	dark    bool // answers nothing
+	closed  bool // refuses connections
 	deaf    bool // answers no start, and carries none out
 	mute    bool // carries calls out late, and answers nothing
 	late    time.Duration
