leader: log and record the crashes of workers under each task

A run that ended with its worker was only "lost": no line said which runs were on the worker, for how long, or that the same task had been on the three workers before it. LeaderWorkerCrashed now has the runs with their ages and the crashes under each task, LeaderRunEnded has the count, and rosemarysill_crash_run_age_seconds the ages.

The crashes are part of a task's progress, in the commit that ends its run, so they are recorded before the task is placed again and survive a change of the leader. A crash is the end of an incarnation that was neither draining nor ordered down, or a lapse of the leases while nothing listens at the worker's address (control.Worker.NoListener, which no agent sets yet). A lapse without that is none, because the worker may be cut off. A run counts if the worker has reported it, or if it was placed before the crash; the report comes 0.15 to 0.5 s after it.

No decision depends on the record yet. Without it, TestCrashesAreRecorded has no crash under any task and TestCrashIsLogged no line. go test -race ./work ./control ./event ./meter ./leader ./runner ./jobstore ./node passes.

--- a/control/message.go
+++ b/control/message.go
@@ -59,6 +59,7 @@
 	Draining     bool
 	Remaining    time.Duration // least time until a draining worker shuts down
 	Unresponsive bool          `json:"Silent"` // the worker does not answer the agent's calls
+	NoListener   bool          // nothing listens at the worker's address; set together with Unresponsive, and later LeasesLapsed
 	LeasesLapsed bool          `json:"Lapsed"` // the worker has been unresponsive until the leases of all its runs lapsed
 }
 
--- a/event/leader.go
+++ b/event/leader.go
@@ -37,6 +37,7 @@
 	LeaderWorkerLost     Event = 1171
 	LeaderWorkerAvoided  Event = 1172
 	LeaderOvercommitted  Event = 1173
+	LeaderWorkerCrashed  Event = 1174
 	LeaderMachineOrdered Event = 1180
 	LeaderMachineFailed  Event = 1181
 	LeaderAdvice         Event = 1182
@@ -77,6 +78,7 @@
 	LeaderWorkerLost:     {"LeaderWorkerLost", zerolog.WarnLevel, "A worker has left, or the leases of its runs have expired; its runs count as ended."},
 	LeaderWorkerAvoided:  {"LeaderWorkerAvoided", zerolog.WarnLevel, "A worker temporarily gets no tasks, because its runs failed or are stalled."},
 	LeaderOvercommitted:  {"LeaderOvercommitted", zerolog.ErrorLevel, "The runs that a worker reports exceed its capacity; the line has what the leader knows about them."},
+	LeaderWorkerCrashed:  {"LeaderWorkerCrashed", zerolog.WarnLevel, "A worker has crashed; the line has the runs that were on it, their ages, and the crashes of workers under each of their tasks."},
 	LeaderMachineOrdered: {"LeaderMachineOrdered", zerolog.InfoLevel, "A machine was requested to move or to shut down for maintenance."},
 	LeaderMachineFailed:  {"LeaderMachineFailed", zerolog.WarnLevel, "A call to the machine manager failed, or a maintenance wave could not be recorded."},
 	LeaderAdvice:         {"LeaderAdvice", zerolog.InfoLevel, "The advice service was asked which workers may run a step."},
--- a/leader/report.go
+++ b/leader/report.go
@@ -32,6 +32,9 @@
 		t.adopt(w, r, now)
 	}
 	for _, g := range t.predecessors(r) {
+		if w, ok := t.workers[g]; ok && !w.Draining && !w.leaving {
+			t.recordCrash(w, now)
+		}
 		t.endIncarnation(g, "ended", now)
 	}
 	if w == nil {
@@ -41,6 +44,9 @@
 	t.applyRefusals(w, r, now)
 	t.applyRuns(w, r, now)
 	if r.Worker.LeasesLapsed {
+		if r.Worker.NoListener {
+			t.recordCrash(w, now)
+		}
 		t.endAllRuns(w.Incarnation, now)
 	}
 	return nil
@@ -76,6 +82,7 @@
 		t.avoid(w, "does not respond to its agent", now)
 	}
 	w.Worker, w.agent, w.attached, w.reportedAt, w.running = *r.Worker, r.Agent, true, now, r.Running
+	w.observeSilence(now)
 	s.incarnation = id
 	t.streams[id] = s.wake
 	return w
@@ -160,7 +167,7 @@
 	if w := t.workers[worker]; w != nil && !stopped {
 		t.recordOutcome(w, k, outcome, now)
 	}
-	event.LeaderRunEnded.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", worker).Str("How", string(outcome)).Int("Fails", task.Failures).Send()
+	event.LeaderRunEnded.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", worker).Str("How", string(outcome)).Int("Fails", task.Failures).Int("Crashes", len(task.Crashes)).Send()
 	if s.progress.State.Final() {
 		t.stopAll(s, "the job is "+string(s.progress.State))
 		return
@@ -231,6 +238,9 @@
 func (t *term) expireWorkers(now time.Time) {
 	for id, w := range t.workers {
 		if now.Sub(w.reportedAt) > control.LapsedAfter() {
+			if w.NoListener {
+				t.recordCrash(w, now)
+			}
 			t.endIncarnation(id, "no report within the lease", now)
 		}
 	}
--- a/leader/term.go
+++ b/leader/term.go
@@ -45,7 +45,10 @@
 	trackers        map[work.RunKey]*tracker
 	health          health
 	throttle        throttle
-	overcommitted   bool // the reported runs exceed the capacity, and that is logged
+	overcommitted   bool      // the reported runs exceed the capacity, and that is logged
+	silentSince     time.Time // first report of the worker as unresponsive; zero while it responds
+	crashed         bool      // its crash is recorded
+	leaving         bool      // its machine was ordered to go down
 }
 
 // term is the state of the leader from its election until another may lead.
--- a/leader/wave.go
+++ b/leader/wave.go
@@ -236,6 +236,7 @@
 	case work.MachineAccepted, work.MachineNotInWave, work.MachineUnknown:
 		s.maintained[m.Name] = true
 		delete(s.chosenAt, m.Name)
+		t.markLeaving(m)
 		t.saveWave(ctx, s)
 	}
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -29,6 +29,7 @@
 	answerTimes *prometheus.HistogramVec
 	startWaits  *prometheus.HistogramVec
 	jobTimes    *prometheus.HistogramVec
+	crashAges   prometheus.Histogram
 
 	mu       sync.Mutex
 	accounts map[string]bool // that have a label of their own
@@ -49,7 +50,11 @@
 		Name: "rosemarysill_job_seconds", Help: "Time from the acceptance of a job to its end, by client account, priority and final state.",
 		Buckets: []float64{1, 3, 10, 30, 100, 300, 1000, 3600, 14400, 86400},
 	}, []string{"account", "priority", "state"})
-	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, newEventCollector())
+	m.crashAges = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "rosemarysill_crash_run_age_seconds", Help: "Age of the runs that were on a worker when it crashed.",
+		Buckets: []float64{0.1, 0.3, 1, 3, 10, 30, 100, 300, 1000, 3600},
+	})
+	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, newEventCollector())
 	return m
 }
 
@@ -92,6 +97,13 @@
 	}
 }
 
+// ObserveCrash records a run that was on a worker when it crashed.
+func (m *Meter) ObserveCrash(age time.Duration) {
+	if m != nil {
+		m.crashAges.Observe(age.Seconds())
+	}
+}
+
 // eventCollector exports the number of log events, written or dropped, and the
 // number of those whose lines were dropped.
 type eventCollector struct{ total, dropped *prometheus.Desc }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -21,12 +21,14 @@
 		m.ObserveStart(fmt.Sprintf("account%d", i), 0, time.Second)
 	}
 	m.ObserveEnd("account0", 0, "completed", time.Minute)
+	m.ObserveCrash(200 * time.Millisecond)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	body := w.Body.String()
 	require.Contains(t, body, `rosemarysill_answer_seconds_count{call="Submit",code="Done"} 1`)
 	require.Contains(t, body, `rosemarysill_start_wait_seconds_count{account="Rest",priority="0"} 172`)
 	require.Contains(t, body, `rosemarysill_job_seconds_count{account="account0",priority="0",state="completed"} 1`)
+	require.Contains(t, body, `rosemarysill_crash_run_age_seconds_bucket{le="0.3"} 1`)
 	require.NotContains(t, body, `account="account200"`)
 }
 
@@ -37,5 +39,6 @@
 		m.ObserveAnswer("Submit", rosemarysill.Done, 0)
 		m.ObserveStart("a", 0, 0)
 		m.ObserveEnd("a", 0, "failed", 0)
+		m.ObserveCrash(0)
 	})
 }
--- a/work/progress.go
+++ b/work/progress.go
@@ -21,15 +21,16 @@
 
 // Task is the progress of a task.
 type Task struct {
-	Run        int    `json:",omitempty"` // number of the latest run, 0 before the first
-	Worker     string `json:",omitempty"` // incarnation of the worker of the current run; empty if there is none
-	Ticket     string `json:",omitempty"` // ticket of the advice service for the current run
-	Done       bool   `json:",omitempty"`
-	Failures   int    `json:"Fails,omitempty"`
-	FailedRun  int    `json:",omitempty"`      // latest run that was counted in Failures
-	Checkpoint string `json:"Saved,omitempty"` // latest checkpoint
-	Percent    int    `json:"-"`               // progress of the run, as reported by the worker
-	Stopping   bool   `json:"-"`               // the run is being stopped
+	Run        int     `json:",omitempty"` // number of the latest run, 0 before the first
+	Worker     string  `json:",omitempty"` // incarnation of the worker of the current run; empty if there is none
+	Ticket     string  `json:",omitempty"` // ticket of the advice service for the current run
+	Done       bool    `json:",omitempty"`
+	Failures   int     `json:"Fails,omitempty"`
+	FailedRun  int     `json:",omitempty"`      // latest run that was counted in Failures
+	Checkpoint string  `json:"Saved,omitempty"` // latest checkpoint
+	Crashes    []Crash `json:",omitempty"`      // crashes of workers that had a run of the task, oldest first
+	Percent    int     `json:"-"`               // progress of the run, as reported by the worker
+	Stopping   bool    `json:"-"`               // the run is being stopped
 }
 
 // Placed reports whether the task has a run that was ordered and has not ended.
