--- a/work/progress.go
+++ b/work/progress.go
@@ -29,6 +29,7 @@
 	FailedRun  int     `json:",omitempty"`      // latest run that was counted in Failures
 	Checkpoint string  `json:"Saved,omitempty"` // latest checkpoint
 	Crashes    []Crash `json:",omitempty"`      // crashes of workers that had a run of the task, oldest first
+	LaterRuns  int     `json:",omitempty"`      // runs since the crash with the number LaterRunsFrom
 	Percent    int     `json:"-"`               // progress of the run, as reported by the worker
 	Stopping   bool    `json:"-"`               // the run is being stopped
 }
@@ -151,6 +152,9 @@
 		return false
 	}
 	t.Worker, t.Ticket, t.Stopping, t.Percent = "", "", false, 0
+	if outcome == OutcomeRefused && t.LaterRuns > 0 {
+		t.LaterRuns-- // it never started
+	}
 	if t.Done {
 		return true
 	}
@@ -240,6 +244,9 @@
 // be higher than that of every run of the task that may have started.
 func (p *Progress) Place(t *Task, worker, ticket string, run int) {
 	t.Run, t.Worker, t.Ticket, t.Stopping, t.Percent = run, worker, ticket, false, 0
+	if len(t.Crashes) >= LaterRunsFrom {
+		t.LaterRuns++
+	}
 	if !p.State.Final() {
 		p.State = Running
 	}
