leader, schedule: give up jobs with a task that crashes its workers

Callers saw the workers of a queue crash one after the other, and the runs of other jobs on them start again and again. A run that ends with its worker was lost, which is no attempt, and the task was placed again at once; in half a minute it crashed every worker several times and broke the promise that it is not started three times more after three crashes.

The leader now judges waiting tasks by package crash. A suspect starts on the worker whose loss costs least and on which nothing has started for a second, and nothing else starts there until it has outlived its last crash. It waits 1.5 s for such a worker, without a reservation, while others go on, and then for one on which nothing else starts in the same pass. A job with a task that must not be started any more is given up: it is failed, its other runs are stopped, LeaderJobGivenUp has the crashes and the ages of the runs, and as both are in the record, later leaders do not start it again. The decision waits 1.5 s, because the other workers of a failure domain that has lost power become known within that time.

Before, with the same tests: TestDeadlyTaskIsGivenUp, TestDeadlyTaskUnderSeveralLeaders, TestDeadlyGangIsGivenUp: "6" is not less than or equal to "5" Shown failing without their mechanism: TestDeadlyTaskUnderSeveralLeaders with crashes that are not stored ("4" is not less than or equal to "3"), TestCrashesOfDomainAreWithdrawn without withdrawals, TestDecideMatchesReference and TestNothingStartsBesideIsolatedUnit without the isolation of workers.

--- a/event/leader.go
+++ b/event/leader.go
@@ -38,6 +38,8 @@
 	LeaderWorkerAvoided  Event = 1172
 	LeaderOvercommitted  Event = 1173
 	LeaderWorkerCrashed  Event = 1174
+	LeaderCrashWithdrawn Event = 1175
+	LeaderJobGivenUp     Event = 1176
 	LeaderMachineOrdered Event = 1180
 	LeaderMachineFailed  Event = 1181
 	LeaderAdvice         Event = 1182
@@ -78,7 +80,9 @@
 	LeaderWorkerLost:     {"LeaderWorkerLost", zerolog.WarnLevel, "A worker has left, or the leases of its runs have expired; its runs count as ended."},
 	LeaderWorkerAvoided:  {"LeaderWorkerAvoided", zerolog.WarnLevel, "A worker temporarily gets no tasks, because its runs failed or are stalled."},
 	LeaderOvercommitted:  {"LeaderOvercommitted", zerolog.ErrorLevel, "The runs that a worker reports exceed its capacity; the line has what the leader knows about them."},
-	LeaderWorkerCrashed:  {"LeaderWorkerCrashed", zerolog.WarnLevel, "A worker has crashed; the line has the runs that were on it, their ages, and the crashes of workers under each of their tasks."},
+	LeaderWorkerCrashed:  {"LeaderWorkerCrashed", zerolog.WarnLevel, "A worker has crashed; the line has the runs that were on it, their ages, and the crashes under each of their tasks."},
+	LeaderCrashWithdrawn: {"LeaderCrashWithdrawn", zerolog.InfoLevel, "A crash of a worker does not count against a task, because other workers crashed at the same moment."},
+	LeaderJobGivenUp:     {"LeaderJobGivenUp", zerolog.WarnLevel, "A job is given up because one of its tasks crashes the workers that start it; the line has the crashes with the ages of its runs."},
 	LeaderMachineOrdered: {"LeaderMachineOrdered", zerolog.InfoLevel, "A machine was requested to move or to shut down for maintenance."},
 	LeaderMachineFailed:  {"LeaderMachineFailed", zerolog.WarnLevel, "A call to the machine manager failed, or a maintenance wave could not be recorded."},
 	LeaderAdvice:         {"LeaderAdvice", zerolog.InfoLevel, "The advice service was asked which workers may run a step."},
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -166,10 +166,15 @@
 }
 
 func (c *cluster) addAgent(name string, worker *standin.StepWorker) {
+	c.addAgentWith(name, worker, worker)
+}
+
+// addAgentWith adds an agent that calls its worker through a runtime.
+func (c *cluster) addAgentWith(name string, worker *standin.StepWorker, runtime work.Runtime) {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &agent{process: process{cancel, make(chan struct{})}, worker: worker, name: name}
 	a.runner = runner.New(runner.Config{
-		Name: name, Store: c.store.View(name), Runtime: worker, Log: zerolog.Nop(),
+		Name: name, Store: c.store.View(name), Runtime: runtime, Log: zerolog.Nop(),
 		Register: func(work.Registrar) http.Handler { return http.NotFoundHandler() },
 	})
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/leader/place.go
+++ b/leader/place.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rosemarysill/rosemarysill/crash"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/schedule"
 	"github.com/rosemarysill/rosemarysill/uptime"
@@ -145,17 +146,20 @@
 func (t *term) stepUnits(s *jobState, occurrence, step int, guaranteed bool, now time.Time) []*schedule.Unit {
 	tasks := s.progress.Step(s.job, occurrence, step)
 	var waiting []int
+	var abandoned bool
 	tasksByWorker := make(map[string]int)
 	for i := range tasks {
 		switch {
 		case tasks[i].Placed():
 			tasksByWorker[tasks[i].Worker]++
+		case !tasks[i].Done && crash.Judge(&tasks[i]) == crash.GiveUp:
+			abandoned = true // it must not start again; giveUpJobs ends the job
 		case !tasks[i].Done:
 			waiting = append(waiting, i)
 		}
 	}
 	gang := s.job.Steps[step].Gang
-	if len(waiting) == 0 {
+	if len(waiting) == 0 || (gang && abandoned) {
 		return nil
 	}
 	unit := schedule.Unit{
@@ -173,12 +177,16 @@
 	}
 	if gang {
 		unit.Indexes, unit.Failed = waiting, tasks[0].Failures > 0
+		for _, i := range waiting {
+			t.markSuspect(s, &unit, i)
+		}
 		return []*schedule.Unit{&unit}
 	}
 	units := make([]*schedule.Unit, 0, len(waiting))
 	for _, i := range waiting {
 		u := unit
 		u.Indexes, u.Failed = []int{i}, tasks[i].Failures > 0
+		t.markSuspect(s, &u, i)
 		units = append(units, &u)
 	}
 	return units
@@ -238,7 +246,8 @@
 		}
 		sw := &schedule.Worker{
 			ID: w.Incarnation, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
-			Schedulable: t.isSchedulable(w, now), Suspect: w.health.lastOutcome == work.OutcomeFailed,
+			Schedulable: t.isSchedulable(w, now) && !t.isKeptForSuspect(w, now), Suspect: w.health.lastOutcome == work.OutcomeFailed,
+			StartedRecently: w.startedRecently(now),
 		}
 		for k := range w.placedAt {
 			if run, ok := t.describeRun(w, k, guaranteed, now); ok {
--- a/leader/term.go
+++ b/leader/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/crash"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/schedule"
@@ -21,12 +23,14 @@
 // jobState is the state of a job during a term.
 type jobState struct {
 	job              *work.Job
-	progress         *work.Progress // including decisions that are not committed yet
-	committed        []work.Task    // tasks as last committed
-	version          uint64         // of the progress record; 0 if there is none
-	dirty            bool           // the progress differs from the record
-	checkpointsDirty bool           // the record lacks newer checkpoints
-	endLogged        bool           // the final state has been logged
+	progress         *work.Progress             // including decisions that are not committed yet
+	committed        []work.Task                // tasks as last committed
+	version          uint64                     // of the progress record; 0 if there is none
+	dirty            bool                       // the progress differs from the record
+	checkpointsDirty bool                       // the record lacks newer checkpoints
+	endLogged        bool                       // the final state has been logged
+	hasCrashes       bool                       // workers have crashed under some of its tasks
+	crashedAt        map[work.TaskKey]time.Time // when the latest crash under a task became known in this term
 }
 
 // workerState is the state of a worker's incarnation during a term.
@@ -72,6 +76,7 @@
 	endedIncarnations  map[string]bool          // whose runs have been ended; a repeated report does nothing
 	advice             map[stepKey]*stepAdvice
 	urgentUse          schedule.UrgentUse      // of the fleet
+	recentCrashes      crash.Recent            // of workers
 	runDurations       map[string]meanDuration // by queue
 	totalCores         float64                 // size of the fleet
 	incompleteGangs    map[stepKey]bool        // gangs that wait for the replacement of refused members
@@ -217,6 +222,7 @@
 		p := e.CloneProgress()
 		s = &jobState{job: e.Job, progress: p, version: e.ProgressVersion}
 		s.committed = append(s.committed, p.Tasks...)
+		s.hasCrashes = slices.ContainsFunc(p.Tasks, func(task work.Task) bool { return len(task.Crashes) > 0 })
 		t.jobs[id] = s
 		if !p.State.Final() {
 			event.LeaderJob.Log(t.cfg.Log).Str("Job", id).Str("Account", e.Job.Account).Int("Priority", e.Job.Priority).Str("Steps", describe(e.Job)).
@@ -349,6 +355,7 @@
 		t.merge(id, e)
 	}
 	t.expireWorkers(now)
+	t.giveUpJobs(now)
 	t.place(now)
 	t.markCheckpoints(now)
 	return t.collectBatch()
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -61,15 +61,20 @@
 }
 
 // candidates returns the workers that may run the unit. The result is cached for
-// the next unit, because units of one step are scheduled consecutively.
+// the next unit, because units of one step are scheduled consecutively. Each start changes
+// that of an isolated unit.
 func (p *pass) candidates(u *Unit) candidates {
-	if key := keyOf(u); !u.CompletesGang && key == p.cachedCandidates.key {
+	cacheable := !u.CompletesGang && !u.Isolated
+	if key := keyOf(u); cacheable && key == p.cachedCandidates.key {
 		return p.cachedCandidates
 	}
 	s := u.step()
 	c := candidates{key: keyOf(u)}
 	p.examined += len(p.workers)
 	for _, w := range p.workers {
+		if (u.Isolated && w.hasStarts) || (u.Patient && w.StartedRecently) {
+			continue
+		}
 		if _, ok := u.Tickets[w.ID]; (ok || !u.Job.Advised) && w.Schedulable && w.canRun(u.Job, s) && u.satisfiesRackAffinity(w.Worker) {
 			c.eligible = append(c.eligible, w)
 		}
@@ -78,7 +83,7 @@
 		c.eligible = withoutSuspects(c.eligible)
 	}
 	c.racks = p.groupByRack(c.eligible)
-	if !u.CompletesGang {
+	if cacheable {
 		p.cachedCandidates = c
 	}
 	return c
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -28,15 +28,16 @@
 
 // Worker is the state of a worker that is connected to the leader.
 type Worker struct {
-	ID          string // of the worker's incarnation
-	Service     string
-	Domain      string
-	Rack        string
-	Labels      []string
-	Capacity    work.Shape
-	Schedulable bool // accepts new tasks
-	Suspect     bool // the last run that ended by itself there failed
-	Runs        []Run
+	ID              string // of the worker's incarnation
+	Service         string
+	Domain          string
+	Rack            string
+	Labels          []string
+	Capacity        work.Shape
+	Schedulable     bool // accepts new tasks
+	Suspect         bool // the last run that ended by itself there failed
+	StartedRecently bool // a run has just started there, so that a crash would not point to another one
+	Runs            []Run
 }
 
 // alignGangEnds clears EndsSoon for members of a gang that has a slower member,
@@ -80,6 +81,8 @@
 	runsByCost    []*placedRun // ascending by gangStopCost; set by indexRuns
 	keptForUrgent bool         // not available to deferrable single tasks without a DataRack
 	keptFromGangs bool         // not available to deferrable gangs without a DataRack
+	lossCost      float64      // of losing all runs with the worker
+	hasStarts     bool         // a run starts there in this pass
 }
 
 func newWorkerState(w *Worker) *workerState {
@@ -88,6 +91,7 @@
 		run := &w.Runs[i]
 		state.free = state.free.Sub(run.Demand)
 		state.idleMilliCPU -= run.MilliCPU
+		state.lossCost += run.stopCost()
 		if run.StopOverdue || (!run.Stopping && !run.EndsSoon) {
 			state.projectedFree = state.projectedFree.Sub(run.Demand)
 		}
@@ -111,6 +115,10 @@
 	w.freeCores = w.free.Cores()
 }
 
+// isolate keeps the worker for the tasks that it has. Nothing else starts there or is
+// reserved.
+func (w *workerState) isolate() { w.free, w.projectedFree, w.freeCores = work.Shape{}, work.Shape{}, 0 }
+
 func minShape(a, b work.Shape) work.Shape {
 	return work.Shape{
 		MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMB: min(a.MemoryMB, b.MemoryMB),
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -23,15 +23,15 @@
 }
 
 // equivalenceKey identifies units that are interchangeable in placement: those of
-// one step that agree in Failed and Deferrable.
+// one step that agree in Failed, Deferrable, Isolated and Patient.
 type equivalenceKey struct {
-	job                string
-	occurrence, step   int
-	failed, deferrable bool
+	job                                   string
+	occurrence, step                      int
+	failed, deferrable, isolated, patient bool
 }
 
 func keyOf(u *Unit) equivalenceKey {
-	return equivalenceKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Deferrable}
+	return equivalenceKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Deferrable, u.Isolated, u.Patient}
 }
 
 // Decide places the units that fit, in order of precedence, and preempts runs for urgent
@@ -144,6 +144,7 @@
 	p.changes++
 	for i, w := range chosen {
 		w.allocate(Demand(u.step()))
+		w.hasStarts = true
 		w.idleMilliCPU -= u.step().Shape.MilliCPU
 		u.TasksByWorker[w.ID]++
 		p.plan.Placements = append(p.plan.Placements, Placement{
@@ -151,6 +152,11 @@
 			Worker: w.ID, Ticket: u.Tickets[w.ID],
 		})
 	}
+	if u.Isolated {
+		for _, w := range chosen {
+			w.isolate()
+		}
+	}
 }
 
 func freeCapacity(w *workerState) work.Shape { return w.free }
@@ -182,7 +188,7 @@
 			if !d.FitsIn(remaining[i]) || (s.MaxPerWorker > 0 && stepTasks[i] >= s.MaxPerWorker) {
 				continue
 			}
-			if best < 0 || betterFit(s, workers[i], workers[best], remaining[i], remaining[best]) {
+			if best < 0 || u.betterFit(workers[i], workers[best], remaining[i], remaining[best]) {
 				best = i
 			}
 		}
@@ -231,14 +237,17 @@
 	return n
 }
 
-// betterFit reports whether worker a is preferred to b. Suspect workers come last. A
-// best-effort task goes to the worker with the most idle processor time. Other tasks
+// betterFit reports whether worker a is preferred to b. An isolated unit goes where the loss
+// of the worker costs least. Suspect workers come last. A best-effort task goes to the worker with the most idle processor time. Other tasks
 // go where the least capacity remains (best fit), so that whole workers stay free.
-func betterFit(s work.Step, a, b *workerState, remainingA, remainingB work.Shape) bool {
+func (u *Unit) betterFit(a, b *workerState, remainingA, remainingB work.Shape) bool {
+	if u.Isolated && a.lossCost != b.lossCost {
+		return a.lossCost < b.lossCost
+	}
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
-	if s.BestEffort {
+	if u.step().BestEffort {
 		return a.idleMilliCPU > b.idleMilliCPU
 	}
 	return remainingA.Cores() < remainingB.Cores()
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -51,7 +51,7 @@
 	var in decideInput
 	for i := range drawInt(1, 14, "workers") {
 		w := &Worker{
-			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/drawInt(1, 4, "rack")), Schedulable: !drawOneIn(9, "closed"), Suspect: drawOneIn(9, "suspect"),
+			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/drawInt(1, 4, "rack")), Schedulable: !drawOneIn(9, "closed"), Suspect: drawOneIn(9, "suspect"), StartedRecently: drawOneIn(5, "recent"),
 			Capacity: work.Shape{MilliCPU: 32000, MemoryMB: 65536, Accelerators: 8},
 		}
 		for n := range drawInt(0, 4, "runs") {
@@ -83,9 +83,10 @@
 		j := &work.Job{ID: fmt.Sprintf("j%d", i), Service: "s", Priority: drawInt(0, 2, "priority"), Steps: []work.Step{s}}
 		tasksByWorker := map[string]int{"w00": drawInt(0, 1, "beside")}
 		unit := Unit{
-			Job: j, Guaranteed: drawOneIn(3, "reserved"), MustStartNow: drawOneIn(5, "pressed"), Failed: drawOneIn(5, "failed"), Deferrable: drawOneIn(2, "patient"), Timeliness: Timeliness(drawInt(0, 3, "timeliness")),
+			Job: j, Guaranteed: drawOneIn(3, "reserved"), MustStartNow: drawOneIn(5, "pressed"), Failed: drawOneIn(5, "failed"), Deferrable: drawOneIn(2, "patient"), Isolated: drawOneIn(5, "isolated"), Timeliness: Timeliness(drawInt(0, 3, "timeliness")),
 			QueuedSince: time.Unix(int64(drawInt(0, 5, "since")), 0), Deadline: time.Unix(int64(drawInt(0, 5, "due")), 0), TasksByWorker: tasksByWorker,
 		}
+		unit.Patient = unit.Isolated && drawOneIn(2, "waits")
 		for n := range s.Count {
 			if u := unit; s.Gang && n > 0 {
 				in.units[len(in.units)-1].Indexes = append(in.units[len(in.units)-1].Indexes, n)
@@ -187,6 +188,7 @@
 	free          work.Shape // not used by runs, less reservations beyond what ending ones release
 	projectedFree work.Shape // after runs that stop or end soon, less all reservations
 	idleMilliCPU  int64      // not declared by any run, best-effort ones included
+	hasStarts     bool       // a run starts there in this pass
 }
 
 func newRefWorker(w *Worker) *refWorker {
@@ -211,6 +213,14 @@
 	w.free = w.free.Sub(d)
 }
 
+func (w *refWorker) lossCost() float64 {
+	var cost float64
+	for _, run := range w.Runs {
+		cost += run.stopCost()
+	}
+	return cost
+}
+
 func (w *refWorker) canRun(j *work.Job, s work.Step) bool {
 	return w.Service == j.Service && Demand(s).FitsIn(w.Capacity) &&
 		(s.RequiredLabel == "" || slices.Contains(w.Labels, s.RequiredLabel))
@@ -284,6 +294,7 @@
 func (p *refPass) start(u *Unit, chosen []*refWorker) {
 	for i, w := range chosen {
 		w.allocate(Demand(u.step()))
+		w.hasStarts = true
 		w.idleMilliCPU -= u.step().Shape.MilliCPU
 		u.TasksByWorker[w.ID]++
 		p.plan.Placements = append(p.plan.Placements, Placement{
@@ -291,13 +302,18 @@
 			Worker: w.ID, Ticket: u.Tickets[w.ID],
 		})
 	}
+	for _, w := range chosen {
+		if u.Isolated {
+			w.free, w.projectedFree = work.Shape{}, work.Shape{}
+		}
+	}
 }
 
 func (p *refPass) candidateSets(u *Unit) (sets, spread [][]*refWorker) {
 	s := u.step()
 	var eligible []*refWorker
 	for _, w := range p.workers {
-		if _, ok := u.Tickets[w.ID]; (ok || !u.Job.Advised) && w.Schedulable && w.canRun(u.Job, s) && u.satisfiesRackAffinity(w.Worker) {
+		if _, ok := u.Tickets[w.ID]; (ok || !u.Job.Advised) && w.Schedulable && w.canRun(u.Job, s) && u.satisfiesRackAffinity(w.Worker) && !(u.Isolated && w.hasStarts) && !(u.Patient && w.StartedRecently) {
 			eligible = append(eligible, w)
 		}
 	}
@@ -410,7 +426,7 @@
 			if !d.FitsIn(remaining[i]) || (s.MaxPerWorker > 0 && stepTasks[i] >= s.MaxPerWorker) {
 				continue
 			}
-			if best < 0 || refBetterFit(s, workers[i], workers[best], remaining[i], remaining[best]) {
+			if best < 0 || refBetterFit(u, workers[i], workers[best], remaining[i], remaining[best]) {
 				best = i
 			}
 		}
@@ -424,11 +440,14 @@
 	return chosen
 }
 
-func refBetterFit(s work.Step, a, b *refWorker, remainingA, remainingB work.Shape) bool {
+func refBetterFit(u *Unit, a, b *refWorker, remainingA, remainingB work.Shape) bool {
+	if u.Isolated && a.lossCost() != b.lossCost() {
+		return a.lossCost() < b.lossCost()
+	}
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
-	if s.BestEffort {
+	if u.step().BestEffort {
 		return a.idleMilliCPU > b.idleMilliCPU
 	}
 	return remainingA.Cores() < remainingB.Cores()
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -29,6 +29,8 @@
 	QueuedSince   time.Time         // later of job acceptance and occurrence start
 	MustStartNow  bool              // has to start now, also spread over racks where it is slower
 	Failed        bool              // a run of the unit has failed
+	Isolated      bool              // may crash its workers: nothing else starts there in the same pass
+	Patient       bool              // isolated, and waits for workers on which nothing has just started
 	CompletesGang bool              // holds the missing members of a gang that has partly started
 	GangRack      string            // rack of the members that have started
 	Deferrable    bool              // can start later and still meet its deadline
@@ -86,8 +88,11 @@
 
 // mayPreempt reports whether capacity may be reserved and runs stopped for the unit.
 // Late units may preempt as well: they still count, and without preemption a wide
-// gang would not fit until the load ends.
-func (u *Unit) mayPreempt() bool { return u.Job.Priority == 0 && u.effectiveTimeliness() < Expired }
+// gang would not fit until the load ends. Patient units wait for a suitable worker, while
+// others use the capacity.
+func (u *Unit) mayPreempt() bool {
+	return u.Job.Priority == 0 && u.effectiveTimeliness() < Expired && !u.Patient
+}
 
 // fleetTimeFactor is the multiple of its FleetTime by which an urgent unit is ordered
 // later than it arrived. Smaller units that arrive within that time go first, since
