--- a/event/leader.go
+++ b/event/leader.go
@@ -39,8 +39,11 @@
 	LeaderWorkerLost     Event = 1171
 	LeaderWorkerAvoided  Event = 1172
 	LeaderOvercommitted  Event = 1173
+	LeaderWorkerCrashed  Event = 1174
+	LeaderCrashWithdrawn Event = 1175
 	LeaderCapacity       Event = 1176
 	LeaderShrunk         Event = 1177
+	LeaderJobGivenUp     Event = 1178
 	LeaderMachineOrdered Event = 1180
 	LeaderMachineFailed  Event = 1181
 	LeaderAdvice         Event = 1182
@@ -85,6 +88,9 @@
 	LeaderOvercommitted:  {"LeaderOvercommitted", zerolog.ErrorLevel, "The runs that a worker reports exceed its capacity, and did so when the last task was placed there: a fault of this system. The line has what the leader knows about them."},
 	LeaderCapacity:       {"LeaderCapacity", zerolog.InfoLevel, "The capacity that a worker announces has changed; the line has the earlier one and the runs there."},
 	LeaderShrunk:         {"LeaderShrunk", zerolog.InfoLevel, "The capacity of a worker has shrunk below what its runs take: no fault. The runs go on, and the worker gets no tasks until they fit."},
+	LeaderWorkerCrashed:  {"LeaderWorkerCrashed", zerolog.WarnLevel, "A worker has crashed; the line has the runs that were on it, their ages, and the crashes under each of their tasks."},
+	LeaderCrashWithdrawn: {"LeaderCrashWithdrawn", zerolog.InfoLevel, "A crash of a worker does not count against a task, because other workers crashed at the same moment."},
+	LeaderJobGivenUp:     {"LeaderJobGivenUp", zerolog.WarnLevel, "A job is given up because one of its tasks crashes the workers that start it; the line has the crashes with the ages of its runs."},
 	LeaderMachineOrdered: {"LeaderMachineOrdered", zerolog.InfoLevel, "A machine was requested to move or to shut down for maintenance."},
 	LeaderMachineFailed:  {"LeaderMachineFailed", zerolog.WarnLevel, "A call to the machine manager failed, or a maintenance wave could not be recorded."},
 	LeaderAdvice:         {"LeaderAdvice", zerolog.InfoLevel, "The advice service was asked which workers may run a step."},
--- a/leader/report.go
+++ b/leader/report.go
@@ -37,6 +37,9 @@
 		t.adopt(w, r, now)
 	}
 	for _, g := range t.predecessors(r) {
+		if w, ok := t.workers[g]; ok && !w.Draining && !w.leaving {
+			t.recordCrash(w, now)
+		}
 		t.endIncarnation(g, causeEnded, now)
 	}
 	if w == nil {
@@ -45,6 +48,9 @@
 	t.applyEnds(w, r, now)
 	t.applyRefusals(w, r, now)
 	t.applyRuns(w, r, now)
+	if r.Worker.LeasesLapsed && r.Worker.NoListener {
+		t.recordCrash(w, now)
+	}
 	t.endLapsedRuns(w, now)
 	return nil
 }
@@ -94,6 +100,7 @@
 	} else {
 		w.placedUnder = cmp.Or(w.LargestCapacity, w.Capacity)
 	}
+	w.observeSilence(now)
 	s.incarnation = id
 	t.streams[id] = s.wake
 	return w
@@ -181,7 +188,7 @@
 	if w := t.workers[worker]; w != nil && !stopped {
 		t.recordOutcome(w, k, outcome, now)
 	}
-	event.LeaderRunEnded.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", worker).Str("How", string(outcome)).Int("Fails", task.Failures).Send()
+	event.LeaderRunEnded.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", worker).Str("How", string(outcome)).Int("Fails", task.Failures).Int("Crashes", len(task.Crashes)).Send()
 	if s.progress.State.Final() {
 		t.stopAll(s, "the job is "+string(s.progress.State))
 		return
@@ -263,6 +270,9 @@
 func (t *term) expireWorkers(now time.Time) {
 	for id, w := range t.workers {
 		if now.Sub(w.reportedAt) > control.LapsedAfter() {
+			if w.NoListener {
+				t.recordCrash(w, now)
+			}
 			t.endIncarnation(id, "no report within the lease", now)
 		}
 	}
--- a/leader/term.go
+++ b/leader/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/crash"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/schedule"
@@ -21,13 +23,15 @@
 // jobState is the state of a job during a term.
 type jobState struct {
 	job              *work.Job
-	progress         *work.Progress          // including decisions that are not committed yet
-	committed        []work.Task             // tasks as last committed
-	version          uint64                  // of the progress record; 0 if there is none
-	dirty            bool                    // the progress differs from the record
-	checkpointsDirty bool                    // the record lacks newer checkpoints
-	endLogged        bool                    // the final state has been logged
-	ends             map[work.TaskKey]runEnd // latest end in this term of each task's runs that did not complete it
+	progress         *work.Progress             // including decisions that are not committed yet
+	committed        []work.Task                // tasks as last committed
+	version          uint64                     // of the progress record; 0 if there is none
+	dirty            bool                       // the progress differs from the record
+	checkpointsDirty bool                       // the record lacks newer checkpoints
+	endLogged        bool                       // the final state has been logged
+	ends             map[work.TaskKey]runEnd    // latest end in this term of each task's runs that did not complete it
+	hasCrashes       bool                       // workers have crashed under some of its tasks
+	crashedAt        map[work.TaskKey]time.Time // when the latest crash under a task became known in this term
 }
 
 // workerState is the state of a worker's incarnation during a term.
@@ -54,6 +58,9 @@
 	throttle        throttle
 	placedUnder     work.Shape // capacity by which the last task was placed here; before that, the largest one known
 	excess          excess     // of the reported runs over the capacity; it is logged
+	silentSince     time.Time  // first report of the worker as unresponsive; zero while it responds
+	crashed         bool       // its crash is recorded
+	leaving         bool       // its machine was ordered to go down
 }
 
 // term is the state of the leader from its election until another may lead.
@@ -77,6 +84,7 @@
 	endedIncarnations  map[string]bool          // whose runs have been ended; a repeated report does nothing
 	advice             map[stepKey]*stepAdvice
 	urgentUse          schedule.UrgentUse      // of the fleet
+	recentCrashes      crash.Recent            // of workers
 	runDurations       map[string]meanDuration // by queue
 	totalCores         float64                 // size of the fleet
 	incompleteGangs    map[stepKey]bool        // gangs that wait for the replacement of refused members
@@ -242,6 +250,7 @@
 		}
 		s = &jobState{job: e.Job, progress: p, version: e.ProgressVersion}
 		s.committed = append(s.committed, p.Tasks...)
+		s.hasCrashes = slices.ContainsFunc(p.Tasks, func(task work.Task) bool { return len(task.Crashes) > 0 })
 		t.jobs[id] = s
 		if !p.State.Final() {
 			event.LeaderJob.Log(t.cfg.Log).Str("Job", id).Str("Account", e.Job.Account).Int("Priority", e.Job.Priority).Str("Steps", describe(e.Job)).
@@ -374,6 +383,7 @@
 		t.merge(id, e)
 	}
 	t.expireWorkers(now)
+	t.giveUpJobs(now)
 	t.place(now)
 	t.markCheckpoints(now)
 	return t.collectBatch()
--- a/work/progress.go
+++ b/work/progress.go
@@ -21,15 +21,17 @@
 
 // Task is the progress of a task.
 type Task struct {
-	Run        int    `json:",omitempty"` // number of the latest run, 0 before the first
-	Worker     string `json:",omitempty"` // incarnation of the worker of the current run; empty if there is none
-	Ticket     string `json:",omitempty"` // ticket of the advice service for the current run
-	Done       bool   `json:",omitempty"`
-	Failures   int    `json:"Fails,omitempty"`
-	FailedRun  int    `json:",omitempty"`      // latest run that was counted in Failures
-	Checkpoint string `json:"Saved,omitempty"` // latest checkpoint
-	Percent    int    `json:"-"`               // progress of the run, as reported by the worker
-	Stopping   bool   `json:"-"`               // the run is being stopped
+	Run        int     `json:",omitempty"` // number of the latest run, 0 before the first
+	Worker     string  `json:",omitempty"` // incarnation of the worker of the current run; empty if there is none
+	Ticket     string  `json:",omitempty"` // ticket of the advice service for the current run
+	Done       bool    `json:",omitempty"`
+	Failures   int     `json:"Fails,omitempty"`
+	FailedRun  int     `json:",omitempty"`      // latest run that was counted in Failures
+	Checkpoint string  `json:"Saved,omitempty"` // latest checkpoint
+	Crashes    []Crash `json:",omitempty"`      // crashes of workers that had a run of the task, oldest first
+	LaterRuns  int     `json:",omitempty"`      // runs since the crash with the number LaterRunsFrom
+	Percent    int     `json:"-"`               // progress of the run, as reported by the worker
+	Stopping   bool    `json:"-"`               // the run is being stopped
 }
 
 // Placed reports whether the task has a run that was ordered and has not ended.
@@ -150,6 +152,9 @@
 		return false
 	}
 	t.Worker, t.Ticket, t.Stopping, t.Percent = "", "", false, 0
+	if outcome == OutcomeRefused && t.LaterRuns > 0 {
+		t.LaterRuns-- // it never started
+	}
 	if t.Done {
 		return true
 	}
@@ -257,6 +262,9 @@
 // be higher than that of every run of the task that may have started.
 func (p *Progress) Place(t *Task, worker, ticket string, run int) {
 	t.Run, t.Worker, t.Ticket, t.Stopping, t.Percent = run, worker, ticket, false, 0
+	if len(t.Crashes) >= LaterRunsFrom {
+		t.LaterRuns++
+	}
 	if !p.State.Final() {
 		p.State = Running
 	}
