--- a/leader/place.go
+++ b/leader/place.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rosemarysill/rosemarysill/crash"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/schedule"
 	"github.com/rosemarysill/rosemarysill/uptime"
@@ -150,7 +151,7 @@
 func (t *term) stepUnits(s *jobState, occurrence, step int, guaranteed bool, strays map[work.TaskKey]bool, now time.Time) []*schedule.Unit {
 	tasks := s.progress.Step(s.job, occurrence, step)
 	var waiting []int
-	hasStray := false
+	hasStray, abandoned := false, false
 	tasksByWorker := make(map[string]int)
 	for i := range tasks {
 		switch {
@@ -158,12 +159,14 @@
 			tasksByWorker[tasks[i].Worker]++
 		case strays[work.TaskKey{Job: s.job.ID, Occurrence: occurrence, Step: step, Index: i}]:
 			hasStray = true
+		case !tasks[i].Done && crash.Judge(&tasks[i]) == crash.GiveUp:
+			abandoned = true // it must not start again; giveUpJobs ends the job
 		case !tasks[i].Done:
 			waiting = append(waiting, i)
 		}
 	}
 	gang := s.job.Steps[step].Gang
-	if len(waiting) == 0 || gang && hasStray {
+	if len(waiting) == 0 || gang && (hasStray || abandoned) {
 		return nil
 	}
 	unit := schedule.Unit{
@@ -181,12 +184,16 @@
 	}
 	if gang {
 		unit.Indexes, unit.Failed = waiting, tasks[0].Failures > 0
+		for _, i := range waiting {
+			t.markSuspect(s, &unit, i)
+		}
 		return []*schedule.Unit{&unit}
 	}
 	units := make([]*schedule.Unit, 0, len(waiting))
 	for _, i := range waiting {
 		u := unit
 		u.Indexes, u.Failed = []int{i}, tasks[i].Failures > 0
+		t.markSuspect(s, &u, i)
 		units = append(units, &u)
 	}
 	return units
@@ -246,7 +253,8 @@
 		}
 		sw := &schedule.Worker{
 			ID: w.Incarnation, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
-			Schedulable: t.isSchedulable(w, now), Suspect: w.health.lastOutcome == work.OutcomeFailed,
+			Schedulable: t.isSchedulable(w, now) && !t.isKeptForSuspect(w, now), Suspect: w.health.lastOutcome == work.OutcomeFailed,
+			StartedRecently: w.startedRecently(now),
 		}
 		for k := range w.placedAt {
 			if run, ok := t.describeRun(w, k, guaranteed, now); ok {
