--- a/leader/crash.go
+++ b/leader/crash.go
@@ -198,7 +198,7 @@
 			if !task.Done && !task.Placed() && crash.Judge(task) == crash.GiveUp && now.Sub(t.lastCrash(s, k)) >= crash.Settle && s.progress.GiveUp(time.Now()) {
 				s.dirty = true
 				t.logGivenUp(k, task)
-				t.stopAll(s, "the job is given up, because a task crashes its workers")
+				t.stopAll(s, "the job is "+string(s.progress.State))
 			}
 		})
 	}
