leader: an old report does not end the present incarnation

A report on a stream whose opening was delayed was still applied if it was about another incarnation, or about none:

- from before the present incarnation of the worker: the leader took it for the newest, took the present incarnation for a predecessor and its runs for lost;
- from when the agent had taken the incarnation for ended (nothing listened at its address for 400 ms, or it had said that it was about to end), before its next status report: it names the incarnation as ended and no worker.

In both cases the runs went on at the worker and started on others, and the orphans of the worker were forgotten, so that nothing kept the tasks waiting.

A report without a worker is rejected if it names as ended an incarnation that has reported later. A report about an incarnation that has ended is rejected while another one of the same agent is known: a machine runs one worker at a time. That rule does not compare stamps, because the machine may have started again between the two, and does not hold reports back for ever, because an incarnation that is not heard is removed after its leases have lapsed.

Ruled out: one latest stamp for each agent. Stamps begin anew when the machine starts, and its reports would be rejected for as long as it had been up before.

The case of a machine that has started again passes before and after.

go test -race ./leader: ok

--- a/leader/report.go
+++ b/leader/report.go
@@ -21,8 +21,8 @@
 	if s.number < t.latestStreams[r.Agent] {
 		return errors.Wrapf(errSuperseded, "report on stream %d of agent %q, latest is %d", s.number, r.Agent, t.latestStreams[r.Agent])
 	}
-	if w := t.reporter(r); w != nil && r.Stamp.Before(w.stamp) {
-		return errors.Wrapf(errSuperseded, "report of agent %q is %v older than the latest one", r.Agent, w.stamp.Sub(r.Stamp))
+	if id := t.contradicts(r); id != "" {
+		return errors.Wrapf(errSuperseded, "report of agent %q, later ones are about %s", r.Agent, id)
 	}
 	t.latestStreams[r.Agent] = s.number
 	now := uptime.Now()
@@ -48,13 +48,37 @@
 	return nil
 }
 
-// reporter returns the state of the worker that a report is about, or nil if it has not
-// reported in this term.
-func (t *term) reporter(r control.Report) *workerState {
-	if r.Worker == nil {
-		return nil
+// contradicts returns an incarnation about which the agent has sent a later report than
+// r, if applying r would change it, or else an empty string. Stamps are comparable only
+// within one boot of the machine, and so within one incarnation of its worker.
+func (t *term) contradicts(r control.Report) string {
+	if r.Worker != nil {
+		id := r.Worker.Incarnation
+		if w := t.workers[id]; w != nil && r.Stamp.Before(w.stamp) {
+			return id
+		}
+		if t.endedIncarnations[id] {
+			return t.successor(id, r.Agent)
+		}
+		return ""
+	}
+	for _, id := range r.EndedIncarnations {
+		if w := t.workers[id]; w != nil && r.Stamp.Before(w.stamp) {
+			return id
+		}
+	}
+	return ""
+}
+
+// successor returns another incarnation of the agent's worker that has reported, or an
+// empty string.
+func (t *term) successor(id, agent string) string {
+	for other, w := range t.workers {
+		if other != id && w.attached && control.BelongsTo(other, agent) {
+			return other
+		}
 	}
-	return t.workers[r.Worker.Incarnation]
+	return ""
 }
 
 // needsDecision reports whether a report calls for a scheduling pass at once. Most
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -86,6 +86,51 @@
 	require.Equal(t, sent.Add(2*time.Second), current.stamp)
 }
 
+// Guards against the loss of a worker that is up by a report on a stream whose opening was
+// delayed: it is from before the next incarnation, or from when the incarnation was taken
+// for ended. Its runs would start on other workers while they go on here.
+func TestOldReportOfEarlierIncarnation(t *testing.T) {
+	const before, now = "a/i/1", "a/i/2"
+	sent := uptime.Now()
+	at := func(d time.Duration, r control.Report) control.Report {
+		r.Agent, r.Stamp = "a", sent.Add(d)
+		return r
+	}
+	for name, old := range map[string]control.Report{
+		"earlier incarnation": {Worker: &control.Worker{Incarnation: before}},
+		"taken for ended":     {EndedIncarnations: []string{before, now}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := &work.Job{ID: "j", MaxAttempts: 2, Steps: []work.Step{{Count: 1}}}
+			p := work.NewProgress(j)
+			term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
+			term.jobs["j"] = &jobState{job: j, progress: p, committed: append([]work.Task(nil), p.Tasks...)}
+			current := term.newStream()
+			worker := control.Report{Worker: &control.Worker{Incarnation: now}, EndedIncarnations: []string{before}}
+			require.NoError(t, term.report(current, at(2*time.Second, worker)))
+			p.Place(&p.Tasks[0], now, "", 1)
+			worker.Running = []work.RunStatus{{Key: work.RunKey{Task: work.TaskKey{Job: "j"}, Run: 1}}}
+			require.NoError(t, term.report(current, at(3*time.Second, worker)))
+
+			require.ErrorIs(t, term.report(term.newStream(), at(time.Second, old)), errSuperseded)
+			require.Equal(t, now, p.Tasks[0].Worker, "the run goes on")
+			require.NoError(t, term.report(current, at(4*time.Second, worker)), "the current stream goes on")
+
+			require.NoError(t, term.report(current, at(5*time.Second, control.Report{EndedIncarnations: []string{before, now}})))
+			require.Empty(t, p.Tasks[0].Worker, "a later report ends the incarnation")
+			require.NoError(t, term.report(current, at(6*time.Second, worker)), "which may turn out to be up")
+		})
+	}
+	t.Run("machine that has started again", func(t *testing.T) {
+		term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
+		require.NoError(t, term.report(term.newStream(), at(time.Hour, control.Report{Worker: &control.Worker{Incarnation: before}})))
+		rebooted := term.newStream()
+		require.NoError(t, term.report(rebooted, at(0, control.Report{})))
+		require.NoError(t, term.report(rebooted, at(time.Second, control.Report{Worker: &control.Worker{Incarnation: now}})))
+		require.NotContains(t, term.workers, before)
+	})
+}
+
 // Guards against a scheduling pass for each report of each agent, since a pass looks at
 // the whole fleet, and against changes that wait for the next periodic pass.
 func TestReportsThatCauseDecisions(t *testing.T) {
