runner: a lease renewal does not wait at the worker while a start is unsettled

A renewal waited at the worker for a run to end, for up to 1 s and with a lost reply 1.4 s, as soon as any call with the present fence had had a reply; the stop or start of another run was enough. Meanwhile neither the list that shows the run nor the refusal of its start could be reported, the task waited, and a run that counted as refused went on unseen.

A renewal now waits only if one with the present fence has been accepted. The highest fence of other replies is not needed any more and is removed.

Without the change: "TestRenewalDoesNotWaitWhileAStartIsUnsettled: Should be zero, but was 1s". How much later a task starts was not measured.

go test -race ./runner ./node: ok

--- a/runner/renewal.go
+++ b/runner/renewal.go
@@ -20,9 +20,9 @@
 		registered, id, incarnation, fence := w.registered, w.announcement.ID, w.incarnation(), w.fence
 		renewal := work.LeaseRenewal{AckedSeq: w.discardableSeq(), Until: w.grantLease(uptime.Now())}
 		// The call waits at the worker for a run to end, unless there are run ends that
-		// the leader has not recorded yet, or the worker has not replied with the
-		// current fence.
-		if len(w.ended) == 0 && w.confirmed && fence == w.ackedFence {
+		// the leader has not recorded yet, or the worker has not accepted a renewal with
+		// the current fence, which settles the starts without a reply.
+		if len(w.ended) == 0 && w.confirmed && fence == w.renewedFence {
 			renewal.Wait = renewalWait
 		}
 		r.mu.Unlock()
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -36,7 +36,6 @@
 	noListenerSince   time.Time // first call that found no listener at the worker's address, zero after a reply
 
 	fence                int64         // fence of the next call
-	ackedFence           int64         // highest fence of a call to which the worker has replied
 	renewedFence         int64         // highest fence of an accepted lease renewal
 	workerClock          time.Duration // worker's clock in its latest reply
 	workerClockAt        time.Time     // when the reply with workerClock arrived
@@ -108,7 +107,6 @@
 		return false
 	}
 	if reply.Refusal != work.RefusedUnhealthy {
-		w.ackedFence = max(w.ackedFence, fence)
 		w.lastReplyAt, w.failedCalls = now, 0
 	}
 	if reply.Clock > 0 {
