leader: a gang is stopped at once if only some refused members could be placed

If another refused member of the gang was placed in the same pass, the gang was no longer incomplete and not stopped either, because only the first waiting member was looked at. All its members then waited for the gang timeout, with their capacity.

Now none of the gang's members is placed in such a pass, and the gang is stopped in it, as it is when no worker has room.

Ruled out: stopping the gang if any member is not placed. The one that was placed in the same pass would have to be stopped before it was started.

Without the change: "TestGangIsStoppedIfOnlySomeMembersArePlaced/room_at_a: Not equal: expected: true, actual: false", and the same for /room_at_z.

go test -race ./leader: ok

--- a/leader/gang.go
+++ b/leader/gang.go
@@ -74,6 +74,18 @@
 	return placed > 0
 }
 
+// stepsWithRefusedMember returns the gangs of which a member would be placed on a worker
+// that has refused it. None of their members is placed, so that the gang is stopped at once.
+func (t *term) stepsWithRefusedMember(placements []schedule.Placement) map[stepKey]bool {
+	steps := make(map[stepKey]bool)
+	for _, p := range placements {
+		if t.hasRefusedMember(p) {
+			steps[stepKey{p.Task.Job, p.Task.Occurrence, p.Task.Step}] = true
+		}
+	}
+	return steps
+}
+
 // hasRefusedMember reports whether the worker has refused the run of the gang member that
 // would be placed on it. A later report may repeat that refusal, because the run keeps its
 // number, and it cannot be told from the refusal of a second start there.
--- a/leader/place.go
+++ b/leader/place.go
@@ -26,8 +26,9 @@
 		_, task := t.task(k)
 		t.stop(k, task, "preempted by a more urgent job")
 	}
+	incomplete := t.stepsWithRefusedMember(plan.Placements)
 	for _, p := range plan.Placements {
-		if !t.hasRefusedMember(p) {
+		if !incomplete[stepKey{p.Task.Job, p.Task.Occurrence, p.Task.Step}] {
 			t.placeTask(p, now)
 		}
 	}
--- a/leader/stray_test.go
+++ b/leader/stray_test.go
@@ -330,6 +330,32 @@
 	require.NotEmpty(t, tasks[0].Worker)
 }
 
+// Guards against a gang that waits for its timeout because only some of its refused members
+// are placed again: the only room for another one is on the worker that has refused it.
+func TestGangIsStoppedIfOnlySomeMembersArePlaced(t *testing.T) {
+	for _, other := range []string{"a", "z"} {
+		t.Run("room at "+other, func(t *testing.T) {
+			f := newStrayFleet(t, work.Step{Count: 3, Gang: true, Shape: work.Shape{Accelerators: 4}})
+			f.term.cfg = f.term.cfg.withDefaults()
+			f.term.cfg.Declarations, f.term.cfg.Meter = openDeclarations{}, meter.New()
+			small := func(r *control.Report) { r.Worker.Capacity.Accelerators = 4 }
+			f.report("m", nothing)
+			f.report("n", small)
+			f.report(other, small)
+			first, second, waits := f.place(0, 1, "m/i/1"), f.place(1, 1, "m/i/1"), f.place(2, 1, "n/i/1")
+			f.report("n", func(r *control.Report) { running(waits)(r); small(r) })
+			f.report("m", func(r *control.Report) {
+				r.Refused = []control.Refusal{{Key: first, Reason: work.RefusedNoCapacity}, {Key: second, Reason: work.RefusedNoCapacity}}
+			})
+			f.term.workers["m/i/1"].closedUntil = uptime.Now().Add(-time.Millisecond)
+			f.term.place(uptime.Now())
+			for _, task := range f.term.jobs["j"].progress.Tasks {
+				require.Equal(t, task.Placed(), task.Stopping, "the gang starts again under another number")
+			}
+		})
+	}
+}
+
 // Guards against a run that is taken for lost with the lapsed leases of its worker while
 // its order is on the way to the agent: it would start beside the next run of its task.
 func TestLapsedLeasesOfRunThatMayStillBegin(t *testing.T) {
