leader: the test of ended terms covers an expired lease

TWICE. orders() refuses to extend leases and to order starts once the lease of the leader record has expired by its own clock, also before the renewal loop has noticed, as after a suspension. No test failed without that check: all of go test ./leader passed on a copy that left it out.

With the check left out: "TestEndedTermOrdersNothing/lease_expired: Should be false, the lease is extended". With it the test passes.

--- a/leader/attach_test.go
+++ b/leader/attach_test.go
@@ -24,6 +24,7 @@
 		"closed":                  func(t *term) { t.close() },
 		"about to end":            func(t *term) { t.recordEndCause(errors.Wrap(errDeposed, "commit of 1 job")) },
 		"lease lost at the store": func(t *term) { t.renewOnce(context.Background()) },
+		"lease expired":           func(t *term) { t.leaseExpiry = uptime.Now() }, // and this entry was suspended
 	} {
 		t.Run(name, func(t *testing.T) {
 			const id = "a/i/1"
