--- a/event/runner.go
+++ b/event/runner.go
@@ -12,11 +12,14 @@
 	RunnerWorkerLeft    Event = 1021
 	RunnerWorkerState   Event = 1022
 	RunnerWorkerLeaving Event = 1023
+	RunnerNoListener    Event = 1024
+	RunnerCapacity      Event = 1025
 	RunnerStart         Event = 1030
 	RunnerStop          Event = 1031
 	RunnerPace          Event = 1032
 	RunnerEnded         Event = 1033
 	RunnerLapsed        Event = 1034
+	RunnerNoCapacity    Event = 1035
 	RunnerCallFailed    Event = 1040
 	RunnerStoreFailed   Event = 1041
 )
@@ -30,11 +33,14 @@
 	RunnerWorkerLeft:    {"RunnerWorkerLeft", zerolog.InfoLevel, "The worker has ended, and its runs with it."},
 	RunnerWorkerState:   {"RunnerWorkerState", zerolog.InfoLevel, "The worker has started to drain or to leave, or accepts tasks again."},
 	RunnerWorkerLeaving: {"RunnerWorkerLeaving", zerolog.InfoLevel, "The worker has said that it is about to end; it gets no more tasks. RunnerWorkerLeft follows when nothing listens at its address."},
+	RunnerNoListener:    {"RunnerNoListener", zerolog.WarnLevel, "Nothing listens at the worker's address; it gets no more tasks and no leases. Its runs count as ended when its next incarnation has confirmed or their leases have lapsed."},
+	RunnerCapacity:      {"RunnerCapacity", zerolog.InfoLevel, "The capacity that the worker announces has changed."},
 	RunnerStart:         {"RunnerStart", zerolog.InfoLevel, "The worker has replied to a request to start a run."},
 	RunnerStop:          {"RunnerStop", zerolog.InfoLevel, "The worker has replied to a request to stop a run."},
 	RunnerPace:          {"RunnerPace", zerolog.InfoLevel, "The worker has replied to a request to change the pace of a run."},
 	RunnerEnded:         {"RunnerEnded", zerolog.InfoLevel, "The worker reports a run as ended."},
 	RunnerLapsed:        {"RunnerLapsed", zerolog.WarnLevel, "The lease of a run has lapsed, and the worker, whose clock does not count the time for which its machine is suspended, still lists the run; the run is stopped."},
+	RunnerNoCapacity:    {"RunnerNoCapacity", zerolog.InfoLevel, "The agent does not pass a start on, because it does not fit the capacity that the worker announces beside the runs there; if it is refused, the leader places the task elsewhere."},
 	RunnerCallFailed:    {"RunnerCallFailed", zerolog.WarnLevel, "The worker did not reply to a call; it may still carry the call out later, until it has received a higher fence."},
 	RunnerStoreFailed:   {"RunnerStoreFailed", zerolog.WarnLevel, "The agent cannot read the leader record from the store."},
 })
--- a/leader/stray_test.go
+++ b/leader/stray_test.go
@@ -319,7 +319,7 @@
 	f.report("a", func(r *control.Report) {
 		r.Refused = []control.Refusal{{Key: refused, Reason: work.RefusedNoCapacity}}
 	})
-	f.term.workers["a/i/1"].closedUntil = uptime.Now().Add(-time.Millisecond)
+	f.term.workers["a/i/1"].noCapacityUntil = uptime.Now().Add(-time.Millisecond)
 	f.term.place(uptime.Now())
 	tasks := f.term.jobs["j"].progress.Tasks
 	require.Empty(t, tasks[0].Worker)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -106,12 +106,21 @@
 func (r *Runner) Announce(a work.Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	previous, wasLeaving := r.worker.announcement.State, r.worker.leaving()
-	if r.worker.applyAnnouncement(a, uptime.Now()) {
+	previous, wasLeaving := r.worker.announcement, r.worker.leaving()
+	begun := r.worker.applyAnnouncement(a, uptime.Now())
+	r.worker.recordCapacity()
+	if begun {
 		event.RunnerWorker.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Service", a.Service).Str("Rack", a.Rack).Send()
 		notify(r.renewNow)
-	} else if state := r.worker.announcement.State; state != previous || r.worker.leaving() != wasLeaving {
-		event.RunnerWorkerState.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("State", string(state)).Send()
+		return
+	}
+	current := r.worker.announcement
+	if current.State != previous.State || r.worker.leaving() != wasLeaving {
+		event.RunnerWorkerState.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("State", string(current.State)).Send()
+		notify(r.reportNow)
+	}
+	if current.Capacity != previous.Capacity {
+		event.RunnerCapacity.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Interface("Before", previous.Capacity).Interface("Capacity", current.Capacity).Send()
 		notify(r.reportNow)
 	}
 }
--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -14,6 +14,9 @@
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
 	w.calls++
+	if w.closed {
+		return work.RuntimeReply{}, work.ErrNoListener
+	}
 	if w.dark {
 		return work.RuntimeReply{}, errors.New("no answer")
 	}
@@ -80,9 +83,10 @@
 			return work.RefusedLate
 		}
 		w.set.check(s.Key)
+		w.checkCapacity(s)
 		w.set.started[s.Key]++
 		w.starts++
-		w.runs[s.Key] = &stepRun{spec: s.Spec, come: now, saved: s.Checkpoint}
+		w.runs[s.Key] = &stepRun{spec: s.Spec, demand: s.Demand, come: now, saved: s.Checkpoint}
 		w.set.advance(now)
 		return work.Accepted
 	})
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -48,6 +48,7 @@
 	id   string
 
 	dark   bool // answers nothing
+	closed bool // refuses connections
 	deaf   bool // answers no start, and carries none out
 	mute   bool // carries calls out late, and answers nothing
 	late   time.Duration
@@ -59,6 +60,8 @@
 	runs   map[work.RunKey]*stepRun
 	ended  []endedRun
 	latest map[work.TaskKey]int // highest run that was stopped or has ended
+
+	capacity work.Shape // that starts must not exceed; zero if there is no limit
 }
 
 var _ work.Runtime = (*StepWorker)(nil)
@@ -90,7 +93,7 @@
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
 	w.reset(time.Now())
-	w.dark = false
+	w.dark, w.closed = false, false
 }
 
 // SetDark makes the worker answer nothing. Its runs go on until their leases
@@ -101,6 +104,13 @@
 	w.dark = dark
 }
 
+// SetClosed makes the worker refuse connections. Its runs go on until their leases lapse.
+func (w *StepWorker) SetClosed(closed bool) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.closed = closed
+}
+
 // SetDeaf makes the worker leave starts unanswered and not carry them out, while
 // it answers all other calls.
 func (w *StepWorker) SetDeaf(deaf bool) {
@@ -117,8 +127,16 @@
 	w.mute, w.late = by > 0, by
 }
 
+// SetCapacity sets the capacity that starts must not exceed. The worker accepts those
+// that do and notes them as breaches.
+func (w *StepWorker) SetCapacity(capacity work.Shape) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.capacity = capacity
+}
+
 // Breaches returns what broke the promise that a task runs once at a time and
-// not after it was done.
+// not after it was done, and the starts that exceeded a capacity.
 func (s *Steps) Breaches() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
