runner: an order does not outlive the end of an incarnation that counts again

An order from before that end, on its way or between two attempts, passed the check of the incarnation and the start was made, although the leader had been told of the end and had placed the run on another worker.

It takes a late message of a worker that leaves, a refused connection, and a status report within control.OrderMaxAge; since refused connections alone do not end an incarnation.

Orders that answer a report from before the latest presumed end are not carried out. The stamp of the report is in the order already.

Without the change: "TestOrderFromBeforePresumedEndIsNotCarriedOut: "[start i start i]" should have 1 item(s), but has 2".

go test -race ./runner ./node: ok

--- a/runner/incarnation.go
+++ b/runner/incarnation.go
@@ -23,6 +23,13 @@
 	return w.registered && w.confirmed && w.incarnation() == incarnation
 }
 
+// isCurrent reports whether orders are carried out that answer a report with the given
+// stamp: it is not older than control.OrderMaxAge, nor from before an incarnation was taken
+// for ended. That incarnation may count again under the same name.
+func (w *workerState) isCurrent(stamp, now time.Time) bool {
+	return now.Sub(stamp) <= control.OrderMaxAge && !stamp.Before(w.endedAt)
+}
+
 // applyAnnouncement processes a status report of the worker and reports whether it
 // began a new incarnation. Reports of earlier incarnations, and reports that arrive
 // out of order, change nothing.
@@ -114,6 +121,7 @@
 	if !w.registered || !w.leaving() || !sent.After(w.leavingSince) {
 		return false
 	}
+	w.endedAt = now
 	w.recordEnd()
 	return true
 }
--- a/runner/incarnation_test.go
+++ b/runner/incarnation_test.go
@@ -159,3 +159,36 @@
 	require.Empty(t, worker.calls)
 	require.Equal(t, []control.Refusal{{Key: key(0), Reason: work.RefusedDraining}}, r.worker.report(uptime.Now()).Refused)
 }
+
+// Guards against an order that outlives the end of the incarnation that it was meant for if
+// that incarnation counts again: the leader has been told of the end and has placed the run
+// on another worker.
+func TestOrderFromBeforePresumedEndIsNotCarriedOut(t *testing.T) {
+	var r *Runner
+	countsAgain := func() {
+		incarnation := r.worker.incarnation()
+		r.Leave("i")
+		r.handleRenewal(t.Context(), incarnation, r.worker.fence, uptime.Now(), work.RuntimeReply{}, work.ErrNoListener)
+		require.Contains(t, r.worker.report(uptime.Now()).EndedIncarnations, incarnation)
+		r.Announce(work.Announcement{ID: "i", StartedAtMS: 1, Sequence: 2, State: work.WorkerReady})
+		r.worker.renewAt(work.RuntimeReply{Clock: time.Second}, r.worker.fence, uptime.Now())
+		require.True(t, r.worker.takesOrders(incarnation))
+	}
+	r, worker := newScriptedRunner(func() (work.RuntimeReply, error) {
+		countsAgain()
+		return unanswered()
+	})
+	incarnation, ordered := r.worker.incarnation(), uptime.Now()
+	attempt := func(ordered time.Time) {
+		r.attemptStart(t.Context(), incarnation, work.Start{Key: key(0)}, ordered)
+	}
+	attempt(ordered)
+	attempt(ordered)
+	require.Len(t, worker.calls, 1)
+
+	r.applyOrders(t.Context(), control.Orders{Epoch: 1, Echo: ordered, ExtendsLease: true, Incarnation: incarnation, Starts: []work.Start{{Key: key(1)}}})
+	require.Empty(t, r.inFlight, "an order that was on its way")
+
+	attempt(uptime.Now())
+	require.Len(t, worker.calls, 2, "an order that answers a later report")
+}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -10,13 +10,13 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// applyOrders carries out the leader's orders if they are for the current incarnation
-// and not older than control.OrderMaxAge.
+// applyOrders carries out the leader's orders if they are current and for the current
+// incarnation.
 func (r *Runner) applyOrders(ctx context.Context, o control.Orders) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := uptime.Now()
-	if !r.worker.applyLease(o) || !r.worker.takesOrders(o.Incarnation) || now.Sub(o.Echo) > control.OrderMaxAge {
+	if !r.worker.applyLease(o) || !r.worker.takesOrders(o.Incarnation) || !r.worker.isCurrent(o.Echo, now) {
 		return
 	}
 	r.worker.pruneRefusals(o)
@@ -108,7 +108,7 @@
 	now := uptime.Now()
 	until := w.grantLease(now)
 	draining := w.announcement.State == work.WorkerDraining || w.leaving()
-	if draining || until == 0 || now.Sub(ordered) > control.OrderMaxAge || !w.shouldStart(s.Key) {
+	if draining || until == 0 || !w.isCurrent(ordered, now) || !w.shouldStart(s.Key) {
 		if draining {
 			w.recordRefusal(s.Key, work.RefusedDraining)
 		}
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -33,6 +33,7 @@
 	endedIncarnations []string  // oldest first
 	leavingSince      time.Time // when the worker has said that it is about to end, zero after a later status report
 	presumedEnded     string    // incarnation that has said that it was about to end, and at whose address nothing listened then
+	endedAt           time.Time // when an incarnation was last taken for ended, zero if none was
 	noListenerSince   time.Time // first call that found no listener at the worker's address, zero after a reply
 	noListener        bool      // that was so for noListenerAfter
 
