--- a/runner/incarnation.go
+++ b/runner/incarnation.go
@@ -23,6 +23,13 @@
 	return w.registered && w.confirmed && w.incarnation() == incarnation
 }
 
+// isCurrent reports whether orders are carried out that answer a report with the given
+// stamp: it is not older than control.OrderMaxAge, nor from before an incarnation was taken
+// for ended. That incarnation may count again under the same name.
+func (w *workerState) isCurrent(stamp, now time.Time) bool {
+	return now.Sub(stamp) <= control.OrderMaxAge && !stamp.Before(w.endedAt)
+}
+
 // applyAnnouncement processes a status report of the worker and reports whether it
 // began a new incarnation. Reports of earlier incarnations, and reports that arrive
 // out of order, change nothing.
@@ -55,7 +62,7 @@
 	}
 	w.announcement, w.announcedAt, w.registered, w.confirmed = a, now, true, false
 	w.fence++
-	w.ackedFence, w.renewedFence, w.ackedSeq, w.running, w.ended, w.refused = 0, 0, 0, nil, nil, nil
+	w.renewedFence, w.ackedSeq, w.running, w.ended, w.refused = 0, 0, nil, nil, nil
 	w.leavingSince, w.noListenerSince, w.noListener = time.Time{}, time.Time{}, false
 	w.workerClock, w.workerClockAt, w.lastReplyAt, w.failedCalls = 0, time.Time{}, now, 0
 	// An earlier process of this agent may have granted leases up to this time.
@@ -114,6 +121,7 @@
 	if !w.registered || !w.leaving() || !sent.After(w.leavingSince) {
 		return false
 	}
+	w.endedAt = now
 	w.recordEnd()
 	return true
 }
