--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -33,11 +33,11 @@
 	endedIncarnations []string  // oldest first
 	leavingSince      time.Time // when the worker has said that it is about to end, zero after a later status report
 	presumedEnded     string    // incarnation that has said that it was about to end, and at whose address nothing listened then
+	endedAt           time.Time // when an incarnation was last taken for ended, zero if none was
 	noListenerSince   time.Time // first call that found no listener at the worker's address, zero after a reply
 	noListener        bool      // that was so for noListenerAfter
 
 	fence                int64         // fence of the next call
-	ackedFence           int64         // highest fence of a call to which the worker has replied
 	renewedFence         int64         // highest fence of an accepted lease renewal
 	workerClock          time.Duration // worker's clock in its latest reply
 	workerClockAt        time.Time     // when the reply with workerClock arrived
@@ -113,7 +113,6 @@
 		return false
 	}
 	if reply.Refusal != work.RefusedUnhealthy {
-		w.ackedFence = max(w.ackedFence, fence)
 		w.lastReplyAt, w.failedCalls = now, 0
 	}
 	if reply.Clock > 0 {
