--- a/standin/stepcapacity.go
+++ b/standin/stepcapacity.go
@@ -51,7 +51,8 @@
 }
 
 // Resize changes the capacity of the worker. A smaller one counts ShrinkNotice after a
-// report has shown it.
+// report has shown it, also in a new incarnation: a start can reach that one before its
+// first report.
 func (w *StepWorker) Resize(s work.Shape) {
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
