--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/rosemarysill/rosemarysill/standin"
 )
 
 // proxyMode is what a proxy does with the data that it forwards.
@@ -37,7 +39,7 @@
 
 // newProxy listens on a free loopback port and forwards connections to the target.
 func newProxy(target netip.AddrPort) (*proxy, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := listenOnFreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -46,6 +48,21 @@
 	return p, nil
 }
 
+// listenOnFreeAddress listens at an address that no outgoing connection takes while the
+// proxy refuses connections. Another process may take it between choice and use.
+func listenOnFreeAddress() (net.Listener, error) {
+	for attempt := 1; ; attempt++ {
+		address, err := standin.FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		l, err := net.Listen("tcp4", address.String())
+		if err == nil || attempt == listenAttempts {
+			return l, err
+		}
+	}
+}
+
 func (p *proxy) address() netip.AddrPort { return netip.MustParseAddrPort(p.listenAddress) }
 
 func (p *proxy) accept(l net.Listener) {
--- a/cmd/soak/regressions.go
+++ b/cmd/soak/regressions.go
@@ -26,6 +26,9 @@
 	{315, true, nil, "a start was refused as outdated before the end of the previous run was known"},
 	{431, true, nil, "a run that ended in a later worker incarnation was counted as lost with the earlier one"},
 	{724, true, nil, "the store write of a submission was not answered, the entry it was relayed to refused it, and the job ran"},
+	{1026, false, []string{refusesConnections, outlivesIncarnation}, "a task that crashed its workers was started without end"},
+	{1037, false, []string{deadlyJobs}, "an incarnation ended with an unanswered start, and the next one carried it out beside a new run"},
+	{1048, false, []string{deadlyJobs}, "a worker that refused connections was taken for ended, and its runs went on"},
 	{1001, false, calm, "an end as done was acknowledged and not applied, because its run had been taken for ended"},
 	{1017, false, calm, "the repetition of an unanswered start reached the next incarnation of the worker"},
 }
