--- /dev/null
+++ b/leader/fleet.go
@@ -0,0 +1,92 @@
+package leader
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/schedule"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// fleet returns the attached workers in the form that the scheduling pass takes.
+func (t *term) fleet(guaranteed map[string]bool, now time.Time) []*schedule.Worker {
+	fleet := make([]*schedule.Worker, 0, len(t.workers))
+	for _, w := range t.workers {
+		if !w.attached {
+			continue
+		}
+		sw := &schedule.Worker{
+			ID: w.Incarnation, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
+			Schedulable: t.isSchedulable(w, now) && !t.isKeptForSuspect(w, now), Suspect: w.health.lastOutcome == work.OutcomeFailed,
+			StartedRecently: w.startedRecently(now),
+		}
+		for k := range w.placedAt {
+			if run, ok := t.describeRun(w, k, guaranteed, now); ok {
+				sw.Runs = append(sw.Runs, run)
+			}
+		}
+		sw.Schedulable = t.addUnplacedRuns(sw, w) && sw.Schedulable
+		fleet = append(fleet, sw)
+	}
+	return fleet
+}
+
+// numStoppable returns how many tasks of a long-running step may be stopped now:
+// MaxUnavailable less the tasks that are unavailable, which are those not placed,
+// stopping, or below 100 percent.
+func (t *term) numStoppable(s *jobState, k work.TaskKey) int {
+	tasks := s.progress.Step(s.job, k.Occurrence, k.Step)
+	unavailable := 0
+	for i := range tasks {
+		if !tasks[i].Placed() || tasks[i].Stopping || tasks[i].Percent < 100 {
+			unavailable++
+		}
+	}
+	return s.job.Steps[k.Step].MaxUnavailable - unavailable
+}
+
+// stopOverdueFactor is the multiple of Config.StopGrace after which a stopping run is not
+// expected to end any more.
+const stopOverdueFactor = 2
+
+// maxReportAge is the age of the last report beyond which a worker gets no tasks.
+const maxReportAge = time.Second
+
+// isSchedulable reports whether a worker may get tasks.
+func (t *term) isSchedulable(w *workerState, now time.Time) bool {
+	_, streaming := t.streams[w.Incarnation]
+	return streaming && !w.Draining && !w.Unresponsive && now.After(w.closedUntil) && now.After(w.noCapacityUntil) && now.Sub(w.reportedAt) < maxReportAge &&
+		!t.cfg.Declarations.DomainOut(w.Domain) && !w.health.isAvoided(now)
+}
+
+// describeRun describes a run on a worker for the scheduling pass. It reports false if
+// the run is not placed there any more.
+func (t *term) describeRun(w *workerState, k work.RunKey, guaranteed map[string]bool, now time.Time) (schedule.Run, bool) {
+	s, task := t.task(k)
+	if task == nil || task.Worker != w.Incarnation || task.Run != k.Run {
+		delete(w.placedAt, k)
+		return schedule.Run{}, false
+	}
+	step := s.job.Steps[k.Task.Step]
+	run := schedule.Run{
+		Key: k, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Priority: s.job.Priority, Guaranteed: guaranteed[s.job.ID], Stopping: task.Stopping,
+		Cost: step.Shape.Cores() * now.Sub(w.placedAt[k]).Seconds(),
+	}
+	if since, ok := w.stopRequestedAt[k]; ok {
+		run.StopOverdue = now.Sub(since) > stopOverdueFactor*t.cfg.StopGrace
+	}
+	if p := w.trackers[k]; p != nil && !step.LongRunning {
+		run.EndsSoon = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
+	}
+	run.Late = s.job.Priority == 0 && t.isLate(s.job, w, k, now)
+	// Only tasks with an index below numStoppable may be preempted, so that one pass cannot
+	// stop more.
+	run.Pinned = step.LongRunning && k.Task.Index >= t.numStoppable(s, k.Task)
+	if step.Checkpointing {
+		run.Cost = step.Shape.Cores() // one second: it saves a checkpoint when it is stopped
+	}
+	if step.Gang {
+		run.Gang = k.Task.Job + "/" + strconv.Itoa(k.Task.Occurrence) + "/" + strconv.Itoa(k.Task.Step)
+	}
+	return run, true
+}
