--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -1,12 +1,14 @@
 // Command soak runs rosemarysill as separate processes on one machine, injects
 // faults into them and their connections, and checks the guarantees as callers and
 // workers observe them: accepted jobs end, refused ones do not run, tasks run once
-// at a time, and revoked keys are rejected in time.
+// at a time and within the capacity of their worker, a task that crashes its workers
+// is given up, and revoked keys are rejected in time.
 package main
 
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"sync"
@@ -22,6 +24,9 @@
 	Runs    uint64        `long:"runs" default:"1" description:"Number of runs; each uses the next seed"`
 	For     time.Duration `long:"for" default:"20s" description:"Duration of load and faults in each run"`
 	Again   bool          `long:"regressions" description:"Run the regression seeds instead of --seed and --runs"`
+	Without []string      `long:"without" description:"Kind of fault that is not injected, or \"deadly jobs\"; may be repeated"`
+	Jobs    int           `long:"jobs" default:"1" description:"Number of runs at the same time"`
+	Only    []string      `long:"only" description:"Kind of fault to draw from, instead of all; may be repeated"`
 	Logs    string        `long:"logs" description:"Directory in which the logs of failed runs are kept"`
 }
 
@@ -29,45 +34,107 @@
 // jobs have to end. It is several times what leases, restarts and a full queue take.
 const completionTimeout = 60 * time.Second
 
+// maxPrinted is the number of violations of a run that are printed.
+const maxPrinted = 12
+
 func main() {
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
-	var seeds []uint64
+	var runs []regression
 	for seed := o.Seed; seed < o.Seed+o.Runs && !o.Again; seed++ {
-		seeds = append(seeds, seed)
+		runs = append(runs, regression{seed: seed})
 	}
-	for _, r := range regressions {
-		if o.Again {
-			seeds = append(seeds, r.seed)
-		}
+	if o.Again {
+		runs = regressions
+	}
+	selected, err := o.selection()
+	if err != nil {
+		fmt.Println("soak:", err)
+		os.Exit(2)
+	}
+	results := make([]chan result, len(runs))
+	slots := make(chan struct{}, max(1, o.Jobs))
+	for i := range results {
+		results[i] = make(chan result, 1)
 	}
+	go func() {
+		for i, r := range runs {
+			slots <- struct{}{}
+			go func() {
+				kinds := selection{r.earliest, maps.Clone(selected.without), selected.only}
+				for _, name := range r.without {
+					kinds.without[name] = true
+				}
+				summary, violations, err := run(o, r.seed, kinds)
+				results[i] <- result{summary, violations, err}
+				<-slots
+			}()
+		}
+	}()
 	failed := 0
-	for _, seed := range seeds {
-		summary, violations, err := run(o, seed)
-		switch {
-		case err != nil:
-			fmt.Printf("seed %d: %v\n", seed, err)
-			failed++
-		case len(violations) > 0:
-			fmt.Printf("seed %d: FAILED: %s\n", seed, summary)
-			for _, b := range violations {
-				fmt.Println("  ", b)
-			}
+	for i, r := range runs {
+		if done := <-results[i]; !done.print(r.seed) {
 			failed++
-		default:
-			fmt.Printf("seed %d: passed: %s\n", seed, summary)
 		}
 	}
-	fmt.Printf("soak: %d passed, %d failed\n", len(seeds)-failed, failed)
+	fmt.Printf("soak: %d passed, %d failed\n", len(runs)-failed, failed)
 	if failed > 0 {
 		os.Exit(1)
 	}
 }
 
+// selection returns the kinds that --without and --only select.
+func (o options) selection() (selection, error) {
+	known := map[string]bool{deadlyJobs: true}
+	for _, f := range (selection{}).kinds() {
+		known[f.name] = true
+	}
+	kinds := selection{without: make(map[string]bool), only: make(map[string]bool)}
+	for _, list := range []struct {
+		names []string
+		set   map[string]bool
+	}{{o.Without, kinds.without}, {o.Only, kinds.only}} {
+		for _, name := range list.names {
+			if !known[name] {
+				return kinds, errors.Newf("there is no kind of fault %q", name)
+			}
+			list.set[name] = true
+		}
+	}
+	return kinds, nil
+}
+
+// result is the outcome of one run.
+type result struct {
+	summary    string
+	violations []string
+	err        error
+}
+
+// print prints the result and reports whether the run has passed.
+func (r result) print(seed uint64) bool {
+	switch {
+	case r.err != nil:
+		fmt.Printf("seed %d: %v\n", seed, r.err)
+	case len(r.violations) > 0:
+		fmt.Printf("seed %d: FAILED: %s\n", seed, r.summary)
+		for _, v := range r.violations[:min(len(r.violations), maxPrinted)] {
+			fmt.Println("  ", v)
+		}
+		if more := len(r.violations) - maxPrinted; more > 0 {
+			fmt.Println("   and", more, "more")
+		}
+	default:
+		fmt.Printf("seed %d: passed: %s\n", seed, r.summary)
+		return true
+	}
+	return false
+}
+
 // run does one run and returns its summary and the violated guarantees.
-func run(o options, seed uint64) (string, []string, error) {
+func run(o options, seed uint64, kinds selection) (string, []string, error) {
 	dir, err := os.MkdirTemp("", "soak-")
 	if err != nil {
 		return "", nil, errors.Wrap(err, "create directory for a run")
@@ -84,6 +151,7 @@
 	if err := s.waitReady(); err != nil {
 		return "", nil, err
 	}
+	s.steps.Rebirth, s.kinds = randomRebirth(seed), kinds
 	c := newCallers(s)
 	faultLog, err := os.Create(filepath.Join(dir, "faults.log"))
 	if err != nil {
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -15,6 +15,12 @@
 	SpecFails = "fails" // each run fails at its end
 	SpecHangs = "hangs" // a run makes no progress
 	SpecSaves = "saves" // a run makes a checkpoint in each tenth of its duration
+
+	// SpecCrashes makes the worker crash after a delay: crashes=10ms, or crashes=
+	// for a short one.
+	SpecCrashes = "crashes="
+	// SpecNeeds is the demand of a run: needs=1000c/500m/2a. Needs writes it.
+	SpecNeeds = "needs="
 )
 
 // Steps is a set of workers that run steps. Members of a gang wait for each
@@ -23,45 +29,67 @@
 	GangWait  time.Duration // after which a member that waits ends alone
 	StopGrace time.Duration // that a stop takes
 
-	mu      sync.Mutex
-	workers []*StepWorker
-	started map[work.RunKey]int
-	overlap []string // breaches of the promise that a task runs once
-	done    map[work.TaskKey]int
-	noted   map[work.TaskKey]bool      // tasks of which an end as done was taken note of
-	latest  map[work.TaskKey]time.Time // latest start
+	// Rebirth returns how long a worker that has crashed is away, and the identifier
+	// of its next incarnation. The default is 2 s and the same identifier.
+	Rebirth func(id string) (time.Duration, string)
+	// Observe, if it is set, is called for each event, with the lock held: it must not
+	// block or call the workers.
+	Observe func(StepEvent)
+
+	mu        sync.Mutex
+	workers   []*StepWorker
+	started   map[work.RunKey]int
+	breaches  []string
+	done      map[work.TaskKey]int
+	noted     map[work.TaskKey]bool // tasks of which an end as done was taken note of
+	order     int                   // of the latest start or end
+	latest    map[work.TaskKey]int  // order of the latest start
+	crashed   map[work.TaskKey]taskCrashes
+	completed map[string]time.Time // when a job was first shown as completed
 }
 
 // NewSteps returns an empty set.
 func NewSteps() *Steps {
 	return &Steps{
 		GangWait: 3 * time.Second, StopGrace: 50 * time.Millisecond,
+		Rebirth: func(id string) (time.Duration, string) { return 2 * time.Second, id },
 		started: make(map[work.RunKey]int), done: make(map[work.TaskKey]int),
-		noted: make(map[work.TaskKey]bool), latest: make(map[work.TaskKey]time.Time),
+		noted: make(map[work.TaskKey]bool), latest: make(map[work.TaskKey]int),
+		crashed: make(map[work.TaskKey]taskCrashes), completed: make(map[string]time.Time),
 	}
 }
 
 // StepWorker is a worker that runs steps. It implements work.Runtime.
 type StepWorker struct {
+	// OnDown, if it is set, is called when the worker's process has ended and when the
+	// next one has begun.
+	OnDown func(down bool)
+
 	set  *Steps
 	born time.Time
 	id   string
 
-	dark   bool // answers nothing
-	closed bool // refuses connections
-	deaf   bool // answers no start, and carries none out
-	mute   bool // carries calls out late, and answers nothing
-	late   time.Duration
-	starts int
-	calls  int
-	fence  int64
-	until  time.Duration
-	seq    uint64
-	runs   map[work.RunKey]*stepRun
-	ended  []endedRun
-	latest map[work.TaskKey]int // highest run that was stopped or has ended
-
-	capacity work.Shape // that starts must not exceed; zero if there is no limit
+	down    bool // its process has ended
+	dark    bool // answers nothing
+	closed  bool // refuses connections
+	deaf    bool // answers no start, and carries none out
+	mute    bool // carries calls out late, and answers nothing
+	late    time.Duration
+	plan    []StartFault
+	held    time.Duration       // delay of a start with StartHeld
+	tries   map[work.RunKey]int // starts of a run since the plan was set
+	waiting []func()            // held starts that wait for the next incarnation
+
+	starts   int
+	calls    int
+	fence    int64
+	highest  int64 // highest fence in all incarnations
+	until    time.Duration
+	seq      uint64
+	runs     map[work.RunKey]*stepRun
+	ended    []endedRun
+	latest   map[work.TaskKey]int // highest run that was stopped or has ended
+	capacity stepCapacity
 }
 
 var _ work.Runtime = (*StepWorker)(nil)
@@ -88,59 +116,11 @@
 	return w.born.UnixMilli()
 }
 
-// Restart begins a new incarnation under the same identifier.
-func (w *StepWorker) Restart() {
-	w.set.mu.Lock()
-	defer w.set.mu.Unlock()
-	w.reset(time.Now())
-	w.dark, w.closed = false, false
-}
-
-// SetDark makes the worker answer nothing. Its runs go on until their leases
-// lapse.
-func (w *StepWorker) SetDark(dark bool) {
+// ID returns the identifier of the present incarnation.
+func (w *StepWorker) ID() string {
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
-	w.dark = dark
-}
-
-// SetClosed makes the worker refuse connections. Its runs go on until their leases lapse.
-func (w *StepWorker) SetClosed(closed bool) {
-	w.set.mu.Lock()
-	defer w.set.mu.Unlock()
-	w.closed = closed
-}
-
-// SetDeaf makes the worker leave starts unanswered and not carry them out, while
-// it answers all other calls.
-func (w *StepWorker) SetDeaf(deaf bool) {
-	w.set.mu.Lock()
-	defer w.set.mu.Unlock()
-	w.deaf = deaf
-}
-
-// SetLate makes the worker leave calls unanswered and carry them out after a
-// delay; 0 ends that.
-func (w *StepWorker) SetLate(by time.Duration) {
-	w.set.mu.Lock()
-	defer w.set.mu.Unlock()
-	w.mute, w.late = by > 0, by
-}
-
-// SetCapacity sets the capacity that starts must not exceed. The worker accepts those
-// that do and notes them as breaches.
-func (w *StepWorker) SetCapacity(capacity work.Shape) {
-	w.set.mu.Lock()
-	defer w.set.mu.Unlock()
-	w.capacity = capacity
-}
-
-// Breaches returns what broke the promise that a task runs once at a time and
-// not after it was done, and the starts that exceeded a capacity.
-func (s *Steps) Breaches() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]string(nil), s.overlap...)
+	return w.id
 }
 
 // Done returns the number of ends `done` of a task.
