schedule, crash, leader, runner: read-through of the diff

Unit.Patient is AvoidsRecentStarts, which says what it does. Comments that had grown beyond a line are wrapped, that on crashes at the same moment and that on minAbsence say what the code does now.

--- a/crash/coincidence.go
+++ b/crash/coincidence.go
@@ -28,10 +28,11 @@
 
 // Observe adds a crash and returns the crashes that it withdraws, its own among them.
 //
-// If all workers of a failure domain crash within a moment, the domain has failed and no run
-// is to blame, unless a run had just started on each of them. Other crashes at the same moment have a common cause as well, or none
-// in a task, unless one job had runs on both workers or a run had just started: what
-// starts explains the crash of its own worker, however many crash.
+// If all workers of a failure domain crash at the same moment, the domain has failed and
+// no run is to blame, unless a run had just started on each of them. If several
+// workers crash otherwise, a run that had just started still explains the crash of its
+// own worker, and so do runs of a job that ran on two of them. All other runs are not to
+// blame.
 func (r *Recent) Observe(e Event) []Withdrawal {
 	r.events = slices.DeleteFunc(r.events, func(o Event) bool { return e.At.Sub(o.At) > coincidence || o.At.Sub(e.At) > coincidence })
 	others := r.events
--- a/leader/crash.go
+++ b/leader/crash.go
@@ -14,8 +14,8 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// minAbsence is the least time from the crash of a worker until its agent reports that the
-// incarnation has ended, because nothing has listened at its address for 400 ms.
+// minAbsence is the least time from the crash of a worker until its agent reports that
+// nothing listens at its address, which takes 400 ms and the time of a call.
 const minAbsence = 350 * time.Millisecond
 
 // observeSilence updates since when the worker is reported as unresponsive.
@@ -160,7 +160,7 @@
 		return
 	}
 	u.Isolated = true
-	u.Patient = u.Patient || uptime.Now().Sub(t.lastCrash(s, k)) < crash.IsolationWait
+	u.AvoidsRecentStarts = u.AvoidsRecentStarts || uptime.Now().Sub(t.lastCrash(s, k)) < crash.IsolationWait
 }
 
 // isKeptForSuspect reports whether nothing may start on a worker because it has a run of a
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -207,12 +207,12 @@
 	require.False(t, u.Isolated)
 	term.markSuspect(s, &u, suspect.Index)
 	require.True(t, u.Isolated)
-	require.True(t, u.Patient)
+	require.True(t, u.AvoidsRecentStarts)
 	s.crashedAt[suspect] = s.crashedAt[suspect].Add(-crash.IsolationWait)
 	u = schedule.Unit{}
 	term.markSuspect(s, &u, suspect.Index)
 	require.True(t, u.Isolated)
-	require.False(t, u.Patient)
+	require.False(t, u.AvoidsRecentStarts)
 }
 
 // Guards against a worker that gets no tasks because a task has crashed it.
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -67,8 +67,8 @@
 const maxStartAttempts = 2
 
 // startRun starts a run on an incarnation of the worker and reports whether the start is
-// accepted or refused for good. If no start call gets a reply, the run is refused, so that the
-// leader can place it on another worker.
+// accepted or refused for good. If no start call gets a reply, the run is refused, so
+// that the leader can place it on another worker.
 func (r *Runner) startRun(ctx context.Context, incarnation string, s work.Start, ordered time.Time) bool {
 	for attempt := 1; ; attempt++ {
 		settled, needsNewOrder := r.attemptStart(ctx, incarnation, s, ordered)
@@ -95,8 +95,8 @@
 
 // attemptStart makes one start call. It reports whether the worker has accepted or
 // refused the start, and whether the agent must not repeat it without a new order. A
-// draining or leaving worker gets no call; its refusal is recorded and settled is false. A start
-// refused as outdated is not settled either until the next lease renewal.
+// draining or leaving worker gets no call; its refusal is recorded and settled is false.
+// A start refused as outdated is not settled either until the next lease renewal.
 func (r *Runner) attemptStart(ctx context.Context, incarnation string, s work.Start, ordered time.Time) (settled, needsNewOrder bool) {
 	r.mu.Lock()
 	w := r.worker
@@ -172,8 +172,8 @@
 	})
 }
 
-// callRuntime makes a call about a run of an incarnation and reports whether the worker has replied. It
-// calls accepted with the fence of the call if the worker has accepted it.
+// callRuntime makes a call about a run of an incarnation and reports whether the worker
+// has replied. It calls accepted with the fence of the call if the worker has accepted it.
 func (r *Runner) callRuntime(name string, e event.Event, incarnation string, k work.RunKey, call func(id string, fence int64) (work.RuntimeReply, error), accepted func(*workerState, int64)) bool {
 	r.mu.Lock()
 	w := r.worker
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -72,7 +72,7 @@
 	c := candidates{key: keyOf(u)}
 	p.examined += len(p.workers)
 	for _, w := range p.workers {
-		if (u.Isolated && w.hasStarts) || (u.Patient && w.StartedRecently) {
+		if (u.Isolated && w.hasStarts) || (u.AvoidsRecentStarts && w.StartedRecently) {
 			continue
 		}
 		if _, ok := u.Tickets[w.ID]; (ok || !u.Job.Advised) && w.Schedulable && w.canRun(u.Job, s) && u.satisfiesRackAffinity(w.Worker) {
--- a/schedule/isolation_test.go
+++ b/schedule/isolation_test.go
@@ -13,7 +13,7 @@
 func isolated(id string, count int) []*schedule.Unit {
 	all := units(newJob(id, 0, work.Step{Count: count, Shape: accelerators(1)}))
 	for _, u := range all {
-		u.Isolated, u.Patient = true, true
+		u.Isolated, u.AvoidsRecentStarts = true, true
 	}
 	return all
 }
@@ -69,20 +69,20 @@
 // Guards against a gang that is not started because its members share a worker.
 func TestIsolatedGangSharesWorker(t *testing.T) {
 	all := units(newJob("gang", 0, work.Step{Count: 4, Shape: accelerators(2), Gang: true}))
-	all[0].Isolated, all[0].Patient = true, true
+	all[0].Isolated, all[0].AvoidsRecentStarts = true, true
 	require.Len(t, schedule.Decide(fleet(1), all, 0).Placements, 4)
 }
 
 // Guards against tasks that may crash their workers and are started together once they
 // have waited in vain: each of them would be blamed for the crash of one.
-func TestImpatientUnitsAreStartedApart(t *testing.T) {
+func TestIsolatedUnitsAreStartedApart(t *testing.T) {
 	workers := fleet(2)
 	for _, w := range workers {
 		w.StartedRecently = true
 	}
 	all := isolated("j", 3)
 	for _, u := range all {
-		u.Patient = false
+		u.AvoidsRecentStarts = false
 	}
 	plan := schedule.Decide(workers, all, 0)
 	require.Len(t, plan.Placements, 2)
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -23,15 +23,17 @@
 }
 
 // equivalenceKey identifies units that are interchangeable in placement: those of
-// one step that agree in Failed, Deferrable, Isolated and Patient.
+// one step that agree in Failed, Deferrable, Isolated and
+// AvoidsRecentStarts.
 type equivalenceKey struct {
-	job                                   string
-	occurrence, step                      int
-	failed, deferrable, isolated, patient bool
+	job                          string
+	occurrence, step             int
+	failed, deferrable, isolated bool
+	avoidsRecentStarts           bool
 }
 
 func keyOf(u *Unit) equivalenceKey {
-	return equivalenceKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Deferrable, u.Isolated, u.Patient}
+	return equivalenceKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Deferrable, u.Isolated, u.AvoidsRecentStarts}
 }
 
 // Decide places the units that fit, in order of precedence, and preempts runs for urgent
@@ -237,9 +239,10 @@
 	return n
 }
 
-// betterFit reports whether worker a is preferred to b. An isolated unit goes where the loss
-// of the worker costs least. Suspect workers come last. A best-effort task goes to the worker with the most idle processor time. Other tasks
-// go where the least capacity remains (best fit), so that whole workers stay free.
+// betterFit reports whether worker a is preferred to b. An isolated unit goes where the
+// loss of the worker costs least. Suspect workers come last. A best-effort task goes to
+// the worker with the most idle processor time. Other tasks go where the least capacity
+// remains (best fit), so that whole workers stay free.
 func (u *Unit) betterFit(a, b *workerState, remainingA, remainingB work.Shape) bool {
 	if u.Isolated && a.lossCost != b.lossCost {
 		return a.lossCost < b.lossCost
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -89,7 +89,7 @@
 			Job: j, Guaranteed: drawOneIn(3, "reserved"), MustStartNow: drawOneIn(5, "pressed"), Failed: drawOneIn(5, "failed"), Deferrable: drawOneIn(2, "patient"), Isolated: drawOneIn(5, "isolated"), Timeliness: Timeliness(drawInt(0, 3, "timeliness")),
 			QueuedSince: time.Unix(int64(drawInt(0, 5, "since")), 0), Deadline: time.Unix(int64(drawInt(0, 5, "due")), 0), TasksByWorker: tasksByWorker,
 		}
-		unit.Patient = unit.Isolated && drawOneIn(2, "waits")
+		unit.AvoidsRecentStarts = unit.Isolated && drawOneIn(2, "waits")
 		for n := range s.Count {
 			if u := unit; s.Gang && n > 0 {
 				in.units[len(in.units)-1].Indexes = append(in.units[len(in.units)-1].Indexes, n)
@@ -316,7 +316,7 @@
 	s := u.step()
 	var eligible []*refWorker
 	for _, w := range p.workers {
-		if _, ok := u.Tickets[w.ID]; (ok || !u.Job.Advised) && w.Schedulable && w.canRun(u.Job, s) && u.satisfiesRackAffinity(w.Worker) && !(u.Isolated && w.hasStarts) && !(u.Patient && w.StartedRecently) {
+		if _, ok := u.Tickets[w.ID]; (ok || !u.Job.Advised) && w.Schedulable && w.canRun(u.Job, s) && u.satisfiesRackAffinity(w.Worker) && !(u.Isolated && w.hasStarts) && !(u.AvoidsRecentStarts && w.StartedRecently) {
 			eligible = append(eligible, w)
 		}
 	}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -21,24 +21,24 @@
 
 // Unit is a gang or a single task: its tasks are placed all together or not at all.
 type Unit struct {
-	Job           *work.Job
-	Occurrence    int
-	Step          int
-	Indexes       []int
-	Guaranteed    bool              // within the guaranteed capacity of the client account
-	QueuedSince   time.Time         // later of job acceptance and occurrence start
-	MustStartNow  bool              // has to start now, also spread over racks where it is slower
-	Failed        bool              // a run of the unit has failed
-	Isolated      bool              // may crash its workers: nothing else starts there in the same pass
-	Patient       bool              // isolated, and waits for workers on which nothing has just started
-	CompletesGang bool              // holds the missing members of a gang that has partly started
-	GangRack      string            // rack of the members that have started
-	Deferrable    bool              // can start later and still meet its deadline
-	Deadline      time.Time         // by which the job should be done
-	Timeliness    Timeliness        // of the job
-	FleetTime     time.Duration     // time that the work of its whole step would take on the whole fleet
-	TasksByWorker map[string]int    // tasks of the step by worker; shared by its units
-	Tickets       map[string]string // by worker; an advised job runs only where it has one
+	Job                *work.Job
+	Occurrence         int
+	Step               int
+	Indexes            []int
+	Guaranteed         bool              // within the guaranteed capacity of the client account
+	QueuedSince        time.Time         // later of job acceptance and occurrence start
+	MustStartNow       bool              // has to start now, also spread over racks where it is slower
+	Failed             bool              // a run of the unit has failed
+	Isolated           bool              // may crash its workers: nothing else starts there in the same pass
+	AvoidsRecentStarts bool              // isolated, and waits for workers on which nothing has just started
+	CompletesGang      bool              // holds the missing members of a gang that has partly started
+	GangRack           string            // rack of the members that have started
+	Deferrable         bool              // can start later and still meet its deadline
+	Deadline           time.Time         // by which the job should be done
+	Timeliness         Timeliness        // of the job
+	FleetTime          time.Duration     // time that the work of its whole step would take on the whole fleet
+	TasksByWorker      map[string]int    // tasks of the step by worker; shared by its units
+	Tickets            map[string]string // by worker; an advised job runs only where it has one
 }
 
 func (u *Unit) step() work.Step { return u.Job.Steps[u.Step] }
@@ -88,10 +88,10 @@
 
 // mayPreempt reports whether capacity may be reserved and runs stopped for the unit.
 // Late units may preempt as well: they still count, and without preemption a wide
-// gang would not fit until the load ends. Patient units wait for a suitable worker, while
-// others use the capacity.
+// gang would not fit until the load ends. Units that avoid recent starts wait for
+// a suitable worker, while others use the capacity.
 func (u *Unit) mayPreempt() bool {
-	return u.Job.Priority == 0 && u.effectiveTimeliness() < Expired && !u.Patient
+	return u.Job.Priority == 0 && u.effectiveTimeliness() < Expired && !u.AvoidsRecentStarts
 }
 
 // fleetTimeFactor is the multiple of its FleetTime by which an urgent unit is ordered
--- a/standin/stepcrash.go
+++ b/standin/stepcrash.go
@@ -39,7 +39,7 @@
 			c.startsAfter++
 		}
 		if c.startsAfter == maxStartsAfter {
-			w.set.breach("BUDGET: job %s: run %v starts at %s, the %d. start after %d workers have crashed under the task", k.Task.Job, k, w.id, c.startsAfter, c.crashes)
+			w.set.breach("BUDGET: job %s: run %v starts at %s: start %d after %d workers have crashed under the task", k.Task.Job, k, w.id, c.startsAfter, c.crashes)
 		}
 		born := w.born
 		time.AfterFunc(delay, func() {
