standin: the check of LIMIT compares all resources again

The check that came with capacities that change let a start pass that needs nothing of the resource that is exceeded, by the wording of the rule and without a trace of such a case. The agent refuses such a start, so the check can be as strict as the one before it.

--- a/standin/stepcapacity.go
+++ b/standin/stepcapacity.go
@@ -107,21 +107,13 @@
 	for _, o := range w.runs {
 		used = used.Add(o.needs())
 	}
-	if !exceeds(used, demand, c.now) {
+	if used.FitsIn(c.now) {
 		return
 	}
 	for _, o := range c.replaced {
-		if (o.until.IsZero() || arrived.Before(o.until)) && !exceeds(used, demand, o.shape) {
+		if (o.until.IsZero() || arrived.Before(o.until)) && used.FitsIn(o.shape) {
 			return
 		}
 	}
 	w.set.breach("LIMIT: job %s: run %v of %+v starts at %s: %d runs then use %+v of %+v", k.Task.Job, k, demand, w.id, len(w.runs)+1, used, c.now)
 }
-
-// exceeds reports whether a resource of which the demand is not zero is used beyond
-// the capacity.
-func exceeds(used, demand, capacity work.Shape) bool {
-	return demand.MilliCPU > 0 && used.MilliCPU > capacity.MilliCPU ||
-		demand.MemoryMB > 0 && used.MemoryMB > capacity.MemoryMB ||
-		demand.Accelerators > 0 && used.Accelerators > capacity.Accelerators
-}
--- a/standin/stepcapacity_test.go
+++ b/standin/stepcapacity_test.go
@@ -92,7 +92,7 @@
 			time.Sleep(2 * ShrinkNotice)
 			f.mustStart(0, taskRun(1, 1), spec)
 		}},
-		"a start that needs nothing of what is exceeded": {false, func(f *fleet) {
+		"a start that needs nothing of what is exceeded": {true, func(f *fleet) {
 			f.workers[0].Reported(shrink(f))
 			f.workers[0].Resize(capacity(1))
 			r, _ := f.workers[0].Report()
