--- a/control/message.go
+++ b/control/message.go
@@ -77,7 +77,8 @@
 	Agent             string
 	Stamp             time.Time // time of the report by the agent's clock
 	Worker            *Worker   // nil until a worker has announced itself and answered a call
-	EndedIncarnations []string  `json:"Gone"` // incarnations that have ended
+	EndedIncarnations []string  `json:"Gone"`       // incarnations that have ended
+	Left              string    `json:",omitempty"` // the latest of them that had said that it was about to end
 	Running           []work.RunStatus
 	Ended             []work.RunEnd
 	Refused           []Refusal
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -65,6 +65,7 @@
 		// The first task has ended with its lease; the second may still have started.
 		"lapsed, later ended":      {[]control.Report{silent(false, true), gone}, [3]int{0, 1, 0}, 1},
 		"no listener for a moment": {[]control.Report{silent(true, false)}, [3]int{}, 0},
+		"worker that has left":     {[]control.Report{{Agent: "a", EndedIncarnations: []string{crashedWorker}, Left: crashedWorker}}, [3]int{}, 0},
 		"draining worker":          {[]control.Report{{Agent: "a", Worker: &control.Worker{Incarnation: crashedWorker, Draining: true}}, gone}, [3]int{}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/leader/report.go
+++ b/leader/report.go
@@ -37,7 +37,7 @@
 		t.adopt(w, r, now)
 	}
 	for _, g := range t.predecessors(r) {
-		if w, ok := t.workers[g]; ok && !w.Draining && !w.leaving {
+		if w, ok := t.workers[g]; ok && !w.Draining && !w.leaving && g != r.Left {
 			t.recordCrash(w, now)
 		}
 		t.endIncarnation(g, causeEnded, now)
--- a/runner/incarnation_test.go
+++ b/runner/incarnation_test.go
@@ -109,7 +109,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		report := r.worker.report(uptime.Now())
-		return report.Worker == nil && len(report.EndedIncarnations) == 1 && report.EndedIncarnations[0] == incarnation
+		return report.Worker == nil && len(report.EndedIncarnations) == 1 && report.EndedIncarnations[0] == incarnation && report.Left == incarnation
 	}, 10*time.Second, time.Millisecond, "one renewal is enough")
 }
 
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -189,7 +189,7 @@
 	if w.registered && !w.confirmed {
 		return r // an order for an earlier incarnation may have started a run in this one
 	}
-	r.EndedIncarnations = slices.Clone(w.endedIncarnations)
+	r.EndedIncarnations, r.Left = slices.Clone(w.endedIncarnations), w.presumedEnded
 	if !w.registered {
 		return r
 	}
