standin, cmd/soak: ends of workers that are not announced count as crashes

Restart, and an End that the worker has not announced, now count as crashes under the tasks that run. A worker that leaves has announced it if its message was taken or a report that it drains has arrived. The bound of two is unchanged.

Before: TestUnannouncedEndsCountAsCrashes/restart expected 1, actual 0.

--- a/cmd/soak/worker.go
+++ b/cmd/soak/worker.go
@@ -30,6 +30,7 @@
 
 	mu        sync.Mutex
 	draining  bool
+	drained   int64  // incarnation that has reported that it drains
 	silent    bool   // sends no status reports
 	departure string // identifier whose departure is reported after the first report of the next incarnation
 	left      int64  // incarnation that departure belongs to
@@ -88,6 +89,9 @@
 			continue // a lost report is followed by the next one
 		}
 		w.Reported(report)
+		if state == work.WorkerDraining {
+			w.set(func(w *worker) { w.drained = report.Born })
+		}
 		if id := w.takeDeparture(report.Born); id != "" {
 			_ = announcer.Leave(ctx, id) // an agent that does not get it sees the next incarnation
 		}
@@ -114,12 +118,14 @@
 	w.set(func(w *worker) { w.draining = true })
 	uptime.Sleep(ctx, drain)
 	id, born := w.ID(), w.Born()
+	announced := false
 	if !late {
 		announcer := platform.NewAnnouncer(w.node.Control)
-		_ = announcer.Leave(ctx, id) // an agent that does not get it sees the next incarnation
+		announced = announcer.Leave(ctx, id) == nil
 		announcer.Close()
 	}
-	if !w.End() {
+	w.set(func(w *worker) { announced = announced || w.drained == born })
+	if !w.End(announced) {
 		w.set(func(w *worker) { w.draining = false })
 		return // it has crashed meanwhile
 	}
--- a/cmd/soak/workerfaults.go
+++ b/cmd/soak/workerfaults.go
@@ -179,7 +179,7 @@
 		switch {
 		case ok && restart:
 			w.Restart()
-		case ok && w.End():
+		case ok && w.End(false):
 			time.Sleep(downtime)
 			w.Begin(w.ID())
 		}
--- a/standin/stepcrash.go
+++ b/standin/stepcrash.go
@@ -71,12 +71,7 @@
 	w.set.advance(time.Now())
 	crashes := !w.down && condition()
 	if crashes {
-		for k := range w.runs {
-			c := w.set.crashed[k.Task]
-			c.crashes++
-			w.set.crashed[k.Task] = c
-			w.observe(WorkerDown, k, "crash")
-		}
+		w.countCrash()
 		w.goDown("crash")
 	}
 	id := w.id
@@ -89,12 +84,27 @@
 	time.AfterFunc(downtime, func() { w.Begin(next) })
 }
 
-// End ends the worker's process as planned, with all its runs, and reports whether it
-// was up.
-func (w *StepWorker) End() bool {
+// countCrash counts a crash of the worker under the tasks that it runs. The caller holds
+// the lock.
+func (w *StepWorker) countCrash() {
+	for k := range w.runs {
+		c := w.set.crashed[k.Task]
+		c.crashes++
+		w.set.crashed[k.Task] = c
+		w.observe(WorkerDown, k, "crash")
+	}
+}
+
+// End ends the worker's process, with all its runs, and reports whether it was up. An
+// end that the worker has not announced looks like a crash and counts as one.
+func (w *StepWorker) End(announced bool) bool {
 	w.set.mu.Lock()
+	w.set.advance(time.Now())
 	up := !w.down
 	if up {
+		if !announced {
+			w.countCrash()
+		}
 		w.goDown("end")
 	}
 	w.set.mu.Unlock()
@@ -138,13 +148,15 @@
 }
 
 // Restart begins a new incarnation under the same identifier, unless the worker is
-// down.
+// down. The end of the earlier one is not announced, so it counts as a crash.
 func (w *StepWorker) Restart() {
 	w.set.mu.Lock()
 	defer w.set.mu.Unlock()
 	if w.down {
 		return
 	}
+	w.set.advance(time.Now())
+	w.countCrash()
 	w.reset(time.Now())
 	w.dark, w.closed = false, false
 	w.observe(WorkerUp, work.RunKey{}, "restart")
--- a/standin/stepcrash_test.go
+++ b/standin/stepcrash_test.go
@@ -49,6 +49,31 @@
 	})
 }
 
+// Guards against ends of a worker that look like crashes to the system and are not
+// counted: a job that was given up for them would count as given up without a reason.
+func TestUnannouncedEndsCountAsCrashes(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(w *StepWorker)
+		want int
+	}{
+		"restart":        {func(w *StepWorker) { w.Restart() }, 1},
+		"end":            {func(w *StepWorker) { w.End(false) }, 1},
+		"crash":          {func(w *StepWorker) { w.Crash() }, 1},
+		"announced end":  {func(w *StepWorker) { w.End(true) }, 0},
+		"end of the run": {func(w *StepWorker) { time.Sleep(20 * time.Second); w.Restart() }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1)
+				f.mustStart(0, taskRun(0, 1), "for=5s")
+				c.end(f.workers[0])
+				require.Equal(t, c.want, f.Crashes(taskRun(0, 1).Task))
+				time.Sleep(10 * time.Second) // the next incarnation begins
+			})
+		})
+	}
+}
+
 // Guards against a crash after which the worker still answers, or is back with runs
 // or a fence of its earlier incarnation.
 func TestStepsCrash(t *testing.T) {
