--- a/cmd/soak/regressions.go
+++ b/cmd/soak/regressions.go
@@ -31,4 +31,5 @@
 	{1048, false, []string{deadlyJobs}, "a worker that refused connections was taken for ended, and its runs went on"},
 	{1001, false, calm, "an end as done was acknowledged and not applied, because its run had been taken for ended"},
 	{1017, false, calm, "the repetition of an unanswered start reached the next incarnation of the worker"},
+	{1402, false, nil, "the stand-in counted no crash for a worker that had started again without notice"},
 }
