leader: one set-up for the tests with late commits

TestCapacityShrinksDuringCommit and TestGangMemberOfShrunkWorkerIsPlacedElsewhere began with the same five calls. The assertions are unchanged; go test -race ./leader passes.

--- a/leader/capacity_cluster_test.go
+++ b/leader/capacity_cluster_test.go
@@ -10,17 +10,23 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// Guards against a start that is decided before a worker shrinks and ordered after the
-// commit, which a slow store delays by seconds: orders follow from committed placements.
-func TestCapacityShrinksDuringCommit(t *testing.T) {
-	t.Parallel()
-	c := newCluster(t, 1, 2)
+// newClusterWithLateCommits returns a cluster whose leader knows all workers and whose
+// commits take effect a second late, and the name of the leader.
+func newClusterWithLateCommits(t *testing.T, agents int) (*cluster, string) {
+	c := newCluster(t, 1, agents)
 	c.store.LateBy = time.Second
 	leader := c.awaitLeader()
-	c.submit("warm", step(16, 50*time.Millisecond)) // both workers are known once it is done
+	c.submit("warm", step(8*agents, 50*time.Millisecond)) // all workers are known once it is done
 	c.awaitState("warm", work.Completed)
-
 	c.store.SetFault(leader, standin.Late)
+	return c, leader
+}
+
+// Guards against a start that is decided before a worker shrinks and ordered after the
+// commit, which a slow store delays by seconds: orders follow from committed placements.
+func TestCapacityShrinksDuringCommit(t *testing.T) {
+	t.Parallel()
+	c, leader := newClusterWithLateCommits(t, 2)
 	wide := step(2, 100*time.Millisecond)
 	wide.Shape.Accelerators = 8
 	c.submit("wide", wide)
@@ -67,13 +73,7 @@
 // another worker.
 func TestGangMemberOfShrunkWorkerIsPlacedElsewhere(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, 1, 3)
-	c.store.LateBy = time.Second
-	leader := c.awaitLeader()
-	c.submit("warm", step(24, 50*time.Millisecond)) // all workers are known once it is done
-	c.awaitState("warm", work.Completed)
-
-	c.store.SetFault(leader, standin.Late)
+	c, leader := newClusterWithLateCommits(t, 3)
 	gang := step(2, 300*time.Millisecond)
 	gang.Gang, gang.Shape.Accelerators = true, 8
 	c.submitJob(&work.Job{ID: "gang", Service: "s", MaxAttempts: 2, Accepted: time.Now(), Steps: []work.Step{gang}, Spec: spec(300*time.Millisecond, "gang=2")})
