--- a/leader/attach.go
+++ b/leader/attach.go
@@ -129,8 +129,8 @@
 // ordered only once the placement is committed, and not if the worker lists the run, the
 // task is done, or the run will be taken for lost because the leases have lapsed.
 func (t *term) addRunOrder(o *control.Orders, w *workerState, k work.RunKey, listed bool) {
-	s, task := t.task(k)
-	if task == nil || task.Worker != w.Incarnation || task.Run != k.Run {
+	s, task := t.placedRun(w, k)
+	if task == nil {
 		return
 	}
 	if task.Stopping {
--- a/leader/crash.go
+++ b/leader/crash.go
@@ -54,20 +54,17 @@
 // that it has reported, and those that were placed there in time for their start. They
 // are in the order of their ages.
 func (t *term) crashedRuns(w *workerState, at time.Time) []crashedRun {
-	reported := make(map[work.RunKey]bool, len(w.running))
-	for _, run := range w.running {
-		reported[run.Key] = true
-	}
 	var runs []crashedRun
 	for k, placedAt := range w.placedAt {
-		s, task := t.task(k)
-		if task == nil || task.Worker != w.Incarnation || task.Run != k.Run || !t.isCommitted(s, k, w.Incarnation) {
+		s, task := t.placedRun(w, k)
+		if task == nil || !t.isCommitted(s, k, w.Incarnation) {
 			continue
 		}
-		if !reported[k] && placedAt.After(at) && !t.isInherited(placedAt) {
+		reported := work.ListsRun(w.running, k)
+		if !reported && placedAt.After(at) && !t.isInherited(placedAt) {
 			continue
 		}
-		runs = append(runs, crashedRun{k, task, max(0, at.Sub(placedAt)), reported[k]})
+		runs = append(runs, crashedRun{k, task, max(0, at.Sub(placedAt)), reported})
 	}
 	slices.SortFunc(runs, func(a, b crashedRun) int {
 		return cmp.Or(cmp.Compare(a.age, b.age), cmp.Compare(a.key.Task.Job, b.key.Task.Job), cmp.Compare(a.key.String(), b.key.String()))
@@ -167,8 +164,8 @@
 // suspect that may still crash it.
 func (t *term) isKeptForSuspect(w *workerState, now time.Time) bool {
 	for k, placedAt := range w.placedAt {
-		s, task := t.task(k)
-		if task == nil || !s.hasCrashes || task.Worker != w.Incarnation || task.Run != k.Run || crash.Judge(task) == crash.Clear {
+		s, task := t.placedRun(w, k)
+		if task == nil || !s.hasCrashes || crash.Judge(task) == crash.Clear {
 			continue
 		}
 		if now.Sub(placedAt) < crash.Isolation(task) {
@@ -198,7 +195,7 @@
 			if !task.Done && !task.Placed() && crash.Judge(task) == crash.GiveUp && now.Sub(t.lastCrash(s, k)) >= crash.Settle && s.progress.GiveUp(time.Now()) {
 				s.dirty = true
 				t.logGivenUp(k, task)
-				t.stopAll(s, "the job is "+string(s.progress.State))
+				t.stopEndedJob(s)
 			}
 		})
 	}
--- a/leader/end.go
+++ b/leader/end.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/control"
@@ -48,7 +47,7 @@
 	}
 	event.LeaderRunEnded.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", worker).Str("How", string(outcome)).Int("Fails", task.Failures).Int("Crashes", len(task.Crashes)).Send()
 	if s.progress.State.Final() {
-		t.stopAll(s, "the job is "+string(s.progress.State))
+		t.stopEndedJob(s)
 		return
 	}
 	if step := s.job.Steps[k.Task.Step]; step.Gang && outcome != work.OutcomeDone && !t.awaitsReplacement(s, k, outcome, now) {
@@ -111,7 +110,7 @@
 		w.lapsedSince = now
 	}
 	t.endRuns(w.Incarnation, "all leases have lapsed", now, func(k work.RunKey) bool {
-		return now.Sub(w.lapsedSince) > control.OrderMaxAge || slices.ContainsFunc(w.running, func(r work.RunStatus) bool { return r.Key == k })
+		return now.Sub(w.lapsedSince) > control.OrderMaxAge || work.ListsRun(w.running, k)
 	})
 }
 
--- a/leader/fleet.go
+++ b/leader/fleet.go
@@ -62,8 +62,8 @@
 // describeRun describes a run on a worker for the scheduling pass. It reports false if
 // the run is not placed there any more.
 func (t *term) describeRun(w *workerState, k work.RunKey, guaranteed map[string]bool, now time.Time) (schedule.Run, bool) {
-	s, task := t.task(k)
-	if task == nil || task.Worker != w.Incarnation || task.Run != k.Run {
+	s, task := t.placedRun(w, k)
+	if task == nil {
 		delete(w.placedAt, k)
 		return schedule.Run{}, false
 	}
--- a/leader/gang.go
+++ b/leader/gang.go
@@ -69,7 +69,7 @@
 		}
 	}
 	if placed > 0 {
-		t.incompleteGangs[stepKey{k.Task.Job, k.Task.Occurrence, k.Task.Step}] = true
+		t.incompleteGangs[keyOfStep(k.Task)] = true
 	}
 	return placed > 0
 }
@@ -80,7 +80,7 @@
 	steps := make(map[stepKey]bool)
 	for _, p := range placements {
 		if t.hasRefusedMember(p) {
-			steps[stepKey{p.Task.Job, p.Task.Occurrence, p.Task.Step}] = true
+			steps[keyOfStep(p.Task)] = true
 		}
 	}
 	return steps
--- a/leader/load.go
+++ b/leader/load.go
@@ -47,7 +47,7 @@
 		})
 		if s.progress.State.Final() {
 			s.endLogged = true
-			t.stopAll(s, "the job is "+string(s.progress.State))
+			t.stopEndedJob(s)
 			continue
 		}
 		t.stopDone(s)
--- a/leader/place.go
+++ b/leader/place.go
@@ -28,7 +28,7 @@
 	}
 	incomplete := t.stepsWithRefusedMember(plan.Placements)
 	for _, p := range plan.Placements {
-		if !incomplete[stepKey{p.Task.Job, p.Task.Occurrence, p.Task.Step}] {
+		if !incomplete[keyOfStep(p.Task)] {
 			t.placeTask(p, now)
 		}
 	}
@@ -64,6 +64,9 @@
 	occurrence, step int
 }
 
+// keyOfStep returns the key of the step that a task belongs to.
+func keyOfStep(k work.TaskKey) stepKey { return stepKey{k.Job, k.Occurrence, k.Step} }
+
 // placeTask records one placement. The members of a gang get the same run number.
 func (t *term) placeTask(p schedule.Placement, now time.Time) {
 	k := work.RunKey{Task: p.Task}
--- a/leader/report.go
+++ b/leader/report.go
@@ -178,15 +178,25 @@
 // refusalBackoff is how long a worker that refused a start gets no others.
 const refusalBackoff = 500 * time.Millisecond
 
+// placedRun returns the job and the task of a run that is placed on the worker, or nil if
+// it is not the present run of its task or is placed elsewhere.
+func (t *term) placedRun(w *workerState, k work.RunKey) (*jobState, *work.Task) {
+	s, task := t.task(k)
+	if task == nil || task.Run != k.Run || task.Worker != w.Incarnation {
+		return nil, nil
+	}
+	return s, task
+}
+
 // applyRefusals applies the starts that the worker has refused. The refusal of a run that
 // it lists is that of a repeated call: an earlier one has started the run.
 func (t *term) applyRefusals(w *workerState, r control.Report, now time.Time) {
 	for _, f := range r.Refused {
-		s, task := t.task(f.Key)
-		if task == nil || task.Run != f.Key.Run || task.Worker != w.Incarnation {
+		s, task := t.placedRun(w, f.Key)
+		if task == nil {
 			continue
 		}
-		listed := slices.ContainsFunc(r.Running, func(s work.RunStatus) bool { return s.Key == f.Key })
+		listed := work.ListsRun(r.Running, f.Key)
 		event.LeaderRefused.Log(t.cfg.Log).Str("Job", f.Key.Task.Job).Stringer("Run", f.Key).Str("Worker", w.Incarnation).Str("Why", string(f.Reason)).Bool("Listed", listed).Send()
 		if listed {
 			continue
@@ -212,8 +222,8 @@
 func (t *term) applyRuns(w *workerState, r control.Report, now time.Time) {
 	var strays []work.RunStatus
 	for _, run := range r.Running {
-		s, task := t.task(run.Key)
-		if task == nil || task.Run != run.Key.Run || task.Worker != w.Incarnation {
+		s, task := t.placedRun(w, run.Key)
+		if task == nil {
 			strays = append(strays, run)
 			continue
 		}
--- a/leader/stray.go
+++ b/leader/stray.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -95,7 +94,7 @@
 	}
 	s.dirty = true
 	if s.progress.State.Final() {
-		t.stopAll(s, "the job is "+string(s.progress.State))
+		t.stopEndedJob(s)
 		return
 	}
 	if s.job.Steps[k.Task.Step].Gang {
@@ -152,7 +151,7 @@
 	line = line.Int("PresentRun", task.Run).Str("PresentWorker", task.Worker).Bool("Stopping", task.Stopping).Bool("TaskDone", task.Done).Str("JobState", string(s.progress.State))
 	if present := t.workers[task.Worker]; present != nil {
 		key := work.RunKey{Task: k.Task, Run: task.Run}
-		running := slices.ContainsFunc(present.running, func(r work.RunStatus) bool { return r.Key == key })
+		running := work.ListsRun(present.running, key)
 		line = line.Dur("PlacedAgo", now.Sub(present.placedAt[key])).Bool("PresentRunning", running)
 	}
 	if e, ok := s.ends[k.Task]; ok {
--- a/leader/term.go
+++ b/leader/term.go
@@ -144,6 +144,9 @@
 	})
 }
 
+// stopEndedJob stops all runs of a job that has ended.
+func (t *term) stopEndedJob(s *jobState) { t.stopAll(s, "the job is "+string(s.progress.State)) }
+
 // stop marks a run as stopping and wakes the stream of its worker.
 func (t *term) stop(k work.RunKey, task *work.Task, reason string) {
 	if task.Stopping {
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -152,8 +152,8 @@
 		return
 	}
 	for k := range w.placedAt {
-		s, task := t.task(k)
-		if task == nil || task.Worker != w.Incarnation || task.Run != k.Run || task.Stopping {
+		s, task := t.placedRun(w, k)
+		if task == nil || task.Stopping {
 			continue
 		}
 		step := s.job.Steps[k.Task.Step]
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -69,7 +69,7 @@
 		switch {
 		case at.Before(sent):
 			delete(w.acceptedStarts, k)
-		case !w.hasEnded(k) && !slices.ContainsFunc(running, func(s work.RunStatus) bool { return s.Key == k }):
+		case !w.hasEnded(k) && !work.ListsRun(running, k):
 			running = append(running, work.RunStatus{Key: k})
 		}
 	}
@@ -144,7 +144,7 @@
 
 // hasRun reports whether the run is listed as running or ended.
 func (w *workerState) hasRun(k work.RunKey) bool {
-	return w.hasEnded(k) || slices.ContainsFunc(w.running, func(s work.RunStatus) bool { return s.Key == k })
+	return w.hasEnded(k) || work.ListsRun(w.running, k)
 }
 
 // recordRefusal records that a start is refused and reports true. It records nothing if
@@ -152,7 +152,7 @@
 // still be carried out. That is ruled out by an accepted lease renewal with a higher
 // fence that does not list the run; a reply to any other call says nothing about it.
 func (w *workerState) recordRefusal(k work.RunKey, reason work.Refusal) bool {
-	if f, ok := w.unansweredStarts[k]; w.hasRun(k) || (ok && f >= w.renewedFence) {
+	if w.hasRun(k) || w.mayStillStart(k) {
 		return false
 	}
 	delete(w.unansweredStarts, k)
--- a/work/crash.go
+++ b/work/crash.go
@@ -56,10 +56,4 @@
 
 // GiveUp marks the job as failed and reports whether it did. A job that has ended keeps its
 // state.
-func (p *Progress) GiveUp(now time.Time) bool {
-	if p.State.Final() {
-		return false
-	}
-	p.State, p.Ended = Failed, now
-	return true
-}
+func (p *Progress) GiveUp(now time.Time) bool { return p.finish(Failed, now) }
--- a/work/progress.go
+++ b/work/progress.go
@@ -204,8 +204,8 @@
 		}
 	}
 	counted.Failures, counted.FailedRun = counted.Failures+1, t.Run
-	if counted.Failures >= j.MaxAttempts && !p.State.Final() {
-		p.State, p.Ended = Failed, now
+	if counted.Failures >= j.MaxAttempts {
+		p.finish(Failed, now)
 	}
 }
 
@@ -233,11 +233,15 @@
 
 // Cancel marks the job as cancelled and reports whether it did. A job that has
 // ended keeps its state.
-func (p *Progress) Cancel(now time.Time) bool {
+func (p *Progress) Cancel(now time.Time) bool { return p.finish(Cancelled, now) }
+
+// finish sets the final state of the job and reports whether it did. A job that has
+// ended keeps its state.
+func (p *Progress) finish(state State, now time.Time) bool {
 	if p.State.Final() {
 		return false
 	}
-	p.State, p.Ended = Cancelled, now
+	p.State, p.Ended = state, now
 	return true
 }
 
@@ -255,7 +259,7 @@
 			return
 		}
 	}
-	p.State, p.Ended = Completed, now
+	p.finish(Completed, now)
 }
 
 // Place records that a run of the task is ordered on a worker. The run number must
--- a/work/runtime.go
+++ b/work/runtime.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,11 @@
 	Load       int // tail latency in ms of a task that serves requests, otherwise its processor use
 }
 
+// ListsRun reports whether a run is among those that a worker reports as running.
+func ListsRun(running []RunStatus, k RunKey) bool {
+	return slices.ContainsFunc(running, func(r RunStatus) bool { return r.Key == k })
+}
+
 // RunEnd is the end of a run that a worker reports.
 type RunEnd struct {
 	Seq        uint64 // counts up from 1 in each incarnation
