--- a/review/testdata/world/cases.go
+++ b/review/testdata/world/cases.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -429,3 +430,106 @@
 	w.state(batchPrefix, id, "north")
 	return broken, nil
 }
+
+// playWide: a wide step of small tasks with a long task-spec.
+func playWide(w *world, trouble bool) ([]string, error) {
+	w.configure(map[string]int64{"north": 8, "south": 8})
+	if err := w.start(deployment{frontends: fronts, minions: 4, perRack: 2, capacity: fullRoom}); err != nil {
+		return nil, err
+	}
+	const service, id, count = "1a2b3c4d5e6f7081", "5c0e7a21d94b36f8", 1200
+	if _, err := w.submit(batchPrefix, service, "south", behaviour{Lasts: true}, step{Count: 1, CPU: 1000, MemMB: 2000, GPU: 1, EstimatedMS: 5000, Lasts: true}); err != nil {
+		return nil, err
+	}
+	if !await(10*time.Second, func() bool { return w.atWork(service, 1) == 1 }) {
+		return nil, fmt.Errorf("%w: the service is not at work", errCannotRun)
+	}
+	b := behaviour{WorkMS: 3000}
+	if trouble {
+		b.Text = strings.Repeat("x", maxSpecBytes-len(`{"work-ms":3000,"text":""}`))
+	}
+	acked, err := w.submit(batchPrefix, id, "north", b, step{Count: count, CPU: 50, MemMB: 100, EstimatedMS: 3000})
+	if err != nil {
+		return nil, err
+	}
+	// The traffic ends here. Jobs are asked for finish_s later.
+	time.Sleep(time.Until(acked.Add(17 * time.Second)))
+	var broken []string
+	if begun(id) == 0 {
+		await(40*time.Second, func() bool { return begun(id) > 0 })
+		broken = append(broken, fmt.Sprintf("LOST: job %s had nothing running for %.0f s from its ack; %d of its %d tasks have begun; 4 minions of 64 cores are up and sound, and it needs 60 cores", id, time.Since(acked).Seconds(), begun(id), count))
+	}
+	if task := service + ".0.0.0"; len(broken) > 0 && !w.present(task) {
+		var last time.Time
+		how := ""
+		for _, e := range history(service) {
+			if e.task == task && e.how != "start" {
+				last, how = e.at, e.how
+			}
+		}
+		broken = append(broken, fmt.Sprintf("LOST: task %s, which lasts, ended as %s and has had no run for %.0f s since", task, how, time.Since(last).Seconds()))
+	}
+	w.state(batchPrefix, id, "north")
+	return broken, nil
+}
+
+// maxSpecBytes is the greatest length of a task-spec.
+const maxSpecBytes = 4000
+
+// storeOutage is how long the store is down. The users' site has outages of 6.5 s.
+const storeOutage = 5 * time.Second
+
+// playEnds: the store is down while more tasks of a job end on a minion than one answer
+// lists.
+func playEnds(w *world, trouble bool) ([]string, error) {
+	w.configure(map[string]int64{"north": 8, "south": 8})
+	if err := w.start(deployment{frontends: fronts, minions: 4, perRack: 2, capacity: fullRoom}); err != nil {
+		return nil, err
+	}
+	const id, count, workMS = "5c0e7a21d94b36f8", 1200, 8000
+	if _, err := w.submit(batchPrefix, id, "north", behaviour{WorkMS: workMS}, step{Count: count, CPU: 50, MemMB: 100, EstimatedMS: workMS}); err != nil {
+		return nil, err
+	}
+	if !await(workMS*time.Millisecond, func() bool { return begun(id) > 0 }) {
+		return nil, fmt.Errorf("%w: no task has begun", errCannotRun)
+	}
+	// The first tasks end just after the beginning of the outage, the last ones in it.
+	time.Sleep(time.Until(history(id)[0].at.Add((workMS - 300) * time.Millisecond)))
+	if n := begun(id); n < count {
+		return nil, fmt.Errorf("%w: %d of %d tasks have begun", errCannotRun, n, count)
+	}
+	if trouble {
+		w.record.add("the store is down for %v", storeOutage)
+		w.store.Suspend()
+	}
+	time.Sleep(storeOutage)
+	if trouble {
+		w.record.add("the store is back")
+		w.store.Resume(0)
+	}
+	time.Sleep(20 * time.Second)
+	noted := make(map[runKey]bool)
+	for _, e := range history(id) {
+		noted[e.runKey] = noted[e.runKey] || e.how == endNoted
+	}
+	done := make(map[string]event)
+	var broken []string
+	again := 0
+	for _, e := range history(id) {
+		switch earlier, isDone := done[e.task]; {
+		case e.how == "done" && noted[e.runKey]:
+			done[e.task] = e
+		case e.how == "start" && isDone:
+			again++
+			if again <= 3 {
+				broken = append(broken, fmt.Sprintf("TWICE: run %d of task %s starts at minion %d %.2f s after run %d has ended done at minion %d, an end that is taken note of",
+					e.run, e.task, e.minion+1, e.at.Sub(earlier.at).Seconds(), earlier.run, earlier.minion+1))
+			}
+		}
+	}
+	if again > 0 {
+		broken = append(broken, fmt.Sprintf("TWICE: in all %d of %d tasks were started again after they were done", again, count))
+	}
+	w.state(batchPrefix, id, "north")
+	return broken, nil
+}
--- a/review/testdata/world/main.go
+++ b/review/testdata/world/main.go
@@ -24,6 +24,8 @@
 	"avoid":       playAvoid,
 	"away":        playAway,
 	"tickets":     playTickets,
+	"ends":        playEnds,
+	"wide":        playWide,
 	"estimate":    playEstimate,
 	"late-wave":   playLateWave,
 	"pending":     playPending,
--- a/review/testdata/world/minion.go
+++ b/review/testdata/world/minion.go
@@ -28,10 +28,11 @@
 // behaviour is what a task does. It stands in the task-spec, which the system passes on
 // unread.
 type behaviour struct {
-	WorkMS  int64 `json:"work-ms,omitempty"`  // done after that
-	Lasts   bool  `json:"lasts,omitempty"`    // at work after startupTime, until it is stopped
-	FailsMS int64 `json:"fails-ms,omitempty"` // fails by its own fault after that
-	GPU     int64 `json:"gpu,omitempty"`      // accelerators that it takes
+	WorkMS  int64  `json:"work-ms,omitempty"`  // done after that
+	Lasts   bool   `json:"lasts,omitempty"`    // at work after startupTime, until it is stopped
+	FailsMS int64  `json:"fails-ms,omitempty"` // fails by its own fault after that
+	GPU     int64  `json:"gpu,omitempty"`      // accelerators that it takes
+	Text    string `json:"text,omitempty"`     // read by nobody
 }
 
 // startupTime is after how long a task that lasts is at work.
@@ -40,6 +41,10 @@
 // stopTime is how long a stop takes; it is below stop-grace-ms.
 const stopTime = 100 * time.Millisecond
 
+// endNoted is the event that an end as done was taken note of, by a minion whose lease has
+// not lapsed since the end.
+const endNoted = "its end as done is taken note of"
+
 type runKey struct {
 	task string
 	run  int
@@ -55,7 +60,8 @@
 type end struct {
 	seq int
 	runKey
-	how string
+	how    string
+	lapsed bool // the lease of the minion has lapsed since
 }
 
 // event is a start or an end of a run.
@@ -216,6 +222,11 @@
 		return
 	}
 	now := time.Now()
+	if m.clock(now) > m.until {
+		for i := range m.ended {
+			m.ended[i].lapsed = true
+		}
+	}
 	for k, r := range m.runs {
 		worked := now.Sub(r.began)
 		switch {
@@ -235,7 +246,7 @@
 	delete(m.runs, k)
 	m.latest[k.task] = max(m.latest[k.task], k.run)
 	m.seq++
-	m.ended = append(m.ended, end{m.seq, k, how})
+	m.ended = append(m.ended, end{seq: m.seq, runKey: k, how: how})
 	m.note(k, how)
 }
 
@@ -426,6 +437,9 @@
 		m.extend(o.Deadline)
 	}
 	for len(m.ended) > 0 && m.ended[0].seq <= o.LastSeen {
+		if e := m.ended[0]; e.how == "done" && !e.lapsed {
+			m.note(e.runKey, endNoted)
+		}
 		m.ended = m.ended[1:]
 	}
 	return http.StatusOK, ""
--- a/review/testdata/world/world.go
+++ b/review/testdata/world/world.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -35,16 +36,36 @@
 	beatInterval = 1500 * time.Millisecond
 )
 
-// Ports are the same on all machines.
+// Ports are the same on all machines. choosePorts sets them to free ones.
+var frontendPort, readyPort, controlPort, appPort, servicePort, internalPort int
+
+// Range in which ports are chosen, below that of outgoing connections.
 const (
-	frontendPort = 8521
-	readyPort    = 8523
-	controlPort  = 8526
-	appPort      = 8600
-	servicePort  = 8524
-	internalPort = 7000
+	firstPort = 14_000
+	portRange = 16_000
 )
 
+// choosePorts finds free ports.
+func choosePorts() error {
+	ports := []*int{&frontendPort, &readyPort, &controlPort, &appPort, &servicePort, &internalPort}
+	next := os.Getpid() * 64
+	for _, p := range ports {
+		for tries := 0; ; tries++ {
+			next++
+			*p = firstPort + next%portRange
+			l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", *p))
+			if err == nil {
+				_ = l.Close()
+				break
+			}
+			if tries > 1000 {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // errCannotRun marks the failure of a case that could not be tried.
 var errCannotRun = errors.New("the case could not run")
 
@@ -80,6 +101,9 @@
 }
 
 func newWorld(program, record string) (*world, error) {
+	if err := choosePorts(); err != nil {
+		return nil, err
+	}
 	root, err := os.Getwd()
 	if err != nil {
 		return nil, err
