--- a/review/testdata/world/cases.go
+++ b/review/testdata/world/cases.go
@@ -486,7 +486,7 @@
 	if err := w.start(deployment{frontends: fronts, minions: 4, perRack: 2, capacity: fullRoom}); err != nil {
 		return nil, err
 	}
-	const id, count, workMS = "5c0e7a21d94b36f8", 1200, 8000
+	const id, count, workMS = "5c0e7a21d94b36f8", 1200, 12_000
 	if _, err := w.submit(batchPrefix, id, "north", behaviour{WorkMS: workMS}, step{Count: count, CPU: 50, MemMB: 100, EstimatedMS: workMS}); err != nil {
 		return nil, err
 	}
--- a/review/testdata/world/world.go
+++ b/review/testdata/world/world.go
@@ -359,6 +359,7 @@
 	late := platform.StoreHandler(w.store.View(lateView))
 	w.store.SetFault(lateView, standin.Late)
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		time.Sleep(storeDelay)
 		job := w.lateJob.Load()
 		if job == nil || r.URL.Path != "/kv-txn" {
 			inTime.ServeHTTP(rw, r)
@@ -383,6 +384,9 @@
 	})
 }
 
+// storeDelay is the time that the store takes for an answer, as on the users' site.
+const storeDelay = 4 * time.Millisecond
+
 // lateView is the view of the store whose commits are late.
 const lateView = "late"
 
