--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -buildvcs=false -o target/review-world ./review/testdata/world
+go test -c -buildvcs=false -o target/review-world ./review/testdata/world
--- a/review/testdata/world/platform.go
+++ b/review/testdata/world/platform_test.go
@@ -1,4 +1,4 @@
-package main
+package world
 
 import (
 	"encoding/json"
