--- a/control/message.go
+++ b/control/message.go
@@ -81,6 +81,7 @@
 	Left              string    `json:",omitempty"` // the latest of them that had said that it was about to end
 	Running           []work.RunStatus
 	Ended             []work.RunEnd
+	MoreEnded         bool `json:",omitempty"` // there may be ended runs beyond those in Ended
 	Refused           []Refusal
 }
 
--- a/event/runner.go
+++ b/event/runner.go
@@ -20,6 +20,7 @@
 	RunnerEnded         Event = 1033
 	RunnerLapsed        Event = 1034
 	RunnerNoCapacity    Event = 1035
+	RunnerMoreEnded     Event = 1036
 	RunnerCallFailed    Event = 1040
 	RunnerStoreFailed   Event = 1041
 )
@@ -41,6 +42,7 @@
 	RunnerEnded:         {"RunnerEnded", zerolog.InfoLevel, "The worker reports a run as ended."},
 	RunnerLapsed:        {"RunnerLapsed", zerolog.WarnLevel, "The lease of a run has lapsed, and the worker, whose clock does not count the time for which its machine is suspended, still lists the run; the run is stopped."},
 	RunnerNoCapacity:    {"RunnerNoCapacity", zerolog.InfoLevel, "The agent does not pass a start on, because it does not fit the capacity that the worker announces beside the runs there; if it is refused, the leader places the task elsewhere."},
+	RunnerMoreEnded:     {"RunnerMoreEnded", zerolog.WarnLevel, "The worker has ended more runs than one reply lists, or has listed them all again (More is false). Until then no start is reported as refused, because the run may have ended."},
 	RunnerCallFailed:    {"RunnerCallFailed", zerolog.WarnLevel, "The worker did not reply to a call; it may still carry the call out later, until it has received a higher fence."},
 	RunnerStoreFailed:   {"RunnerStoreFailed", zerolog.WarnLevel, "The agent cannot read the leader record from the store."},
 })
--- a/leader/report.go
+++ b/leader/report.go
@@ -37,6 +37,10 @@
 		t.adopt(w, r, now)
 	}
 	for _, g := range t.predecessors(r) {
+		if r.MoreEnded {
+			delete(t.streams, g) // a run that was ordered for it may be among the ends that are not listed
+			continue
+		}
 		if w, ok := t.workers[g]; ok && !w.Draining && !w.leaving && g != r.Left {
 			t.recordCrash(w, now)
 		}
--- a/leader/report_test.go
+++ b/leader/report_test.go
@@ -186,3 +186,27 @@
 	require.ErrorIs(t, term.newStream().receiveRecovering(panickingStream{}), errReportPanic)
 	require.NoError(t, term.report(term.newStream(), control.Report{Agent: "a"}), "other reports are still handled")
 }
+
+// Guards against the loss of the runs of an earlier incarnation before the next one has
+// listed all its ends: an order for the earlier one may have begun a run there that has
+// ended since, and the task would start again although it is done.
+func TestUnlistedEndMayBelongToEarlierIncarnation(t *testing.T) {
+	f := newStrayFleet(t, work.Step{Count: 2})
+	f.report("a", nothing)
+	adopted, lost := f.place(0, 1, "a/i/1"), f.place(1, 1, "a/i/1")
+	next := func(more bool, ends ...work.RunEnd) func(*control.Report) {
+		return func(r *control.Report) {
+			r.Worker.Incarnation, r.EndedIncarnations = "a/i/2", []string{"a/i/1"}
+			r.Ended, r.MoreEnded = ends, more
+		}
+	}
+	tasks := f.term.jobs["j"].progress.Tasks
+	f.report("a", next(true))
+	require.True(t, tasks[0].Placed())
+	require.True(t, tasks[1].Placed())
+	require.NotContains(t, f.term.streams, "a/i/1", "the earlier incarnation gets no tasks")
+	f.report("a", next(false, work.RunEnd{Seq: 501, Key: adopted, Outcome: work.OutcomeDone}))
+	require.True(t, tasks[0].Done)
+	require.False(t, tasks[1].Placed(), "%v is lost", lost)
+	require.NotContains(t, f.term.workers, "a/i/1")
+}
--- a/runner/incarnation.go
+++ b/runner/incarnation.go
@@ -62,7 +62,7 @@
 	}
 	w.announcement, w.announcedAt, w.registered, w.confirmed = a, now, true, false
 	w.fence++
-	w.renewedFence, w.ackedSeq, w.running, w.ended, w.refused = 0, 0, nil, nil, nil
+	w.renewedFence, w.ackedSeq, w.running, w.ended, w.moreEnded, w.refused = 0, 0, nil, nil, false, nil
 	w.leavingSince, w.noListenerSince, w.noListener = time.Time{}, time.Time{}, false
 	w.workerClock, w.workerClockAt, w.lastReplyAt, w.failedCalls = 0, time.Time{}, now, 0
 	// An earlier process of this agent may have granted leases up to this time.
--- a/runner/renewal.go
+++ b/runner/renewal.go
@@ -78,11 +78,14 @@
 		}
 		return
 	}
-	before := len(w.ended)
+	before, hadMore := len(w.ended), w.moreEnded
 	if w.applyRenewal(reply, fence, sent, uptime.Now()) {
 		for _, e := range w.ended[min(before, len(w.ended)):] {
 			event.RunnerEnded.Log(r.cfg.Log).Str("Job", e.Key.Task.Job).Stringer("Run", e.Key).Str("How", string(e.Outcome)).Uint64("Seq", e.Seq).Send()
 		}
+		if w.moreEnded != hadMore {
+			event.RunnerMoreEnded.Log(r.cfg.Log).Str("Worker", incarnation).Bool("More", w.moreEnded).Int("Listed", len(w.ended)).Uint64("AckedSeq", w.ackedSeq).Send()
+		}
 		notify(r.reportNow)
 	}
 	for _, k := range w.lapsedRuns(sent) {
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -44,7 +44,8 @@
 	}
 	w.incarnationUncertain = false
 	w.renewedFence = max(w.renewedFence, fence)
-	changed := !w.confirmed
+	changed := !w.confirmed || w.moreEnded != reply.MoreEnded
+	w.moreEnded = reply.MoreEnded
 	w.confirmed = w.confirmed || fence >= w.fence
 	changed = changed && w.confirmed
 	for _, e := range reply.Ended {
@@ -127,9 +128,11 @@
 }
 
 // shouldStart reports whether a start of the run should be sent. The leader places a
-// refused run on another worker, so orders for it that arrive late are ignored.
+// refused run on another worker, so orders for it that arrive late are ignored. The worker
+// refuses each start of a settled run.
 func (w *workerState) shouldStart(k work.RunKey) bool {
-	return !w.hasRun(k) && !w.isRefused(k)
+	_, settled := w.settledRuns[k]
+	return !settled && !w.hasRun(k) && !w.isRefused(k)
 }
 
 func (w *workerState) isRefused(k work.RunKey) bool {
@@ -151,8 +154,10 @@
 // the worker lists the run, or if an earlier start call without a reply was or may
 // still be carried out. That is ruled out by an accepted lease renewal with a higher
 // fence that does not list the run; a reply to any other call says nothing about it.
+// While the lists lack ends, an earlier start may have been carried out and have ended,
+// also one by an earlier process of the agent.
 func (w *workerState) recordRefusal(k work.RunKey, reason work.Refusal) bool {
-	if w.hasRun(k) || w.mayStillStart(k) {
+	if w.hasRun(k) || w.mayStillStart(k) || w.moreEnded {
 		return false
 	}
 	delete(w.unansweredStarts, k)
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -50,6 +50,7 @@
 	incarnationUncertain bool          // a call has got no reply since the last accepted lease renewal
 	running              []work.RunStatus
 	ended                []work.RunEnd
+	moreEnded            bool // the worker may have ended runs that its latest reply did not list
 	refused              []control.Refusal
 	unansweredStarts     map[work.RunKey]int64      // highest fence of the starts without a reply
 	acceptedStarts       map[work.RunKey]time.Time  // when the worker has accepted a start
@@ -200,6 +201,7 @@
 		Unresponsive: w.leaving() || w.unresponsive(now), NoListener: w.noListener,
 	}
 	r.Worker.LeasesLapsed = w.unresponsive(now) && now.After(w.leasedUntil.Add(control.LapseMargin))
+	r.MoreEnded = w.moreEnded
 	r.Running, r.Ended, r.Refused = slices.Clone(w.running), slices.Clone(w.ended), slices.Clone(w.refused)
 	return r
 }
--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -65,9 +65,10 @@
 	for k, r := range w.runs {
 		l.Running = append(l.Running, work.RunStatus{Key: k, Checkpoint: r.checkpoint(now), Percent: r.percent(now)})
 	}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), w.set.ListedEnds)] {
 		l.Ended = append(l.Ended, e.RunEnd)
 	}
+	l.MoreEnded = len(l.Ended) == w.set.ListedEnds
 	return l
 }
 
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -28,6 +28,8 @@
 type Steps struct {
 	GangWait  time.Duration // after which a member that waits ends alone
 	StopGrace time.Duration // that a stop takes
+	// ListedEnds is the largest number of ended runs in a reply.
+	ListedEnds int
 
 	// Rebirth returns how long a worker that has crashed is away, and the identifier
 	// of its next incarnation. The default is 2 s and the same identifier.
@@ -51,7 +53,7 @@
 // NewSteps returns an empty set.
 func NewSteps() *Steps {
 	return &Steps{
-		GangWait: 3 * time.Second, StopGrace: 50 * time.Millisecond,
+		GangWait: 3 * time.Second, StopGrace: 50 * time.Millisecond, ListedEnds: work.MaxListedEnds,
 		Rebirth: func(id string) (time.Duration, string) { return 2 * time.Second, id },
 		started: make(map[work.RunKey]int), done: make(map[work.TaskKey]int),
 		noted: make(map[work.TaskKey]bool), latest: make(map[work.TaskKey]int),
--- a/standin/steps_test.go
+++ b/standin/steps_test.go
@@ -179,3 +179,22 @@
 		}},
 	})
 }
+
+// Guards against a stand-in that lists all ends at once, which hides faults of agents that
+// take a full list for a complete one.
+func TestEndsAreListedInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		const runs = work.MaxListedEnds + 3
+		for i := range runs {
+			f.mustStart(0, taskRun(i, 1), "for=1ms")
+		}
+		time.Sleep(2 * time.Millisecond)
+		reply := f.renew(0, 0, 0)
+		require.Len(t, reply.Ended, work.MaxListedEnds)
+		require.True(t, reply.MoreEnded)
+		reply = f.renew(0, 0, work.MaxListedEnds)
+		require.Len(t, reply.Ended, runs-work.MaxListedEnds)
+		require.False(t, reply.MoreEnded)
+	})
+}
--- a/work/runtime.go
+++ b/work/runtime.go
@@ -48,6 +48,10 @@
 	Checkpoint string  `json:"Saved"`
 }
 
+// MaxListedEnds is the largest number of ended runs in a reply of a worker. Later ones
+// are listed once these are acknowledged.
+const MaxListedEnds = 500
+
 // RuntimeReply is the reply of a worker to an order, with the state of its runs.
 type RuntimeReply struct {
 	Refusal     Refusal
@@ -55,6 +59,7 @@
 	StartedAtMS int64         `json:"Born"` // start of the incarnation, Unix milliseconds; 0 if not reported
 	Running     []RunStatus
 	Ended       []RunEnd
+	MoreEnded   bool // there may be ended runs beyond those in Ended, so a run in neither list may have ended
 }
 
 // Start is an order to start a run.
