--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -78,6 +78,7 @@
 	seq    uint64
 
 	capacity work.Shape // announced
+	rack     string     // announced
 }
 
 // cluster is a set of entries and agents with stand-ins for the store and the workers.
@@ -92,6 +93,7 @@
 	adviser         *fakeAdviser  // of entries that are added later
 	machines        *fakeMachines // of entries that are added later
 	cores           float64       // of entries that are added later
+	rack            string        // of agents that are added later
 	statusRetention time.Duration // of entries that are added later
 }
 
@@ -99,7 +101,7 @@
 	c := &cluster{
 		t: t, store: standin.NewTransactions(), steps: standin.NewSteps(),
 		declarations: &fakeDeclarations{out: make(map[string]bool)}, entries: make(map[string]*entry), agents: make(map[string]*agent),
-		statusRetention: time.Minute,
+		statusRetention: time.Minute, rack: "r1-1",
 	}
 	for i := range entries {
 		c.addEntry(fmt.Sprintf("entry%d", i))
@@ -174,7 +176,7 @@
 // addAgentWith adds an agent that calls its worker through a runtime.
 func (c *cluster) addAgentWith(name string, worker *standin.StepWorker, runtime work.Runtime) {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &agent{process: process{cancel, make(chan struct{})}, worker: worker, name: name, capacity: work.Shape{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}}
+	a := &agent{process: process{cancel, make(chan struct{})}, worker: worker, name: name, rack: c.rack, capacity: work.Shape{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}}
 	a.runner = runner.New(runner.Config{
 		Name: name, Store: c.store.View(name), Runtime: runtime, Log: zerolog.Nop(),
 		Register: func(work.Registrar) http.Handler { return http.NotFoundHandler() },
@@ -193,7 +195,7 @@
 func (c *cluster) announce(a *agent, state work.WorkerState, remaining time.Duration) {
 	a.seq++
 	a.runner.Announce(work.Announcement{
-		ID: "i-" + a.name, StartedAtMS: a.worker.Born(), Sequence: a.seq, Service: "s", Domain: "d-" + a.name, Rack: "r1-1", State: state,
+		ID: "i-" + a.name, StartedAtMS: a.worker.Born(), Sequence: a.seq, Service: "s", Domain: "d-" + a.name, Rack: a.rack, State: state,
 		Remaining: remaining, Capacity: a.capacity,
 	})
 }
--- a/leader/fleet.go
+++ b/leader/fleet.go
@@ -69,7 +69,7 @@
 	}
 	step := s.job.Steps[k.Task.Step]
 	run := schedule.Run{
-		Key: k, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Priority: s.job.Priority, Guaranteed: guaranteed[s.job.ID], Stopping: task.Stopping,
+		Key: k, LongRunning: step.LongRunning, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Priority: s.job.Priority, Guaranteed: guaranteed[s.job.ID], Stopping: task.Stopping,
 		Cost: step.Shape.Cores() * now.Sub(w.placedAt[k]).Seconds(),
 	}
 	if since, ok := w.stopRequestedAt[k]; ok {
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -24,8 +24,8 @@
 // candidateSets returns the sets of workers to try in order. For a step that runs
 // slower across racks, or away from its data, each set is a single rack, and spread
 // is a fallback to all eligible workers: for an urgent unit, or for one that no rack
-// could hold even when empty. For any other step the only set is all eligible
-// workers. A deferrable unit does not get the workers kept for urgent units, unless its
+// can hold once its runs have ended, except those that do not end by themselves. For
+// any other step the only set is all eligible workers. A deferrable unit does not get the workers kept for urgent units, unless its
 // data is in one rack.
 func (p *pass) candidateSets(u *Unit) (sets, spread [][]*workerState) {
 	s := u.step()
@@ -47,7 +47,7 @@
 			sets = append(sets, rack)
 		}
 	}
-	if u.Job.Priority == 0 || !p.fitsEmptyRack(u, racks, s.DataRack) {
+	if u.Job.Priority == 0 || !p.fitsReleasedRack(u, racks, s.DataRack) {
 		spread = [][]*workerState{c.eligible}
 	}
 	if leavesReserve {
@@ -130,11 +130,11 @@
 	return healthy
 }
 
-// fitsEmptyRack reports whether the whole unit would fit in one of the racks if no
-// runs occupied it. If dataRack is set, only that rack counts.
-func (p *pass) fitsEmptyRack(u *Unit, racks [][]*workerState, dataRack string) bool {
+// fitsReleasedRack reports whether the whole unit will fit in one of the racks once all
+// runs that end by themselves have ended. If dataRack is set, only that rack counts.
+func (p *pass) fitsReleasedRack(u *Unit, racks [][]*workerState, dataRack string) bool {
 	return slices.ContainsFunc(racks, func(rack []*workerState) bool {
-		return (dataRack == "" || rack[0].Rack == dataRack) && p.fits(u, rack, totalCapacity)
+		return (dataRack == "" || rack[0].Rack == dataRack) && p.fits(u, rack, releasableCapacity)
 	})
 }
 
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -21,6 +21,7 @@
 	Cost        float64 // core-seconds of work lost if it is stopped
 	Late        bool    // urgent, and its job is expected to miss its deadline
 	Pinned      bool    // must not be preempted
+	LongRunning bool    // does not end by itself
 	Stopping    bool
 	StopOverdue bool // was told to stop and has not ended within the time allowed
 	EndsSoon    bool // expected to end by itself no later than a stop would end it
@@ -76,6 +77,7 @@
 	rackIndex     int          // of the rack, by first occurrence in pass.workers
 	free          work.Shape   // not used by runs, less reservations beyond what ending ones release
 	projectedFree work.Shape   // after runs that stop or end soon, less all reservations
+	releasable    work.Shape   // after all runs that end by themselves or are being stopped
 	freeCores     float64      // free, in cores; 0 if a resource is lacking
 	idleMilliCPU  int64        // not declared by any run, best-effort ones included
 	runsByCost    []*placedRun // ascending by gangStopCost; set by indexRuns
@@ -86,7 +88,7 @@
 }
 
 func newWorkerState(w *Worker) *workerState {
-	state := &workerState{Worker: w, free: w.Capacity, projectedFree: w.Capacity, idleMilliCPU: w.Capacity.MilliCPU}
+	state := &workerState{Worker: w, free: w.Capacity, projectedFree: w.Capacity, releasable: w.Capacity, idleMilliCPU: w.Capacity.MilliCPU}
 	for i := range w.Runs {
 		run := &w.Runs[i]
 		state.free = state.free.Sub(run.Demand)
@@ -95,6 +97,9 @@
 		if run.StopOverdue || (!run.Stopping && !run.EndsSoon) {
 			state.projectedFree = state.projectedFree.Sub(run.Demand)
 		}
+		if run.LongRunning && (run.StopOverdue || !run.Stopping) {
+			state.releasable = state.releasable.Sub(run.Demand)
+		}
 	}
 	state.freeCores = usableCores(state.free)
 	return state
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -165,7 +165,7 @@
 
 func projectedFreeCapacity(w *workerState) work.Shape { return w.projectedFree }
 
-func totalCapacity(w *workerState) work.Shape { return w.Capacity }
+func releasableCapacity(w *workerState) work.Shape { return w.releasable }
 
 // selectWorkers selects a worker for each task of the unit, or returns nil if not
 // all of them fit.
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -62,7 +62,7 @@
 			d := work.Shape{MilliCPU: 1000 * a, MemoryMB: 100, Accelerators: a}
 			r := Run{
 				Key: work.RunKey{Task: work.TaskKey{Job: fmt.Sprintf("r%d.%d", i, n)}, Run: 1}, Demand: d, MilliCPU: d.MilliCPU, Priority: drawInt(0, 2, "priority"),
-				Guaranteed: drawOneIn(6, "reserved"), Cost: float64(drawInt(0, 5, "cost")), Pinned: drawOneIn(9, "pinned"), Late: drawOneIn(5, "late"), Stopping: drawOneIn(7, "stopping"), EndsSoon: drawOneIn(7, "ending"), StopOverdue: drawOneIn(9, "stuck"),
+				Guaranteed: drawOneIn(6, "reserved"), Cost: float64(drawInt(0, 5, "cost")), Pinned: drawOneIn(9, "pinned"), LongRunning: drawOneIn(4, "long-running"), Late: drawOneIn(5, "late"), Stopping: drawOneIn(7, "stopping"), EndsSoon: drawOneIn(7, "ending"), StopOverdue: drawOneIn(9, "stuck"),
 			}
 			if drawOneIn(3, "gang") {
 				r.Gang = fmt.Sprint("gang", drawInt(0, 3, "group"))
@@ -342,7 +342,7 @@
 			sets = append(sets, rack)
 		}
 	}
-	if u.Job.Priority == 0 || !refFitsEmptyRack(u, racks, s.DataRack) {
+	if u.Job.Priority == 0 || !refFitsReleasedRack(u, racks, s.DataRack) {
 		spread = [][]*refWorker{eligible}
 		if leavesReserve {
 			spread = [][]*refWorker{p.withoutKept(eligible, true)}
@@ -379,18 +379,28 @@
 	return healthy
 }
 
-func refFitsEmptyRack(u *Unit, racks [][]*refWorker, dataRack string) bool {
+func refFitsReleasedRack(u *Unit, racks [][]*refWorker, dataRack string) bool {
 	for _, rack := range racks {
 		if dataRack != "" && rack[0].Rack != dataRack {
 			continue
 		}
-		if refSelectWorkers(u, rack, func(w *refWorker) work.Shape { return w.Capacity }) != nil {
+		if refSelectWorkers(u, rack, refReleasable) != nil {
 			return true
 		}
 	}
 	return false
 }
 
+func refReleasable(w *refWorker) work.Shape {
+	left := w.Capacity
+	for _, run := range w.Runs {
+		if run.LongRunning && !(run.Stopping && !run.StopOverdue) {
+			left = left.Sub(run.Demand)
+		}
+	}
+	return left
+}
+
 func refRacksFullestFirst(workers []*refWorker) [][]*refWorker {
 	position := make(map[string]int)
 	var racks [][]*refWorker
