leader, schedule: waits for a rack, or for kept capacity, have a bound (LOST)

What callers would see: a job waits for the rack of its data, or for one rack of its gang, until a run of ten minutes there has ended, while the rest of the service is idle. Users take a job for lost that has nothing running for 3 s while under half of its service is in use.

The urgent reserve can keep a job waiting in the same way until its deadline comes near.

Change: a job without a run waits for its rack as long as it would lose by running elsewhere (RemoteSlowdown, from the settings), and 2 s if under half of its service is in use; then it also uses the urgent reserve. A long-running task waits 2 s. The decision stays pure: the leader records since when steps wait.

Ruled out: deciding by the expected end of the runs in the rack only; estimates are far off, so a bound on the time is needed in any case.

Before: TestJobWaitsBrieflyForRackOfLongRuns waits for the 30 s of the long run. After: it passes in about 2 s, TestWaitsEnd passes.

--- a/leader/gang.go
+++ b/leader/gang.go
@@ -117,7 +117,7 @@
 // placed members. It reports false, and the unit must not be used, if the placed members
 // do not wait or are being stopped.
 func (t *term) markAsCompletion(u *schedule.Unit, tasks []work.Task) bool {
-	key := stepKey{u.Job.ID, u.Occurrence, u.Step}
+	key := keyOfUnit(u)
 	if !t.incompleteGangs[key] {
 		return false
 	}
@@ -140,7 +140,7 @@
 		if !u.CompletesGang {
 			continue
 		}
-		delete(t.incompleteGangs, stepKey{u.Job.ID, u.Occurrence, u.Step})
+		delete(t.incompleteGangs, keyOfUnit(u))
 		s := t.jobs[u.Job.ID]
 		k := work.TaskKey{Job: u.Job.ID, Occurrence: u.Occurrence, Step: u.Step, Index: u.Indexes[0]}
 		if !s.progress.Task(s.job, k).Placed() {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -71,6 +71,7 @@
 	StopGrace        time.Duration       // longest time that the stop of a run takes
 	GangWait         time.Duration       // for which members of a gang wait for the others
 	ReclaimTimeout   time.Duration       // within which guaranteed work starts
+	RemoteSlowdown   float64             // factor by which tasks take longer away from their rack; 0 if unknown
 	Adviser          work.Adviser        // nil if there is no advice service
 	Machines         work.MachineManager // nil if machines cannot be controlled
 	EncodeWaveStatus WaveStatusEncoder
@@ -84,6 +85,7 @@
 
 func (c Config) withDefaults() Config {
 	c.GangWait = cmp.Or(c.GangWait, defaultGangWait)
+	c.RemoteSlowdown = cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown)
 	return c
 }
 
--- a/leader/place.go
+++ b/leader/place.go
@@ -18,10 +18,13 @@
 	t.totalCores = t.fleetCores()
 	units := t.units(guaranteed)
 	t.urgentUse.Observe(t.urgentCores(units), now)
+	t.observeWaits(units, now)
 	if len(units) == 0 {
 		return
 	}
-	plan := schedule.Decide(t.fleet(guaranteed, now), units, t.urgentUse.Expected())
+	fleet := t.fleet(guaranteed, now)
+	t.endWaits(units, fleet, now)
+	plan := schedule.Decide(fleet, units, t.urgentUse.Expected())
 	for _, k := range plan.Stops {
 		_, task := t.task(k)
 		t.stop(k, task, "preempted by a more urgent job")
--- a/leader/rack_cluster_test.go
+++ b/leader/rack_cluster_test.go
@@ -35,3 +35,18 @@
 	c.awaitState("waits", work.Completed)
 	c.requireNoBreaches()
 }
+
+// Guards against a job that waits for the rack of its data until a long run there has
+// ended, while the workers of another rack are free: users take it for lost after 3 s.
+func TestJobWaitsBrieflyForRackOfLongRuns(t *testing.T) {
+	t.Parallel()
+	const fillsFor = 30 * time.Second
+	c := newFilledRackCluster(t, work.Step{Estimate: fillsFor}, spec(fillsFor, ""))
+	c.addAgent("agent2", c.steps.Add("i-agent2")) // of two workers, half would be in use
+	s := step(1, 100*time.Millisecond)
+	s.DataRack = "r0"
+	c.submitJob(&work.Job{ID: "waits", Service: "s", Queue: "q", Priority: 2, MaxAttempts: 2, Accepted: time.Now(), Steps: []work.Step{s}, Spec: spec(100*time.Millisecond, "")})
+	c.awaitState("waits", work.Completed)
+	require.Equal(t, 1, c.steps.Runs(), "the long run goes on")
+	c.requireNoBreaches()
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -82,6 +82,7 @@
 	recentCrashes      crash.Recent            // of workers
 	runDurations       map[string]meanDuration // by queue
 	totalCores         float64                 // size of the fleet
+	waitingSince       map[stepKey]time.Time   // steps with waiting units; see observeWaits
 	incompleteGangs    map[stepKey]bool        // gangs that wait for the replacement of refused members
 	adviceWanted       chan struct{}           // signals that a step waits for advice
 	waves              map[string]*waveState   // used by runMaintenance only
--- a/node/entry.go
+++ b/node/entry.go
@@ -50,7 +50,7 @@
 	gw := gateway.New(gateway.Config{Store: store, Cache: cache, Declarations: declarations, KeyRevocationDelay: n.KeyRevocationDelay, Meter: metrics, Log: log})
 	cfg := leader.Config{
 		Name: n.Name, Address: n.Internal, Cores: n.Cores, LinkMbps: n.LinkMbps, Store: store, Cache: cache, Declarations: declarations,
-		LeaseMin: n.LeaseMin, StatusRetention: n.StatusRetention, StopGrace: n.StopGrace, GangWait: n.GangWait, ReclaimTimeout: n.ReclaimTimeout, EncodeWaveStatus: platform.EncodeWaveStatus, Meter: metrics, Log: log,
+		LeaseMin: n.LeaseMin, StatusRetention: n.StatusRetention, StopGrace: n.StopGrace, GangWait: n.GangWait, ReclaimTimeout: n.ReclaimTimeout, RemoteSlowdown: n.RemoteSlowdown, EncodeWaveStatus: platform.EncodeWaveStatus, Meter: metrics, Log: log,
 	}
 	if n.Advice.IsValid() {
 		advice := platform.NewAdviceClient(n.Advice)
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -23,10 +23,10 @@
 
 // candidateSets returns the sets of workers to try in order. For a step that runs
 // slower across racks, or away from its data, each set is a single rack, and spread
-// is a fallback to all eligible workers: for an urgent unit, or for one that no rack
-// can hold once its runs have ended, except those that do not end by themselves. For
-// any other step the only set is all eligible workers. A deferrable unit does not get the workers kept for urgent units, unless its
-// data is in one rack.
+// is a fallback to all eligible workers: for an urgent unit, for one that has waited
+// long enough, or for one that no rack can hold once the runs that end by themselves
+// have ended. For any other step the only set is all eligible workers. A deferrable
+// unit does not get the workers kept for urgent units, unless its data is in one rack.
 func (p *pass) candidateSets(u *Unit) (sets, spread [][]*workerState) {
 	s := u.step()
 	c := p.candidates(u)
@@ -47,7 +47,7 @@
 			sets = append(sets, rack)
 		}
 	}
-	if u.Job.Priority == 0 || !p.fitsReleasedRack(u, racks, s.DataRack) {
+	if u.Job.Priority == 0 || u.AnyRack || !p.fitsReleasedRack(u, racks, s.DataRack) {
 		spread = [][]*workerState{c.eligible}
 	}
 	if leavesReserve {
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -86,7 +86,7 @@
 		j := &work.Job{ID: fmt.Sprintf("j%d", i), Service: "s", Priority: drawInt(0, 2, "priority"), Steps: []work.Step{s}}
 		tasksByWorker := map[string]int{"w00": drawInt(0, 1, "beside")}
 		unit := Unit{
-			Job: j, Guaranteed: drawOneIn(3, "reserved"), MustStartNow: drawOneIn(5, "pressed"), Failed: drawOneIn(5, "failed"), Deferrable: drawOneIn(2, "patient"), Isolated: drawOneIn(5, "isolated"), Timeliness: Timeliness(drawInt(0, 3, "timeliness")),
+			Job: j, Guaranteed: drawOneIn(3, "reserved"), MustStartNow: drawOneIn(5, "pressed"), AnyRack: drawOneIn(5, "any rack"), Failed: drawOneIn(5, "failed"), Deferrable: drawOneIn(2, "patient"), Isolated: drawOneIn(5, "isolated"), Timeliness: Timeliness(drawInt(0, 3, "timeliness")),
 			QueuedSince: time.Unix(int64(drawInt(0, 5, "since")), 0), Deadline: time.Unix(int64(drawInt(0, 5, "due")), 0), TasksByWorker: tasksByWorker,
 		}
 		unit.AvoidsRecentStarts = unit.Isolated && drawOneIn(2, "waits")
@@ -342,7 +342,7 @@
 			sets = append(sets, rack)
 		}
 	}
-	if u.Job.Priority == 0 || !refFitsReleasedRack(u, racks, s.DataRack) {
+	if u.Job.Priority == 0 || u.AnyRack || !refFitsReleasedRack(u, racks, s.DataRack) {
 		spread = [][]*refWorker{eligible}
 		if leavesReserve {
 			spread = [][]*refWorker{p.withoutKept(eligible, true)}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -28,6 +28,7 @@
 	Guaranteed         bool              // within the guaranteed capacity of the client account
 	QueuedSince        time.Time         // later of job acceptance and occurrence start
 	MustStartNow       bool              // has to start now, also spread over racks where it is slower
+	AnyRack            bool              // has waited long enough for a rack where it is not slower
 	Failed             bool              // a run of the unit has failed
 	Isolated           bool              // may crash its workers: nothing else starts there in the same pass
 	AvoidsRecentStarts bool              // isolated, and waits for workers on which nothing has just started
