schedule: a long-running run that is preempted in a pass is released

Capacity that batch work waits for was worked out before the pass, so a long-running run that the pass preempts still counted as never released, and the batch unit started in another rack than that of its data. Found by TestDecideMatchesReference with more draws than usual: it fails within 200,000 checks on the commit before, and passes 200,000 now.

--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -109,6 +109,9 @@
 	for _, victim := range pr.victims {
 		victim.Stopping = true
 		victim.worker.projectedFree = victim.worker.projectedFree.Add(victim.Demand)
+		if victim.LongRunning && !victim.StopOverdue {
+			victim.worker.releasable = victim.worker.releasable.Add(victim.Demand)
+		}
 		p.plan.Stops = append(p.plan.Stops, victim.Key)
 	}
 	p.reserve(u, pr.chosen)
