leader: long-running tasks without a bound may be stopped (RECLAIM)

What callers saw: a claim within a guarantee is accepted and waits until somebody cancels the long-running tasks of another account that hold the capacity.

Cause: a step may bound how many of its long-running tasks are unavailable at a time. The leader took an omitted bound for a bound of zero, so these tasks were never preempted. Maintenance waves ask the same function: a machine with such a task was never taken down, stayed closed, and its wave never completed.

Change: without MaxUnavailable all tasks of a step may be stopped. The cost of stopping one goes by an absence of 30 s, not by its age, and it never counts as late.

Ruled out: keeping guaranteed capacity free of long-running tasks; others may use whatever is idle.

--- a/leader/fleet.go
+++ b/leader/fleet.go
@@ -33,8 +33,11 @@
 
 // numStoppable returns how many tasks of a long-running step may be stopped now:
 // MaxUnavailable less the tasks that are unavailable, which are those not placed,
-// stopping, or below 100 percent.
+// stopping, or below 100 percent. Without MaxUnavailable it is all tasks.
 func (t *term) numStoppable(s *jobState, k work.TaskKey) int {
+	if s.job.Steps[k.Step].MaxUnavailable == 0 {
+		return s.job.Steps[k.Step].Count
+	}
 	tasks := s.progress.Step(s.job, k.Occurrence, k.Step)
 	unavailable := 0
 	for i := range tasks {
@@ -45,6 +48,10 @@
 	return s.job.Steps[k.Step].MaxUnavailable - unavailable
 }
 
+// serviceAbsence is the time for which a long-running task that is stopped counts as
+// absent. In a full fleet its capacity is taken for about as long as a run takes.
+const serviceAbsence = 30 * time.Second
+
 // stopOverdueFactor is the multiple of Config.StopGrace after which a stopping run is not
 // expected to end any more.
 const stopOverdueFactor = 2
@@ -78,11 +85,14 @@
 	if p := w.trackers[k]; p != nil && !step.LongRunning {
 		run.EndsSoon = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
 	}
-	run.Late = s.job.Priority == 0 && t.isLate(s.job, w, k, now)
+	run.Late = s.job.Priority == 0 && !step.LongRunning && t.isLate(s.job, w, k, now)
 	// Only tasks with an index below numStoppable may be preempted, so that one pass cannot
 	// stop more.
 	run.Pinned = step.LongRunning && k.Task.Index >= t.numStoppable(s, k.Task)
-	if step.Checkpointing {
+	switch {
+	case step.LongRunning:
+		run.Cost = step.Shape.Cores() * serviceAbsence.Seconds()
+	case step.Checkpointing:
 		run.Cost = step.Shape.Cores() // one second: it saves a checkpoint when it is stopped
 	}
 	if step.Gang {
--- /dev/null
+++ b/leader/guarantee_cluster_test.go
@@ -0,0 +1,58 @@
+package leader_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemarysill/rosemarysill/queue"
+	"github.com/rosemarysill/rosemarysill/standin"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// claim submits a job of priority 0 of the account to which all 16 accelerators of two
+// workers are guaranteed.
+func (c *cluster) claim(s work.Step) {
+	c.submitJob(&work.Job{
+		ID: "claim", Account: "north", Service: "s", Queue: "urgent", MaxAttempts: 2, MaxSlowdown: 2, Objective: 10 * time.Second,
+		Accepted: time.Now(), Steps: []work.Step{s}, Spec: spec(200*time.Millisecond, ""),
+	})
+}
+
+// Guards against guaranteed capacity that long-running tasks of another account hold until
+// somebody cancels them.
+func TestGuaranteeIsReclaimedFromLongRunningTasks(t *testing.T) {
+	accelerators := func(n int64) work.Shape {
+		return work.Shape{MilliCPU: 1000, MemoryMB: 100, Accelerators: n}
+	}
+	for name, c := range map[string]struct {
+		priority int
+		service  work.Step
+		claim    work.Step
+	}{
+		"no bound":               {2, work.Step{Count: 2, Shape: accelerators(8)}, work.Step{Count: 2, Shape: accelerators(8)}},
+		"small tasks":            {2, work.Step{Count: 16, Shape: accelerators(1)}, work.Step{Count: 2, Shape: accelerators(8)}},
+		"gang":                   {2, work.Step{Count: 4, Shape: accelerators(4), Gang: true}, work.Step{Count: 2, Shape: accelerators(8), Gang: true}},
+		"urgent, not guaranteed": {0, work.Step{Count: 4, Shape: accelerators(4)}, work.Step{Count: 2, Shape: accelerators(8)}},
+		"as far as allowed":      {2, work.Step{Count: 2, Shape: accelerators(8), MaxUnavailable: 2}, work.Step{Count: 2, Shape: accelerators(8)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newCluster(t, 0, 2)
+			f.declarations.cfg.Accounts = map[string]queue.Account{"north": {GuaranteedAccelerators: 16}}
+			f.addEntry("entry0")
+			c.service.LongRunning = true
+			serves := standin.SpecServes
+			if c.service.Gang {
+				serves += " " + standin.SpecGang + "4"
+			}
+			f.submitJob(&work.Job{ID: "service", Account: "south", Service: "s", Queue: "q", Priority: c.priority, MaxAttempts: 2, Accepted: time.Now(), Steps: []work.Step{c.service}, Spec: serves})
+			require.Eventually(t, func() bool { return f.steps.Runs() == c.service.Count }, 20*time.Second, 10*time.Millisecond)
+			f.claim(c.claim)
+			f.awaitState("claim", work.Completed)
+			require.Eventually(t, func() bool { return f.steps.Runs() == c.service.Count }, 20*time.Second, 10*time.Millisecond, "the service starts again")
+			f.requireNoBreaches()
+		})
+	}
+}
--- a/leader/service_test.go
+++ b/leader/service_test.go
@@ -137,6 +137,35 @@
 	c.requireNoBreaches()
 }
 
+// Guards against a wave that never completes, and machines that stay closed to new tasks,
+// because long-running tasks whose step has no bound are not stopped for it.
+func TestMaintenanceWaveMovesLongRunningTasks(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 0, 2)
+	c.machines = &fakeMachines{cluster: c, maintenanceEnd: make(map[string]time.Time)}
+	c.addEntry("entry0")
+	s := step(4, 0)
+	s.LongRunning = true
+	c.submitJob(&work.Job{ID: "serves", Service: "s", MaxAttempts: 1, Accepted: time.Now(), Steps: []work.Step{s}, Spec: standin.SpecServes})
+	require.Eventually(t, func() bool { return c.steps.Runs() == 4 }, 20*time.Second, 10*time.Millisecond)
+	c.declarations.mu.Lock()
+	c.declarations.waves = map[string]operators.Wave{"1": {ID: "1", Number: 1, Machines: []string{"m-agent0", "m-agent1"}, Timeout: 20 * time.Second, MaxUnavailable: 1}}
+	c.declarations.mu.Unlock()
+	require.Eventually(t, func() bool {
+		keys := c.store.Keys("status/1")
+		if len(keys) == 0 {
+			return false
+		}
+		i, err := c.store.View("operator").Get(context.Background(), keys[0])
+		return err == nil && string(i.Value) == "completed"
+	}, 30*time.Second, 10*time.Millisecond)
+	c.machines.mu.Lock()
+	require.Empty(t, c.machines.interrupted)
+	c.machines.mu.Unlock()
+	require.Eventually(t, func() bool { return c.steps.Runs() == 4 }, 20*time.Second, 10*time.Millisecond, "the tasks have started again")
+	c.requireNoBreaches()
+}
+
 // Guards against a long-running task that is not restarted after its run has failed,
 // even if MaxAttempts is reached.
 func TestLongRunning(t *testing.T) {
--- a/standin/steprun.go
+++ b/standin/steprun.go
@@ -43,8 +43,11 @@
 func (r *stepRun) left() time.Duration { return r.duration() * time.Duration(10-r.savedTenths()) / 10 }
 
 func (r *stepRun) percent(now time.Time) int {
-	if r.began.IsZero() || r.has(SpecHangs) {
+	switch {
+	case r.began.IsZero() || r.has(SpecHangs):
 		return 0
+	case r.has(SpecServes):
+		return 100
 	}
 	return min(99, int(100*now.Sub(r.began)/max(1, r.duration())))
 }
@@ -174,7 +177,7 @@
 	switch {
 	case !r.stopped.IsZero() && now.Sub(r.stopped) >= w.set.StopGrace:
 		w.end(k, work.OutcomeStopped)
-	case r.began.IsZero() || r.has(SpecHangs) || now.Sub(r.began) < r.left():
+	case r.began.IsZero() || r.has(SpecHangs) || r.has(SpecServes) || now.Sub(r.began) < r.left():
 	case r.has(SpecFails):
 		w.end(k, work.OutcomeFailed)
 	case w.set.present(k) < r.members():
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -10,11 +10,12 @@
 // Words of the specification of a task, which say what its runs do. They are
 // separated by spaces.
 const (
-	SpecFor   = "for="  // duration of a run: for=300ms
-	SpecGang  = "gang=" // members of its gang: gang=3
-	SpecFails = "fails" // each run fails at its end
-	SpecHangs = "hangs" // a run makes no progress
-	SpecSaves = "saves" // a run makes a checkpoint in each tenth of its duration
+	SpecFor    = "for="   // duration of a run: for=300ms
+	SpecGang   = "gang="  // members of its gang: gang=3
+	SpecFails  = "fails"  // each run fails at its end
+	SpecHangs  = "hangs"  // a run makes no progress
+	SpecServes = "serves" // a run goes on at 100 percent
+	SpecSaves  = "saves"  // a run makes a checkpoint in each tenth of its duration
 
 	// SpecCrashes makes the worker crash after a delay: crashes=10ms, or crashes=
 	// for a short one.
--- a/work/job.go
+++ b/work/job.go
@@ -57,7 +57,7 @@
 	Image          string        `json:",omitempty"`            // tasks with the same image behave alike
 	TargetLatency  time.Duration `json:",omitempty"`            // bound on the tail latency of a long-running task that serves requests
 	BestEffort     bool          `json:"Fills,omitempty"`       // uses only processor time that other tasks leave idle
-	MaxUnavailable int           `json:"MayMiss,omitempty"`     // tasks that the system may make unavailable at the same time
+	MaxUnavailable int           `json:"MayMiss,omitempty"`     // long-running tasks that the system may make unavailable at the same time; 0 means no limit
 }
 
 // Job is an accepted job. It is immutable.
