--- a/leader/fleet.go
+++ b/leader/fleet.go
@@ -11,6 +11,7 @@
 // fleet returns the attached workers in the form that the scheduling pass takes.
 func (t *term) fleet(guaranteed map[string]bool, now time.Time) []*schedule.Worker {
 	fleet := make([]*schedule.Worker, 0, len(t.workers))
+	budgets := make(stopBudgets)
 	for _, w := range t.workers {
 		if !w.attached {
 			continue
@@ -21,7 +22,7 @@
 			StartedRecently: w.startedRecently(now),
 		}
 		for k := range w.placedAt {
-			if run, ok := t.describeRun(w, k, guaranteed, now); ok {
+			if run, ok := t.describeRun(w, k, guaranteed, budgets, now); ok {
 				sw.Runs = append(sw.Runs, run)
 			}
 		}
@@ -31,27 +32,55 @@
 	return fleet
 }
 
-// numStoppable returns how many tasks of a long-running step may be stopped now:
-// MaxUnavailable less the tasks that are unavailable, which are those not placed,
-// stopping, or below 100 percent. Without MaxUnavailable it is all tasks.
-func (t *term) numStoppable(s *jobState, k work.TaskKey) int {
-	if s.job.Steps[k.Step].MaxUnavailable == 0 {
-		return s.job.Steps[k.Step].Count
+// stopBudget returns how many tasks of a step may be stopped now, and false if that has
+// no bound. It has one for long-running steps with MaxUnavailable: that number less the
+// tasks that are unavailable, which are those not placed, stopping, or below 100 percent.
+func (s *jobState) stopBudget(k work.TaskKey) (int, bool) {
+	step := s.job.Steps[k.Step]
+	if !step.LongRunning || step.MaxUnavailable == 0 {
+		return 0, false
 	}
 	tasks := s.progress.Step(s.job, k.Occurrence, k.Step)
-	unavailable := 0
+	budget := step.MaxUnavailable
 	for i := range tasks {
-		if !tasks[i].Placed() || tasks[i].Stopping || tasks[i].Percent < 100 {
-			unavailable++
+		if !tasks[i].Placed() || tasks[i].Stopping || tasks[i].Percent < completePercent {
+			budget--
 		}
 	}
-	return s.job.Steps[k.Step].MaxUnavailable - unavailable
+	return budget, true
+}
+
+// mayStop reports whether a run may be stopped together with its gang.
+func (s *jobState) mayStop(k work.TaskKey) bool {
+	budget, bounded := s.stopBudget(k)
+	if !bounded {
+		return true
+	}
+	if s.job.Steps[k.Step].Gang {
+		return budget >= s.job.Steps[k.Step].Count
+	}
+	return budget > 0
 }
 
 // serviceAbsence is the time for which a long-running task that is stopped counts as
 // absent. In a full fleet its capacity is taken for about as long as a run takes.
 const serviceAbsence = 30 * time.Second
 
+// stopBudgets holds the budgets of the steps of which a scheduling pass may stop runs.
+type stopBudgets map[stepKey]*schedule.StopBudget
+
+// of returns the budget of the step of a task, or nil if it has no bound.
+func (b stopBudgets) of(s *jobState, k work.TaskKey) *schedule.StopBudget {
+	key := keyOfStep(k)
+	if budget, ok := b[key]; ok {
+		return budget
+	}
+	if n, bounded := s.stopBudget(k); bounded {
+		b[key] = &schedule.StopBudget{Left: n}
+	}
+	return b[key]
+}
+
 // stopOverdueFactor is the multiple of Config.StopGrace after which a stopping run is not
 // expected to end any more.
 const stopOverdueFactor = 2
@@ -68,7 +97,7 @@
 
 // describeRun describes a run on a worker for the scheduling pass. It reports false if
 // the run is not placed there any more.
-func (t *term) describeRun(w *workerState, k work.RunKey, guaranteed map[string]bool, now time.Time) (schedule.Run, bool) {
+func (t *term) describeRun(w *workerState, k work.RunKey, guaranteed map[string]bool, budgets stopBudgets, now time.Time) (schedule.Run, bool) {
 	s, task := t.placedRun(w, k)
 	if task == nil {
 		delete(w.placedAt, k)
@@ -77,7 +106,7 @@
 	step := s.job.Steps[k.Task.Step]
 	run := schedule.Run{
 		Key: k, LongRunning: step.LongRunning, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Priority: s.job.Priority, Guaranteed: guaranteed[s.job.ID], Stopping: task.Stopping,
-		Cost: step.Shape.Cores() * now.Sub(w.placedAt[k]).Seconds(),
+		Cost: step.Shape.Cores() * now.Sub(w.placedAt[k]).Seconds(), Budget: budgets.of(s, k.Task),
 	}
 	if since, ok := w.stopRequestedAt[k]; ok {
 		run.StopOverdue = now.Sub(since) > stopOverdueFactor*t.cfg.StopGrace
@@ -86,9 +115,6 @@
 		run.EndsSoon = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
 	}
 	run.Late = s.job.Priority == 0 && !step.LongRunning && t.isLate(s.job, w, k, now)
-	// Only tasks with an index below numStoppable may be preempted, so that one pass cannot
-	// stop more.
-	run.Pinned = step.LongRunning && k.Task.Index >= t.numStoppable(s, k.Task)
 	switch {
 	case step.LongRunning:
 		run.Cost = step.Shape.Cores() * serviceAbsence.Seconds()
--- a/leader/guarantee_cluster_test.go
+++ b/leader/guarantee_cluster_test.go
@@ -36,6 +36,7 @@
 		"gang":                   {2, work.Step{Count: 4, Shape: accelerators(4), Gang: true}, work.Step{Count: 2, Shape: accelerators(8), Gang: true}},
 		"urgent, not guaranteed": {0, work.Step{Count: 4, Shape: accelerators(4)}, work.Step{Count: 2, Shape: accelerators(8)}},
 		"as far as allowed":      {2, work.Step{Count: 2, Shape: accelerators(8), MaxUnavailable: 2}, work.Step{Count: 2, Shape: accelerators(8)}},
+		"any one of two":         {2, work.Step{Count: 2, Shape: accelerators(8), MaxUnavailable: 1}, work.Step{Count: 1, Shape: accelerators(8)}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -56,3 +57,28 @@
 		})
 	}
 }
+
+// Guards against a claim that waits because only the tasks with the lowest indexes of a
+// bounded step may be stopped, and another one is on the only worker that fits.
+func TestAnyTaskOfABoundedStepMayBeStopped(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 0, 1)
+	c.declarations.cfg.Accounts = map[string]queue.Account{"north": {GuaranteedAccelerators: 16}}
+	c.addEntry("entry0")
+	half := work.Step{Count: 1, Shape: work.Shape{MilliCPU: 1000, MemoryMB: 100, Accelerators: 4}, LongRunning: true}
+	bounded := half
+	bounded.Count, bounded.MaxPerWorker, bounded.MaxUnavailable = 2, 1, 1
+	submit := func(id, account string, priority int, s work.Step) {
+		c.submitJob(&work.Job{ID: id, Account: account, Service: "s", Queue: id, Priority: priority, MaxAttempts: 2, Accepted: time.Now(), Steps: []work.Step{s}, Spec: standin.SpecServes})
+	}
+	submit("bounded", "south", 2, bounded)
+	require.Eventually(t, func() bool { return c.steps.Runs() == 1 }, 20*time.Second, 10*time.Millisecond)
+	submit("held", "north", 0, half)
+	require.Eventually(t, func() bool { return c.steps.Runs() == 2 }, 20*time.Second, 10*time.Millisecond)
+	c.addAgent("agent1", c.steps.Add("i-agent1"))
+	require.Eventually(t, func() bool { return c.steps.Runs() == 3 }, 20*time.Second, 10*time.Millisecond)
+	c.claim(work.Step{Count: 1, Shape: work.Shape{MilliCPU: 1000, MemoryMB: 100, Accelerators: 8}})
+	c.awaitState("claim", work.Completed)
+	require.Equal(t, 2, c.agents["agent0"].worker.Started(), "the tasks on the first worker go on")
+	c.requireNoBreaches()
+}
--- a/leader/stall_test.go
+++ b/leader/stall_test.go
@@ -86,7 +86,7 @@
 	w.placedAt[run.Key] = term.elected
 	term.workers["a/1"] = w
 	term.trackRun(w, run, at(400))
-	o, ok := term.describeRun(w, run.Key, nil, at(400))
+	o, ok := term.describeRun(w, run.Key, nil, make(stopBudgets), at(400))
 	require.True(t, ok)
 	require.InDelta(t, 8*j.Steps[0].Shape.Cores(), o.Cost, 0.1)
 }
--- a/leader/wave.go
+++ b/leader/wave.go
@@ -212,7 +212,7 @@
 		}
 		step := js.job.Steps[k.Task.Step]
 		switch {
-		case step.LongRunning && t.numStoppable(js, k.Task) > 0, step.Checkpointing && !step.LongRunning, !mayFinish && !step.LongRunning:
+		case step.LongRunning && js.mayStop(k.Task), step.Checkpointing && !step.LongRunning, !mayFinish && !step.LongRunning:
 			t.stopRun(js, k, "maintenance of its machine")
 		}
 	}
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -20,11 +20,17 @@
 	Gang        string  // identifies the gang, whose runs end together; empty if not in a gang
 	Cost        float64 // core-seconds of work lost if it is stopped
 	Late        bool    // urgent, and its job is expected to miss its deadline
-	Pinned      bool    // must not be preempted
 	LongRunning bool    // does not end by itself
 	Stopping    bool
 	StopOverdue bool // was told to stop and has not ended within the time allowed
 	EndsSoon    bool // expected to end by itself no later than a stop would end it
+	Budget      *StopBudget
+}
+
+// StopBudget bounds how many runs of a step may be stopped. The runs of the step share
+// it. A run without a budget is not bounded.
+type StopBudget struct {
+	Left int // runs that may be stopped now; may be negative
 }
 
 // Worker is the state of a worker that is connected to the leader.
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -11,9 +11,10 @@
 type pass struct {
 	workers           []*workerState
 	rackCount         int
-	urgentReserve     float64 // cores that deferrable units leave free for urgent work
-	reserveMarked     bool    // workerState.keptForUrgent and keptFromGangs are set
-	runsIndexed       bool    // workerState.runsByCost is set
+	urgentReserve     float64                        // cores that deferrable units leave free for urgent work
+	reserveMarked     bool                           // workerState.keptForUrgent and keptFromGangs are set
+	runsIndexed       bool                           // workerState.runsByCost and budgetWorkers are set
+	budgetWorkers     map[*StopBudget][]*workerState // that have runs with the budget, once for each run
 	cachedCandidates  candidates
 	changes           int            // starts and reservations so far
 	lastUnplaced      equivalenceKey // of the latest unit that could not be scheduled
@@ -41,7 +42,8 @@
 // most urgentRackShare of the racks, on the workers with the most free capacity, for
 // urgent units that are expected to arrive.
 // Decide changes its arguments: it sorts units, adds to TasksByWorker, clears EndsSoon
-// of gang members that wait for others and sets Stopping of preempted runs.
+// of gang members that wait for others, sets Stopping of preempted runs and takes them
+// from their StopBudget.
 func Decide(workers []*Worker, units []*Unit, urgentReserve float64) Plan {
 	p := newPass(workers, urgentReserve)
 	p.run(units)
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -16,13 +16,13 @@
 	gangStopCost float64       // sum of stopCost over gang
 }
 
-// preemptibleBy reports whether the run may be stopped for the unit. Runs that are
-// ending, pinned or within a guarantee may not. Of the others, these may: (1) runs that
+// preemptibleBy reports whether the run may be stopped for the unit, apart from its
+// budget. Runs that are ending or within a guarantee may not. Of the others, these may: (1) runs that
 // are not urgent; (2) late urgent runs, for a unit that can meet its deadline or is
 // within a guarantee; (3) all urgent runs, for a unit within a guarantee that must start
 // now or is AtRisk or worse.
 func (r *Run) preemptibleBy(u *Unit) bool {
-	if r.Stopping || r.EndsSoon || r.Pinned || r.Guaranteed {
+	if r.Stopping || r.EndsSoon || r.Guaranteed {
 		return false
 	}
 	return r.Priority > 0 || (r.Late && u.effectiveTimeliness() <= AtRisk) || (u.Guaranteed && (u.MustStartNow || u.Timeliness > OnTime))
@@ -52,13 +52,14 @@
 	}
 }
 
-// indexRuns sets runsByCost of all workers. It runs once per pass, because the runs
-// of a worker and their costs do not change during a pass.
+// indexRuns sets runsByCost of all workers and budgetWorkers. It runs once per pass,
+// because the runs of a worker and their costs do not change during a pass.
 func (p *pass) indexRuns() {
 	if p.runsIndexed {
 		return
 	}
 	p.runsIndexed = true
+	p.budgetWorkers = make(map[*StopBudget][]*workerState)
 	gangs := make(map[string]*[]*placedRun)
 	for _, w := range p.workers {
 		p.examined += len(w.Runs)
@@ -70,6 +71,9 @@
 			}
 			*run.gang = append(*run.gang, run)
 			w.runsByCost = append(w.runsByCost, run)
+			if run.Budget != nil {
+				p.budgetWorkers[run.Budget] = append(p.budgetWorkers[run.Budget], w)
+			}
 		}
 	}
 	for _, w := range p.workers {
@@ -108,6 +112,9 @@
 	})
 	for _, victim := range pr.victims {
 		victim.Stopping = true
+		if victim.Budget != nil {
+			victim.Budget.Left--
+		}
 		victim.worker.projectedFree = victim.worker.projectedFree.Add(victim.Demand)
 		if victim.LongRunning && !victim.StopOverdue {
 			victim.worker.releasable = victim.worker.releasable.Add(victim.Demand)
@@ -124,6 +131,7 @@
 	demand   work.Shape
 	optionOf map[*workerState]*workerOption
 	isVictim map[*placedRun]bool
+	stops    map[*StopBudget]int // victims by budget
 	victims  []*placedRun
 	chosen   []*workerState // one worker for each task of the unit
 	cost     float64        // of stopping the victims
@@ -144,7 +152,7 @@
 // returns nil if the unit does not fit even then, or if the cost is not below that
 // of best.
 func (p *pass) planPreemption(u *Unit, workers []*workerState, best *preemption) *preemption {
-	pr := &preemption{pass: p, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool)}
+	pr := &preemption{pass: p, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool), stops: make(map[*StopBudget]int)}
 	options := make([]*workerOption, len(workers))
 	for i, w := range workers {
 		options[i] = &workerOption{worker: w, projectedFree: w.projectedFree}
@@ -198,40 +206,92 @@
 // addVictim adds a run and all other members of its gang to the victims.
 func (pr *preemption) addVictim(victim *placedRun) {
 	for _, run := range *victim.gang {
-		if run.Stopping || run.EndsSoon || pr.isVictim[run] {
+		if !pr.endsWithVictim(run) {
 			continue
 		}
 		pr.isVictim[run] = true
 		pr.victims = append(pr.victims, run)
+		if run.Budget != nil {
+			pr.stops[run.Budget]++
+			for _, w := range pr.pass.budgetWorkers[run.Budget] {
+				if option := pr.optionOf[w]; option != nil {
+					option.upToDate = false // its victims may exceed the budget now
+				}
+			}
+		}
 		if option := pr.optionOf[run.worker]; option != nil {
 			option.projectedFree, option.upToDate = option.projectedFree.Add(run.Demand), false
 		}
 	}
 }
 
+// endsWithVictim reports whether the stop of a member of its gang would end the run.
+func (pr *preemption) endsWithVictim(run *placedRun) bool {
+	return !run.Stopping && !run.EndsSoon && !pr.isVictim[run]
+}
+
+// endsWithGang returns how many runs the stop of the run would end.
+func (pr *preemption) endsWithGang(run *placedRun) int {
+	n := 0
+	for _, member := range *run.gang {
+		if pr.endsWithVictim(member) {
+			n++
+		}
+	}
+	return n
+}
+
+// withinBudget reports whether a run may be stopped with its gang besides the victims and
+// those that are selected for the present task.
+func (pr *preemption) withinBudget(run *placedRun, selected []*placedRun) bool {
+	if run.Budget == nil {
+		return true
+	}
+	stops := pr.stops[run.Budget] + pr.endsWithGang(run)
+	for i, victim := range selected {
+		counted := victim.gang == run.gang || slices.ContainsFunc(selected[:i], func(other *placedRun) bool { return other.gang == victim.gang })
+		if victim.Budget == run.Budget && !counted {
+			stops += pr.endsWithGang(victim)
+		}
+	}
+	return stops <= run.Budget.Left
+}
+
 // selectVictims selects the runs of a worker to stop for one more task, cheapest
-// first, and adds up their cost.
+// first, and adds up their cost. If small runs use up a budget before the task fits, the
+// largest ones are selected first.
 func (pr *preemption) selectVictims(option *workerOption) {
 	option.upToDate, option.victims, option.cost, option.feasible = true, nil, 0, true
-	remaining := option.projectedFree
-	if pr.demand.FitsIn(remaining) {
+	if pr.demand.FitsIn(option.projectedFree) {
 		return
 	}
-	for _, run := range option.worker.runsByCost {
+	byCost := option.worker.runsByCost
+	if option.victims, option.feasible = pr.selectInOrder(option, byCost); !option.feasible && slices.ContainsFunc(byCost, func(run *placedRun) bool { return run.Budget != nil }) {
+		bySize := slices.Clone(byCost)
+		slices.SortStableFunc(bySize, func(a, b *placedRun) int { return cmp.Compare(b.Demand.Cores(), a.Demand.Cores()) })
+		option.victims, option.feasible = pr.selectInOrder(option, bySize)
+	}
+	for _, victim := range option.victims {
+		option.cost += victim.gangStopCost
+	}
+}
+
+// selectInOrder selects runs of a worker in the given order until one more task fits. It
+// returns nil and false if it does not fit even then.
+func (pr *preemption) selectInOrder(option *workerOption, runs []*placedRun) ([]*placedRun, bool) {
+	var selected []*placedRun
+	remaining := option.projectedFree
+	for _, run := range runs {
 		pr.pass.examined++
-		if pr.isVictim[run] || !run.preemptibleBy(pr.unit) {
+		if pr.isVictim[run] || !run.preemptibleBy(pr.unit) || !pr.withinBudget(run, selected) {
 			continue
 		}
-		option.victims = append(option.victims, run)
+		selected = append(selected, run)
 		if remaining = remaining.Add(run.Demand); pr.demand.FitsIn(remaining) {
-			option.victims = dropUnneeded(option.victims, remaining, pr.demand)
-			for _, victim := range option.victims {
-				option.cost += victim.gangStopCost
-			}
-			return
+			return dropUnneeded(selected, remaining, pr.demand), true
 		}
 	}
-	option.victims, option.feasible = nil, false
+	return nil, false
 }
 
 // dropUnneeded removes the victims without whose capacity the demand still fits.
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -25,9 +25,16 @@
 // clone copies the parts of the input that Decide changes.
 func (in decideInput) clone() decideInput {
 	c := decideInput{urgentReserve: in.urgentReserve}
+	budgets := make(map[*StopBudget]*StopBudget)
 	for _, w := range in.workers {
 		v := *w
 		v.Runs = slices.Clone(w.Runs)
+		for i, r := range v.Runs {
+			if r.Budget != nil && budgets[r.Budget] == nil {
+				budgets[r.Budget] = &StopBudget{r.Budget.Left}
+			}
+			v.Runs[i].Budget = budgets[r.Budget]
+		}
 		c.workers = append(c.workers, &v)
 	}
 	shared := make(map[string]map[string]int)
@@ -49,6 +56,7 @@
 	drawInt := func(low, high int, name string) int { return rapid.IntRange(low, high).Draw(t, name) }
 	drawOneIn := func(n int, name string) bool { return drawInt(1, n, name) == 1 }
 	var in decideInput
+	budgets := make(map[string]*StopBudget) // by gang, or by group of single runs
 	for i := range drawInt(1, 14, "workers") {
 		w := &Worker{
 			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/drawInt(1, 4, "rack")), Schedulable: !drawOneIn(9, "closed"), Suspect: drawOneIn(9, "suspect"), StartedRecently: drawOneIn(5, "recent"),
@@ -62,11 +70,17 @@
 			d := work.Shape{MilliCPU: 1000 * a, MemoryMB: 100, Accelerators: a}
 			r := Run{
 				Key: work.RunKey{Task: work.TaskKey{Job: fmt.Sprintf("r%d.%d", i, n)}, Run: 1}, Demand: d, MilliCPU: d.MilliCPU, Priority: drawInt(0, 2, "priority"),
-				Guaranteed: drawOneIn(6, "reserved"), Cost: float64(drawInt(0, 5, "cost")), Pinned: drawOneIn(9, "pinned"), LongRunning: drawOneIn(4, "long-running"), Late: drawOneIn(5, "late"), Stopping: drawOneIn(7, "stopping"), EndsSoon: drawOneIn(7, "ending"), StopOverdue: drawOneIn(9, "stuck"),
+				Guaranteed: drawOneIn(6, "reserved"), Cost: float64(drawInt(0, 5, "cost")), LongRunning: drawOneIn(4, "long-running"), Late: drawOneIn(5, "late"), Stopping: drawOneIn(7, "stopping"), EndsSoon: drawOneIn(7, "ending"), StopOverdue: drawOneIn(9, "stuck"),
 			}
 			if drawOneIn(3, "gang") {
 				r.Gang = fmt.Sprint("gang", drawInt(0, 3, "group"))
 			}
+			if group := cmp.Or(r.Gang, fmt.Sprint("single", drawInt(0, 3, "group"))); group != "gang0" && group != "single0" {
+				if budgets[group] == nil {
+					budgets[group] = &StopBudget{drawInt(-1, 4, "budget")}
+				}
+				r.Budget = budgets[group]
+			}
 			w.Runs = append(w.Runs, r)
 		}
 		in.workers = append(in.workers, w)
@@ -508,6 +522,9 @@
 			run := &w.Runs[i]
 			if pr.isVictim[run.Key] {
 				run.Stopping = true
+				if run.Budget != nil {
+					run.Budget.Left--
+				}
 				w.projectedFree = w.projectedFree.Add(run.Demand)
 				p.plan.Stops = append(p.plan.Stops, run.Key)
 			}
@@ -567,8 +584,7 @@
 }
 
 func (pr *refPreemption) victims(w *refWorker, d work.Shape) ([]Run, float64, bool) {
-	remaining := pr.projectedFree[w]
-	if d.FitsIn(remaining) {
+	if d.FitsIn(pr.projectedFree[w]) {
 		return nil, 0, true
 	}
 	var runs []Run
@@ -580,18 +596,51 @@
 	slices.SortStableFunc(runs, func(a, b Run) int {
 		return cmp.Or(cmp.Compare(pr.cost([]Run{a}), pr.cost([]Run{b})), -cmp.Compare(a.Priority, b.Priority))
 	})
+	chosen, ok := pr.victimsInOrder(w, d, runs)
+	if !ok && slices.ContainsFunc(runs, func(run Run) bool { return run.Budget != nil }) {
+		slices.SortStableFunc(runs, func(a, b Run) int { return cmp.Compare(b.Demand.Cores(), a.Demand.Cores()) })
+		chosen, ok = pr.victimsInOrder(w, d, runs)
+	}
+	return chosen, pr.cost(chosen), ok
+}
+
+func (pr *refPreemption) victimsInOrder(w *refWorker, d work.Shape, runs []Run) ([]Run, bool) {
+	remaining := pr.projectedFree[w]
 	var chosen []Run
 	for _, run := range runs {
 		if d.FitsIn(remaining) {
 			break
 		}
+		if !pr.withinBudget(append(slices.Clone(chosen), run), run.Budget) {
+			continue
+		}
 		chosen = append(chosen, run)
 		remaining = remaining.Add(run.Demand)
 	}
 	if !d.FitsIn(remaining) {
-		return nil, 0, false
+		return nil, false
+	}
+	return refDropUnneeded(chosen, remaining, d), true
+}
+
+// withinBudget reports whether the stops of all victims, chosen ones included, and of
+// their gangs are within the budget.
+func (pr *refPreemption) withinBudget(chosen []Run, budget *StopBudget) bool {
+	if budget == nil {
+		return true
+	}
+	stops := 0
+	for _, w := range pr.workers {
+		for _, run := range w.Runs {
+			ends := slices.ContainsFunc(chosen, func(victim Run) bool {
+				return run.Key == victim.Key || (victim.Gang != "" && run.Gang == victim.Gang)
+			})
+			if run.Budget == budget && (pr.isVictim[run.Key] || (ends && !run.Stopping && !run.EndsSoon)) {
+				stops++
+			}
+		}
 	}
-	return refDropUnneeded(chosen, remaining, d), pr.cost(refDropUnneeded(chosen, remaining, d)), true
+	return stops <= budget.Left
 }
 
 func refDropUnneeded(victims []Run, remaining, demand work.Shape) []Run {
