jobstore, job: a record has to be that of its key

What callers would see: another writer leaves the record of a job under the key of another one. Each leader that reads it ends with a nil pointer dereference, and so does the next one: nothing is placed any more.

Cause: the leader knows jobs by the key of their record, and tasks by the identifier in it. On the product's own interface such a record takes the place of the job that it names. Entries with an absurd size, or without an address, counted as stronger ones, for which leaders step down.

Change: job and entry records whose identifier is not that of their key are logged and skipped, as are entries without an address that can be called or with a size out of bounds. Book logs what it skips.

Ruled out, by the same test: deeply nested values, numbers too large and ports out of range under these keys disturbed nobody before either.

Before: TestOddRecordDisturbsNobody/job,_not_of_its_key panics, TestOddRecordChangesNoJob fails. After: both pass with -race.

--- a/attempt/driver_test.go
+++ b/attempt/driver_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -98,7 +99,7 @@
 			Identity: &rosemarysill.AgentIdentity{Name: name, Boot: slot.Boot, Kind: rosemarysill.WorkerAgent, Domain: "Tunis", Address: netip.MustParseAddrPort("127.0.0.1:1")},
 		}, now)
 	}
-	book := job.NewBook(store, func() {})
+	book := job.NewBook(store, zerolog.Nop(), func() {})
 	spec := rosemarysill.JobSpec{ID: uuid.Must(uuid.NewV7()), Shape: rosemarysill.Shape{Members: 2}}
 	stored, _ := book.Write(ctx, rosemarysill.Job{Spec: spec, State: rosemarysill.JobQueued}, 0, now)
 	epoch, _ := holder.Held()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -105,7 +105,7 @@
 		done:  make(chan struct{}),
 	}
 	e.members = membership.New(e.self, cfg.Peers, opts...)
-	e.book = job.NewBook(o.Store, func() { e.placer.Wake() })
+	e.book = job.NewBook(o.Store, o.Log, func() { e.placer.Wake() })
 	e.holder = lease.NewHolder(o.Store, e.self.ID, o.Timings.PlacerLease, o.Now)
 	e.router = newRouter(e)
 	e.placer = placer.New(attempt.Parts{
--- a/entry/jobs_test.go
+++ b/entry/jobs_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemarysill/rosemarysill"
@@ -90,7 +91,7 @@
 	ctx := context.Background()
 	a, store, _ := testEntry(t)
 	b, _, _ := testEntry(t)
-	b.opts.Store, b.book = store, job.NewBook(store, func() {})
+	b.opts.Store, b.book = store, job.NewBook(store, zerolog.Nop(), func() {})
 	spec := testSpec()
 	_, err := a.Submit(ctx, spec)
 	require.NoError(t, err)
--- a/job/book.go
+++ b/job/book.go
@@ -8,9 +8,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/kvstore"
 )
 
@@ -31,6 +34,7 @@
 // are.
 type Book struct {
 	store  rosemarysill.Store
+	log    zerolog.Logger
 	mu     sync.Mutex
 	loaded bool
 	jobs   map[uuid.UUID]Stored
@@ -38,8 +42,8 @@
 }
 
 // NewBook returns an empty book; notify is called after each update.
-func NewBook(store rosemarysill.Store, notify func()) *Book {
-	return &Book{store: store, jobs: map[uuid.UUID]Stored{}, notify: notify}
+func NewBook(store rosemarysill.Store, log zerolog.Logger, notify func()) *Book {
+	return &Book{store: store, log: log, jobs: map[uuid.UUID]Stored{}, notify: notify}
 }
 
 // Update takes in a step of the watch on Prefix.
@@ -78,7 +82,12 @@
 
 func (b *Book) put(item rosemarysill.Item) (uuid.UUID, bool) {
 	var job rosemarysill.Job
-	if err := json.Unmarshal(item.Value, &job); err != nil {
+	err := json.Unmarshal(item.Value, &job)
+	if err == nil && item.Key != Key(job.Spec.ID) {
+		err = errors.Newf("the record is that of job %s", job.Spec.ID)
+	}
+	if err != nil {
+		event.MalformedDocument.Log(b.log).Str("Key", item.Key).Err(err).Send()
 		return uuid.Nil, false
 	}
 	if old, ok := b.jobs[job.Spec.ID]; !ok || old.Version < item.Version {
--- a/jobstore/cache.go
+++ b/jobstore/cache.go
@@ -213,10 +213,15 @@
 		return nil
 	}
 	rec, err := decodeLeader(ch.Item.Value)
-	if err == nil {
-		c.entries[name] = rec
+	if err == nil && rec.Name != name {
+		err = errors.Newf("record of entry %q is that of entry %q", name, rec.Name)
 	}
-	return err
+	if err != nil {
+		delete(c.entries, name)
+		return err
+	}
+	c.entries[name] = rec
+	return nil
 }
 
 // Entries returns the registered entries, the leader first and the others by name.
@@ -256,7 +261,7 @@
 		delete(c.jobs, id)
 		return nil
 	}
-	j, err := DecodeJob(ch.Item.Value)
+	j, err := DecodeJob(id, ch.Item.Value)
 	if err != nil {
 		return err
 	}
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -93,10 +93,38 @@
 	return decodeLeader(i.Value)
 }
 
+// Bounds of the size of an entry. Other entries leave the leadership to a stronger one,
+// so they must not believe in an absurd size.
+const (
+	maxEntryCores = 1 << 12
+	maxLinkMbps   = 1 << 24
+)
+
+// check returns why the record is invalid, or nil.
+func (rec LeaderRecord) check() error {
+	switch {
+	case rec.Name == "":
+		return errors.New("the record has no name")
+	case !rec.Address.IsValid() || rec.Address.Port() == 0:
+		return errors.Newf("the address %v cannot be called", rec.Address)
+	case !(rec.Cores >= 0 && rec.Cores <= maxEntryCores), !(rec.LinkMbps >= 0 && rec.LinkMbps <= maxLinkMbps):
+		return errors.Newf("the entry has %g cores and a link of %g Mbit/s; the limits are 0 to %d and 0 to %d", rec.Cores, rec.LinkMbps, maxEntryCores, maxLinkMbps)
+	}
+	return nil
+}
+
+// decodeLeader decodes and checks the record of the leader, or of a registered entry. The
+// record is empty after an error.
 func decodeLeader(value []byte) (LeaderRecord, error) {
 	var rec LeaderRecord
 	err := json.Unmarshal(value, &rec)
-	return rec, errors.Wrap(err, "decode leader record")
+	if err == nil {
+		err = rec.check()
+	}
+	if err != nil {
+		return LeaderRecord{}, errors.Wrapf(err, "leader record of %d bytes", len(value))
+	}
+	return rec, nil
 }
 
 // FollowLeader watches the record of the leader until ctx ends. It calls onLeader with
@@ -135,12 +163,15 @@
 	onLeader(rec)
 }
 
-// DecodeJob decodes and checks the record of a job.
-func DecodeJob(value []byte) (*work.Job, error) {
+// DecodeJob decodes and checks the record of the job with the identifier.
+func DecodeJob(id string, value []byte) (*work.Job, error) {
 	var j work.Job
 	if err := json.Unmarshal(value, &j); err != nil {
 		return nil, errors.Wrap(err, "job")
 	}
+	if j.ID != id {
+		return nil, errors.Newf("record of job %q is that of job %q", id, j.ID)
+	}
 	if problem := j.Check(); problem != "" {
 		return nil, errors.Newf("job record is invalid: %s", problem)
 	}
@@ -157,7 +188,7 @@
 	if err != nil {
 		return r, err
 	}
-	if r.Job, err = DecodeJob(i.Value); err != nil {
+	if r.Job, err = DecodeJob(id, i.Value); err != nil {
 		return r, errors.Mark(err, ErrUndecodable)
 	}
 	r.JobVersion = i.Version
