jobstore, leader: an undecodable record of the leader is a vacancy

What callers would see: another writer overwrites the record of the leader with a value that cannot be decoded, or leaves a record under a key that begins in the same way. Nobody leads any more, or agents follow a leader that does not exist, for good.

Cause: the place of the leader counted as taken if there was any record. Agents list and watch the key of the record as a prefix and took each record found.

Change: a record that cannot be decoded, or has no address, counts as a vacancy, and a new leader replaces it under a guard on its version. Agents skip other keys.

Ruled out: doing the same with the record of the epoch; without it nobody knows which epochs were used.

Before: four rows of TestOddRecordDisturbsNobody fail after 40 s. After: all pass with -race.

--- a/jobstore/cache.go
+++ b/jobstore/cache.go
@@ -147,6 +147,15 @@
 	return c.leader, c.leaderVersion
 }
 
+// LeaderVacancy reports whether there is no leader, and returns the version of the record
+// that is in its place: 0 if there is none, or that of a record that cannot be decoded. A
+// new leader replaces such a record, which no leader can have written.
+func (c *Cache) LeaderVacancy() (version uint64, vacant bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaderVersion, !c.leader.Address.IsValid()
+}
+
 // Epoch returns the latest epoch and the version of its record, 0 if there is none.
 func (c *Cache) Epoch() (uint64, uint64) {
 	c.mu.Lock()
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -155,6 +155,9 @@
 }
 
 func deliverLeader(i rosemarysill.Item, onLeader func(LeaderRecord), onFailure func(error)) {
+	if i.Key != LeaderKey {
+		return // the key of another writer begins in the same way
+	}
 	rec, err := decodeLeader(i.Value)
 	if err != nil {
 		onFailure(err)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -142,8 +142,8 @@
 
 // mayCampaign reports whether there is no leader and this entry campaigns.
 func (l *Leader) mayCampaign() (campaign bool) {
-	_, version := l.cfg.Cache.LeaderRecord()
-	vacant := version == 0 && l.cfg.Cache.HasSynced()
+	_, vacant := l.cfg.Cache.LeaderVacancy()
+	vacant = vacant && l.cfg.Cache.HasSynced()
 	l.candidate.do(func(c *candidate) {
 		if !vacant {
 			c.observeLeader()
@@ -161,6 +161,11 @@
 	if err != nil {
 		return nil, err
 	}
+	vacancy, vacant := l.cfg.Cache.LeaderVacancy()
+	if !vacant {
+		l.release(lease)
+		return nil, errors.Wrap(rosemarysill.ErrVersion, "another entry has become the leader")
+	}
 	epoch, epochVersion := l.cfg.Cache.Epoch()
 	rec := l.cfg.leaderRecord()
 	rec.Epoch = epoch + 1
@@ -173,7 +178,7 @@
 		return nil, err
 	}
 	revision, _, err := l.cfg.Store.Commit(ctx, rosemarysill.Commit{
-		Guards: []rosemarysill.Guard{{Key: jobstore.LeaderKey}, {Key: jobstore.EpochKey, Version: epochVersion}},
+		Guards: []rosemarysill.Guard{{Key: jobstore.LeaderKey, Version: vacancy}, {Key: jobstore.EpochKey, Version: epochVersion}},
 		Writes: []rosemarysill.Write{{Key: jobstore.LeaderKey, Value: recValue, Lease: lease}, {Key: jobstore.EpochKey, Value: epochValue}},
 	})
 	if err != nil {
--- a/leader/odd_record_test.go
+++ b/leader/odd_record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -44,6 +45,10 @@
 		"progress, no job":         {"rs/progress/odd", nested()},
 		"wave, deeply nested":      {"rs/wave/odd", nested()},
 
+		"address beside the leader's": {"rs/leader-odd", encode(jobstore.LeaderRecord{Name: "odd", Address: netip.MustParseAddrPort("127.0.0.1:9"), Epoch: 1 << 40})},
+		"leader, deeply nested":       {"rs/leader", nested()},
+		"leader, port out of range":   {"rs/leader", entry("odd", "10.0.0.1:70000", 1)},
+		"leader, no address":          {"rs/leader", `{}`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
