--- a/spec/run.pml
+++ b/spec/run.pml
@@ -29,6 +29,7 @@
 byte a_epoch[2], fence[2], unanswered[2], refused[2];
 byte a_running[2], a_ended[2];  /* as the latest lists say */
 bool a_done[2];                 /* the end was done */
+bool a_partial[2];              /* the latest lists may lack an end */
 byte order_epoch[2], order_run[2];
 byte declined[2];               /* start that was refused; the reply is under way */
 
@@ -41,6 +42,18 @@
 bool old_done, old_lapsed, held_up;
 #endif
 
+#ifdef PARTIAL_LISTS
+/* An end as done that the worker lists sooner or later, since its lease has not lapsed. */
+bool will_list[2];
+#define NOTE_END(a, done) will_list[a] = will_list[a] || done
+#define NOTE_LAPSE(a) will_list[a] = false
+#define NONE_DONE (!will_list[0] && !will_list[1])
+#else
+#define NOTE_END(a, done) skip
+#define NOTE_LAPSE(a) skip
+#define NONE_DONE true
+#endif
+
 /* execute carries a start out at worker a. */
 inline execute(a, number, f) {
 	if
@@ -51,13 +64,14 @@
 		:: w_running[a] == number -> skip
 		:: else ->
 			assert(w_running[0] == NONE && w_running[1] == NONE);
-			assert(!s_done);
+			assert(!s_done && NONE_DONE);
 			w_running[a] = number
 		fi
 	fi
 }
 
 inline end(a, done) {
+	NOTE_END(a, done);
 	w_ended[a] = w_running[a];
 	w_latest[a] = w_running[a];
 	w_done[a] = done;
@@ -96,18 +110,24 @@
    start of it without an answer was or may still be carried out. */
 #define LISTED(a) (a_running[a] == declined[a] || a_ended[a] == declined[a])
 #define UNANSWERED(a) (unanswered[a] == declined[a])
+/* A worker lists its ends in parts, so the latest lists may lack that of the run. */
+#ifdef REFUSE_UNLISTED
+#define UNLISTED(a) false
+#else
+#define UNLISTED(a) a_partial[a]
+#endif
 #if defined(REFUSE_LISTED)
 #define MAY_RUN(a) UNANSWERED(a)
 #elif defined(REFUSE_UNANSWERED)
 #define MAY_RUN(a) LISTED(a)
 #else
-#define MAY_RUN(a) (LISTED(a) || UNANSWERED(a))
+#define MAY_RUN(a) (LISTED(a) || UNANSWERED(a) || UNLISTED(a))
 #endif
 
 /* The reply to a refused start may come after a hold, or at once: then the search
    has less than half of the states, for variants about something else. */
 #ifdef INSTANT_REFUSAL
-#define REFUSE(a) unanswered[a] != order_run[a] && refused[a] == NONE -> refused[a] = order_run[a]
+#define REFUSE(a) unanswered[a] != order_run[a] && refused[a] == NONE && !UNLISTED(a) -> refused[a] = order_run[a]
 #else
 #define REFUSE(a) true -> declined[a] = order_run[a]
 #endif
@@ -167,6 +187,13 @@
 		:: else -> skip \
 		fi }
 
+/* A hold may list the ends only in part. */
+#ifdef PARTIAL_LISTS
+#define PARTIAL(a) (w_ended[a] != a_ended[a])
+#else
+#define PARTIAL(a) false
+#endif
+
 /* An agent takes an order, which may be repeated. The start has an answer, or
    has none and is carried out now, later or never. The answer that it is refused
    may come after a hold. A hold shows what runs and
@@ -200,16 +227,24 @@
 		declined[a] = NONE } \
 	:: atomic { late_run[a] != NONE -> execute(a, late_run[a], late_fence[a]); late_run[a] = NONE; late_fence[a] = 0 } \
 	:: atomic { fence[a] >= w_fence[a] -> \
-		RAISE(a); a_running[a] = w_running[a]; a_ended[a] = w_ended[a]; a_done[a] = w_done[a]; \
+		RAISE(a); a_running[a] = w_running[a]; \
 		if \
-		:: unanswered[a] != NONE && unanswered[a] != w_running[a] && unanswered[a] != w_ended[a] && refused[a] == NONE -> \
-			refused[a] = unanswered[a] \
-		:: else -> skip \
+		:: PARTIAL(a) -> a_partial[a] = true \
+		:: a_ended[a] = w_ended[a]; a_done[a] = w_done[a]; a_partial[a] = false \
 		fi; \
-		unanswered[a] = NONE } \
+		if \
+		:: UNLISTED(a) -> skip \
+		:: else -> \
+			if \
+			:: unanswered[a] != NONE && unanswered[a] != a_running[a] && unanswered[a] != a_ended[a] && refused[a] == NONE -> \
+				refused[a] = unanswered[a] \
+			:: else -> skip \
+			fi; \
+			unanswered[a] = NONE \
+		fi } \
 	:: atomic { w_running[a] != NONE -> end(a, true) } \
 	:: atomic { w_running[a] != NONE -> end(a, false) } \
-	:: atomic { leased[a] -> leased[a] = false; late_run[a] = NONE; late_fence[a] = 0; \
+	:: atomic { leased[a] -> leased[a] = false; NOTE_LAPSE(a); late_run[a] = NONE; late_fence[a] = 0; \
 		if \
 		:: w_running[a] != NONE -> end(a, false) \
 		:: else -> skip \
