--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -96,8 +96,8 @@
 // Bounds of the size of an entry. Other entries leave the leadership to a stronger one,
 // so they must not believe in an absurd size.
 const (
-	maxEntryCores = 1 << 12
-	maxLinkMbps   = 1 << 24
+	maxEntryCores = 1 << 12 // cores
+	maxLinkMbps   = 1 << 24 // Mbit/s
 )
 
 // check returns why the record is invalid, or nil.
--- a/leader/report.go
+++ b/leader/report.go
@@ -38,7 +38,9 @@
 	}
 	for _, g := range t.predecessors(r) {
 		if r.MoreEnded {
-			delete(t.streams, g) // a run that was ordered for it may be among the ends that are not listed
+			// A run that was ordered for the earlier incarnation may be among the ends that
+			// are not listed yet. It gets no tasks meanwhile.
+			delete(t.streams, g)
 			continue
 		}
 		if w, ok := t.workers[g]; ok && !w.Draining && !w.leaving && g != r.Left {
