--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -22,17 +22,21 @@
 	Late        bool    // urgent, and its job is expected to miss its deadline
 	LongRunning bool    // does not end by itself
 	Stopping    bool
-	StopOverdue bool // was told to stop and has not ended within the time allowed
-	EndsSoon    bool // expected to end by itself no later than a stop would end it
-	Budget      *StopBudget
+	StopOverdue bool        // was told to stop and has not ended within the time allowed
+	EndsSoon    bool        // expected to end by itself no later than a stop would end it
+	Budget      *StopBudget // nil if its step has no bound
 }
 
 // StopBudget bounds how many runs of a step may be stopped. The runs of the step share
-// it. A run without a budget is not bounded.
+// it.
 type StopBudget struct {
 	Left int // runs that may be stopped now; may be negative
 }
 
+// remains reports whether the run neither ends by itself nor is being stopped, as far as
+// can be expected.
+func (r *Run) remains() bool { return r.LongRunning && (r.StopOverdue || !r.Stopping) }
+
 // Worker is the state of a worker that is connected to the leader.
 type Worker struct {
 	ID              string // of the worker's incarnation
@@ -103,7 +107,7 @@
 		if run.StopOverdue || (!run.Stopping && !run.EndsSoon) {
 			state.projectedFree = state.projectedFree.Sub(run.Demand)
 		}
-		if run.LongRunning && (run.StopOverdue || !run.Stopping) {
+		if run.remains() {
 			state.releasable = state.releasable.Sub(run.Demand)
 		}
 	}
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -17,10 +17,10 @@
 }
 
 // preemptibleBy reports whether the run may be stopped for the unit, apart from its
-// budget. Runs that are ending or within a guarantee may not. Of the others, these may: (1) runs that
-// are not urgent; (2) late urgent runs, for a unit that can meet its deadline or is
-// within a guarantee; (3) all urgent runs, for a unit within a guarantee that must start
-// now or is AtRisk or worse.
+// budget. Runs that are ending or within a guarantee may not. Of the others, these may:
+// (1) runs that are not urgent; (2) late urgent runs, for a unit that can meet its
+// deadline or is within a guarantee; (3) all urgent runs, for a unit within a guarantee
+// that must start now or is AtRisk or worse.
 func (r *Run) preemptibleBy(u *Unit) bool {
 	if r.Stopping || r.EndsSoon || r.Guaranteed {
 		return false
@@ -116,7 +116,7 @@
 			victim.Budget.Left--
 		}
 		victim.worker.projectedFree = victim.worker.projectedFree.Add(victim.Demand)
-		if victim.LongRunning && !victim.StopOverdue {
+		if victim.LongRunning && !victim.remains() {
 			victim.worker.releasable = victim.worker.releasable.Add(victim.Demand)
 		}
 		p.plan.Stops = append(p.plan.Stops, victim.Key)
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -27,10 +27,9 @@
 // Steps is a set of workers that run steps. Members of a gang wait for each
 // other.
 type Steps struct {
-	GangWait  time.Duration // after which a member that waits ends alone
-	StopGrace time.Duration // that a stop takes
-	// ListedEnds is the largest number of ended runs in a reply.
-	ListedEnds int
+	GangWait   time.Duration // after which a member that waits ends alone
+	StopGrace  time.Duration // that a stop takes
+	ListedEnds int           // largest number of ended runs in a reply
 
 	// Rebirth returns how long a worker that has crashed is away, and the identifier
 	// of its next incarnation. The default is 2 s and the same identifier.
