--- a/event/leader.go
+++ b/event/leader.go
@@ -12,6 +12,7 @@
 	QueueCancelled       Event = 1112
 	QueueUnknown         Event = 1113
 	QueueRelayed         Event = 1114
+	QueueAnswered        Event = 1115
 	QueueConfigured      Event = 1120
 	QueueConfigBad       Event = 1121
 	QueueDomainOut       Event = 1122
@@ -58,7 +59,8 @@
 	QueueRefused:         {"QueueRefused", zerolog.InfoLevel, "A request was refused and had no effect."},
 	QueueCancelled:       {"QueueCancelled", zerolog.InfoLevel, "The cancellation of a job is recorded."},
 	QueueUnknown:         {"QueueUnknown", zerolog.WarnLevel, "It is not known whether a request took effect."},
-	QueueRelayed:         {"QueueRelayed", zerolog.InfoLevel, "A request was forwarded to another entry, because this one cannot reach the store."},
+	QueueRelayed:         {"QueueRelayed", zerolog.InfoLevel, "A request was forwarded to another entry. Reason is StoreContactLost, or the code of the attempt at this entry; OwnVersion and Version are those of the configurations of this entry and of the other one."},
+	QueueAnswered:        {"QueueAnswered", zerolog.InfoLevel, "The state of a job, or the number of pending jobs of a queue, was reported to a caller."},
 	QueueConfigured:      {"QueueConfigured", zerolog.InfoLevel, "A configuration is in force at this entry."},
 	QueueConfigBad:       {"QueueConfigBad", zerolog.ErrorLevel, "An operators' document cannot be decoded; the previous one stays in force."},
 	QueueDomainOut:       {"QueueDomainOut", zerolog.InfoLevel, "A failure domain was taken out of service."},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,9 +112,17 @@
 
 // StoreReachable reports whether this entry is in contact with the store.
 func (g *Gateway) StoreReachable() bool {
-	return g.cfg.Declarations.Configuration() != nil && uptime.Now().Sub(g.cfg.Declarations.FreshAsOf()) < storeContactTimeout
+	return g.cfg.Declarations.Configuration() != nil && g.StoreContactAge() < storeContactTimeout
 }
 
+// StoreContactAge returns the time since the last contact with the store.
+func (g *Gateway) StoreContactAge() time.Duration {
+	return uptime.Now().Sub(g.cfg.Declarations.FreshAsOf())
+}
+
+// ConfigID identifies the latest configuration that this entry has.
+func (g *Gateway) ConfigID() queue.ConfigID { return g.cfg.Declarations.Configuration().ID() }
+
 // maxConfigAge is the age from which on the configuration is too old to check
 // keys against.
 func (g *Gateway) maxConfigAge() time.Duration {
@@ -173,6 +181,7 @@
 	start := time.Now()
 	state, err := g.state(ctx, c)
 	g.cfg.Meter.ObserveAnswer("State", rosemarysill.CodeOf(err), time.Since(start))
+	g.logOutcome(event.QueueAnswered, "State", c, err).Str("State", string(state)).Send()
 	return state, err
 }
 
@@ -232,7 +241,7 @@
 		err = g.cancel(ctx, c, id)
 	}
 	g.cfg.Meter.ObserveAnswer("Cancel", rosemarysill.CodeOf(err), time.Since(start))
-	g.log(event.QueueCancelled, lastSegment(c.Path), err)
+	g.logOutcome(event.QueueCancelled, "Cancel", c, err).Send()
 	return err
 }
 
@@ -267,6 +276,14 @@
 
 // Pending implements queue.Jobs.
 func (g *Gateway) Pending(_ context.Context, c queue.Call) (int, error) {
+	start := time.Now()
+	n, err := g.pending(c)
+	g.cfg.Meter.ObserveAnswer("Pending", rosemarysill.CodeOf(err), time.Since(start))
+	g.logOutcome(event.QueueAnswered, "Pending", c, err).Str("Path", c.Path).Int("Pending", n).Send()
+	return n, err
+}
+
+func (g *Gateway) pending(c queue.Call) (int, error) {
 	_, q, _, _, err := g.admit(c)
 	if err != nil {
 		return 0, err
@@ -277,12 +294,9 @@
 	return g.cfg.Cache.Pending(q.Name), nil
 }
 
-// log logs the outcome of a request, as the event success if it was carried out.
-func (g *Gateway) log(success event.Event, id string, err error) {
-	var version int64
-	if cfg := g.cfg.Declarations.Configuration(); cfg != nil {
-		version = cfg.Version
-	}
+// logOutcome returns a log line with the outcome of a call, which is the event success
+// if the call was carried out.
+func (g *Gateway) logOutcome(success event.Event, operation string, c queue.Call, err error) *zerolog.Event {
 	outcome := success
 	switch rosemarysill.CodeOf(err).Truth() {
 	case rosemarysill.TruthDone:
@@ -291,8 +305,10 @@
 	default:
 		outcome = event.QueueRefused
 	}
-	outcome.Log(g.cfg.Log).Str("Job", id).Str("Code", rosemarysill.CodeOf(err).String()).Int64("Version", version).
-		Dur("ConfigurationAge", uptime.Now().Sub(g.cfg.Declarations.FreshAsOf())).Str("Detail", rosemarysill.DetailOf(err)).Send()
+	line := outcome.Log(g.cfg.Log).Str("Job", c.LastSegment()).Str("Operation", operation).Str("Code", rosemarysill.CodeOf(err).String()).
+		Int64("Version", g.ConfigID().Version).Dur("ConfigurationAge", uptime.Now().Sub(g.cfg.Declarations.FreshAsOf()))
+	if c.RelayedBy != "" {
+		line = line.Str("RelayedBy", c.RelayedBy)
+	}
+	return line.Str("Detail", rosemarysill.DetailOf(err))
 }
-
-func lastSegment(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -17,29 +17,29 @@
 // Submit implements queue.Jobs.
 func (g *Gateway) Submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) error {
 	start := time.Now()
-	id, err := g.submit(ctx, c, decode)
+	err := g.submit(ctx, c, decode)
 	g.cfg.Meter.ObserveAnswer("Submit", rosemarysill.CodeOf(err), time.Since(start))
-	g.log(event.QueueAccepted, id, err)
+	g.logOutcome(event.QueueAccepted, "Submit", c, err).Send()
 	return err
 }
 
-func (g *Gateway) submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) (string, error) {
+func (g *Gateway) submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) error {
 	cfg, q, account, id, err := g.admit(c)
 	if err != nil {
-		return lastSegment(c.Path), err
+		return err
 	}
 	if !validJobID(id) {
-		return id, rosemarysill.NewError(rosemarysill.InvalidRequest, "job identifier %q does not have 16 hexadecimal digits", id)
+		return rosemarysill.NewError(rosemarysill.InvalidRequest, "job identifier %q does not have 16 hexadecimal digits", id)
 	}
 	draft, err := decode()
 	if err != nil {
-		return id, err
+		return err
 	}
 	if problem := draft.Check(); problem != "" {
-		return id, rosemarysill.NewError(rosemarysill.InvalidRequest, "%s", problem)
+		return rosemarysill.NewError(rosemarysill.InvalidRequest, "%s", problem)
 	}
 	if _, known := g.cfg.Cache.Job(id); !known && g.cfg.Cache.NumJobs() >= g.cfg.MaxJobs {
-		return id, rosemarysill.NewError(rosemarysill.QueueFull, "the limit of %d jobs on record is reached", g.cfg.MaxJobs)
+		return rosemarysill.NewError(rosemarysill.QueueFull, "the limit of %d jobs on record is reached", g.cfg.MaxJobs)
 	}
 	uncertain := false
 	for {
@@ -50,13 +50,13 @@
 			uncertain = true
 		}
 		if err == nil || !g.waitRetry(ctx, c, err) {
-			return id, commitError(err, uncertain)
+			return commitError(err, uncertain)
 		}
 		if cfg, q, account, _, err = g.admit(c); err != nil {
 			if uncertain {
-				return id, rosemarysill.NewError(rosemarysill.OutcomeUnknown, "an earlier write of the job may have taken effect: %v", err)
+				return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "an earlier write of the job may have taken effect: %v", err)
 			}
-			return id, err
+			return err
 		}
 	}
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -30,6 +30,7 @@
 	startWaits  *prometheus.HistogramVec
 	jobTimes    *prometheus.HistogramVec
 	crashAges   prometheus.Histogram
+	relayed     *prometheus.CounterVec
 
 	mu       sync.Mutex
 	accounts map[string]bool // that have a label of their own
@@ -54,7 +55,10 @@
 		Name: "rosemarysill_crash_run_age_seconds", Help: "Age of the runs that were on a worker when it crashed.",
 		Buckets: []float64{0.1, 0.3, 1, 3, 10, 30, 100, 300, 1000, 3600},
 	})
-	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, newEventCollector())
+	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rosemarysill_relayed_total", Help: "Calls forwarded to another entry, by the reason and the result code of the other entry.",
+	}, []string{"reason", "code"})
+	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, newEventCollector())
 	return m
 }
 
@@ -83,6 +87,22 @@
 	}
 }
 
+// CountRelayed counts a call that was forwarded to another entry for a reason, with the
+// code of the answer.
+func (m *Meter) CountRelayed(reason string, code rosemarysill.Code) {
+	if m != nil {
+		m.relayed.WithLabelValues(reason, code.String()).Inc()
+	}
+}
+
+// ExportConfiguration exports the version of the configuration that is in force, 0 if
+// there is none. It must be called at most once.
+func (m *Meter) ExportConfiguration(version func() int64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "rosemarysill_configuration_version", Help: "Version of the configuration that is in force at this entry.",
+	}, func() float64 { return float64(version()) }))
+}
+
 // ObserveStart records the first start of a job.
 func (m *Meter) ObserveStart(account string, priority int, waited time.Duration) {
 	if m != nil {
--- a/node/entry.go
+++ b/node/entry.go
@@ -47,6 +47,7 @@
 	cache := jobstore.NewCache(store, log)
 	declarations := declaration.New(store, platform.DocumentDecoder{}, log)
 	metrics := meter.New()
+	metrics.ExportConfiguration(func() int64 { return declarations.Configuration().ID().Version })
 	gw := gateway.New(gateway.Config{Store: store, Cache: cache, Declarations: declarations, KeyRevocationDelay: n.KeyRevocationDelay, Meter: metrics, Log: log})
 	cfg := leader.Config{
 		Name: n.Name, Address: n.Internal, Cores: n.Cores, LinkMbps: n.LinkMbps, Store: store, Cache: cache, Declarations: declarations,
@@ -63,7 +64,9 @@
 		cfg.Machines = machines
 	}
 	candidate := leader.New(cfg)
-	forwarder := relay.New(relay.Config{Local: gw, Peers: func() []relay.Peer { return peers(cache, n.Name) }, Log: log})
+	forwarder := relay.New(relay.Config{
+		Name: n.Name, Local: gw, Peers: func() []relay.Peer { return peers(cache, n.Name) }, Meter: metrics, Log: log,
+	})
 	defer forwarder.Close()
 	listeners, err := listen(n.Callers, n.Ready, n.Internal)
 	if err != nil {
--- a/queue/configuration.go
+++ b/queue/configuration.go
@@ -67,6 +67,20 @@
 	accountByKey map[string]string // names of accounts by API key, built by Index
 }
 
+// ConfigID identifies a configuration. The zero value stands for none.
+type ConfigID struct {
+	Version  int64  // given by the operators
+	Revision uint64 // of the key in the store
+}
+
+// ID returns the identification of a configuration, which may be nil.
+func (c *Configuration) ID() ConfigID {
+	if c == nil {
+		return ConfigID{}
+	}
+	return ConfigID{Version: c.Version, Revision: c.Revision}
+}
+
 // Index builds the index that Account uses. It must be called once, before Account.
 func (c *Configuration) Index() {
 	c.accountByKey = make(map[string]string)
--- a/queue/jobs.go
+++ b/queue/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/work"
@@ -13,8 +14,15 @@
 	Path     string
 	Key      string // API key of a client account
 	Deadline time.Time
+	// RelayedBy is the name of the entry that has forwarded the call. It is empty at the
+	// entry that the caller has sent the request to.
+	RelayedBy string `json:",omitempty"`
 }
 
+// LastSegment returns the part of the path behind the last slash. This is the identifier
+// of the job if the call names one.
+func (c Call) LastSegment() string { return c.Path[strings.LastIndexByte(c.Path, '/')+1:] }
+
 // Jobs serves the calls about jobs. Errors carry a rosemarysill.Code; a code
 // between 10 and 39 means that the call had no effect.
 type Jobs interface {
--- a/relay/message.go
+++ b/relay/message.go
@@ -39,6 +39,7 @@
 	Detail  string
 	State   work.State
 	Pending int
+	Config  queue.ConfigID // latest configuration of the entry that has answered
 }
 
 // relayServer is the service that grpc registers.
@@ -73,11 +74,12 @@
 	}},
 }
 
-// Register adds the service for relayed calls, which jobs answers, to a server.
-func Register(s *grpc.Server, jobs queue.Jobs) { s.RegisterService(&serviceDesc, localServer{jobs}) }
+// Register adds the service for relayed calls, which the local entry answers, to a
+// server.
+func Register(s *grpc.Server, local Local) { s.RegisterService(&serviceDesc, localServer{local}) }
 
 // localServer serves relayed calls at this entry. It does not relay them again.
-type localServer struct{ jobs queue.Jobs }
+type localServer struct{ local Local }
 
 func (l localServer) serve(ctx context.Context, r Request) Answer {
 	// The clocks of two entries may differ, so the deadline is derived from the
@@ -85,7 +87,9 @@
 	r.Call.Deadline = time.Now().Add(r.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, r.Call.Deadline)
 	defer cancel()
-	return execute(ctx, l.jobs, r)
+	a := execute(ctx, l.local, r)
+	a.Config = l.local.ConfigID()
+	return a
 }
 
 // execute calls the method of jobs that the request names.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/meter"
 	"github.com/rosemarysill/rosemarysill/queue"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -37,16 +38,26 @@
 	queue.Jobs
 	// StoreReachable reports whether this entry is in contact with the store.
 	StoreReachable() bool
+	// StoreContactAge returns the time since the last contact with the store.
+	StoreContactAge() time.Duration
+	// ConfigID identifies the latest configuration that this entry has.
+	ConfigID() queue.ConfigID
 }
 
 // Config configures a Relay.
 type Config struct {
+	Name  string // of this entry
 	Local Local
 	// Peers returns the other entries in order of preference.
 	Peers func() []Peer
+	Meter *meter.Meter
 	Log   zerolog.Logger
 }
 
+// contactLost is the reason of a forward that was not attempted at this entry first.
+// The reason of any other forward is the code of the local attempt.
+const contactLost = "StoreContactLost"
+
 // Relay is a queue.Jobs that serves calls at this entry, or at others when this
 // entry cannot reach the store.
 type Relay struct {
@@ -125,14 +136,16 @@
 // out the request. prepare completes the request before it is relayed.
 func (r *Relay) call(ctx context.Context, req Request, serveLocal func(context.Context, Request) Answer, prepare func(*Request) error) Answer {
 	deadline := req.Call.Deadline.Add(-answerReserve)
-	reachable := r.cfg.Local.StoreReachable()
+	reachable, contactAge := r.cfg.Local.StoreReachable(), r.cfg.Local.StoreContactAge()
 	last := Answer{Code: rosemarysill.StoreUnavailable, Detail: "no entry can reach the store"}
+	reason := contactLost
 	uncertain := false
 	if reachable {
 		last = attempt(ctx, req, deadline, serveLocal)
 		if !retryable(last.Code) {
 			return last
 		}
+		reason = last.Code.String()
 		uncertain = last.Code.Truth() == rosemarysill.TruthUnknown
 	}
 	if err := prepare(&req); err != nil {
@@ -142,8 +155,9 @@
 		if i == maxPeerAttempts || time.Until(deadline) <= 0 || ctx.Err() != nil {
 			break
 		}
+		sent := time.Now()
 		a := attempt(ctx, req, deadline, func(ctx context.Context, req Request) Answer { return r.forward(ctx, peer, req) })
-		event.QueueRelayed.Log(r.cfg.Log).Str("Job", req.Call.Path).Str("Operation", string(req.Operation)).Str("Entry", peer.Name).Str("Code", a.Code.String()).Send()
+		r.report(req, peer, a, reason, contactAge, time.Since(sent))
 		if !retryable(a.Code) {
 			return finalAnswer(req.Operation, a, uncertain)
 		}
@@ -156,6 +170,15 @@
 	return finalAnswer(req.Operation, last, uncertain)
 }
 
+// report logs and counts a forward. contactAge is the time since the last contact with the
+// store when the call arrived.
+func (r *Relay) report(req Request, peer Peer, a Answer, reason string, contactAge, took time.Duration) {
+	r.cfg.Meter.CountRelayed(reason, a.Code)
+	event.QueueRelayed.Log(r.cfg.Log).Str("Job", req.Call.LastSegment()).Str("Path", req.Call.Path).Str("Operation", string(req.Operation)).
+		Str("Entry", peer.Name).Str("Code", a.Code.String()).Str("Reason", reason).Dur("ContactAge", contactAge).
+		Int64("OwnVersion", r.cfg.Local.ConfigID().Version).Int64("Version", a.Config.Version).Dur("Took", took).Send()
+}
+
 // finalAnswer replaces an answer that claims that a request had no effect if an
 // earlier attempt may have taken effect, because a later refusal by another entry
 // does not rule that out. State and Pending never have an effect.
@@ -191,6 +214,7 @@
 	if err != nil {
 		return Answer{Code: rosemarysill.StoreUnavailable, Detail: err.Error()}
 	}
+	req.Call.RelayedBy = r.cfg.Name
 	var a Answer
 	if err := conn.Invoke(ctx, "/"+serviceName+"/"+methodName, &req, &a); err != nil {
 		return Answer{Code: rosemarysill.OutcomeUnknown, Detail: err.Error()}
