--- a/node/endtoend_test.go
+++ b/node/endtoend_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -30,6 +31,7 @@
 	fleet   *standin.Steps
 	clients []*platform.Client
 	entries []platform.Node
+	stop    []func() // stops the entry with the same index and waits for its end
 	workers []*standin.StepWorker
 	logs    logs
 }
@@ -56,6 +58,21 @@
 	return b.Write(p)
 }
 
+// count returns the number of lines in the log of a process that contain all the texts.
+func (l *logs) count(name string, texts ...string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	if b, ok := l.text[name]; ok {
+		for line := range strings.Lines(b.String()) {
+			if !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) }) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // explain returns the history of a job as the explain command prints it.
 func (l *logs) explain(t *testing.T, id string) string {
 	l.mu.Lock()
@@ -88,9 +105,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var goroutines sync.WaitGroup
 	t.Cleanup(func() { cancel(); goroutines.Wait() })
-	startProcess := func(f func(context.Context, platform.Node, zerolog.Logger) error, n platform.Node) {
+	startProcess := func(f func(context.Context, platform.Node, zerolog.Logger) error, n platform.Node) func() {
+		ctx, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
 		log := zerolog.New(logWriter{&d.logs, n.Name}).With().Timestamp().Logger()
-		goroutines.Go(func() { _ = f(ctx, n, log) }) // tests fail if a process does not serve
+		goroutines.Go(func() { defer close(done); _ = f(ctx, n, log) }) // tests fail if a process does not serve
+		return func() { cancel(); <-done }
 	}
 	for i := range 2 {
 		n := platform.Node{
@@ -98,7 +118,7 @@
 			IP: loopback, MetricsPort: freeAddress(t).Port(), Store: d.storeFor(t, fmt.Sprintf("entry%d", i)), KeyRevocationDelay: 5 * time.Second, ShutdownGrace: 200 * time.Millisecond,
 			LeaseMin: time.Second, StatusRetention: time.Minute, Entry: true,
 		}
-		startProcess(node.Entry, n)
+		d.stop = append(d.stop, startProcess(node.Entry, n))
 		d.entries = append(d.entries, n)
 		c := platform.NewClient(n.Callers, "a.example", "k1")
 		t.Cleanup(c.Close)
@@ -119,7 +139,7 @@
 	return addressOf(server)
 }
 
-func (d *deployment) addAgent(ctx context.Context, t *testing.T, goroutines *sync.WaitGroup, i int, store netip.AddrPort, startProcess func(func(context.Context, platform.Node, zerolog.Logger) error, platform.Node)) {
+func (d *deployment) addAgent(ctx context.Context, t *testing.T, goroutines *sync.WaitGroup, i int, store netip.AddrPort, startProcess func(func(context.Context, platform.Node, zerolog.Logger) error, platform.Node) func()) {
 	id := fmt.Sprintf("i-%d", i)
 	worker := d.fleet.Add(id)
 	d.workers = append(d.workers, worker)
@@ -147,14 +167,15 @@
 	})
 }
 
-func (d *deployment) configure(t *testing.T, version int64, key string) {
+// configure writes a configuration with two queues and the additional ones.
+func (d *deployment) configure(t *testing.T, version int64, key string, additional ...queue.Queue) {
 	t.Helper()
 	k, document, err := platform.EncodeConfiguration(&queue.Configuration{
 		Version: version,
-		Queues: []queue.Queue{
+		Queues: append([]queue.Queue{
 			{Name: "checks", Host: "a.example", Prefix: "/checks/", Service: "svc", MaxAttempts: 2, MaxSlowdown: 1.5, Objective: 250 * time.Millisecond},
 			{Name: "scans", Host: "a.example", Prefix: "/checks/scans/", Service: "svc", Priority: 2, MaxAttempts: 2, MaxSlowdown: 3, Objective: 250 * time.Millisecond},
-		},
+		}, additional...),
 		Services: map[string]queue.Service{"svc": {Name: "svc"}},
 		Accounts: map[string]queue.Account{"t1": {Name: "t1", Keys: []string{key}, GuaranteedAccelerators: 8}},
 		Limits:   queue.Limits{BodyBytes: 4500},
@@ -280,6 +301,12 @@
 	require.Empty(t, d.store.Keys("rs/job/"))
 }
 
+// waitForPeers waits until the entries know of each other.
+func (d *deployment) waitForPeers(t *testing.T) {
+	require.Eventually(t, func() bool { return len(d.store.Keys("rs/entry/")) == 2 }, 20*time.Second, 10*time.Millisecond)
+	time.Sleep(300 * time.Millisecond) // the changes arrive within milliseconds
+}
+
 // Guards against requests that are rejected by an entry that cannot reach the store
 // while other entries can.
 func TestEntryWithoutStoreAccess(t *testing.T) {
@@ -287,8 +314,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, 1)
 			ctx := context.Background()
-			require.Eventually(t, func() bool { return len(d.store.Keys("rs/entry/")) == 2 }, 20*time.Second, 10*time.Millisecond)
-			time.Sleep(300 * time.Millisecond) // both entries learn of each other within milliseconds
+			d.waitForPeers(t)
 			d.store.SetFault("entry0", fault)
 			for i := range 4 { // immediately, and after the entry has detected the fault
 				id := fmt.Sprintf("00000000000000e%d", i)
