--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,14 +73,19 @@
 }
 
 // Gateway implements queue.Jobs on the store.
-type Gateway struct{ cfg Config }
+type Gateway struct {
+	cfg Config
+	// minRevision is the revision of the newest configuration by which other entries have
+	// answered callers of this one. Those callers may not be answered by an older one.
+	minRevision atomic.Uint64
+}
 
 var _ queue.Jobs = (*Gateway)(nil)
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
 	cfg.MaxJobs = cmp.Or(cfg.MaxJobs, DefaultMaxJobs)
-	return &Gateway{cfg}
+	return &Gateway{cfg: cfg}
 }
 
 // MaxBody implements queue.Jobs.
@@ -123,6 +129,22 @@
 // ConfigID identifies the latest configuration that this entry has.
 func (g *Gateway) ConfigID() queue.ConfigID { return g.cfg.Declarations.Configuration().ID() }
 
+// MinRevision returns the least revision of the configuration that may decide calls of
+// this entry's callers: that of its own copy, or of a newer one by which another entry has
+// answered them.
+func (g *Gateway) MinRevision() uint64 { return max(g.minRevision.Load(), g.ConfigID().Revision) }
+
+// RaiseMinRevision records that another entry has answered a caller of this one by the
+// configuration with the given revision.
+func (g *Gateway) RaiseMinRevision(revision uint64) {
+	for {
+		current := g.minRevision.Load()
+		if revision <= current || g.minRevision.CompareAndSwap(current, revision) {
+			return
+		}
+	}
+}
+
 // maxConfigAge is the age from which on the configuration is too old to check
 // keys against.
 func (g *Gateway) maxConfigAge() time.Duration {
@@ -142,9 +164,16 @@
 	if cfg == nil {
 		return nil, nil, "", "", rosemarysill.NewError(rosemarysill.StaleConfiguration, "no configuration has been read from the store")
 	}
+	if c.DecidedBy != nil {
+		*c.DecidedBy = cfg.ID()
+	}
 	if !g.configFresh() {
 		return nil, nil, "", "", rosemarysill.NewError(rosemarysill.StaleConfiguration, "configuration version %d has not been confirmed by the store within the last %s", cfg.Version, g.maxConfigAge())
 	}
+	if least := max(c.MinRevision, g.minRevision.Load()); cfg.Revision < least {
+		g.cfg.Declarations.Expect(least, uptime.Now().Add(configDelay))
+		return nil, nil, "", "", rosemarysill.NewError(rosemarysill.StaleConfiguration, "configuration version %d has revision %d, and callers have been answered by revision %d", cfg.Version, cfg.Revision, least)
+	}
 	q, suffix := cfg.Find(c.Host, c.Path)
 	if q == nil {
 		return nil, nil, "", "", rosemarysill.NewError(rosemarysill.UnknownQueue, "no queue for host %q and path %q", c.Host, c.Path)
@@ -179,6 +208,7 @@
 // State implements queue.Jobs.
 func (g *Gateway) State(ctx context.Context, c queue.Call) (work.State, error) {
 	start := time.Now()
+	c = recordDecision(c)
 	state, err := g.state(ctx, c)
 	g.cfg.Meter.ObserveAnswer("State", rosemarysill.CodeOf(err), time.Since(start))
 	g.logOutcome(event.QueueAnswered, "State", c, err).Str("State", string(state)).Send()
@@ -236,6 +266,7 @@
 // Cancel implements queue.Jobs.
 func (g *Gateway) Cancel(ctx context.Context, c queue.Call) error {
 	start := time.Now()
+	c = recordDecision(c)
 	_, _, _, id, err := g.admit(c)
 	if err == nil {
 		err = g.cancel(ctx, c, id)
@@ -277,6 +308,7 @@
 // Pending implements queue.Jobs.
 func (g *Gateway) Pending(_ context.Context, c queue.Call) (int, error) {
 	start := time.Now()
+	c = recordDecision(c)
 	n, err := g.pending(c)
 	g.cfg.Meter.ObserveAnswer("Pending", rosemarysill.CodeOf(err), time.Since(start))
 	g.logOutcome(event.QueueAnswered, "Pending", c, err).Str("Path", c.Path).Int("Pending", n).Send()
@@ -294,8 +326,16 @@
 	return g.cfg.Cache.Pending(q.Name), nil
 }
 
+// recordDecision returns the call with DecidedBy set.
+func recordDecision(c queue.Call) queue.Call {
+	if c.DecidedBy == nil {
+		c.DecidedBy = new(queue.ConfigID)
+	}
+	return c
+}
+
 // logOutcome returns a log line with the outcome of a call, which is the event success
-// if the call was carried out.
+// if the call was carried out. recordDecision has prepared the call.
 func (g *Gateway) logOutcome(success event.Event, operation string, c queue.Call, err error) *zerolog.Event {
 	outcome := success
 	switch rosemarysill.CodeOf(err).Truth() {
@@ -306,7 +346,7 @@
 		outcome = event.QueueRefused
 	}
 	line := outcome.Log(g.cfg.Log).Str("Job", c.LastSegment()).Str("Operation", operation).Str("Code", rosemarysill.CodeOf(err).String()).
-		Int64("Version", g.ConfigID().Version).Dur("ConfigurationAge", uptime.Now().Sub(g.cfg.Declarations.FreshAsOf()))
+		Int64("Version", c.DecidedBy.Version).Dur("ConfigurationAge", uptime.Now().Sub(g.cfg.Declarations.FreshAsOf()))
 	if c.RelayedBy != "" {
 		line = line.Str("RelayedBy", c.RelayedBy)
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -106,6 +106,33 @@
 	require.Len(t, entry.store.Keys("rs/job/"), 1)
 }
 
+// Guards against an entry that decides calls by its own configuration after its callers
+// have been answered by a newer one, and against one that decides a relayed call by an
+// older configuration than that of the relaying entry.
+func TestOlderConfigurationDecidesNothing(t *testing.T) {
+	entry := newTestEntry(t, 0)
+	c := queue.Call{Host: "h", Path: "/q/", Key: "k", Deadline: time.Now().Add(time.Second)}
+	pending := func(c queue.Call) rosemarysill.Code {
+		_, err := entry.gateway.Pending(context.Background(), c)
+		return rosemarysill.CodeOf(err)
+	}
+	own := entry.gateway.ConfigID().Revision
+	require.Equal(t, rosemarysill.Done, pending(c))
+	relayed := c
+	relayed.MinRevision = own + 1
+	require.Equal(t, rosemarysill.StaleConfiguration, pending(relayed))
+	require.Equal(t, own+1, entry.declarations.expected.Load(), "the copy is checked against the revision of the relaying entry")
+	require.Equal(t, rosemarysill.Done, pending(c))
+
+	entry.gateway.RaiseMinRevision(own + 2)
+	entry.gateway.RaiseMinRevision(own + 1)
+	require.Equal(t, own+2, entry.gateway.MinRevision())
+	require.Equal(t, rosemarysill.StaleConfiguration, pending(c))
+	entry.declarations.cfg = &queue.Configuration{Version: 2, Key: configKey, Revision: own + 2, Queues: entry.declarations.cfg.Queues, Accounts: entry.declarations.cfg.Accounts}
+	entry.declarations.cfg.Index()
+	require.Equal(t, rosemarysill.Done, pending(c))
+}
+
 // Guards against an unbounded number of job records.
 func TestJobLimit(t *testing.T) {
 	entry := newTestEntry(t, 1)
--- a/queue/jobs.go
+++ b/queue/jobs.go
@@ -17,6 +17,11 @@
 	// RelayedBy is the name of the entry that has forwarded the call. It is empty at the
 	// entry that the caller has sent the request to.
 	RelayedBy string `json:",omitempty"`
+	// MinRevision is the least revision of the configuration that may decide the call.
+	// A relaying entry sets it.
+	MinRevision uint64 `json:",omitempty"`
+	// DecidedBy is set to the configuration that has decided the call, if it is not nil.
+	DecidedBy *ConfigID `json:"-"`
 }
 
 // LastSegment returns the part of the path behind the last slash. This is the identifier
--- a/relay/message.go
+++ b/relay/message.go
@@ -39,7 +39,7 @@
 	Detail  string
 	State   work.State
 	Pending int
-	Config  queue.ConfigID // latest configuration of the entry that has answered
+	Config  queue.ConfigID // configuration that has decided the call
 }
 
 // relayServer is the service that grpc registers.
@@ -87,8 +87,10 @@
 	r.Call.Deadline = time.Now().Add(r.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, r.Call.Deadline)
 	defer cancel()
+	var decidedBy queue.ConfigID
+	r.Call.DecidedBy = &decidedBy
 	a := execute(ctx, l.local, r)
-	a.Config = l.local.ConfigID()
+	a.Config = decidedBy
 	return a
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,6 +42,11 @@
 	StoreContactAge() time.Duration
 	// ConfigID identifies the latest configuration that this entry has.
 	ConfigID() queue.ConfigID
+	// MinRevision returns the least revision of the configuration that may decide calls.
+	MinRevision() uint64
+	// RaiseMinRevision records that a call was answered by the configuration with the
+	// given revision.
+	RaiseMinRevision(revision uint64)
 }
 
 // Config configures a Relay.
@@ -159,6 +164,7 @@
 		a := attempt(ctx, req, deadline, func(ctx context.Context, req Request) Answer { return r.forward(ctx, peer, req) })
 		r.report(req, peer, a, reason, contactAge, time.Since(sent))
 		if !retryable(a.Code) {
+			r.cfg.Local.RaiseMinRevision(a.Config.Revision)
 			return finalAnswer(req.Operation, a, uncertain)
 		}
 		uncertain = uncertain || a.Code.Truth() == rosemarysill.TruthUnknown
@@ -214,14 +220,27 @@
 	if err != nil {
 		return Answer{Code: rosemarysill.StoreUnavailable, Detail: err.Error()}
 	}
-	req.Call.RelayedBy = r.cfg.Name
+	req.Call.RelayedBy, req.Call.MinRevision = r.cfg.Name, r.cfg.Local.MinRevision()
 	var a Answer
 	if err := conn.Invoke(ctx, "/"+serviceName+"/"+methodName, &req, &a); err != nil {
 		return Answer{Code: rosemarysill.OutcomeUnknown, Detail: err.Error()}
 	}
+	// The least revision may have risen while the call was in progress.
+	if outdated(req.Operation, a, r.cfg.Local.MinRevision()) {
+		return Answer{Code: rosemarysill.StaleConfiguration, Detail: "entry " + peer.Name + " has answered by an older configuration", Config: a.Config}
+	}
 	return a
 }
 
+// outdated reports whether an answer was decided by a configuration that is older than the
+// given revision and had no effect. A change that was made stands.
+func outdated(op Operation, a Answer, least uint64) bool {
+	if a.Config.Revision >= least || retryable(a.Code) {
+		return false
+	}
+	return op == State || op == Pending || a.Code.Truth() == rosemarysill.TruthNotRun
+}
+
 func (r *Relay) conn(address netip.AddrPort) (*grpc.ClientConn, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -22,24 +22,38 @@
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-// stub answers submissions and cancellations with a fixed code.
+// stub answers calls with a fixed code.
 type stub struct {
 	queue.Jobs
 	code   rosemarysill.Code
 	config queue.ConfigID
-	cutOff bool // from the store
+	cutOff bool    // from the store
+	raised *uint64 // revision that RaiseMinRevision was called with
+	least  *uint64 // MinRevision of the last call
 }
 
-func (s stub) err() error {
+func (s stub) answer(c queue.Call) error {
+	if c.DecidedBy != nil {
+		*c.DecidedBy = s.config
+	}
+	if s.least != nil {
+		*s.least = c.MinRevision
+	}
 	if s.code == rosemarysill.Done {
 		return nil
 	}
 	return rosemarysill.NewError(s.code, "test")
 }
 
-func (s stub) Submit(context.Context, queue.Call, func() (*work.Job, error)) error { return s.err() }
+func (s stub) Submit(_ context.Context, c queue.Call, _ func() (*work.Job, error)) error {
+	return s.answer(c)
+}
 
-func (s stub) Cancel(context.Context, queue.Call) error { return s.err() }
+func (s stub) Cancel(_ context.Context, c queue.Call) error { return s.answer(c) }
+
+func (s stub) State(_ context.Context, c queue.Call) (work.State, error) {
+	return work.Running, s.answer(c)
+}
 
 func (s stub) StoreReachable() bool { return !s.cutOff }
 
@@ -47,6 +61,14 @@
 
 func (s stub) ConfigID() queue.ConfigID { return s.config }
 
+func (s stub) MinRevision() uint64 { return s.config.Revision }
+
+func (s stub) RaiseMinRevision(revision uint64) {
+	if s.raised != nil {
+		*s.raised = revision
+	}
+}
+
 // newRelay returns the relay of an entry, and starts the server of a peer.
 func newRelay(t *testing.T, local, peer relay.Local, m *meter.Meter, log zerolog.Logger) *relay.Relay {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -123,3 +145,35 @@
 		})
 	}
 }
+
+// Guards against an answer without effect that an entry with an older configuration has
+// decided, also if that entry does not check the revision, and against the loss of an
+// effect that such an entry has had.
+func TestAnswerByOtherConfiguration(t *testing.T) {
+	for name, tc := range map[string]struct {
+		peer       stub
+		wantState  rosemarysill.Code
+		wantCancel rosemarysill.Code
+		wantRaised uint64
+	}{
+		"refused by an older one":     {stub{code: rosemarysill.UnknownQueue, config: queue.ConfigID{Revision: 6}}, rosemarysill.StaleConfiguration, rosemarysill.StaleConfiguration, 0},
+		"key unknown to an older one": {stub{code: rosemarysill.UnknownAccount, config: queue.ConfigID{Revision: 6}}, rosemarysill.StaleConfiguration, rosemarysill.StaleConfiguration, 0},
+		"allowed by an older one":     {stub{code: rosemarysill.Done, config: queue.ConfigID{Revision: 6}}, rosemarysill.StaleConfiguration, rosemarysill.Done, 6},
+		"refused by the same one":     {stub{code: rosemarysill.UnknownQueue, config: queue.ConfigID{Revision: 7}}, rosemarysill.UnknownQueue, rosemarysill.UnknownQueue, 7},
+		"refused by a newer one":      {stub{code: rosemarysill.UnknownQueue, config: queue.ConfigID{Revision: 8}}, rosemarysill.UnknownQueue, rosemarysill.UnknownQueue, 8},
+		"allowed by a newer one":      {stub{code: rosemarysill.Done, config: queue.ConfigID{Revision: 8}}, rosemarysill.Done, rosemarysill.Done, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var raised, least uint64
+			tc.peer.least = &least
+			local := stub{code: rosemarysill.StaleConfiguration, config: queue.ConfigID{Revision: 7}, cutOff: true, raised: &raised}
+			r := newRelay(t, local, tc.peer, nil, zerolog.Nop())
+			c := queue.Call{Path: "/q/0000000000000001", Deadline: time.Now().Add(20 * time.Second)}
+			_, err := r.State(context.Background(), c)
+			require.Equal(t, tc.wantState, rosemarysill.CodeOf(err))
+			require.Equal(t, tc.wantCancel, rosemarysill.CodeOf(r.Cancel(context.Background(), c)))
+			require.Equal(t, tc.wantRaised, raised)
+			require.EqualValues(t, 7, least, "the peer checks the revision before the call has an effect")
+		})
+	}
+}
