--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,8 @@
 	// FreshAsOf returns the latest time, by package uptime, as of which the
 	// configuration is known to be the latest one.
 	FreshAsOf() time.Time
+	// RepliedAt returns the time, by package uptime, of the latest reply of the store.
+	RepliedAt() time.Time
 	// Expect tells that the store has a change of the configuration with the given
 	// revision, which the copy should have by the given time, by package uptime.
 	Expect(revision uint64, by time.Time)
@@ -111,9 +113,9 @@
 	return g.cfg.Declarations.Configuration() != nil && g.configFresh() && g.cfg.Cache.HasSynced()
 }
 
-// storeContactTimeout is the time since the last successful watch of the store
-// after which the store counts as unreachable. A watch returns at least once per
-// second.
+// storeContactTimeout is the time since the latest reply to a watch after which the store
+// counts as unreachable. A watch is answered within 1 s, or up to 300 ms later by a slow
+// store.
 const storeContactTimeout = 1800 * time.Millisecond
 
 // StoreReachable reports whether this entry is in contact with the store.
@@ -123,7 +125,7 @@
 
 // StoreContactAge returns the time since the last contact with the store.
 func (g *Gateway) StoreContactAge() time.Duration {
-	return uptime.Now().Sub(g.cfg.Declarations.FreshAsOf())
+	return uptime.Now().Sub(g.cfg.Declarations.RepliedAt())
 }
 
 // ConfigID identifies the latest configuration that this entry has.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,6 +29,8 @@
 
 func (d *fakeConfig) FreshAsOf() time.Time { return uptime.Now().Add(-time.Duration(d.age.Load())) }
 
+func (d *fakeConfig) RepliedAt() time.Time { return uptime.Now() }
+
 func (d *fakeConfig) Expect(revision uint64, _ time.Time) { d.expected.Store(revision) }
 
 const configKey = "operators/config"
--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -37,6 +37,7 @@
 	mu            sync.Mutex
 	versions      map[string]uint64 // version of each key that exists
 	freshAsOf     time.Time         // the copy holds everything that was in the store at this time
+	repliedAt     time.Time         // when the latest reply of the store arrived
 	synced        chan struct{}
 	healthy       bool
 	unbatched     chan struct{} // closed while changes are not batched
@@ -117,6 +118,15 @@
 	return f.freshAsOf
 }
 
+// RepliedAt returns the time, by package uptime, at which the latest successful reply of
+// the store arrived. While the store replies, it is at most one watch timeout old, whereas
+// FreshAsOf goes by the request of that watch and may be two of them old.
+func (f *Follower) RepliedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.repliedAt
+}
+
 // Run watches the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -222,7 +232,7 @@
 func (f *Follower) markFresh(requestedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.freshAsOf = requestedAt
+	f.freshAsOf, f.repliedAt = requestedAt, uptime.Now()
 	if !f.healthy {
 		f.healthy = true
 		f.onRecovery()
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -80,6 +80,7 @@
 	unresponsiveAt := uptime.Now()
 	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.failures > 0 }, testTimeout, 5*time.Millisecond)
 	require.Less(t, follower.FreshAsOf().Sub(unresponsiveAt), time.Second, "nothing is confirmed after the store has stopped replying")
+	require.Less(t, follower.RepliedAt().Sub(unresponsiveAt), time.Second, "a watch that has failed is no reply")
 	s.SetFault("v", standin.Healthy)
 	recoveredAt := uptime.Now()
 	require.Eventually(t, func() bool { return follower.FreshAsOf().After(recoveredAt) }, testTimeout, 5*time.Millisecond)
