--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,6 +147,18 @@
 	}
 }
 
+// RecordState records the state of a job that another entry has reported to a caller of
+// this one.
+func (g *Gateway) RecordState(c queue.Call, s work.State) {
+	g.cfg.Cache.RecordEnd(c.LastSegment(), s)
+}
+
+// FinalState returns the state of a job and true if this entry knows it to be final.
+func (g *Gateway) FinalState(c queue.Call) (work.State, bool) {
+	rec, ok := g.cfg.Cache.Job(c.LastSegment())
+	return rec.State(), ok && rec.State().Final()
+}
+
 // maxConfigAge is the age from which on the configuration is too old to check
 // keys against.
 func (g *Gateway) maxConfigAge() time.Duration {
@@ -230,13 +242,14 @@
 		return rec.State(), nil
 	}
 	// The cache may lag behind the store by a second. If the store cannot be read,
-	// the cached state is the latest known one, and it is not revoked later.
+	// the cached state is the latest known one.
 	if !rec.State().Final() {
 		readCtx, cancel := context.WithTimeout(ctx, progressReadTimeout)
 		defer cancel()
 		if err := rec.ReadProgress(readCtx, g.cfg.Store); err != nil {
 			g.cfg.Log.Debug().Err(err).Str("Job", id).Msg("cannot read the progress of the job from the store; answering from the cache")
 		}
+		g.cfg.Cache.RecordEnd(id, rec.State())
 	}
 	return rec.State(), nil
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,7 @@
 
 // testEntry is a gateway with a stand-in for the store.
 type testEntry struct {
+	t            *testing.T
 	store        *standin.Transactions
 	declarations *fakeConfig
 	cache        *jobstore.Cache
@@ -44,7 +45,7 @@
 }
 
 func newTestEntry(t *testing.T, maxJobs int) *testEntry {
-	entry := &testEntry{store: standin.NewTransactions()}
+	entry := &testEntry{t: t, store: standin.NewTransactions()}
 	revision := entry.store.Put(configKey, []byte("1"))
 	entry.declarations = &fakeConfig{cfg: &queue.Configuration{
 		Version: 1, Key: configKey, Revision: revision,
@@ -53,7 +54,7 @@
 	}}
 	entry.declarations.cfg.Index()
 	view := entry.store.View("entry")
-	cache := jobstore.NewCache(view, zerolog.Nop())
+	cache := jobstore.NewCache(entry.store.View("cache"), zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); cache.Run(ctx) }()
@@ -203,3 +204,33 @@
 	require.NoError(t, err)
 	require.NotEqual(t, work.Queued, got, "without the store, the state is the latest known one")
 }
+
+// Guards against a job that is reported as running after it was reported as completed. The
+// store may fail between a read of the state and the arrival of the change in the cache.
+func TestFinalStateStands(t *testing.T) {
+	for name, learn := range map[string]func(*testEntry, queue.Call){
+		"read from the store": func(e *testEntry, c queue.Call) {
+			state, err := e.gateway.State(context.Background(), c)
+			require.NoError(e.t, err)
+			require.Equal(e.t, work.Completed, state)
+		},
+		"answered by another entry": func(e *testEntry, c queue.Call) { e.gateway.RecordState(c, work.Completed) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			entry := newTestEntry(t, 0)
+			const id = "0000000000000001"
+			require.Equal(t, rosemarysill.Done, entry.submit("/q/"+id, time.Second))
+			require.Eventually(t, func() bool { _, ok := entry.cache.Job(id); return ok }, 20*time.Second, time.Millisecond)
+			entry.store.SetFault("cache", standin.Refusing)
+			value, err := jobstore.EncodeProgress(&work.Progress{State: work.Completed, Tasks: make([]work.Task, 1)})
+			require.NoError(t, err)
+			entry.store.Put(jobstore.ProgressKey(id), value)
+			c := queue.Call{Host: "h", Path: "/q/" + id, Key: "k", Deadline: time.Now().Add(time.Minute)}
+			learn(entry, c)
+			entry.store.SetFault("entry", standin.Refusing)
+			state, err := entry.gateway.State(context.Background(), c)
+			require.NoError(t, err)
+			require.Equal(t, work.Completed, state)
+		})
+	}
+}
--- a/jobstore/cache.go
+++ b/jobstore/cache.go
@@ -22,6 +22,7 @@
 	ProgressVersion uint64
 	Undecodable     bool // the latest record of the progress cannot be decoded; Progress is older or nil
 	Cancelled       bool
+	Reported        work.State // final state that callers have been told; the progress may be older
 }
 
 // State returns the state that is reported to callers.
@@ -29,6 +30,8 @@
 	switch {
 	case r.Progress != nil && r.Progress.State.Final():
 		return r.Progress.State
+	case r.Reported.Final():
+		return r.Reported
 	case r.Cancelled:
 		return work.Cancelled
 	case r.Progress == nil:
@@ -97,6 +100,20 @@
 	return *r, true
 }
 
+// RecordEnd records that callers have been told that a job is completed or has failed,
+// which the progress in the cache may not show yet. Other states, and jobs that the cache
+// does not have, are ignored.
+func (c *Cache) RecordEnd(id string, s work.State) {
+	if s != work.Completed && s != work.Failed {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, ok := c.jobs[id]; ok && r.Job != nil {
+		r.Reported = s
+	}
+}
+
 // Pending returns the number of unfinished jobs of a queue of which no task has been
 // ordered. Jobs that wait for a later occurrence than the first are not counted.
 func (c *Cache) Pending(queue string) int {
@@ -278,7 +295,7 @@
 	if r.Job != nil && r.JobVersion != ch.Item.Version {
 		// The record of a job is written once. A list shows only that there is a new job
 		// with the identifier of a removed one, to which the progress belongs.
-		r.Progress, r.ProgressVersion, r.Undecodable = nil, 0, false
+		r.Progress, r.ProgressVersion, r.Undecodable, r.Reported = nil, 0, false, ""
 	}
 	r.Job, r.JobVersion = j, ch.Item.Version
 	return nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,10 @@
 	// RaiseMinRevision records that a call was answered by the configuration with the
 	// given revision.
 	RaiseMinRevision(revision uint64)
+	// RecordState records the state of a job that another entry has reported.
+	RecordState(c queue.Call, s work.State)
+	// FinalState returns the state of a job and true if it is known to be final.
+	FinalState(c queue.Call) (work.State, bool)
 }
 
 // Config configures a Relay.
@@ -114,10 +118,18 @@
 	return a.err()
 }
 
-// State implements queue.Jobs.
+// State implements queue.Jobs. A final state that this entry knows stands if another entry
+// with older records reports that the job is in progress.
 func (r *Relay) State(ctx context.Context, c queue.Call) (work.State, error) {
 	a := r.do(ctx, State, c)
-	return a.State, a.err()
+	if a.Code != rosemarysill.Done {
+		return "", a.err()
+	}
+	if known, ok := r.cfg.Local.FinalState(c); ok && !a.State.Final() {
+		return known, nil
+	}
+	r.cfg.Local.RecordState(c, a.State)
+	return a.State, nil
 }
 
 // Cancel implements queue.Jobs.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -30,6 +30,10 @@
 	cutOff bool    // from the store
 	raised *uint64 // revision that RaiseMinRevision was called with
 	least  *uint64 // MinRevision of the last call
+
+	state    work.State  // answer to State
+	known    work.State  // of the job, by the records of the entry
+	recorded *work.State // state that RecordState was called with
 }
 
 func (s stub) answer(c queue.Call) error {
@@ -52,7 +56,7 @@
 func (s stub) Cancel(_ context.Context, c queue.Call) error { return s.answer(c) }
 
 func (s stub) State(_ context.Context, c queue.Call) (work.State, error) {
-	return work.Running, s.answer(c)
+	return s.state, s.answer(c)
 }
 
 func (s stub) StoreReachable() bool { return !s.cutOff }
@@ -63,6 +67,14 @@
 
 func (s stub) MinRevision() uint64 { return s.config.Revision }
 
+func (s stub) RecordState(_ queue.Call, state work.State) {
+	if s.recorded != nil {
+		*s.recorded = state
+	}
+}
+
+func (s stub) FinalState(queue.Call) (work.State, bool) { return s.known, s.known.Final() }
+
 func (s stub) RaiseMinRevision(revision uint64) {
 	if s.raised != nil {
 		*s.raised = revision
@@ -177,3 +189,24 @@
 		})
 	}
 }
+
+// Guards against a job that is reported as running after it was reported as completed,
+// because another entry with older records answers.
+func TestFinalStateStands(t *testing.T) {
+	for name, tc := range map[string]struct {
+		peer, known, want, wantRecorded work.State
+	}{
+		"the peer is behind": {work.Running, work.Completed, work.Completed, ""},
+		"the peer is ahead":  {work.Completed, work.Running, work.Completed, work.Completed},
+		"in progress":        {work.Running, work.Queued, work.Running, work.Running},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var recorded work.State
+			r := newRelay(t, stub{cutOff: true, known: tc.known, recorded: &recorded}, stub{state: tc.peer}, nil, zerolog.Nop())
+			got, err := r.State(context.Background(), queue.Call{Path: "/q/0000000000000001", Deadline: time.Now().Add(20 * time.Second)})
+			require.NoError(t, err)
+			require.Equal(t, tc.want, got)
+			require.Equal(t, tc.wantRecorded, recorded)
+		})
+	}
+}
