--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,16 +98,6 @@
 	return defaultMaxBodyBytes
 }
 
-// IsQueue implements queue.Jobs.
-func (g *Gateway) IsQueue(c queue.Call) bool {
-	cfg := g.cfg.Declarations.Configuration()
-	if cfg == nil {
-		return false
-	}
-	_, suffix := cfg.Find(c.Host, c.Path)
-	return suffix == ""
-}
-
 // Ready reports whether this entry can serve callers.
 func (g *Gateway) Ready() bool {
 	return g.cfg.Declarations.Configuration() != nil && g.configFresh() && g.cfg.Cache.HasSynced()
@@ -219,24 +209,40 @@
 	}
 }
 
-// State implements queue.Jobs.
-func (g *Gateway) State(ctx context.Context, c queue.Call) (work.State, error) {
+// Status implements queue.Jobs.
+func (g *Gateway) Status(ctx context.Context, c queue.Call) (queue.Status, error) {
 	start := time.Now()
 	c = recordDecision(c)
-	state, err := g.state(ctx, c)
-	g.cfg.Meter.ObserveAnswer("State", rosemarysill.CodeOf(err), time.Since(start))
-	g.logOutcome(event.QueueAnswered, "State", c, err).Str("State", string(state)).Send()
-	return state, err
+	status, err := g.status(ctx, c)
+	operation := "State"
+	if status.OfQueue {
+		operation = "Pending"
+	}
+	g.cfg.Meter.ObserveAnswer(operation, rosemarysill.CodeOf(err), time.Since(start))
+	g.logOutcome(event.QueueAnswered, operation, c, err).Str("Path", c.Path).Str("State", string(status.State)).Int("Pending", status.Pending).Send()
+	return status, err
 }
 
-func (g *Gateway) state(ctx context.Context, c queue.Call) (work.State, error) {
-	_, _, _, id, err := g.admit(c)
-	if err != nil {
-		return "", err
+// status returns a status with OfQueue set, also if it fails, when the question is about a
+// queue.
+func (g *Gateway) status(ctx context.Context, c queue.Call) (queue.Status, error) {
+	_, q, _, id, err := g.admit(c)
+	status := queue.Status{OfQueue: err == nil && id == ""}
+	switch {
+	case err != nil:
+	case status.OfQueue:
+		status.Pending, err = g.pending(q)
+	default:
+		status.State, err = g.state(ctx, c, id)
 	}
+	return status, err
+}
+
+func (g *Gateway) state(ctx context.Context, c queue.Call, id string) (work.State, error) {
 	rec, known := g.cfg.Cache.Job(id)
 	if !known {
-		if rec, err = g.findJob(ctx, c, id); err != nil {
+		rec, err := g.findJob(ctx, c, id)
+		if err != nil {
 			return "", err
 		}
 		return rec.State(), nil
@@ -320,21 +326,7 @@
 	}
 }
 
-// Pending implements queue.Jobs.
-func (g *Gateway) Pending(_ context.Context, c queue.Call) (int, error) {
-	start := time.Now()
-	c = recordDecision(c)
-	n, err := g.pending(c)
-	g.cfg.Meter.ObserveAnswer("Pending", rosemarysill.CodeOf(err), time.Since(start))
-	g.logOutcome(event.QueueAnswered, "Pending", c, err).Str("Path", c.Path).Int("Pending", n).Send()
-	return n, err
-}
-
-func (g *Gateway) pending(c queue.Call) (int, error) {
-	_, q, _, _, err := g.admit(c)
-	if err != nil {
-		return 0, err
-	}
+func (g *Gateway) pending(q *queue.Queue) (int, error) {
 	if !g.cfg.Cache.HasSynced() {
 		return 0, rosemarysill.NewError(rosemarysill.StaleConfiguration, "the job records have not been read from the store yet")
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -116,7 +116,7 @@
 	entry := newTestEntry(t, 0)
 	c := queue.Call{Host: "h", Path: "/q/", Key: "k", Deadline: time.Now().Add(time.Second)}
 	pending := func(c queue.Call) rosemarysill.Code {
-		_, err := entry.gateway.Pending(context.Background(), c)
+		_, err := entry.gateway.Status(context.Background(), c)
 		return rosemarysill.CodeOf(err)
 	}
 	own := entry.gateway.ConfigID().Revision
@@ -142,8 +142,8 @@
 	require.Equal(t, rosemarysill.Done, entry.submit("/q/0000000000000001", time.Second))
 	c := queue.Call{Host: "h", Path: "/q/", Key: "k", Deadline: time.Now().Add(time.Minute)}
 	require.Eventually(t, func() bool {
-		n, err := entry.gateway.Pending(context.Background(), c)
-		return err == nil && n == 1
+		s, err := entry.gateway.Status(context.Background(), c)
+		return err == nil && s == queue.Status{OfQueue: true, Pending: 1}
 	}, 10*time.Second, 5*time.Millisecond)
 	require.Equal(t, rosemarysill.QueueFull, entry.submit("/q/0000000000000002", time.Second))
 	require.Equal(t, rosemarysill.Done, entry.submit("/q/0000000000000001", time.Second), "a repeated submission is not a new job")
@@ -154,11 +154,11 @@
 func TestLongestPrefixWins(t *testing.T) {
 	entry := newTestEntry(t, 0)
 	c := queue.Call{Host: "h", Path: "/q/open/", Deadline: time.Now().Add(time.Second)}
-	require.True(t, entry.gateway.IsQueue(c))
-	_, err := entry.gateway.Pending(context.Background(), c)
+	s, err := entry.gateway.Status(context.Background(), c)
 	require.NoError(t, err, "a public queue needs no key")
+	require.True(t, s.OfQueue)
 	c.Path = "/q/"
-	_, err = entry.gateway.Pending(context.Background(), c)
+	_, err = entry.gateway.Status(context.Background(), c)
 	require.Equal(t, rosemarysill.UnknownAccount, rosemarysill.CodeOf(err))
 }
 
@@ -174,13 +174,13 @@
 	view := entry.store.View("started")
 	restarted := gateway.New(gateway.Config{Store: view, Cache: jobstore.NewCache(view, zerolog.Nop()), Declarations: entry.declarations, KeyRevocationDelay: 5 * time.Second, Log: zerolog.Nop()})
 	c := queue.Call{Host: "h", Path: "/q/", Key: "k", Deadline: time.Now().Add(time.Minute)}
-	_, err = restarted.Pending(context.Background(), c)
+	_, err = restarted.Status(context.Background(), c)
 	require.Equal(t, rosemarysill.StaleConfiguration, rosemarysill.CodeOf(err))
 	require.False(t, restarted.Ready())
 	c.Path += id
-	state, err := restarted.State(context.Background(), c)
+	s, err := restarted.Status(context.Background(), c)
 	require.NoError(t, err)
-	require.Equal(t, work.Completed, state)
+	require.Equal(t, work.Completed, s.State)
 }
 
 // Guards against a job that is reported as running after it has ended. The cache
@@ -194,15 +194,15 @@
 		value, err := jobstore.EncodeProgress(&work.Progress{State: want, Tasks: make([]work.Task, 1)})
 		require.NoError(t, err)
 		entry.store.Put(jobstore.ProgressKey(id), value)
-		got, err := entry.gateway.State(context.Background(), c)
+		got, err := entry.gateway.Status(context.Background(), c)
 		require.NoError(t, err)
-		require.Equal(t, want, got)
+		require.Equal(t, want, got.State)
 	}
 	require.Eventually(t, func() bool { rec, ok := entry.cache.Job(id); return ok && rec.Progress != nil }, 20*time.Second, time.Millisecond)
 	entry.store.SetFault("entry", standin.Refusing)
-	got, err := entry.gateway.State(context.Background(), c)
+	got, err := entry.gateway.Status(context.Background(), c)
 	require.NoError(t, err)
-	require.NotEqual(t, work.Queued, got, "without the store, the state is the latest known one")
+	require.NotEqual(t, work.Queued, got.State, "without the store, the state is the latest known one")
 }
 
 // Guards against a job that is reported as running after it was reported as completed. The
@@ -210,9 +210,9 @@
 func TestFinalStateStands(t *testing.T) {
 	for name, learn := range map[string]func(*testEntry, queue.Call){
 		"read from the store": func(e *testEntry, c queue.Call) {
-			state, err := e.gateway.State(context.Background(), c)
+			s, err := e.gateway.Status(context.Background(), c)
 			require.NoError(e.t, err)
-			require.Equal(e.t, work.Completed, state)
+			require.Equal(e.t, work.Completed, s.State)
 		},
 		"answered by another entry": func(e *testEntry, c queue.Call) { e.gateway.RecordState(c, work.Completed) },
 	} {
@@ -228,9 +228,9 @@
 			c := queue.Call{Host: "h", Path: "/q/" + id, Key: "k", Deadline: time.Now().Add(time.Minute)}
 			learn(entry, c)
 			entry.store.SetFault("entry", standin.Refusing)
-			state, err := entry.gateway.State(context.Background(), c)
+			s, err := entry.gateway.Status(context.Background(), c)
 			require.NoError(t, err)
-			require.Equal(t, work.Completed, state)
+			require.Equal(t, work.Completed, s.State)
 		})
 	}
 }
--- a/node/configuration_test.go
+++ b/node/configuration_test.go
@@ -87,3 +87,38 @@
 	}
 	require.Zero(t, d.logs.count("entry0", "QueueRelayed"), "of %d requests, all of them at an entry in contact with the store", total)
 }
+
+// Guards against a question about a queue that is taken for one about a job, or the other
+// way round, because the entry that forwards it has an older configuration than the one
+// that answers it.
+func TestOneConfigurationDecidesQuestion(t *testing.T) {
+	nested := addedQueue
+	nested.Prefix = "/checks" + addedPrefix
+	for name, tc := range map[string]struct {
+		before, after []queue.Queue
+		want          int
+	}{
+		"queue added":   {nil, []queue.Queue{nested}, http.StatusOK},
+		"queue removed": {[]queue.Queue{nested}, nil, http.StatusGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 0)
+			d.waitForPeers(t)
+			ask := func() (platform.Answer, error) {
+				return d.clients[0].Pending(context.Background(), callTimeout, nested.Prefix)
+			}
+			d.configure(t, 2, "k1", tc.before...)
+			require.Eventually(t, func() bool { return d.logs.count("entry0", "QueueConfigured", `"Version":2`) > 0 }, 2*time.Second, time.Millisecond)
+			d.store.SetFault("entry0", standin.Refusing)
+			d.configure(t, 3, "k1", tc.after...)
+			require.Eventually(t, func() bool { return d.logs.count("entry1", "QueueConfigured", `"Version":3`) > 0 }, 2*time.Second, time.Millisecond)
+			require.Eventually(t, func() bool {
+				_, err := ask()
+				return err == nil && d.logs.count("entry0", "QueueRelayed", `"OwnVersion":2,"Version":3`) > 0
+			}, 5*time.Second, 5*time.Millisecond, "no request met the case")
+			a, err := ask()
+			require.NoError(t, err)
+			require.Equal(t, tc.want, a.Status)
+		})
+	}
+}
--- a/queue/jobs.go
+++ b/queue/jobs.go
@@ -28,20 +28,24 @@
 // of the job if the call names one.
 func (c Call) LastSegment() string { return c.Path[strings.LastIndexByte(c.Path, '/')+1:] }
 
+// Status is the answer to a question.
+type Status struct {
+	OfQueue bool       // the question is about a queue
+	Pending int        // number of jobs of the queue that have not started
+	State   work.State // of the job
+}
+
 // Jobs serves the calls about jobs. Errors carry a rosemarysill.Code; a code
 // between 10 and 39 means that the call had no effect.
 type Jobs interface {
 	// Submit accepts a job. It calls decode, which reads the body, only after it
 	// has checked the queue and the key.
 	Submit(ctx context.Context, c Call, decode func() (*work.Job, error)) error
-	// State returns the state of an accepted job.
-	State(ctx context.Context, c Call) (work.State, error)
+	// Status answers a question about a job, or about a queue if the path of the call is
+	// the prefix of one.
+	Status(ctx context.Context, c Call) (Status, error)
 	// Cancel cancels a job.
 	Cancel(ctx context.Context, c Call) error
-	// Pending returns the number of jobs of a queue that have not started.
-	Pending(ctx context.Context, c Call) (int, error)
-	// IsQueue reports whether the path of the call names a queue, not a job.
-	IsQueue(c Call) bool
 	// MaxBody returns the size limit of request bodies in bytes.
 	MaxBody() int64
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -19,12 +19,15 @@
 
 // Operations.
 const (
-	Submit  Operation = "Submit"
-	State   Operation = "State"
-	Cancel  Operation = "Cancel"
-	Pending Operation = "Pending"
+	Submit Operation = "Submit"
+	Status Operation = "State"
+	Cancel Operation = "Cancel"
 )
 
+// pending is a question about a queue from an entry of a version that has decided itself
+// what the question is about.
+const pending Operation = "Pending"
+
 // Request is a relayed call.
 type Request struct {
 	Operation Operation
@@ -37,6 +40,7 @@
 type Answer struct {
 	Code    rosemarysill.Code
 	Detail  string
+	OfQueue bool `json:",omitempty"`
 	State   work.State
 	Pending int
 	Config  queue.ConfigID // configuration that has decided the call
@@ -101,12 +105,12 @@
 	switch r.Operation {
 	case Submit:
 		err = jobs.Submit(ctx, r.Call, func() (*work.Job, error) { return r.Job, nil })
-	case State:
-		a.State, err = jobs.State(ctx, r.Call)
+	case Status, pending:
+		var s queue.Status
+		s, err = jobs.Status(ctx, r.Call)
+		a.OfQueue, a.State, a.Pending = s.OfQueue, s.State, s.Pending
 	case Cancel:
 		err = jobs.Cancel(ctx, r.Call)
-	case Pending:
-		a.Pending, err = jobs.Pending(ctx, r.Call)
 	default:
 		err = rosemarysill.NewError(rosemarysill.InvalidRequest, "unknown operation %q in a relayed call", r.Operation)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,9 +91,6 @@
 	}
 }
 
-// IsQueue implements queue.Jobs.
-func (r *Relay) IsQueue(c queue.Call) bool { return r.cfg.Local.IsQueue(c) }
-
 // MaxBody implements queue.Jobs.
 func (r *Relay) MaxBody() int64 { return r.cfg.Local.MaxBody() }
 
@@ -118,29 +115,26 @@
 	return a.err()
 }
 
-// State implements queue.Jobs. A final state that this entry knows stands if another entry
+// Status implements queue.Jobs. A final state that this entry knows stands if another entry
 // with older records reports that the job is in progress.
-func (r *Relay) State(ctx context.Context, c queue.Call) (work.State, error) {
-	a := r.do(ctx, State, c)
+func (r *Relay) Status(ctx context.Context, c queue.Call) (queue.Status, error) {
+	a := r.do(ctx, Status, c)
 	if a.Code != rosemarysill.Done {
-		return "", a.err()
+		return queue.Status{}, a.err()
 	}
-	if known, ok := r.cfg.Local.FinalState(c); ok && !a.State.Final() {
-		return known, nil
+	if !a.OfQueue {
+		if known, ok := r.cfg.Local.FinalState(c); ok && !a.State.Final() {
+			a.State = known
+		} else {
+			r.cfg.Local.RecordState(c, a.State)
+		}
 	}
-	r.cfg.Local.RecordState(c, a.State)
-	return a.State, nil
+	return queue.Status{OfQueue: a.OfQueue, Pending: a.Pending, State: a.State}, nil
 }
 
 // Cancel implements queue.Jobs.
 func (r *Relay) Cancel(ctx context.Context, c queue.Call) error { return r.do(ctx, Cancel, c).err() }
 
-// Pending implements queue.Jobs.
-func (r *Relay) Pending(ctx context.Context, c queue.Call) (int, error) {
-	a := r.do(ctx, Pending, c)
-	return a.Pending, a.err()
-}
-
 // do makes a call other than Submit, which alone has a body.
 func (r *Relay) do(ctx context.Context, op Operation, c queue.Call) Answer {
 	return r.call(ctx, Request{Operation: op, Call: c}, func(ctx context.Context, req Request) Answer {
@@ -199,9 +193,9 @@
 
 // finalAnswer replaces an answer that claims that a request had no effect if an
 // earlier attempt may have taken effect, because a later refusal by another entry
-// does not rule that out. State and Pending never have an effect.
+// does not rule that out. Status never has an effect.
 func finalAnswer(op Operation, a Answer, uncertain bool) Answer {
-	if op == State || op == Pending || !uncertain || a.Code.Truth() != rosemarysill.TruthNotRun {
+	if op == Status || !uncertain || a.Code.Truth() != rosemarysill.TruthNotRun {
 		return a
 	}
 	return Answer{Code: rosemarysill.OutcomeUnknown, Detail: "an earlier attempt may have taken effect; last answer: " + a.Detail}
@@ -250,7 +244,7 @@
 	if a.Config.Revision >= least || retryable(a.Code) {
 		return false
 	}
-	return op == State || op == Pending || a.Code.Truth() == rosemarysill.TruthNotRun
+	return op == Status || a.Code.Truth() == rosemarysill.TruthNotRun
 }
 
 func (r *Relay) conn(address netip.AddrPort) (*grpc.ClientConn, error) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -31,7 +31,7 @@
 	raised *uint64 // revision that RaiseMinRevision was called with
 	least  *uint64 // MinRevision of the last call
 
-	state    work.State  // answer to State
+	state    work.State  // answer to Status
 	known    work.State  // of the job, by the records of the entry
 	recorded *work.State // state that RecordState was called with
 }
@@ -55,8 +55,8 @@
 
 func (s stub) Cancel(_ context.Context, c queue.Call) error { return s.answer(c) }
 
-func (s stub) State(_ context.Context, c queue.Call) (work.State, error) {
-	return s.state, s.answer(c)
+func (s stub) Status(_ context.Context, c queue.Call) (queue.Status, error) {
+	return queue.Status{State: s.state}, s.answer(c)
 }
 
 func (s stub) StoreReachable() bool { return !s.cutOff }
@@ -181,7 +181,7 @@
 			local := stub{code: rosemarysill.StaleConfiguration, config: queue.ConfigID{Revision: 7}, cutOff: true, raised: &raised}
 			r := newRelay(t, local, tc.peer, nil, zerolog.Nop())
 			c := queue.Call{Path: "/q/0000000000000001", Deadline: time.Now().Add(20 * time.Second)}
-			_, err := r.State(context.Background(), c)
+			_, err := r.Status(context.Background(), c)
 			require.Equal(t, tc.wantState, rosemarysill.CodeOf(err))
 			require.Equal(t, tc.wantCancel, rosemarysill.CodeOf(r.Cancel(context.Background(), c)))
 			require.Equal(t, tc.wantRaised, raised)
@@ -203,9 +203,9 @@
 		t.Run(name, func(t *testing.T) {
 			var recorded work.State
 			r := newRelay(t, stub{cutOff: true, known: tc.known, recorded: &recorded}, stub{state: tc.peer}, nil, zerolog.Nop())
-			got, err := r.State(context.Background(), queue.Call{Path: "/q/0000000000000001", Deadline: time.Now().Add(20 * time.Second)})
+			got, err := r.Status(context.Background(), queue.Call{Path: "/q/0000000000000001", Deadline: time.Now().Add(20 * time.Second)})
 			require.NoError(t, err)
-			require.Equal(t, tc.want, got)
+			require.Equal(t, queue.Status{State: tc.want}, got)
 			require.Equal(t, tc.wantRecorded, recorded)
 		})
 	}
