--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -45,10 +45,12 @@
 	violations []string
 	revokedAt  map[string]time.Time // time of revocation by API key
 	key        string
+
+	configChecks map[int]int // number of checks of the configuration by status
 }
 
 func newCallers(s *system) *callers {
-	return &callers{system: s, revokedAt: make(map[string]time.Time), key: "k0"}
+	return &callers{system: s, revokedAt: make(map[string]time.Time), key: "k0", configChecks: make(map[int]int)}
 }
 
 func (c *callers) addViolation(format string, args ...any) {
@@ -231,7 +233,8 @@
 			uncertain++
 		}
 	}
-	return fmt.Sprintf("%d jobs: %d accepted, %d cancelled, %d without an answer, %d deadly; %d others given up", len(c.requests), accepted, cancelled, uncertain, deadly, innocent)
+	return fmt.Sprintf("%d jobs: %d accepted, %d cancelled, %d without an answer, %d deadly; %d others given up; checks of the configuration by status %v, %d forwards to an outdated entry",
+		len(c.requests), accepted, cancelled, uncertain, deadly, innocent, c.configChecks, c.system.forwardsToOutdated())
 }
 
 // maxCrashes returns the largest number of workers that have crashed under a task of
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -2,7 +2,8 @@
 // faults into them and their connections, and checks the guarantees as callers and
 // workers observe them: accepted jobs end, refused ones do not run, tasks run once
 // at a time and within the capacity of their worker, a task that crashes its workers
-// is given up, and revoked keys are rejected in time.
+// is given up, revoked keys are rejected in time, and no entry answers by an older
+// configuration than before.
 package main
 
 import (
@@ -63,10 +64,13 @@
 		for i, r := range runs {
 			slots <- struct{}{}
 			go func() {
-				kinds := selection{r.earliest, maps.Clone(selected.without), selected.only}
+				kinds := selection{r.earliest, maps.Clone(selected.without), maps.Clone(selected.only)}
 				for _, name := range r.without {
 					kinds.without[name] = true
 				}
+				for _, name := range r.only {
+					kinds.only[name] = true
+				}
 				summary, violations, err := run(o, r.seed, kinds)
 				results[i] <- result{summary, violations, err}
 				<-slots
@@ -165,6 +169,10 @@
 	var loading sync.WaitGroup
 	loading.Go(func() { c.run(loadCtx, seed) })
 	loading.Go(func() { c.rotateKeys(loadCtx, seed) })
+	loading.Go(func() { c.changeConfiguration(loadCtx, seed) })
+	for i := range entryCount {
+		loading.Go(func() { c.checkConfiguration(loadCtx, i, seed) })
+	}
 	loading.Go(func() {
 		injectFaults(loadCtx, s, seed, func(name string) {
 			logMu.Lock()
--- a/cmd/soak/system.go
+++ b/cmd/soak/system.go
@@ -39,6 +39,7 @@
 	signalMu     sync.Mutex // held while a fault stops or pauses the process
 	mu           sync.Mutex
 	cmd          *exec.Cmd
+	starts       int // of the process
 }
 
 // system is the system under test: the processes and the stand-ins for the store
@@ -51,9 +52,13 @@
 	workers []*worker
 	nodes   []*node
 	servers []*http.Server
-	version int64
 	events  *events
 	kinds   selection
+	queues  *addedQueues
+
+	configMu sync.Mutex
+	version  int64  // of the configuration
+	key      string // that is valid
 }
 
 func serve(h http.Handler) (*http.Server, netip.AddrPort, error) {
@@ -67,7 +72,7 @@
 }
 
 func newSystem(program, dir string) (*system, error) {
-	s := &system{program: program, dir: dir, store: standin.NewTransactions(), steps: standin.NewSteps()}
+	s := &system{program: program, dir: dir, store: standin.NewTransactions(), steps: standin.NewSteps(), queues: newAddedQueues()}
 	var err error
 	if s.events, err = newEvents(filepath.Join(dir, "workers.log")); err != nil {
 		return nil, err
@@ -89,17 +94,36 @@
 	return s, nil
 }
 
-// configure stores the next configuration version, in which only the given API key
-// is valid.
+// configure stores the next configuration version, in which only the given API key is
+// valid.
 func (s *system) configure(key string) error {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
+	s.key = key
+	return s.storeNextVersion()
+}
+
+// changeQueues stores the next configuration version with the same API key.
+func (s *system) changeQueues() error {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
+	return s.storeNextVersion()
+}
+
+// storeNextVersion stores the next configuration version, which adds a queue and removes
+// the oldest of those that earlier versions have added.
+func (s *system) storeNextVersion() error {
 	s.version += 3
+	queues := []queue.Queue{
+		{Name: "urgent", Host: queueHost, Prefix: queuePrefix + "u/", Service: service, MaxAttempts: 2, MaxSlowdown: 1.5, Objective: time.Second},
+		{Name: "batch", Host: queueHost, Prefix: queuePrefix + "b/", Service: service, Priority: 2, MaxAttempts: 2, MaxSlowdown: 3, Objective: time.Second},
+	}
+	for _, q := range s.queues.next(s.version) {
+		queues = append(queues, queue.Queue{Name: q.prefix, Host: queueHost, Prefix: q.prefix, Service: service, Priority: 2, MaxAttempts: 2, MaxSlowdown: 3, Objective: time.Second})
+	}
 	documentKey, document, err := platform.EncodeConfiguration(&queue.Configuration{
-		Version: s.version,
-		Queues: []queue.Queue{
-			{Name: "urgent", Host: queueHost, Prefix: queuePrefix + "u/", Service: service, MaxAttempts: 2, MaxSlowdown: 1.5, Objective: time.Second},
-			{Name: "batch", Host: queueHost, Prefix: queuePrefix + "b/", Service: service, Priority: 2, MaxAttempts: 2, MaxSlowdown: 3, Objective: time.Second},
-		},
-		Accounts: map[string]queue.Account{"t": {Name: "t", Keys: []string{key}, GuaranteedAccelerators: 8}},
+		Version: s.version, Queues: queues,
+		Accounts: map[string]queue.Account{"t": {Name: "t", Keys: []string{s.key}, GuaranteedAccelerators: 8}},
 		Services: map[string]queue.Service{service: {Name: service}},
 	})
 	if err != nil {
@@ -187,6 +211,7 @@
 func (n *node) startProcess(program string) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.starts++
 	n.cmd = exec.Command(program, "node", "--metrics-port", "0")
 	n.cmd.Env = append(os.Environ(), platform.SettingsPathVariable+"="+n.settingsPath)
 	n.cmd.Stdout, n.cmd.Stderr = n.logFile, n.logFile
@@ -228,6 +253,13 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// lifetime returns the number of starts of the process.
+func (n *node) lifetime() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.starts
+}
+
 // signal sends a signal to the process of a node.
 func (n *node) signal(sig syscall.Signal) error {
 	n.mu.Lock()
