--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -208,13 +208,25 @@
 // Guards against a job that is reported as running after it was reported as completed. The
 // store may fail between a read of the state and the arrival of the change in the cache.
 func TestFinalStateStands(t *testing.T) {
-	for name, learn := range map[string]func(*testEntry, queue.Call){
-		"read from the store": func(e *testEntry, c queue.Call) {
+	for name, tc := range map[string]struct {
+		learn func(*testEntry, queue.Call)
+		want  work.State
+	}{
+		"read from the store": {func(e *testEntry, c queue.Call) {
 			s, err := e.gateway.Status(context.Background(), c)
 			require.NoError(e.t, err)
 			require.Equal(e.t, work.Completed, s.State)
-		},
-		"answered by another entry": func(e *testEntry, c queue.Call) { e.gateway.RecordState(c, work.Completed) },
+		}, work.Completed},
+		"answered by another entry": {func(e *testEntry, c queue.Call) { e.gateway.RecordState(c, work.Failed) }, work.Failed},
+		"cancelled by the answer of another entry": {func(e *testEntry, c queue.Call) {
+			e.gateway.RecordState(c, work.Cancelled)
+			e.gateway.RecordState(c, work.Running)
+		}, work.Cancelled},
+		"completed before it was cancelled": {func(e *testEntry, c queue.Call) {
+			e.gateway.RecordState(c, work.Cancelled)
+			e.gateway.RecordState(c, work.Completed)
+			e.gateway.RecordState(c, work.Cancelled)
+		}, work.Completed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			entry := newTestEntry(t, 0)
@@ -226,11 +238,11 @@
 			require.NoError(t, err)
 			entry.store.Put(jobstore.ProgressKey(id), value)
 			c := queue.Call{Host: "h", Path: "/q/" + id, Key: "k", Deadline: time.Now().Add(time.Minute)}
-			learn(entry, c)
+			tc.learn(entry, c)
 			entry.store.SetFault("entry", standin.Refusing)
 			s, err := entry.gateway.Status(context.Background(), c)
 			require.NoError(t, err)
-			require.Equal(t, work.Completed, s.State)
+			require.Equal(t, tc.want, s.State)
 		})
 	}
 }
--- a/jobstore/cache.go
+++ b/jobstore/cache.go
@@ -100,16 +100,15 @@
 	return *r, true
 }
 
-// RecordEnd records that callers have been told that a job is completed or has failed,
-// which the progress in the cache may not show yet. Other states, and jobs that the cache
-// does not have, are ignored.
+// RecordEnd records that callers have been told that a job has ended, which the records in
+// the cache may not show yet. States that are not final, and jobs that the cache does not
+// have, are ignored. A job that is reported as cancelled may still be completed, because
+// the cancellation is recorded before it is carried out.
 func (c *Cache) RecordEnd(id string, s work.State) {
-	if s != work.Completed && s != work.Failed {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r, ok := c.jobs[id]; ok && r.Job != nil {
+	r, ok := c.jobs[id]
+	if ok && r.Job != nil && s.Final() && (!r.Reported.Final() || r.Reported == work.Cancelled) {
 		r.Reported = s
 	}
 }
