--- a/control/message.go
+++ b/control/message.go
@@ -28,6 +28,10 @@
 	ClockDrift = 0.02
 	// LapseMargin is the time after the end of a lease until its runs count as ended.
 	LapseMargin = 300 * time.Millisecond
+	// MaxStartBytes bounds the specifications, checkpoints and tickets of the starts in a
+	// message of orders. JSON may take six bytes for one, and a stream accepts messages of
+	// up to 4 MiB.
+	MaxStartBytes = 256 << 10
 	// OrderMaxAge is the largest age of the report that a message of orders answers.
 	// Agents do not carry out the orders of older messages.
 	OrderMaxAge = 2 * time.Second
@@ -105,6 +109,7 @@
 	Incarnation  string    // incarnation of the worker that the orders are for
 	AckedSeq     uint64    `json:"Seen"` // ends of runs up to this sequence number are recorded
 	Starts       []work.Start
+	Deferred     []work.RunKey `json:",omitempty"` // runs whose starts are left to later messages
 	Stops        []work.RunKey
 	Throttles    []Throttle    `json:"Paces"`
 	Reserved     []Reservation `json:",omitempty"` // of the runs that the worker lists, if there are starts
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -112,8 +112,9 @@
 	for _, r := range w.running {
 		listed[r.Key] = true
 	}
+	startBytes := 0
 	for k := range w.placedAt {
-		t.addRunOrder(&o, w, k, listed[k])
+		t.addRunOrder(&o, &startBytes, w, k, listed[k])
 	}
 	for k := range w.orphans {
 		o.Stops = append(o.Stops, k)
@@ -127,8 +128,10 @@
 
 // addRunOrder adds the start or stop of a run that is placed on the worker. A start is
 // ordered only once the placement is committed, and not if the worker lists the run, the
-// task is done, or the run will be taken for lost because the leases have lapsed.
-func (t *term) addRunOrder(o *control.Orders, w *workerState, k work.RunKey, listed bool) {
+// task is done, or the run will be taken for lost because the leases have lapsed. It is
+// deferred if the starts in the message, which have startBytes, leave no room for it: the
+// next report shows that some of them have been carried out.
+func (t *term) addRunOrder(o *control.Orders, startBytes *int, w *workerState, k work.RunKey, listed bool) {
 	s, task := t.placedRun(w, k)
 	if task == nil {
 		return
@@ -140,6 +143,11 @@
 	if listed || task.Done || w.LeasesLapsed || !t.isCommitted(s, k, w.Incarnation) {
 		return
 	}
+	*startBytes += len(s.job.Spec) + len(task.Checkpoint) + len(task.Ticket)
+	if len(o.Starts) > 0 && *startBytes > control.MaxStartBytes {
+		o.Deferred = append(o.Deferred, k)
+		return
+	}
 	o.Starts = append(o.Starts, work.Start{Key: k, Spec: s.job.Spec, Checkpoint: task.Checkpoint, Ticket: task.Ticket, Demand: schedule.Demand(s.job.Steps[k.Task.Step])})
 }
 
--- a/leader/attach_test.go
+++ b/leader/attach_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +53,37 @@
 		})
 	}
 }
+
+// Guards against a message of orders that is larger than a stream accepts, and against one
+// that seems to take the starts back that it leaves out.
+func TestOrdersAreBounded(t *testing.T) {
+	const id = "a/i/1"
+	term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{Epoch: 1}, 1, 1, uptime.Now().Add(time.Minute))
+	j := &work.Job{ID: "0123456789abcdef", MaxAttempts: 2, Spec: strings.Repeat("\x01", 4000), Steps: []work.Step{{Count: 3000}}}
+	p := work.NewProgress(j)
+	for i := range p.Tasks {
+		p.Place(&p.Tasks[i], id, "", 1)
+	}
+	term.jobs[j.ID] = &jobState{job: j, progress: p, committed: append([]work.Task(nil), p.Tasks...)}
+	stream := term.newStream()
+	require.NoError(t, term.report(stream, control.Report{Agent: "a", Stamp: uptime.Now(), Worker: &control.Worker{Incarnation: id}}))
+	for i := range p.Tasks {
+		term.workers[id].placedAt[work.RunKey{Task: work.TaskKey{Job: j.ID, Index: i}, Run: 1}] = uptime.Now()
+	}
+	o, ok := stream.orders()
+	require.True(t, ok)
+	data, err := json.Marshal(o)
+	require.NoError(t, err)
+	require.Less(t, len(data), 4<<20)
+	ordered := make(map[work.RunKey]bool)
+	for _, s := range o.Starts {
+		require.Equal(t, j.Spec, s.Spec)
+		ordered[s.Key] = true
+	}
+	for _, k := range o.Deferred {
+		ordered[k] = true
+	}
+	require.NotEmpty(t, o.Starts)
+	require.Len(t, ordered, len(p.Tasks))
+	require.Equal(t, len(p.Tasks), len(o.Starts)+len(o.Deferred))
+}
--- a/runner/orders_test.go
+++ b/runner/orders_test.go
@@ -59,6 +59,8 @@
 	}
 	require.Equal(t, 1, worker.count())
 	require.Len(t, r.worker.refused, 1, "the refusal is still reported")
+	r.applyOrders(context.Background(), control.Orders{Epoch: 1, Echo: now, ExtendsLease: true, Incarnation: orders.Incarnation, Deferred: []work.RunKey{key(0)}})
+	require.Len(t, r.worker.refused, 1, "a later message orders the run")
 
 	r.applyOrders(context.Background(), control.Orders{Epoch: 1, Echo: now, ExtendsLease: true, Incarnation: orders.Incarnation})
 	require.Empty(t, r.worker.refused, "the leader no longer orders the run")
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -179,6 +179,6 @@
 // runs that it no longer orders.
 func (w *workerState) pruneRefusals(o control.Orders) {
 	w.refused = slices.DeleteFunc(w.refused, func(r control.Refusal) bool {
-		return !slices.Contains(o.Stops, r.Key) && !slices.ContainsFunc(o.Starts, func(s work.Start) bool { return s.Key == r.Key })
+		return !slices.Contains(o.Stops, r.Key) && !slices.Contains(o.Deferred, r.Key) && !slices.ContainsFunc(o.Starts, func(s work.Start) bool { return s.Key == r.Key })
 	})
 }
