--- a/jobstore/cache.go
+++ b/jobstore/cache.go
@@ -209,7 +209,7 @@
 		return c.applyProgress(id, ch)
 	}
 	if id, ok := strings.CutPrefix(key, cancelPrefix); ok {
-		c.record(id).Cancelled = !ch.Deleted
+		c.applyCancel(id, !ch.Deleted)
 		return nil
 	}
 	if name, ok := strings.CutPrefix(key, entryPrefix); ok {
@@ -284,6 +284,7 @@
 func (c *Cache) applyJob(id string, ch rosemarysill.Change) error {
 	if ch.Deleted {
 		delete(c.jobs, id)
+		delete(c.changed, id)
 		return nil
 	}
 	j, err := DecodeJob(id, ch.Item.Value)
@@ -300,6 +301,17 @@
 	return nil
 }
 
+// applyCancel applies the mark of a cancellation, or its removal, which may come after the
+// removal of the job.
+func (c *Cache) applyCancel(id string, cancelled bool) {
+	if r, ok := c.jobs[id]; !cancelled && (!ok || r.Job == nil) {
+		delete(c.jobs, id)
+		delete(c.changed, id)
+		return
+	}
+	c.record(id).Cancelled = cancelled
+}
+
 func (c *Cache) applyProgress(id string, ch rosemarysill.Change) error {
 	if ch.Deleted {
 		return nil // the record of the job is deleted together with it
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -277,3 +278,34 @@
 	require.NoError(t, err)
 	require.Len(t, p.Tasks, 2)
 }
+
+// Guards against entries of removed jobs that stay in the cache and count towards the limit
+// of jobs on record.
+func TestRemovedJobsLeaveNothingBehind(t *testing.T) {
+	s := standin.NewTransactions()
+	c := jobstore.NewCache(s.View("v"), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	progress, err := jobstore.EncodeProgress(&work.Progress{State: work.Cancelled, Tasks: make([]work.Task, 1)})
+	require.NoError(t, err)
+	remove := rosemarysill.Commit{}
+	for i := range 5 {
+		id := fmt.Sprintf("%016x", i)
+		value, err := jobstore.EncodeJob(&work.Job{ID: id, Queue: "q", Steps: []work.Step{{Count: 1}}})
+		require.NoError(t, err)
+		s.Put(jobstore.JobKey(id), value)
+		s.Put(jobstore.CancelKey(id), []byte("{}"))
+		s.Put(jobstore.ProgressKey(id), progress)
+		remove.Remove = append(remove.Remove, jobstore.JobKey(id), jobstore.ProgressKey(id), jobstore.CancelKey(id))
+	}
+	s.Put(jobstore.CancelKey("stray"), []byte("{}")) // of no job
+	require.Eventually(t, func() bool { e, _ := c.Job("0000000000000004"); return c.NumJobs() == 6 && e.State() == work.Cancelled }, testTimeout, 5*time.Millisecond)
+	s.Remove(jobstore.CancelKey("stray"))
+	_, _, err = s.View("v").Commit(context.Background(), remove)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { _, ok := c.Job("0000000000000004"); return !ok }, testTimeout, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return c.NumJobs() == 0 }, 5*time.Second, 5*time.Millisecond, "%d entries are left", c.NumJobs())
+	require.Empty(t, c.TakeChanged())
+}
