--- a/cmd/soak/configuration.go
+++ b/cmd/soak/configuration.go
@@ -69,45 +69,45 @@
 // configurationView is the oldest configuration that an entry may answer by, as its answers
 // have shown.
 type configurationView struct {
-	lifetime int           // of the process
-	proofs   []proofOfView // in order of time and of version
+	lifetime int               // of the process
+	observed []observedVersion // in order of time and of version
 }
 
-// proofOfView is an answer that only a version, or a later one, allows.
-type proofOfView struct {
+// observedVersion is the least version that an answer shows.
+type observedVersion struct {
 	version int64
 	at      time.Time
 }
 
-// least returns the newest version that was proved by the given time.
+// least returns the newest version that had been observed by the given time.
 func (v *configurationView) least(by time.Time) int64 {
-	for _, p := range slices.Backward(v.proofs) {
-		if !p.at.After(by) {
-			return p.version
+	for _, o := range slices.Backward(v.observed) {
+		if !o.at.After(by) {
+			return o.version
 		}
 	}
 	return 0
 }
 
 // observe takes the answer to a request about a queue. It returns a description of the
-// violation if only an older version than one proved before allows the answer.
+// violation if only an older version than one observed before allows the answer.
 func (v *configurationView) observe(q addedQueue, status int, sent, received time.Time) string {
 	least := v.least(sent.Add(-configurationSlack))
-	var proved int64
+	var shown int64
 	switch {
 	case status == http.StatusOK && q.removed != 0 && q.removed <= least:
 		return fmt.Sprintf("serves %s, which version %d has removed, after an answer by version %d", q.prefix, q.removed, least)
 	case status == http.StatusOK:
-		proved = q.added
+		shown = q.added
 	case status == http.StatusNotFound && q.removed == 0 && q.added <= least:
 		return fmt.Sprintf("does not serve %s, which version %d has added, after an answer by version %d", q.prefix, q.added, least)
 	case status == http.StatusNotFound && q.removed != 0 && q.added <= v.least(received):
-		proved = q.removed
+		shown = q.removed
 	default:
 		return ""
 	}
-	if proved > v.least(received) {
-		v.proofs = append(v.proofs, proofOfView{proved, received})
+	if shown > v.least(received) {
+		v.observed = append(v.observed, observedVersion{shown, received})
 	}
 	return ""
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -212,7 +212,7 @@
 // Status implements queue.Jobs.
 func (g *Gateway) Status(ctx context.Context, c queue.Call) (queue.Status, error) {
 	start := time.Now()
-	c = recordDecision(c)
+	c = withDecision(c)
 	status, err := g.status(ctx, c)
 	operation := "State"
 	if status.OfQueue {
@@ -287,7 +287,7 @@
 // Cancel implements queue.Jobs.
 func (g *Gateway) Cancel(ctx context.Context, c queue.Call) error {
 	start := time.Now()
-	c = recordDecision(c)
+	c = withDecision(c)
 	_, _, _, id, err := g.admit(c)
 	if err == nil {
 		err = g.cancel(ctx, c, id)
@@ -333,8 +333,8 @@
 	return g.cfg.Cache.Pending(q.Name), nil
 }
 
-// recordDecision returns the call with DecidedBy set.
-func recordDecision(c queue.Call) queue.Call {
+// withDecision returns the call with DecidedBy set.
+func withDecision(c queue.Call) queue.Call {
 	if c.DecidedBy == nil {
 		c.DecidedBy = new(queue.ConfigID)
 	}
@@ -342,7 +342,7 @@
 }
 
 // logOutcome returns a log line with the outcome of a call, which is the event success
-// if the call was carried out. recordDecision has prepared the call.
+// if the call was carried out. withDecision has prepared the call.
 func (g *Gateway) logOutcome(success event.Event, operation string, c queue.Call, err error) *zerolog.Event {
 	outcome := success
 	switch rosemarysill.CodeOf(err).Truth() {
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -17,7 +17,7 @@
 // Submit implements queue.Jobs.
 func (g *Gateway) Submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) error {
 	start := time.Now()
-	c = recordDecision(c)
+	c = withDecision(c)
 	err := g.submit(ctx, c, decode)
 	g.cfg.Meter.ObserveAnswer("Submit", rosemarysill.CodeOf(err), time.Since(start))
 	g.logOutcome(event.QueueAccepted, "Submit", c, err).Send()
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -87,15 +87,21 @@
 	require.Eventually(t, func() bool { return follower.FreshAsOf().After(recoveredAt) }, testTimeout, 5*time.Millisecond)
 }
 
-// Guards against records of unknown kinds, or records that cannot be decoded, that stop
-// the cache.
-func TestUndecodableRecords(t *testing.T) {
-	s := standin.NewTransactions()
+// runCache returns a cache of the records, which follows the store until the test ends.
+func runCache(t *testing.T, s *standin.Transactions) *jobstore.Cache {
 	c := jobstore.NewCache(s.View("v"), zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.Run(ctx) }()
-	defer func() { cancel(); <-done }()
+	t.Cleanup(func() { cancel(); <-done })
+	return c
+}
+
+// Guards against records of unknown kinds, or records that cannot be decoded, that stop
+// the cache.
+func TestUndecodableRecords(t *testing.T) {
+	s := standin.NewTransactions()
+	c := runCache(t, s)
 	for _, key := range []string{jobstore.JobKey("bad"), jobstore.ProgressKey("bad"), jobstore.LeaderKey, jobstore.EpochKey, "rs/unknown"} {
 		s.Put(key, []byte("{]"))
 	}
@@ -259,11 +265,7 @@
 	progress, err := jobstore.EncodeProgress(&work.Progress{State: work.Completed, Tasks: []work.Task{{Run: 1, Done: true}}})
 	require.NoError(t, err)
 	s.Put(jobstore.ProgressKey("j"), progress)
-	c := jobstore.NewCache(s.View("v"), zerolog.Nop())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); c.Run(ctx) }()
-	defer func() { cancel(); <-done }()
+	c := runCache(t, s)
 	require.Eventually(t, func() bool { e, _ := c.Job("j"); return e.State() == work.Completed }, testTimeout, 5*time.Millisecond)
 	s.SetFault("v", standin.Refusing)
 	s.Remove(jobstore.JobKey("j"))
@@ -283,11 +285,7 @@
 // of jobs on record.
 func TestRemovedJobsLeaveNothingBehind(t *testing.T) {
 	s := standin.NewTransactions()
-	c := jobstore.NewCache(s.View("v"), zerolog.Nop())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); c.Run(ctx) }()
-	defer func() { cancel(); <-done }()
+	c := runCache(t, s)
 	progress, err := jobstore.EncodeProgress(&work.Progress{State: work.Cancelled, Tasks: make([]work.Task, 1)})
 	require.NoError(t, err)
 	remove := rosemarysill.Commit{}
