--- a/leader/advice.go
+++ b/leader/advice.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// expire discards the ticket of a worker, which stays allowed.
+func (a *stepAdvice) expire(worker string) { delete(a.expiry, worker) }
+
 // nextWorkers returns the workers to query next if there are fewer than need valid
 // tickets: allowed workers whose tickets have expired, then workers that have not been
 // queried. The candidates are given in order of preference.
@@ -108,6 +111,13 @@
 	return out
 }
 
+// expireTickets discards the tickets of a worker, which hold for one incarnation.
+func (t *term) expireTickets(worker string) {
+	for _, a := range t.advice {
+		a.expire(worker)
+	}
+}
+
 // adviceQuery is a call of the advice service.
 type adviceQuery struct {
 	key     stepKey
--- a/leader/advice_test.go
+++ b/leader/advice_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -46,3 +47,38 @@
 		t.Run(name, func(t *testing.T) { require.Len(t, m.term.eligibleWorkers(j, c.step, uptime.Now()), c.want) })
 	}
 }
+
+// Guards against tickets of an earlier incarnation of a worker, which it refuses until they
+// expire: a task that may run nowhere else would not start for that time.
+func TestTicketOfEarlierIncarnationIsRequestedAgain(t *testing.T) {
+	k := work.RunKey{Task: work.TaskKey{Job: "j0"}, Run: 1}
+	for name, tc := range map[string]struct {
+		incarnation string
+		refused     []control.Refusal
+	}{
+		"refused":          {"a0/i/1", []control.Refusal{{Key: k, Reason: work.RefusedTicket}}},
+		"next incarnation": {"a0/i/2", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newFleetModel(0)
+			report := func(incarnation string, refused []control.Refusal) {
+				require.NoError(t, m.term.report(m.term.newStream(), control.Report{
+					Agent: "a0", Stamp: uptime.Now(), Refused: refused,
+					Worker: &control.Worker{Incarnation: incarnation, ID: "i", Service: "s", Capacity: accelerators(8)},
+				}))
+			}
+			report("a0/i/1", nil)
+			m.submit(2, work.Step{Count: 1, Shape: accelerators(1)})
+			a := newStepAdvice()
+			a.apply([]string{"i"}, work.Advice{Tickets: map[string]string{"i": "t1"}, TicketTTL: 20 * time.Second}, uptime.Now())
+			m.term.advice[stepKey{job: "j0"}] = a
+			s := m.term.jobs["j0"]
+			require.Equal(t, map[string]string{"a0/i/1": "t1"}, m.term.tickets(s, 0, 0, uptime.Now()))
+			s.progress.Place(&s.progress.Tasks[0], "a0/i/1", "t1", 1)
+			m.term.workers["a0/i/1"].placedAt[k] = uptime.Now()
+			report(tc.incarnation, tc.refused)
+			require.Empty(t, m.term.tickets(s, 0, 0, uptime.Now()))
+			require.Equal(t, []string{"i"}, a.nextWorkers([]string{"i"}, 1, uptime.Now()))
+		})
+	}
+}
--- a/leader/report.go
+++ b/leader/report.go
@@ -114,6 +114,7 @@
 	if !ok {
 		w = newWorkerState(*r.Worker, r.Agent, now)
 		t.workers[id] = w
+		t.expireTickets(r.Worker.ID)
 	}
 	if !w.attached {
 		event.LeaderWorkerSeen.Log(t.cfg.Log).Str("Worker", id).Str("Agent", r.Agent).Str("Domain", r.Worker.Domain).
@@ -208,6 +209,9 @@
 			continue
 		}
 		w.recordRefusedMember(s, f.Key)
+		if a := t.advice[stepKey{f.Key.Task.Job, f.Key.Task.Occurrence, f.Key.Task.Step}]; a != nil && f.Reason == work.RefusedTicket {
+			a.expire(w.ID)
+		}
 		switch {
 		case task.Stopping:
 		case f.Reason == work.RefusedNoCapacity:
