--- a/leader/watch.go
+++ b/leader/watch.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -15,6 +16,13 @@
 	stallFactor  = 8
 	// estimateFactor multiplies declared durations, which may be far too low.
 	estimateFactor = 4
+	// defaultEstimate is the duration of a task that declares none.
+	defaultEstimate = 30 * time.Second
+	// maxEstimate bounds the declared duration that a run without progress is given time for.
+	maxEstimate = 30 * 24 * time.Hour
+	// maxDoublings bounds the doublings of that time. It allows for a task of two days that
+	// declares a second.
+	maxDoublings = 10
 )
 
 // tracker tracks the progress of a run.
@@ -24,6 +32,7 @@
 	percent      int
 	progressedAt time.Time // when percent last rose
 	forecastEnd  time.Time // set once the run is expected to end soon
+	stalls       int       // earlier runs of the task that were stopped without progress
 }
 
 // observe records the progress of the run.
@@ -37,13 +46,19 @@
 	}
 }
 
-// timePerPercent returns the average time per percent, or a bound derived from the
-// estimate before any progress.
-func (p *tracker) timePerPercent(estimate time.Duration) time.Duration {
-	if n := p.percent - p.firstPercent; n > 0 {
-		return p.progressedAt.Sub(p.startedAt) / time.Duration(n)
+// hasProgressed reports whether the progress has risen since the first report.
+func (p *tracker) hasProgressed() bool { return p.percent > p.firstPercent }
+
+// maxPause returns the longest time between two rises of the progress that the speed of
+// the run explains. Before any progress, only the estimate is known, which may be missing
+// or wrong by any factor, so each earlier run that was stopped doubles the time.
+func (p *tracker) maxPause(estimate time.Duration) time.Duration {
+	if p.hasProgressed() {
+		average := p.progressedAt.Sub(p.startedAt) / time.Duration(p.percent-p.firstPercent)
+		return max(minStallTime, stallFactor*average)
 	}
-	return estimateFactor * estimate / 100
+	pause := max(minStallTime, stallFactor*estimateFactor*min(cmp.Or(estimate, defaultEstimate), maxEstimate)/100)
+	return pause << min(p.stalls, maxDoublings)
 }
 
 // stalledFor returns how long the run has made no progress, or 0 if that is within what
@@ -53,7 +68,7 @@
 		return 0 // it waits for the other members of its gang
 	}
 	since := now.Sub(p.progressedAt)
-	if since < minStallTime || since < stallFactor*p.timePerPercent(estimate) {
+	if since < p.maxPause(estimate) {
 		return 0
 	}
 	return since
@@ -106,7 +121,7 @@
 	}
 	p := w.trackers[run.Key]
 	if p == nil {
-		p = &tracker{}
+		p = &tracker{stalls: task.Stalls}
 		w.trackers[run.Key] = p
 		if w.placedAt[run.Key].Equal(t.elected) {
 			// An earlier leader has placed the run; its progress indicates when it
@@ -126,12 +141,31 @@
 	if stalled == 0 || task.Stopping {
 		return
 	}
-	t.avoid(w, fmt.Sprintf("run stalled at %d percent", run.Percent), now)
+	if p.hasProgressed() || task.Stalls == 0 {
+		// Otherwise the task may be slower than it declares, on any worker.
+		t.avoid(w, fmt.Sprintf("run stalled at %d percent", run.Percent), now)
+	}
 	if stalled > p.unsavedWork(step.Checkpointing) {
+		if !p.hasProgressed() {
+			recordStall(s, run.Key.Task)
+		}
 		t.stopRun(s, run.Key, "the run has stalled")
 	}
 }
 
+// recordStall counts a run that is stopped without progress, for all members of a gang.
+func recordStall(s *jobState, k work.TaskKey) {
+	s.dirty = true
+	if !s.job.Steps[k.Step].Gang {
+		s.progress.Task(s.job, k).Stalls++
+		return
+	}
+	members := s.progress.Step(s.job, k.Occurrence, k.Step)
+	for i := range members {
+		members[i].Stalls++
+	}
+}
+
 // stopRun stops a run together with the other members of its gang.
 func (t *term) stopRun(s *jobState, k work.RunKey, reason string) {
 	if !s.job.Steps[k.Task.Step].Gang {
--- a/leader/watch_test.go
+++ b/leader/watch_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -18,18 +19,25 @@
 		estimate time.Duration
 		progress map[int]int // percent by milliseconds
 		now      int
+		stalls   int // of earlier runs
 		want     bool
 	}{
-		"no progress from the start":      {time.Second, map[int]int{0: 0}, 2000, true},
-		"within the estimate":             {time.Minute, map[int]int{0: 0}, 5000, false},
-		"stalled after progress":          {time.Second, map[int]int{0: 0, 500: 50, 900: 50}, 2100, true},
-		"moves":                           {time.Second, map[int]int{0: 0, 500: 50, 900: 90}, 1500, false},
-		"run of hours at its usual speed": {3 * time.Hour, map[int]int{0: 0, 100_000: 1}, 300_000, false},
-		"run of hours, stalled":           {3 * time.Hour, map[int]int{0: 0, 100_000: 1}, 1_000_000, true},
-		"slower than estimated":           {time.Second, map[int]int{0: 0, 2000: 1, 4000: 2}, 7000, false},
+		"no progress from the start":      {time.Second, map[int]int{0: 0}, 2000, 0, true},
+		"within the estimate":             {time.Minute, map[int]int{0: 0}, 5000, 0, false},
+		"stalled after progress":          {time.Second, map[int]int{0: 0, 500: 50, 900: 50}, 2100, 0, true},
+		"moves":                           {time.Second, map[int]int{0: 0, 500: 50, 900: 90}, 1500, 0, false},
+		"run of hours at its usual speed": {3 * time.Hour, map[int]int{0: 0, 100_000: 1}, 300_000, 0, false},
+		"run of hours, stalled":           {3 * time.Hour, map[int]int{0: 0, 100_000: 1}, 1_000_000, 0, true},
+		"slower than estimated":           {time.Second, map[int]int{0: 0, 2000: 1, 4000: 2}, 7000, 0, false},
+		"no estimate":                     {0, map[int]int{0: 0}, 6000, 0, false},
+		"no estimate, stalled":            {0, map[int]int{0: 0}, 10_000, 0, true},
+		"stopped before":                  {time.Second, map[int]int{0: 0}, 5900, 2, false},
+		"stopped before, stalled again":   {time.Second, map[int]int{0: 0}, 6000, 2, true},
+		"stopped before, then progress":   {time.Second, map[int]int{0: 0, 500: 50}, 2100, 2, true},
+		"estimate beyond any duration":    {math.MaxInt64, map[int]int{0: 0}, 10_000, 100, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := &tracker{}
+			p := &tracker{stalls: tc.stalls}
 			for ms := 0; ms <= tc.now; ms += 100 {
 				if percent, ok := tc.progress[ms]; ok {
 					p.observe(percent, at(ms))
--- a/work/progress.go
+++ b/work/progress.go
@@ -29,6 +29,7 @@
 	FailedRun  int     `json:",omitempty"`      // latest run that was counted in Failures
 	Checkpoint string  `json:"Saved,omitempty"` // latest checkpoint
 	Crashes    []Crash `json:",omitempty"`      // crashes of workers that had a run of the task, oldest first
+	Stalls     int     `json:",omitempty"`      // runs that were stopped as stalled before any progress
 	LaterRuns  int     `json:",omitempty"`      // runs since the crash with the number LaterRunsFrom
 	Percent    int     `json:"-"`               // progress of the run, as reported by the worker
 	Stopping   bool    `json:"-"`               // the run is being stopped
