--- a/leader/health.go
+++ b/leader/health.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"maps"
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/event"
@@ -11,6 +12,10 @@
 	// failuresToAvoid is the number of different jobs with failed runs in a row after
 	// which a worker is avoided.
 	failuresToAvoid = 2
+	// workersToBlameJob is the number of other workers on which runs of a job have failed
+	// within maxAvoidTime, and none was done, from which on a failure is not counted
+	// against the worker.
+	workersToBlameJob = 2
 	// A worker is avoided for minAvoidTime at first. The time doubles up to maxAvoidTime.
 	minAvoidTime = 4 * time.Second
 	maxAvoidTime = 30 * time.Second
@@ -29,6 +34,9 @@
 // recordOutcome updates the health of a worker at the end of a run.
 func (t *term) recordOutcome(w *workerState, k work.RunKey, outcome work.Outcome, now time.Time) {
 	h := &w.health
+	if s := t.jobs[k.Task.Job]; s != nil && s.failsEverywhere(w.Incarnation, outcome, now) {
+		return
+	}
 	if outcome == work.OutcomeDone || outcome == work.OutcomeFailed {
 		h.lastOutcome = outcome
 	}
@@ -47,6 +55,23 @@
 	}
 }
 
+// failsEverywhere updates the latest failures of the job's runs, and reports whether the run
+// has failed as others did shortly before on enough other workers.
+func (s *jobState) failsEverywhere(worker string, outcome work.Outcome, now time.Time) bool {
+	switch outcome {
+	case work.OutcomeDone:
+		s.failedOn = nil
+	case work.OutcomeFailed:
+		maps.DeleteFunc(s.failedOn, func(_ string, at time.Time) bool { return now.Sub(at) > maxAvoidTime })
+		if s.failedOn == nil {
+			s.failedOn = make(map[string]time.Time)
+		}
+		s.failedOn[worker] = now
+		return len(s.failedOn) > workersToBlameJob
+	}
+	return false
+}
+
 // avoid excludes a worker from placement for a time that doubles on each occasion until
 // one of its runs is done.
 func (t *term) avoid(w *workerState, reason string, now time.Time) {
--- a/leader/term.go
+++ b/leader/term.go
@@ -27,6 +27,7 @@
 	ends             map[work.TaskKey]runEnd    // latest end in this term of each task's runs that did not complete it
 	hasCrashes       bool                       // workers have crashed under some of its tasks
 	crashedAt        map[work.TaskKey]time.Time // when the latest crash under a task became known in this term
+	failedOn         map[string]time.Time       // latest failure by worker, in this term and since a run was done
 }
 
 // workerState is the state of a worker's incarnation during a term.
