--- a/cmd/soak/configuration.go
+++ b/cmd/soak/configuration.go
@@ -39,8 +39,6 @@
 	queues []addedQueue
 }
 
-func newAddedQueues() *addedQueues { return &addedQueues{} }
-
 // next adds the queue of a version, removes the oldest one and returns those that are left.
 func (a *addedQueues) next(version int64) []addedQueue {
 	a.mu.Lock()
@@ -155,14 +153,14 @@
 // forwardsToOutdated returns the number of calls that an entry has forwarded to one with an
 // older configuration.
 func (s *system) forwardsToOutdated() int {
-	count := 0
+	relayed, count := event.Definitions()[event.QueueRelayed].Name, 0
 	for _, n := range s.nodes[:entryCount] {
 		r := history.Reader{}
 		if err := r.ReadFiles([]string{n.logFile.Name()}); err != nil {
 			printError(err)
 		}
 		for _, line := range r.Lines {
-			if line.Name != event.Definitions()[event.QueueRelayed].Name {
+			if line.Name != relayed {
 				continue
 			}
 			own, other := versionOf(line, "OwnVersion"), versionOf(line, "Version")
--- a/cmd/soak/system.go
+++ b/cmd/soak/system.go
@@ -72,7 +72,7 @@
 }
 
 func newSystem(program, dir string) (*system, error) {
-	s := &system{program: program, dir: dir, store: standin.NewTransactions(), steps: standin.NewSteps(), queues: newAddedQueues()}
+	s := &system{program: program, dir: dir, store: standin.NewTransactions(), steps: standin.NewSteps(), queues: &addedQueues{}}
 	var err error
 	if s.events, err = newEvents(filepath.Join(dir, "workers.log")); err != nil {
 		return nil, err
--- a/node/endtoend_test.go
+++ b/node/endtoend_test.go
@@ -31,7 +31,6 @@
 	fleet   *standin.Steps
 	clients []*platform.Client
 	entries []platform.Node
-	stop    []func() // stops the entry with the same index and waits for its end
 	workers []*standin.StepWorker
 	logs    logs
 }
@@ -105,12 +104,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var goroutines sync.WaitGroup
 	t.Cleanup(func() { cancel(); goroutines.Wait() })
-	startProcess := func(f func(context.Context, platform.Node, zerolog.Logger) error, n platform.Node) func() {
-		ctx, cancel := context.WithCancel(ctx)
-		done := make(chan struct{})
+	startProcess := func(f func(context.Context, platform.Node, zerolog.Logger) error, n platform.Node) {
 		log := zerolog.New(logWriter{&d.logs, n.Name}).With().Timestamp().Logger()
-		goroutines.Go(func() { defer close(done); _ = f(ctx, n, log) }) // tests fail if a process does not serve
-		return func() { cancel(); <-done }
+		goroutines.Go(func() { _ = f(ctx, n, log) }) // tests fail if a process does not serve
 	}
 	for i := range 2 {
 		n := platform.Node{
@@ -118,7 +114,7 @@
 			IP: loopback, MetricsPort: freeAddress(t).Port(), Store: d.storeFor(t, fmt.Sprintf("entry%d", i)), KeyRevocationDelay: 5 * time.Second, ShutdownGrace: 200 * time.Millisecond,
 			LeaseMin: time.Second, StatusRetention: time.Minute, Entry: true,
 		}
-		d.stop = append(d.stop, startProcess(node.Entry, n))
+		startProcess(node.Entry, n)
 		d.entries = append(d.entries, n)
 		c := platform.NewClient(n.Callers, "a.example", "k1")
 		t.Cleanup(c.Close)
@@ -139,7 +135,7 @@
 	return addressOf(server)
 }
 
-func (d *deployment) addAgent(ctx context.Context, t *testing.T, goroutines *sync.WaitGroup, i int, store netip.AddrPort, startProcess func(func(context.Context, platform.Node, zerolog.Logger) error, platform.Node) func()) {
+func (d *deployment) addAgent(ctx context.Context, t *testing.T, goroutines *sync.WaitGroup, i int, store netip.AddrPort, startProcess func(func(context.Context, platform.Node, zerolog.Logger) error, platform.Node)) {
 	id := fmt.Sprintf("i-%d", i)
 	worker := d.fleet.Add(id)
 	d.workers = append(d.workers, worker)
