--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the program of the scripts of cases 6 to 10, with all stand-ins that they start.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target
+go build -o target/review-second ./review/testdata/second
