--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -24,6 +24,8 @@
 	"pending":     pending,
 	"same-again":  sameAgain,
 	"restarts":    restarts,
+	"takeover":    takeover,
+	"resumed":     resumed,
 	"advice":      adviceCase,
 }
 
--- a/review/testdata/second/minion.go
+++ b/review/testdata/second/minion.go
@@ -44,15 +44,34 @@
 
 type run struct {
 	spec    string
-	began   time.Time
+	began   time.Time     // when it starts to work, after the restoring of its checkpoint
+	base    time.Duration // work that it began with
 	stopped time.Time
 }
 
+// done returns the work that is done, that of the checkpoint included.
+func (r *run) done(now time.Time) time.Duration { return r.base + max(0, now.Sub(r.began)) }
+
+// saved returns the checkpoint, which is made each checkpoint-interval-s and at a stop.
+func (r *run) saved(now time.Time, stop bool) string {
+	if !strings.Contains(r.spec, "saves") {
+		return ""
+	}
+	work := r.done(now)
+	if !stop {
+		work = r.base + max(0, now.Sub(r.began)).Truncate(checkpointInterval)
+	}
+	if work == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016d", work.Milliseconds())
+}
+
 type end struct {
-	seq  uint64
-	key  runKey
-	how  string
-	when time.Time
+	seq   uint64
+	key   runKey
+	how   string
+	saved string
 }
 
 // start is a run that the minion has begun.
@@ -199,9 +218,17 @@
 	case time.Duration(b.DeadlineMS)*time.Millisecond <= m.clock(now):
 		return http.StatusConflict, "late"
 	}
-	m.runs[k] = &run{spec: b.Spec, began: now}
+	r := &run{spec: b.Spec, began: now}
+	if b.Checkpoint != "" {
+		ms := 0
+		if _, err := fmt.Sscan(strings.TrimLeft(b.Checkpoint, "0"), &ms); err != nil {
+			return http.StatusBadRequest, ""
+		}
+		r.base, r.began = time.Duration(ms)*time.Millisecond, now.Add(restoreMS)
+	}
+	m.runs[k] = r
 	m.starts = append(m.starts, start{k, now})
-	m.s.record.say("minion %s: starts %s run %d (%s)", m.id, k.task, k.run, b.Spec)
+	m.s.record.say("minion %s: starts %s run %d (%s) checkpoint %q", m.id, k.task, k.run, b.Spec, b.Checkpoint)
 	return http.StatusOK, ""
 }
 
@@ -251,7 +278,7 @@
 			m.end(k, "stopped", now)
 		case r.fails(k.run, now):
 			m.end(k, "failed", now)
-		case r.lasts() || now.Sub(r.began) < r.work():
+		case r.lasts() || r.done(now) < r.work():
 		default:
 			how := "done"
 			if n, ok := word(r.spec, "failrun"); ok && n == k.run {
@@ -263,11 +290,13 @@
 }
 
 func (m *minion) end(k runKey, how string, now time.Time) {
+	r := m.runs[k]
+	saved := r.saved(now, how == "stopped")
 	delete(m.runs, k)
 	m.latest[k.task] = max(m.latest[k.task], k.run)
 	m.seq++
-	m.ended = append(m.ended, end{m.seq, k, how, now})
-	m.s.record.say("minion %s: %s run %d ends %s", m.id, k.task, k.run, how)
+	m.ended = append(m.ended, end{m.seq, k, how, saved})
+	m.s.record.say("minion %s: %s run %d ends %s after %.1f s, with %.1f of %.0f s done", m.id, k.task, k.run, how, now.Sub(r.began).Seconds(), r.done(now).Seconds(), r.work().Seconds())
 }
 
 // reply answers a call. The caller holds the lock.
@@ -283,12 +312,12 @@
 		for k, r := range m.runs {
 			percent := 100
 			if !r.lasts() {
-				percent = min(99, int(100*now.Sub(r.began)/max(1, r.work())))
+				percent = min(99, int(100*r.done(now)/max(1, r.work())))
 			}
-			running = append(running, []any{k.task, k.run, "", percent, 0})
+			running = append(running, []any{k.task, k.run, r.saved(now, false), percent, 0})
 		}
 		for _, e := range m.ended[:min(len(m.ended), 500)] {
-			ended = append(ended, []any{e.seq, e.key.task, e.key.run, e.how, ""})
+			ended = append(ended, []any{e.seq, e.key.task, e.key.run, e.how, e.saved})
 		}
 		b["running"], b["ended"] = running, ended
 	}
--- a/review/testdata/second/store.go
+++ b/review/testdata/second/store.go
@@ -19,8 +19,28 @@
 	mu     sync.Mutex
 	late   string // writes of this key are carried out late and not answered; empty for none
 	lateBy time.Duration
-	writes int // write calls since the window began
-	lost   int // of these, without an answer
+	writes int    // write calls since the window began
+	lost   int    // of these, without an answer
+	writer string // process that wrote last
+}
+
+// of returns the handler for the calls of one process.
+func (g *storeGate) of(name string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == "/kv-txn" {
+			g.mu.Lock()
+			g.writer = name
+			g.mu.Unlock()
+		}
+		g.ServeHTTP(w, r)
+	})
+}
+
+// lastWriter returns the name of the process that last wrote under a condition.
+func (g *storeGate) lastWriter() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.writer
 }
 
 // setLate begins a window in which writes of a key are done late and not answered.
--- a/review/testdata/second/system.go
+++ b/review/testdata/second/system.go
@@ -21,16 +21,18 @@
 
 // The bounds of the site fjordtork that the cases use.
 const (
-	cancelMS      = 3000 * time.Millisecond
-	contactMS     = 3000 * time.Millisecond
-	visibleMS     = 3000 * time.Millisecond
-	finishS       = 14 * time.Second
-	holdMaxMS     = 10000 * time.Millisecond
-	stopGraceMS   = 900 * time.Millisecond
-	heartbeatMS   = 1500 * time.Millisecond
-	gangTimeoutMS = 3000 * time.Millisecond
-	ttlMinMS      = 1000
-	clientLimitMS = 3000
+	cancelMS           = 3000 * time.Millisecond
+	contactMS          = 3000 * time.Millisecond
+	visibleMS          = 3000 * time.Millisecond
+	finishS            = 14 * time.Second
+	holdMaxMS          = 10000 * time.Millisecond
+	stopGraceMS        = 900 * time.Millisecond
+	heartbeatMS        = 1500 * time.Millisecond
+	gangTimeoutMS      = 3000 * time.Millisecond
+	checkpointInterval = 2 * time.Second
+	restoreMS          = 100 * time.Millisecond
+	ttlMinMS           = 1000
+	clientLimitMS      = 3000
 )
 
 const (
@@ -58,7 +60,6 @@
 	record  *record
 	net     string // first three bytes of the loopback addresses of this run
 	store   *standin.Transactions
-	storeAt string
 	gate    *storeGate
 	advice  string // address of the advice service; empty if there is none
 	fronts  []*process
@@ -79,8 +80,7 @@
 		net: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)),
 	}
 	s.gate = &storeGate{next: platform.StoreHandler(s.store.View(storeViews)), record: rec}
-	s.storeAt, err = s.serve(s.net+".1", s.gate)
-	return s, err
+	return s, nil
 }
 
 // serve serves a handler at a free port of a loopback address.
@@ -105,7 +105,11 @@
 }
 
 // settings returns a settings file as the pages show it.
-func (s *system) settings(name, role, class, zone, ip string, listen map[string]string, extra map[string]any) map[string]any {
+func (s *system) settings(name, role, class, zone, ip string, listen map[string]string, extra map[string]any) (map[string]any, error) {
+	storeAt, err := s.serve(s.net+".1", s.gate.of(name))
+	if err != nil {
+		return nil, err
+	}
 	internal := freePort(ip)
 	zoneMap := map[string]string{}
 	for _, z := range zones {
@@ -127,7 +131,7 @@
 			"pace-ms": 100, "harm-ms": 4000, "reclaim-ms": 3400,
 		},
 		"control-mode": "call",
-		"platform":     map[string]any{"address": s.storeAt, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "ttl-min-ms": ttlMinMS},
+		"platform":     map[string]any{"address": storeAt, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "ttl-min-ms": ttlMinMS},
 	}
 	if s.advice != "" {
 		m["advice"] = s.advice
@@ -135,7 +139,7 @@
 	for k, v := range extra {
 		m[k] = v
 	}
-	return m
+	return m, nil
 }
 
 // addFront starts an entry in the next zone.
@@ -144,7 +148,11 @@
 	ip, zone := fmt.Sprintf("%s.%d", s.net, 10+n), zones[n%len(zones)]
 	p := &process{name: fmt.Sprintf("frontend-%s-%d", zone, 1+n/len(zones)), front: fmt.Sprintf("%s:%d", ip, freePort(ip)), ready: fmt.Sprintf("%s:%d", ip, freePort(ip))}
 	s.fronts = append(s.fronts, p)
-	return s.start(p, s.settings(p.name, "entry", "frontend", zone, ip, map[string]string{"frontend-addr": p.front, "ready": p.ready}, nil))
+	settings, err := s.settings(p.name, "entry", "frontend", zone, ip, map[string]string{"frontend-addr": p.front, "ready": p.ready}, nil)
+	if err != nil {
+		return err
+	}
+	return s.start(p, settings)
 }
 
 // addSide starts an agent with its minion.
@@ -160,7 +168,11 @@
 	p := &process{name: fmt.Sprintf("side-%s-%d", zone, 1+n/len(zones))}
 	s.sides, s.minions = append(s.sides, p), append(s.minions, m)
 	extra := map[string]any{"app": m.address, "service": service, "limits": map[string]any{"cpu-share": 0.24, "cores": 1, "memory-mb": 152, "max-fds": 4096, "link-mbps": 1000.0, "disk-mb": 0}}
-	if err := s.start(p, s.settings(p.name, "agent", "side", zone, ip, map[string]string{"control": m.control}, extra)); err != nil {
+	settings, err := s.settings(p.name, "agent", "side", zone, ip, map[string]string{"control": m.control}, extra)
+	if err == nil {
+		err = s.start(p, settings)
+	}
+	if err != nil {
 		return nil, err
 	}
 	s.wg.Go(m.beat)
