--- a/review/testdata/second/minion.go
+++ b/review/testdata/second/minion.go
@@ -370,3 +370,16 @@
 	}
 	return n
 }
+
+// progress describes the runs of the tasks of a job.
+func (m *minion) progress(job string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []string
+	for k, r := range m.runs {
+		if strings.HasPrefix(k.task, job+".") {
+			all = append(all, fmt.Sprintf("%.1f of %.0f s done", r.done(time.Now()).Seconds(), r.work().Seconds()))
+		}
+	}
+	return all
+}
