--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -25,6 +25,7 @@
 	"same-again":  sameAgain,
 	"restarts":    restarts,
 	"takeover":    takeover,
+	"stray":       stray,
 	"resumed":     resumed,
 	"advice":      adviceCase,
 }
