--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -25,6 +25,7 @@
 	"same-again":  sameAgain,
 	"restarts":    restarts,
 	"takeover":    takeover,
+	"reclaim":     reclaim,
 	"stray":       stray,
 	"resumed":     resumed,
 	"advice":      adviceCase,
--- a/review/testdata/second/system.go
+++ b/review/testdata/second/system.go
@@ -23,6 +23,7 @@
 const (
 	cancelMS           = 3000 * time.Millisecond
 	contactMS          = 3000 * time.Millisecond
+	reclaimMS          = 3400 * time.Millisecond
 	visibleMS          = 3000 * time.Millisecond
 	finishS            = 14 * time.Second
 	holdMaxMS          = 10000 * time.Millisecond
@@ -38,6 +39,7 @@
 const (
 	host       = "shop.example"
 	service    = "drylines"
+	apiKey2    = "key-of-tenant-2"
 	apiKey     = "key-of-tenant-1"
 	storeViews = "platform"
 )
@@ -267,8 +269,11 @@
 	doc := map[string]any{
 		"version": version, "routes": routes,
 		"services": []any{map[string]any{"name": service, "rejects-overload": false}},
-		"tenants":  []any{map[string]any{"name": "tenant-1", "api-keys": []string{apiKey}, "guaranteed": map[string]any{"gpu": 0}}},
-		"limits":   map[string]any{"max-body-bytes": 262144},
+		"tenants": []any{
+			map[string]any{"name": "tenant-1", "api-keys": []string{apiKey}, "guaranteed": map[string]any{"gpu": 16}},
+			map[string]any{"name": "tenant-2", "api-keys": []string{apiKey2}, "guaranteed": map[string]any{"gpu": 16}},
+		},
+		"limits": map[string]any{"max-body-bytes": 262144},
 	}
 	data, _ := json.Marshal(doc)
 	rev := s.store.Put("op/config", data)
@@ -289,6 +294,10 @@
 
 // call sends a request to an entry and records it.
 func (s *system) call(p *process, method, path string, body any) answer {
+	return s.callAs(apiKey, p, method, path, body)
+}
+
+func (s *system) callAs(key string, p *process, method, path string, body any) answer {
 	var in io.Reader
 	if body != nil {
 		data, _ := json.Marshal(body)
@@ -299,7 +308,7 @@
 		panic(err)
 	}
 	req.Host = host
-	req.Header.Set("Rosemarysill-Credential", apiKey)
+	req.Header.Set("Rosemarysill-Credential", key)
 	req.Header.Set("Rosemarysill-Deadline-Ms", fmt.Sprint(clientLimitMS))
 	req.Header.Set("Content-Type", "application/json")
 	client := &http.Client{Timeout: clientLimitMS * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -323,8 +332,12 @@
 
 // accept submits a job at an entry until it is accepted.
 func (s *system) accept(p *process, path string, job any) bool {
+	return s.acceptAs(apiKey, p, path, job)
+}
+
+func (s *system) acceptAs(key string, p *process, path string, job any) bool {
 	for range 5 {
-		if s.call(p, http.MethodPost, path, job).status == http.StatusOK {
+		if s.callAs(key, p, http.MethodPost, path, job).status == http.StatusOK {
 			return true
 		}
 		time.Sleep(300 * time.Millisecond)
