--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -23,6 +23,8 @@
 	"cancelled":   cancelled,
 	"pending":     pending,
 	"same-again":  sameAgain,
+	"restarts":    restarts,
+	"advice":      adviceCase,
 }
 
 func main() {
--- a/review/testdata/second/minion.go
+++ b/review/testdata/second/minion.go
@@ -13,7 +13,7 @@
 
 // minion is a stand-in of a minion. Words of a task-spec say what its runs do:
 // ms=N the work of a run; failrun=N the run with that number fails at its end;
-// lasts it works until it is stopped.
+// gpu=N the gpu that it takes; lasts it works until it is stopped; failms=N failruns=K the first K runs fail after N ms.
 type minion struct {
 	s       *system
 	id      string
@@ -232,6 +232,13 @@
 	return time.Duration(n) * time.Millisecond
 }
 
+// fails reports whether a lasting run fails now by its own fault.
+func (r *run) fails(number int, now time.Time) bool {
+	after, ok := word(r.spec, "failms")
+	runs, _ := word(r.spec, "failruns")
+	return ok && number <= runs && now.Sub(r.began) >= time.Duration(after)*time.Millisecond
+}
+
 func (r *run) lasts() bool { return strings.Contains(r.spec, "lasts") }
 
 // advance brings the runs up to date. The caller holds the lock.
@@ -242,6 +249,8 @@
 			m.end(k, "lapsed", now)
 		case !r.stopped.IsZero():
 			m.end(k, "stopped", now)
+		case r.fails(k.run, now):
+			m.end(k, "failed", now)
 		case r.lasts() || now.Sub(r.began) < r.work():
 		default:
 			how := "done"
--- a/review/testdata/second/system.go
+++ b/review/testdata/second/system.go
@@ -60,6 +60,7 @@
 	store   *standin.Transactions
 	storeAt string
 	gate    *storeGate
+	advice  string // address of the advice service; empty if there is none
 	fronts  []*process
 	sides   []*process
 	minions []*minion
@@ -128,6 +129,9 @@
 		"control-mode": "call",
 		"platform":     map[string]any{"address": s.storeAt, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "ttl-min-ms": ttlMinMS},
 	}
+	if s.advice != "" {
+		m["advice"] = s.advice
+	}
 	for k, v := range extra {
 		m[k] = v
 	}
