--- a/event/leader.go
+++ b/event/leader.go
@@ -49,6 +49,9 @@
 	LeaderMachineFailed  Event = 1181
 	LeaderAdvice         Event = 1182
 	LeaderWave           Event = 1183
+	LeaderWorkerSpeed    Event = 1190
+	LeaderSpeedsLoaded   Event = 1191
+	LeaderSpeedsUnsaved  Event = 1192
 )
 
 var _ = define(map[Event]Definition{
@@ -97,4 +100,7 @@
 	LeaderMachineFailed:  {"LeaderMachineFailed", zerolog.WarnLevel, "A call to the machine manager failed, or a maintenance wave could not be recorded."},
 	LeaderAdvice:         {"LeaderAdvice", zerolog.InfoLevel, "The advice service was asked which workers may run a step."},
 	LeaderWave:           {"LeaderWave", zerolog.InfoLevel, "The state of a maintenance wave was reported to operators."},
+	LeaderWorkerSpeed:    {"LeaderWorkerSpeed", zerolog.InfoLevel, "The class of a worker by its measured speed has changed; the line has the speed, relative to the mean of its service, and the weight of the evidence. Recent: by its speed in the last seconds, which differs from that before."},
+	LeaderSpeedsLoaded:   {"LeaderSpeedsLoaded", zerolog.InfoLevel, "A new leader has read the speeds of workers that an earlier one recorded."},
+	LeaderSpeedsUnsaved:  {"LeaderSpeedsUnsaved", zerolog.InfoLevel, "The speeds of workers could not be recorded; the leader tries again with the next ones."},
 })
--- a/jobstore/cache.go
+++ b/jobstore/cache.go
@@ -54,6 +54,7 @@
 	entries       map[string]LeaderRecord // registered entries by name
 	epoch         uint64
 	epochVersion  uint64          // version of the record of the epoch
+	speeds        []byte          // record of the speeds of workers, encoded; nil if there is none
 	changed       map[string]bool // jobs that have changed since the last All or TakeChanged
 	notifications chan struct{}
 }
@@ -179,6 +180,14 @@
 	return c.epoch, c.epochVersion
 }
 
+// SpeedRecord returns the encoded record of the speeds of workers, which only a new leader
+// needs to decode. It is empty if there is none.
+func (c *Cache) SpeedRecord() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.speeds
+}
+
 // NumJobs returns the number of jobs of which there is any record.
 func (c *Cache) NumJobs() int {
 	c.mu.Lock()
@@ -228,6 +237,10 @@
 			return err
 		}
 		c.epoch, c.epochVersion = epoch, ch.Item.Version
+	case key == SpeedKey && ch.Deleted:
+		c.speeds = nil
+	case key == SpeedKey:
+		c.speeds = value
 	}
 	return nil
 }
--- a/leader/end.go
+++ b/leader/end.go
@@ -24,7 +24,9 @@
 	s, task := t.task(k)
 	if w := t.workers[worker]; w != nil {
 		if placedAt, ok := w.placedAt[k]; ok && task != nil && outcome == work.OutcomeDone {
-			t.runDurations[s.job.Queue] = t.runDurations[s.job.Queue].add(now.Sub(placedAt))
+			took := now.Sub(placedAt)
+			t.runDurations[s.job.Queue] = t.runDurations[s.job.Queue].add(w.usualDuration(k, took))
+			t.sampleDuration(s, w, k, took, now)
 		}
 		delete(w.placedAt, k)
 		delete(w.orphans, k)
@@ -95,6 +97,7 @@
 	}
 	t.endAllRuns(id, reason, now)
 	delete(t.workers, id)
+	t.speeds.Forget(id)
 }
 
 // endLapsedRuns applies the loss of the runs of a worker whose leases have all lapsed. A
--- a/leader/load.go
+++ b/leader/load.go
@@ -30,6 +30,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.loadSpeeds()
 	for id, e := range t.cfg.Cache.All() {
 		t.merge(id, e)
 	}
--- a/leader/place.go
+++ b/leader/place.go
@@ -16,6 +16,7 @@
 func (t *term) place(now time.Time) {
 	guaranteed := t.guaranteedJobs()
 	t.totalCores = t.fleetCores()
+	t.updateSpeeds(now)
 	units := t.units(guaranteed)
 	t.urgentUse.Observe(t.urgentCores(units), now)
 	t.observeWaits(units, now)
@@ -24,6 +25,7 @@
 	}
 	fleet := t.fleet(guaranteed, now)
 	t.endWaits(units, fleet, now)
+	t.requireSpeeds(units, fleet, now)
 	plan := schedule.Decide(fleet, units, t.urgentUse.Expected())
 	for _, k := range plan.Stops {
 		_, task := t.task(k)
@@ -85,8 +87,12 @@
 	s.dirty = true
 	w := t.workers[p.Worker]
 	w.placedAt[k], w.placedUnder = now, w.Capacity
-	event.LeaderPlaced.Log(t.cfg.Log).Str("Job", p.Task.Job).Stringer("Run", k).Str("Worker", p.Worker).Int("Priority", s.job.Priority).
-		Dur("Waited", time.Since(s.job.Accepted)).Uint64("Epoch", t.rec.Epoch).Send()
+	line := event.LeaderPlaced.Log(t.cfg.Log).Str("Job", p.Task.Job).Stringer("Run", k).Str("Worker", p.Worker).Int("Priority", s.job.Priority).
+		Dur("Waited", time.Since(s.job.Accepted)).Uint64("Epoch", t.rec.Epoch)
+	if v := t.minSpeeds[keyOfStep(p.Task)]; v > 0 {
+		line.Float64("MinSpeed", v).Float64("Speed", t.speeds.Speed(p.Worker))
+	}
+	line.Send()
 }
 
 // guaranteedJobs returns the jobs of priority 0 that are within the guarantees of their
--- a/leader/report.go
+++ b/leader/report.go
@@ -117,6 +117,7 @@
 		t.expireTickets(r.Worker.ID)
 	}
 	if !w.attached {
+		t.restoreSpeed(*r.Worker)
 		event.LeaderWorkerSeen.Log(t.cfg.Log).Str("Worker", id).Str("Agent", r.Agent).Str("Domain", r.Worker.Domain).
 			Interface("Capacity", r.Worker.Capacity).Send()
 	}
--- a/leader/term.go
+++ b/leader/term.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/schedule"
+	"github.com/rosemarysill/rosemarysill/speed"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -81,18 +82,23 @@
 	advice             map[stepKey]*stepAdvice
 	urgentUse          schedule.UrgentUse      // of the fleet
 	recentCrashes      crash.Recent            // of workers
-	runDurations       map[string]meanDuration // by queue
-	totalCores         float64                 // size of the fleet
-	waitingSince       map[stepKey]time.Time   // steps with waiting units; see observeWaits
-	incompleteGangs    map[stepKey]bool        // gangs that wait for the replacement of refused members
-	adviceWanted       chan struct{}           // signals that a step waits for advice
-	waves              map[string]*waveState   // used by runMaintenance only
-	fenced             bool                    // a later leader has ordered machines; used by runMaintenance only
-	streamsOpened      uint64                  // number of streams opened in this term
-	checkpointsSavedAt time.Time               // when checkpoints were last marked for a commit
-	sweptAt            time.Time               // time of the last sweep; used by run only
-	endCause           error                   // why the term has ended
-	over               bool                    // the term has ended or is about to; it orders nothing any more
+	runDurations       map[string]meanDuration // by queue, on workers of speed 1
+	speeds             *speed.Estimator
+	speedDemands       map[string]speedDemand          // by queue
+	recordedSpeeds     map[string]jobstore.WorkerSpeed // in the store, by incarnation
+	loadedSpeeds       map[string]jobstore.WorkerSpeed // of an earlier leader, by incarnation
+	minSpeeds          map[stepKey]float64             // of the units of the present pass that need a speed
+	totalCores         float64                         // size of the fleet
+	waitingSince       map[stepKey]time.Time           // steps with waiting units; see observeWaits
+	incompleteGangs    map[stepKey]bool                // gangs that wait for the replacement of refused members
+	adviceWanted       chan struct{}                   // signals that a step waits for advice
+	waves              map[string]*waveState           // used by runMaintenance only
+	fenced             bool                            // a later leader has ordered machines; used by runMaintenance only
+	streamsOpened      uint64                          // number of streams opened in this term
+	checkpointsSavedAt time.Time                       // when checkpoints were last marked for a commit
+	sweptAt            time.Time                       // time of the last sweep; used by run only
+	endCause           error                           // why the term has ended
+	over               bool                            // the term has ended or is about to; it orders nothing any more
 }
 
 func newTerm(cfg Config, rec jobstore.LeaderRecord, leaderVersion uint64, lease rosemarysill.LeaseID, leaseExpiry time.Time) *term {
@@ -100,7 +106,7 @@
 		cfg: cfg, rec: rec, leaderVersion: leaderVersion, lease: lease, leaseExpiry: leaseExpiry, elected: uptime.Now(),
 		ended: make(chan struct{}), leaseLost: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
-		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), incompleteGangs: make(map[stepKey]bool), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
+		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), speeds: speed.NewEstimator(), speedDemands: make(map[string]speedDemand), minSpeeds: make(map[stepKey]float64), incompleteGangs: make(map[stepKey]bool), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
 }
 
--- a/leader/timeliness.go
+++ b/leader/timeliness.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/schedule"
@@ -69,8 +70,9 @@
 	return max(criticalPath(j), t.runDurations[j.Queue].mean)
 }
 
-// isLate reports whether the job of a run will miss its objective. Once the speed of the
-// run is known, its duration is extrapolated from its progress. A job with several steps
+// isLate reports whether the job of a run will miss its objective. Once the progress of the
+// run is known, its duration is extrapolated from it. A gang ends with its slowest member,
+// while the objective is that of workers of speed 1. A job with several steps
 // counts as late only once its deadline has passed, because the run shows nothing about
 // later steps.
 func (t *term) isLate(j *work.Job, w *workerState, k work.RunKey, now time.Time) bool {
@@ -78,12 +80,17 @@
 	if len(j.Steps) > 1 {
 		return wallNow.After(from.Add(t.expectedObjective(j)))
 	}
-	duration := t.expectedDuration(j)
-	if p := w.trackers[k]; p != nil && p.percent-p.firstPercent >= minMeasuredPercent {
-		duration = now.Sub(p.startedAt) * completePercent / time.Duration(p.percent-p.firstPercent)
+	usual, speed := t.expectedDuration(j), t.speeds.LongTerm(w.Incarnation) // usual is on a worker of speed 1
+	p := w.trackers[k]
+	if p != nil && p.percent-p.firstPercent >= minMeasuredPercent {
+		measured := now.Sub(p.startedAt) * completePercent / time.Duration(p.percent-p.firstPercent)
+		usual = time.Duration(speed * float64(measured))
+	}
+	if p != nil {
+		speed = cmp.Or(p.slowest, speed)
 	}
 	waited := wallNow.Sub(from) - now.Sub(w.placedAt[k])
-	return waited+duration > objectiveFor(j, duration)
+	return waited+time.Duration(float64(usual)/speed) > objectiveFor(j, usual)
 }
 
 // remainingPath returns the declared duration of the longest chain of steps that are not
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rosemarysill/rosemarysill/speed"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -33,6 +34,8 @@
 	progressedAt time.Time // when percent last rose
 	forecastEnd  time.Time // set once the run is expected to end soon
 	stalls       int       // earlier runs of the task that were stopped without progress
+	sampler      speed.Sampler
+	slowest      float64 // long-term speed of the slowest worker of its gang, or of its own worker
 }
 
 // observe records the progress of the run.
@@ -130,6 +133,7 @@
 		}
 	}
 	p.observe(run.Percent, now)
+	t.sampleSpeed(s, w, run, p, now)
 	if step.Gang && p.percent == p.firstPercent && !t.allMembersSeen(s, run.Key) {
 		p.progressedAt = now // waiting for other members is not a fault of the worker
 		if now.Sub(p.startedAt) > t.cfg.gangTimeout() && !task.Stopping {
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -27,9 +27,8 @@
 // long enough, or for one that no rack can hold once the runs that end by themselves
 // have ended. For any other step the only set is all eligible workers. A deferrable
 // unit does not get the workers kept for urgent units, unless its data is in one rack.
-func (p *pass) candidateSets(u *Unit) (sets, spread [][]*workerState) {
+func (p *pass) candidateSets(u *Unit, c candidates) (sets, spread [][]*workerState) {
 	s := u.step()
-	c := p.candidates(u)
 	racks := fullestFirst(c.racks)
 	leavesReserve := u.Deferrable && s.DataRack == ""
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
@@ -37,7 +36,12 @@
 		case leavesReserve && s.Gang:
 			return [][]*workerState{p.withoutKept(s.Gang, c.eligible)}, nil
 		case leavesReserve:
-			return [][]*workerState{p.withoutKept(s.Gang, racks[:len(racks)-urgentRacks(racks)]...)}, nil
+			n := len(racks) - urgentRacks(racks)
+			open := slices.Concat(racks[:n]...)
+			for _, rack := range racks[n:] {
+				open = append(open, slowWorkers(rack)...)
+			}
+			return [][]*workerState{p.withoutKept(s.Gang, open)}, nil
 		default:
 			return [][]*workerState{c.eligible}, nil
 		}
@@ -101,7 +105,7 @@
 // markUrgentReserve marks the workers that are kept for urgent work. They are chosen on
 // the first call of a pass, before it places any unit that the urgent reserve applies
 // to: the emptiest workers of the emptiest rack first, then those of the next rack,
-// because urgent gangs need whole workers in one rack.
+// because urgent gangs need whole workers in one rack. Slow workers come after all others.
 func (p *pass) markUrgentReserve() {
 	if p.reserveMarked {
 		return
@@ -110,12 +114,14 @@
 	remaining := p.urgentReserve
 	racks := fullestFirst(p.groupByRack(p.workers))
 	firstFromGangs := len(racks) - urgentRacks(racks)
-	for i := len(racks) - 1; i >= 0 && remaining > 0; i-- {
-		slices.SortStableFunc(racks[i], func(a, b *workerState) int { return cmp.Compare(b.freeCores, a.freeCores) })
-		for _, w := range racks[i] {
-			if remaining > 0 && w.Schedulable {
-				w.keptForUrgent, w.keptFromGangs = true, i >= firstFromGangs
-				remaining -= w.freeCores
+	for _, slow := range []bool{false, true} {
+		for i := len(racks) - 1; i >= 0 && remaining > 0; i-- {
+			slices.SortStableFunc(racks[i], func(a, b *workerState) int { return cmp.Compare(b.freeCores, a.freeCores) })
+			for _, w := range racks[i] {
+				if remaining > 0 && w.Schedulable && w.Slow == slow {
+					w.keptForUrgent, w.keptFromGangs = true, i >= firstFromGangs
+					remaining -= w.freeCores
+				}
 			}
 		}
 	}
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -5,6 +5,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/rosemarysill/rosemarysill/work"
@@ -45,12 +46,17 @@
 	Rack            string
 	Labels          []string
 	Capacity        work.Shape
-	Schedulable     bool // accepts new tasks
-	Suspect         bool // the last run that ended by itself there failed
-	StartedRecently bool // a run has just started there, so that a crash would not point to another one
+	Schedulable     bool    // accepts new tasks
+	Suspect         bool    // the last run that ended by itself there failed
+	StartedRecently bool    // a run has just started there, so that a crash would not point to another one
+	Speed           float64 // relative to the mean of its service; 0 counts as 1, if it is unknown
+	Slow            bool    // too slow for the objectives of some of its service's work; other work prefers it
 	Runs            []Run
 }
 
+// speed returns the speed of the worker, 1 if it is unknown.
+func (w *Worker) speed() float64 { return cmp.Or(w.Speed, 1) }
+
 // alignGangEnds clears EndsSoon for members of a gang that has a slower member,
 // because the runs of a gang end together.
 func alignGangEnds(workers []*Worker) {
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/rosemarysill/rosemarysill/work"
@@ -24,17 +25,18 @@
 }
 
 // equivalenceKey identifies units that are interchangeable in placement: those of
-// one step that agree in Failed, Deferrable, Isolated and
-// AvoidsRecentStarts.
+// one step that agree in Failed, Deferrable, Isolated, AvoidsRecentStarts and the speeds
+// that they need.
 type equivalenceKey struct {
 	job                          string
 	occurrence, step             int
 	failed, deferrable, isolated bool
 	avoidsRecentStarts           bool
+	minSpeed, minSpeedAfterStop  float64
 }
 
 func keyOf(u *Unit) equivalenceKey {
-	return equivalenceKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Deferrable, u.Isolated, u.AvoidsRecentStarts}
+	return equivalenceKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Deferrable, u.Isolated, u.AvoidsRecentStarts, u.MinSpeed, u.MinSpeedAfterStop}
 }
 
 // Decide places the units that fit, in order of precedence, and preempts runs for urgent
@@ -92,7 +94,13 @@
 // placeOrPreempt starts a unit if it fits. Otherwise it reserves capacity for an
 // urgent unit, and preempts runs if there is not enough to reserve.
 func (p *pass) placeOrPreempt(u *Unit) {
-	sets, spread := p.candidateSets(u)
+	if u.MinSpeed > 0 && p.placeOnFastWorkers(u) {
+		return
+	}
+	sets, spread := p.candidateSets(u, p.candidates(u))
+	if p.startOnAlikeWorkers(u) {
+		return
+	}
 	if u.CompletesGang {
 		p.startIn(u, sets)
 		return
@@ -102,14 +110,14 @@
 	}
 	// Reserve or preempt where the unit runs at full speed before starting it
 	// where it is slow: the delay is no longer than a run takes to stop.
-	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets)) {
+	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets, math.Inf(1))) {
 		return
 	}
 	if spread == nil || p.startIn(u, spread) || !u.mayPreempt() {
 		return
 	}
 	if !p.reserveIn(u, spread) {
-		p.preemptIn(u, spread)
+		p.preemptIn(u, spread, math.Inf(1))
 	}
 }
 
@@ -242,7 +250,7 @@
 }
 
 // betterFit reports whether worker a is preferred to b. An isolated unit goes where the
-// loss of the worker costs least. Suspect workers come last. A best-effort task goes to
+// loss of the worker costs least. Suspect workers come last, and slow ones first. A best-effort task goes to
 // the worker with the most idle processor time. Other tasks go where the least capacity
 // remains (best fit), so that whole workers stay free.
 func (u *Unit) betterFit(a, b *workerState, remainingA, remainingB work.Shape) bool {
@@ -252,6 +260,9 @@
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
+	if a.Slow != b.Slow {
+		return a.Slow
+	}
 	if u.step().BestEffort {
 		return a.idleMilliCPU > b.idleMilliCPU
 	}
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -88,14 +88,14 @@
 	}
 }
 
-// preemptIn stops runs in the set of workers where that costs least, and reserves
-// their capacity for the unit.
-func (p *pass) preemptIn(u *Unit, sets [][]*workerState) bool {
+// preemptIn stops runs in the set of workers where that costs least, if it costs less than
+// the limit, and reserves their capacity for the unit.
+func (p *pass) preemptIn(u *Unit, sets [][]*workerState, limit float64) bool {
 	p.indexRuns()
 	var best *preemption
 	for _, set := range sets {
-		if candidate := p.planPreemption(u, set, best); candidate != nil {
-			best = candidate
+		if candidate := p.planPreemption(u, set, limit); candidate != nil {
+			best, limit = candidate, candidate.cost
 		}
 	}
 	if best == nil {
@@ -149,9 +149,8 @@
 }
 
 // planPreemption selects the runs of a set of workers to stop for the unit. It
-// returns nil if the unit does not fit even then, or if the cost is not below that
-// of best.
-func (p *pass) planPreemption(u *Unit, workers []*workerState, best *preemption) *preemption {
+// returns nil if the unit does not fit even then, or if the cost is not below the limit.
+func (p *pass) planPreemption(u *Unit, workers []*workerState, limit float64) *preemption {
 	pr := &preemption{pass: p, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool), stops: make(map[*StopBudget]int)}
 	options := make([]*workerOption, len(workers))
 	for i, w := range workers {
@@ -163,7 +162,7 @@
 	}
 	for range u.Indexes {
 		option := pr.cheapestOption(options)
-		if option == nil || (best != nil && pr.cost+option.cost >= best.cost) {
+		if option == nil || pr.cost+option.cost >= limit {
 			return nil
 		}
 		pr.assignTask(option)
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -57,11 +57,16 @@
 	drawOneIn := func(n int, name string) bool { return drawInt(1, n, name) == 1 }
 	var in decideInput
 	budgets := make(map[string]*StopBudget) // by gang, or by group of single runs
+	unequal := drawOneIn(2, "unequal speeds")
 	for i := range drawInt(1, 14, "workers") {
 		w := &Worker{
 			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/drawInt(1, 4, "rack")), Schedulable: !drawOneIn(9, "closed"), Suspect: drawOneIn(9, "suspect"), StartedRecently: drawOneIn(5, "recent"),
 			Capacity: work.Shape{MilliCPU: 32000, MemoryMB: 65536, Accelerators: 8},
 		}
+		if unequal {
+			w.Speed = []float64{0, 0.5, 1, 1.5}[drawInt(0, 3, "speed")]
+			w.Slow = w.Speed == 0.5 || drawOneIn(9, "slow")
+		}
 		if drawOneIn(3, "shrunk") { // below what its runs take, in one resource or several
 			w.Capacity = work.Shape{MilliCPU: 1000 * int64(drawInt(0, 32, "cores left")), MemoryMB: int64(drawInt(0, 600, "MB left")), Accelerators: int64(drawInt(0, 8, "accelerators left"))}
 		}
@@ -72,6 +77,9 @@
 				Key: work.RunKey{Task: work.TaskKey{Job: fmt.Sprintf("r%d.%d", i, n)}, Run: 1}, Demand: d, MilliCPU: d.MilliCPU, Priority: drawInt(0, 2, "priority"),
 				Guaranteed: drawOneIn(6, "reserved"), Cost: float64(drawInt(0, 5, "cost")), LongRunning: drawOneIn(4, "long-running"), Late: drawOneIn(5, "late"), Stopping: drawOneIn(7, "stopping"), EndsSoon: drawOneIn(7, "ending"), StopOverdue: drawOneIn(9, "stuck"),
 			}
+			if drawOneIn(5, "costly") { // above lateCost, alone or together
+				r.Cost += 500
+			}
 			if drawOneIn(3, "gang") {
 				r.Gang = fmt.Sprint("gang", drawInt(0, 3, "group"))
 			}
@@ -104,6 +112,10 @@
 			QueuedSince: time.Unix(int64(drawInt(0, 5, "since")), 0), Deadline: time.Unix(int64(drawInt(0, 5, "due")), 0), TasksByWorker: tasksByWorker,
 		}
 		unit.AvoidsRecentStarts = unit.Isolated && drawOneIn(2, "waits")
+		if drawOneIn(2, "needs speed") {
+			unit.MinSpeed = []float64{0.7, 1, 1.2}[drawInt(0, 2, "min speed")]
+			unit.MinSpeedAfterStop = []float64{0, unit.MinSpeed, 1.3}[drawInt(0, 2, "min speed after stop")]
+		}
 		for n := range s.Count {
 			if u := unit; s.Gang && n > 0 {
 				in.units[len(in.units)-1].Indexes = append(in.units[len(in.units)-1].Indexes, n)
@@ -266,7 +278,13 @@
 }
 
 func (p *refPass) placeOrPreempt(u *Unit) {
-	sets, spread := p.candidateSets(u)
+	if u.MinSpeed > 0 && p.placeOnFastWorkers(u) {
+		return
+	}
+	if u.step().Gang && len(u.Indexes) > 1 && !u.CompletesGang && p.startOnAlikeWorkers(u) {
+		return
+	}
+	sets, spread := p.candidateSets(u, refAnyWorker)
 	if u.CompletesGang {
 		p.startIn(u, sets)
 		return
@@ -274,17 +292,61 @@
 	if p.startIn(u, sets) || (u.MustStartNow && p.startIn(u, spread)) {
 		return
 	}
-	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets)) {
+	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets, nil)) {
 		return
 	}
 	if spread == nil || p.startIn(u, spread) || !u.mayPreempt() {
 		return
 	}
 	if !p.reserveIn(u, spread) {
-		p.preemptIn(u, spread)
+		p.preemptIn(u, spread, nil)
 	}
 }
 
+func refAnyWorker(*refWorker) bool { return true }
+
+// placeOnFastWorkers tries workers of the speed that the unit needs. A late start elsewhere
+// at once is as bad as the loss of 800 core-seconds.
+func (p *refPass) placeOnFastWorkers(u *Unit) bool {
+	fast, _ := p.candidateSets(u, func(w *refWorker) bool { return refSpeed(w) >= u.MinSpeed })
+	if p.startIn(u, fast) {
+		return true
+	}
+	if u.CompletesGang || u.MustStartNow || u.MinSpeedAfterStop == 0 || !u.mayPreempt() {
+		return false
+	}
+	fast, _ = p.candidateSets(u, func(w *refWorker) bool { return refSpeed(w) >= u.MinSpeedAfterStop })
+	if p.reserveIn(u, fast) {
+		return true
+	}
+	all, _ := p.candidateSets(u, refAnyWorker)
+	for _, set := range all {
+		if refSelectWorkers(u, set, func(w *refWorker) work.Shape { return w.free }) != nil {
+			limit := 800.0
+			return p.preemptIn(u, fast, &limit)
+		}
+	}
+	return p.preemptIn(u, fast, nil)
+}
+
+func refSpeed(w *refWorker) float64 {
+	if w.Speed == 0 {
+		return 1
+	}
+	return w.Speed
+}
+
+// startOnAlikeWorkers starts a gang on slow workers or on others, if there are both.
+func (p *refPass) startOnAlikeWorkers(u *Unit) bool {
+	slow, _ := p.candidateSets(u, func(w *refWorker) bool { return w.Slow })
+	others, _ := p.candidateSets(u, func(w *refWorker) bool { return !w.Slow })
+	return refHasBoth(p.eligible(u)) && (p.startIn(u, slow) || p.startIn(u, others))
+}
+
+func refHasBoth(workers []*refWorker) bool {
+	return slices.ContainsFunc(workers, func(w *refWorker) bool { return w.Slow }) && slices.ContainsFunc(workers, func(w *refWorker) bool { return !w.Slow })
+}
+
 func (p *refPass) startIn(u *Unit, sets [][]*refWorker) bool {
 	for _, set := range sets {
 		if chosen := refSelectWorkers(u, set, func(w *refWorker) work.Shape { return w.free }); chosen != nil {
@@ -326,7 +388,7 @@
 	}
 }
 
-func (p *refPass) candidateSets(u *Unit) (sets, spread [][]*refWorker) {
+func (p *refPass) eligible(u *Unit) []*refWorker {
 	s := u.step()
 	var eligible []*refWorker
 	for _, w := range p.workers {
@@ -337,11 +399,27 @@
 	if u.Failed {
 		eligible = refWithoutSuspects(eligible)
 	}
+	return eligible
+}
+
+// candidateSets returns the sets of workers to try among the eligible ones that keep
+// selects.
+func (p *refPass) candidateSets(u *Unit, keep func(*refWorker) bool) (sets, spread [][]*refWorker) {
+	s := u.step()
+	eligible := slices.DeleteFunc(p.eligible(u), func(w *refWorker) bool { return !keep(w) })
 	racks := refRacksFullestFirst(eligible)
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
 		if u.Deferrable && !s.Gang {
-			racks = racks[:len(racks)-int(urgentRackShare*float64(len(racks)))]
-			return [][]*refWorker{p.withoutKept(slices.Concat(racks...), false)}, nil
+			first := len(racks) - int(urgentRackShare*float64(len(racks)))
+			var open []*refWorker
+			for i, rack := range racks {
+				for _, w := range rack {
+					if i < first || w.Slow {
+						open = append(open, w)
+					}
+				}
+			}
+			return [][]*refWorker{p.withoutKept(open, false)}, nil
 		}
 		if u.Deferrable {
 			return [][]*refWorker{p.withoutKept(eligible, true)}, nil
@@ -371,16 +449,25 @@
 		p.keptForUrgent, p.keptFromGangs = make(map[*refWorker]bool), make(map[*refWorker]bool)
 		remaining := p.urgentReserve
 		racks := refRacksFullestFirst(p.workers)
-		for i := len(racks) - 1; i >= 0 && remaining > 0; i-- {
+		var others, slow []*refWorker // in the order in which they are kept
+		for i := len(racks) - 1; i >= 0; i-- {
 			slices.SortStableFunc(racks[i], func(a, b *refWorker) int { return cmp.Compare(refUsableCores(b), refUsableCores(a)) })
 			for _, w := range racks[i] {
-				if remaining > 0 && w.Schedulable {
-					p.keptForUrgent[w] = true
-					p.keptFromGangs[w] = i >= len(racks)-int(urgentRackShare*float64(len(racks)))
-					remaining -= refUsableCores(w)
+				p.keptFromGangs[w] = i >= len(racks)-int(urgentRackShare*float64(len(racks)))
+				switch {
+				case w.Schedulable && w.Slow:
+					slow = append(slow, w)
+				case w.Schedulable:
+					others = append(others, w)
 				}
 			}
 		}
+		for _, w := range append(others, slow...) {
+			if remaining > 0 {
+				p.keptForUrgent[w] = true
+				remaining -= refUsableCores(w)
+			}
+		}
 	}
 	return slices.DeleteFunc(slices.Clone(workers), func(w *refWorker) bool { return p.keptForUrgent[w] && (!gang || p.keptFromGangs[w]) })
 }
@@ -481,16 +568,19 @@
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
+	if a.Slow != b.Slow {
+		return a.Slow
+	}
 	if u.step().BestEffort {
 		return a.idleMilliCPU > b.idleMilliCPU
 	}
 	return remainingA.Cores() < remainingB.Cores()
 }
 
-func (p *refPass) preemptIn(u *Unit, sets [][]*refWorker) bool {
+func (p *refPass) preemptIn(u *Unit, sets [][]*refWorker, limit *float64) bool {
 	var best *refPreemption
 	for _, set := range sets {
-		if candidate := p.planPreemption(u, set); candidate != nil && (best == nil || candidate.totalCost < best.totalCost) {
+		if candidate := p.planPreemption(u, set); candidate != nil && (limit == nil || candidate.totalCost < *limit) && (best == nil || candidate.totalCost < best.totalCost) {
 			best = candidate
 		}
 	}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -38,6 +38,8 @@
 	Deadline           time.Time         // by which the job should be done
 	Timeliness         Timeliness        // of the job
 	FleetTime          time.Duration     // time that the work of its whole step would take on the whole fleet
+	MinSpeed           float64           // of a worker on which the job is in time if it starts now; 0 if any will do
+	MinSpeedAfterStop  float64           // the same if it starts after runs have been stopped for it
 	TasksByWorker      map[string]int    // tasks of the step by worker; shared by its units
 	Tickets            map[string]string // by worker; an advised job runs only where it has one
 }
