--- a/leader/speed.go
+++ b/leader/speed.go
@@ -15,7 +15,7 @@
 	startOverhead = 150 * time.Millisecond
 	// speedMargin is the margin by which a worker has to be faster than needed: the tasks
 	// of a queue differ, and so do their declared durations.
-	speedMargin = 0.1
+	speedMargin = 0.2
 	// speedDemandTime is how long after its last job slow workers are avoided for the work
 	// of a queue that needs faster ones. It exceeds the pauses between bursts.
 	speedDemandTime = 60 * time.Second
@@ -177,7 +177,8 @@
 	}
 }
 
-// markSlowWorkers marks the workers on which the work of some queue would be late.
+// markSlowWorkers marks the workers on which the work of some queue would be late, and
+// those of which that is not known.
 func (t *term) markSlowWorkers(fleet []*schedule.Worker, now time.Time) {
 	needed := make(map[string]float64)
 	for queue, d := range t.speedDemands {
@@ -187,7 +188,12 @@
 		}
 		needed[d.service] = max(needed[d.service], d.speed)
 	}
+	threatened := make(map[string]bool)
 	for _, w := range fleet {
 		w.Slow = w.Speed < needed[w.Service]
+		threatened[w.Service] = threatened[w.Service] || w.Slow
+	}
+	for _, w := range fleet {
+		w.Unproven = threatened[w.Service] && !t.speeds.IsKnown(w.ID)
 	}
 }
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -39,7 +39,7 @@
 			n := len(racks) - urgentRacks(racks)
 			open := slices.Concat(racks[:n]...)
 			for _, rack := range racks[n:] {
-				open = append(open, slowWorkers(rack)...)
+				open = append(open, filter(rack, func(w *workerState) bool { return w.Slow || w.needsTrial() })...)
 			}
 			return [][]*workerState{p.withoutKept(s.Gang, open)}, nil
 		default:
@@ -94,11 +94,12 @@
 }
 
 // withoutKept returns the workers of all groups that are not kept for urgent work from
-// deferrable gangs, or from deferrable single tasks.
+// deferrable gangs, or from deferrable single tasks. A single task may start where it
+// shows the speed of the worker, on which urgent work depends.
 func (p *pass) withoutKept(gang bool, groups ...[]*workerState) []*workerState {
 	p.markUrgentReserve()
 	return slices.DeleteFunc(slices.Concat(groups...), func(w *workerState) bool {
-		return w.keptForUrgent && (!gang || w.keptFromGangs)
+		return w.keptForUrgent && (!gang || w.keptFromGangs) && (gang || !w.needsTrial())
 	})
 }
 
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -51,12 +51,17 @@
 	StartedRecently bool    // a run has just started there, so that a crash would not point to another one
 	Speed           float64 // relative to the mean of its service; 0 counts as 1, if it is unknown
 	Slow            bool    // too slow for the objectives of some of its service's work; other work prefers it
+	Unproven        bool    // its speed is not known, while that of others is too low for some work
 	Runs            []Run
 }
 
 // speed returns the speed of the worker, 1 if it is unknown.
 func (w *Worker) speed() float64 { return cmp.Or(w.Speed, 1) }
 
+// needsTrial reports whether a first run would show the speed of the worker. Later ones
+// in the same pass show nothing more.
+func (w *workerState) needsTrial() bool { return w.Unproven && len(w.Runs) == 0 && !w.hasStarts }
+
 // alignGangEnds clears EndsSoon for members of a gang that has a slower member,
 // because the runs of a gang end together.
 func alignGangEnds(workers []*Worker) {
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -250,7 +250,9 @@
 }
 
 // betterFit reports whether worker a is preferred to b. An isolated unit goes where the
-// loss of the worker costs least. Suspect workers come last, and slow ones first. A best-effort task goes to
+// loss of the worker costs least. Suspect workers come last. Single
+// tasks that need no speed try the workers whose speed is not known, which shows it, and
+// other work avoids those. Slow workers come before others. A best-effort task goes to
 // the worker with the most idle processor time. Other tasks go where the least capacity
 // remains (best fit), so that whole workers stay free.
 func (u *Unit) betterFit(a, b *workerState, remainingA, remainingB work.Shape) bool {
@@ -260,6 +262,12 @@
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
+	if u.MinSpeed > 0 && a.Unproven != b.Unproven {
+		return b.Unproven
+	}
+	if x := a.needsTrial(); u.MinSpeed == 0 && len(u.Indexes) == 1 && x != b.needsTrial() {
+		return x
+	}
 	if a.Slow != b.Slow {
 		return a.Slow
 	}
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -65,7 +65,7 @@
 		}
 		if unequal {
 			w.Speed = []float64{0, 0.5, 1, 1.5}[drawInt(0, 3, "speed")]
-			w.Slow = w.Speed == 0.5 || drawOneIn(9, "slow")
+			w.Slow, w.Unproven = w.Speed == 0.5 || drawOneIn(9, "slow"), drawOneIn(3, "unproven")
 		}
 		if drawOneIn(3, "shrunk") { // below what its runs take, in one resource or several
 			w.Capacity = work.Shape{MilliCPU: 1000 * int64(drawInt(0, 32, "cores left")), MemoryMB: int64(drawInt(0, 600, "MB left")), Accelerators: int64(drawInt(0, 8, "accelerators left"))}
@@ -414,7 +414,7 @@
 			var open []*refWorker
 			for i, rack := range racks {
 				for _, w := range rack {
-					if i < first || w.Slow {
+					if i < first || w.Slow || refNeedsTrial(w) {
 						open = append(open, w)
 					}
 				}
@@ -469,9 +469,16 @@
 			}
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(workers), func(w *refWorker) bool { return p.keptForUrgent[w] && (!gang || p.keptFromGangs[w]) })
+	return slices.DeleteFunc(slices.Clone(workers), func(w *refWorker) bool {
+		if gang {
+			return p.keptForUrgent[w] && p.keptFromGangs[w]
+		}
+		return p.keptForUrgent[w] && !refNeedsTrial(w)
+	})
 }
 
+func refNeedsTrial(w *refWorker) bool { return w.Unproven && len(w.Runs) == 0 && !w.hasStarts }
+
 func refWithoutSuspects(workers []*refWorker) []*refWorker {
 	healthy := slices.DeleteFunc(slices.Clone(workers), func(w *refWorker) bool { return w.Suspect })
 	if len(healthy) == 0 {
@@ -568,6 +575,12 @@
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
+	if u.MinSpeed > 0 && a.Unproven != b.Unproven {
+		return b.Unproven
+	}
+	if u.MinSpeed == 0 && len(u.Indexes) == 1 && refNeedsTrial(a) != refNeedsTrial(b) {
+		return refNeedsTrial(a)
+	}
 	if a.Slow != b.Slow {
 		return a.Slow
 	}
--- a/schedule/speed_test.go
+++ b/schedule/speed_test.go
@@ -13,7 +13,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		in := drawDecideInput(t)
 		for _, w := range in.workers {
-			w.Slow = false
+			w.Slow, w.Unproven = false, false
 		}
 		for _, u := range in.units {
 			u.MinSpeed, u.MinSpeedAfterStop = 0, 0
--- a/speed/class.go
+++ b/speed/class.go
@@ -39,6 +39,9 @@
 	// costs far more than another that is taken for slow for a while.
 	minMixedEvidence  = 1
 	mixedSignificance = 1.3
+	// usualEvidence is the weight from which a worker that shows no difference is known to
+	// have none.
+	usualEvidence = 4
 	// minSpeed and maxSpeed bound published speeds, which are measured far less exactly
 	// when they are extreme.
 	minSpeed, maxSpeed = 0.05, 20
@@ -90,6 +93,13 @@
 	return 1
 }
 
+// IsKnown reports whether there is enough evidence about the speed of a worker: that it is
+// slow or fast, or that it is neither.
+func (e *Estimator) IsKnown(id string) bool {
+	w := e.workers[id]
+	return w != nil && (w.class != Usual || w.weight >= usualEvidence)
+}
+
 // LongTerm returns the long-term speed of a worker, 1 if it is unknown or close to the
 // mean.
 func (e *Estimator) LongTerm(id string) float64 {
--- a/speed/estimator.go
+++ b/speed/estimator.go
@@ -24,7 +24,7 @@
 	maxPriorWeight = 8
 	// shrinkage is the weight of the assumption that a worker has the mean speed. Speeds
 	// of workers differ somewhat more than the tasks of a step.
-	shrinkage = 0.5
+	shrinkage = 0.1
 	// outlierDeviation is the deviation from the median at which an observation has half
 	// its weight.
 	outlierDeviation = 0.6
@@ -321,7 +321,7 @@
 func (e *Estimator) normalise() {
 	services := make(map[string]service)
 	for _, w := range e.order {
-		if w.weight >= minEvidence {
+		if w.weight >= minMixedEvidence {
 			s := services[w.service]
 			services[w.service] = service{s.n + 1, s.time + math.Exp(-w.value), s.value + w.value, s.square + w.value*w.value, s.noise + taskDeviation*taskDeviation/w.weight}
 		}
