--- a/event/leader.go
+++ b/event/leader.go
@@ -45,10 +45,12 @@
 	LeaderCapacity       Event = 1176
 	LeaderShrunk         Event = 1177
 	LeaderJobGivenUp     Event = 1178
+	LeaderWorkerSuspect  Event = 1179
 	LeaderMachineOrdered Event = 1180
 	LeaderMachineFailed  Event = 1181
 	LeaderAdvice         Event = 1182
 	LeaderWave           Event = 1183
+	LeaderWorkerCleared  Event = 1184
 )
 
 var _ = define(map[Event]Definition{
@@ -87,6 +89,8 @@
 	LeaderWorkerSeen:     {"LeaderWorkerSeen", zerolog.InfoLevel, "A worker has become available."},
 	LeaderWorkerLost:     {"LeaderWorkerLost", zerolog.WarnLevel, "A worker has left, or the leases of its runs have expired; its runs count as ended."},
 	LeaderWorkerAvoided:  {"LeaderWorkerAvoided", zerolog.WarnLevel, "A worker temporarily gets no tasks, because its runs failed or are stalled."},
+	LeaderWorkerSuspect:  {"LeaderWorkerSuspect", zerolog.InfoLevel, "A worker will probably fail the next run: it gets one run at a time of jobs with attempts to spare, until one has worked. Why is the evidence."},
+	LeaderWorkerCleared:  {"LeaderWorkerCleared", zerolog.InfoLevel, "A worker is not suspect any more. Why is the evidence."},
 	LeaderOvercommitted:  {"LeaderOvercommitted", zerolog.ErrorLevel, "The runs that a worker reports exceed its capacity, and did so when the last task was placed there: a fault of this system. The line has what the leader knows about them."},
 	LeaderCapacity:       {"LeaderCapacity", zerolog.InfoLevel, "The capacity that a worker announces has changed; the line has the earlier one and the runs there."},
 	LeaderShrunk:         {"LeaderShrunk", zerolog.InfoLevel, "The capacity of a worker has shrunk below what its runs take: no fault. The runs go on, and the worker gets no tasks until they fit."},
--- a/leader/end.go
+++ b/leader/end.go
@@ -22,7 +22,9 @@
 // endRun applies the end of a run.
 func (t *term) endRun(worker string, k work.RunKey, outcome work.Outcome, checkpoint string, now time.Time) {
 	s, task := t.task(k)
+	var ended endedRun
 	if w := t.workers[worker]; w != nil {
+		ended = w.endedRun(k)
 		if placedAt, ok := w.placedAt[k]; ok && task != nil && outcome == work.OutcomeDone {
 			t.runDurations[s.job.Queue] = t.runDurations[s.job.Queue].add(now.Sub(placedAt))
 		}
@@ -44,6 +46,7 @@
 	s.recordEnd(k, worker, outcome, now)
 	if w := t.workers[worker]; w != nil && !stopped {
 		t.recordOutcome(w, k, outcome, now)
+		t.recordEvidence(w, k, outcome, ended, now)
 	}
 	event.LeaderRunEnded.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", worker).Str("How", string(outcome)).Int("Fails", task.Failures).Int("Crashes", len(task.Crashes)).Send()
 	if s.progress.State.Final() {
--- a/leader/fleet.go
+++ b/leader/fleet.go
@@ -18,7 +18,7 @@
 		}
 		sw := &schedule.Worker{
 			ID: w.Incarnation, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity,
-			Schedulable: t.isSchedulable(w, now) && !t.isKeptForSuspect(w, now), Suspect: w.health.lastOutcome == work.OutcomeFailed,
+			Schedulable: t.isSchedulable(w, now) && !t.isKeptForSuspect(w, now), Suspect: w.health.suspect, Probing: t.isProbing(w), FailureRisk: w.health.risk,
 			StartedRecently: w.startedRecently(now),
 		}
 		for k := range w.placedAt {
--- a/leader/health.go
+++ b/leader/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/soundness"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -24,9 +25,12 @@
 // health is what the outcomes of runs indicate about a worker.
 type health struct {
 	failedJobs   map[string]bool // jobs with failed runs since the last one that was done
-	lastOutcome  work.Outcome    // of the latest run that ended by itself
 	avoidedUntil time.Time
 	avoidTime    time.Duration // last time for which the worker was avoided; 0 after a run is done
+	record       soundness.Record
+	risk         float64 // probability that the worker fails the next run
+	suspect      bool    // risk is above soundness.SuspectRisk
+	evidence     string  // the latest failure in record, for logs
 }
 
 func (h *health) isAvoided(now time.Time) bool { return now.Before(h.avoidedUntil) }
@@ -37,9 +41,6 @@
 	if s := t.jobs[k.Task.Job]; s != nil && s.failsEverywhere(w.Incarnation, outcome, now) {
 		return
 	}
-	if outcome == work.OutcomeDone || outcome == work.OutcomeFailed {
-		h.lastOutcome = outcome
-	}
 	switch outcome {
 	case work.OutcomeDone:
 		h.failedJobs, h.avoidTime = nil, 0
--- a/leader/place.go
+++ b/leader/place.go
@@ -16,15 +16,18 @@
 func (t *term) place(now time.Time) {
 	guaranteed := t.guaranteedJobs()
 	t.totalCores = t.fleetCores()
+	t.updateSoundness(now)
 	units := t.units(guaranteed)
 	t.urgentUse.Observe(t.urgentCores(units), now)
 	t.observeWaits(units, now)
+	t.endHolds(units, now)
 	if len(units) == 0 {
 		return
 	}
 	fleet := t.fleet(guaranteed, now)
 	t.endWaits(units, fleet, now)
 	plan := schedule.Decide(fleet, units, t.urgentUse.Expected())
+	t.observeHolds(plan.Held, now)
 	for _, k := range plan.Stops {
 		_, task := t.task(k)
 		t.stop(k, task, "preempted by a more urgent job")
@@ -189,7 +192,8 @@
 		unit.Tickets = t.tickets(s, occurrence, step, uptime.Now())
 	}
 	if gang {
-		unit.Indexes, unit.Failed = waiting, tasks[0].Failures > 0
+		unit.Indexes = waiting
+		t.setRisk(&unit, tasks[0].Failures)
 		for _, i := range waiting {
 			t.markSuspect(s, &unit, i)
 		}
@@ -198,7 +202,8 @@
 	units := make([]*schedule.Unit, 0, len(waiting))
 	for _, i := range waiting {
 		u := unit
-		u.Indexes, u.Failed = []int{i}, tasks[i].Failures > 0
+		u.Indexes = []int{i}
+		t.setRisk(&u, tasks[i].Failures)
 		t.markSuspect(s, &u, i)
 		units = append(units, &u)
 	}
--- a/leader/report.go
+++ b/leader/report.go
@@ -245,6 +245,9 @@
 		s.checkpointsDirty = s.checkpointsDirty || saved
 		task.Percent = run.Percent
 		t.trackRun(w, run, now)
+		if !task.Stopping {
+			t.observeWorkingRun(w, s, run.Key, now)
+		}
 	}
 	t.applyStrays(w, strays, now)
 	t.checkCapacity(w, now)
--- a/leader/term.go
+++ b/leader/term.go
@@ -84,6 +84,8 @@
 	runDurations       map[string]meanDuration // by queue
 	totalCores         float64                 // size of the fleet
 	waitingSince       map[stepKey]time.Time   // steps with waiting units; see observeWaits
+	heldSince          map[stepKey]time.Time   // steps with waiting units that fit only on workers too risky for them
+	riskRaised         bool                    // some worker is likelier to fail than soundness.BaseRisk
 	incompleteGangs    map[stepKey]bool        // gangs that wait for the replacement of refused members
 	adviceWanted       chan struct{}           // signals that a step waits for advice
 	waves              map[string]*waveState   // used by runMaintenance only
@@ -100,7 +102,7 @@
 		cfg: cfg, rec: rec, leaderVersion: leaderVersion, lease: lease, leaseExpiry: leaseExpiry, elected: uptime.Now(),
 		ended: make(chan struct{}), leaseLost: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
-		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), incompleteGangs: make(map[stepKey]bool), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
+		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), incompleteGangs: make(map[stepKey]bool), heldSince: make(map[stepKey]time.Time), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
 }
 
--- a/leader/wait.go
+++ b/leader/wait.go
@@ -46,6 +46,7 @@
 		overdue := waited > maxIdleWait && (u.Job.Steps[u.Step].LongRunning || loads[u.Job.Service] < idleLoad)
 		u.AnyRack = overdue || waited > t.rackWait(u.Job, u.Step)
 		u.Deferrable = u.Deferrable && !overdue
+		u.AcceptsSuspects = u.AcceptsSuspects || overdue
 	}
 }
 
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -18,6 +18,7 @@
 type candidates struct {
 	key      equivalenceKey
 	eligible []*workerState
+	withheld []*workerState   // not eligible only because of the risk that they fail the run
 	racks    [][]*workerState // eligible, grouped by rack
 }
 
@@ -79,9 +80,7 @@
 			c.eligible = append(c.eligible, w)
 		}
 	}
-	if u.Failed {
-		c.eligible = withoutSuspects(c.eligible)
-	}
+	c.eligible, c.withheld = u.splitByRisk(c.eligible)
 	c.racks = p.groupByRack(c.eligible)
 	if cacheable {
 		p.cachedCandidates = c
@@ -121,15 +120,6 @@
 	}
 }
 
-// withoutSuspects removes the suspect workers, unless all workers are suspect.
-func withoutSuspects(workers []*workerState) []*workerState {
-	healthy := slices.DeleteFunc(slices.Clone(workers), func(w *workerState) bool { return w.Suspect })
-	if len(healthy) == 0 {
-		return workers
-	}
-	return healthy
-}
-
 // fitsReleasedRack reports whether the whole unit will fit in one of the racks once all
 // runs that end by themselves have ended. If dataRack is set, only that rack counts.
 func (p *pass) fitsReleasedRack(u *Unit, racks [][]*workerState, dataRack string) bool {
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -45,9 +45,11 @@
 	Rack            string
 	Labels          []string
 	Capacity        work.Shape
-	Schedulable     bool // accepts new tasks
-	Suspect         bool // the last run that ended by itself there failed
-	StartedRecently bool // a run has just started there, so that a crash would not point to another one
+	Schedulable     bool    // accepts new tasks
+	Suspect         bool    // probably fails the next run; it gets one run at a time until one has worked
+	Probing         bool    // suspect, and a run there has not shown yet whether it fails
+	FailureRisk     float64 // probability that it fails the next run
+	StartedRecently bool    // a run has just started there, so that a crash would not point to another one
 	Runs            []Run
 }
 
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -24,17 +24,19 @@
 }
 
 // equivalenceKey identifies units that are interchangeable in placement: those of
-// one step that agree in Failed, Deferrable, Isolated and
-// AvoidsRecentStarts.
+// one step that agree in Failed, Deferrable, Isolated, AvoidsRecentStarts and the fields
+// about the risk of failures.
 type equivalenceKey struct {
 	job                          string
 	occurrence, step             int
 	failed, deferrable, isolated bool
 	avoidsRecentStarts           bool
+	careful, acceptsSuspects     bool
+	maxRisk                      float64
 }
 
 func keyOf(u *Unit) equivalenceKey {
-	return equivalenceKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Deferrable, u.Isolated, u.AvoidsRecentStarts}
+	return equivalenceKey{u.Job.ID, u.Occurrence, u.Step, u.Failed, u.Deferrable, u.Isolated, u.AvoidsRecentStarts, u.Careful, u.AcceptsSuspects, u.MaxRisk}
 }
 
 // Decide places the units that fit, in order of precedence, and preempts runs for urgent
@@ -82,8 +84,11 @@
 	if !u.CompletesGang && keyOf(u) == p.lastUnplaced && p.changes == p.changesAtUnplaced {
 		return
 	}
-	before := p.changes
+	before, started := p.changes, len(p.plan.Placements)
 	p.placeOrPreempt(u)
+	if len(p.plan.Placements) == started {
+		p.hold(u)
+	}
 	if p.changes == before {
 		p.lastUnplaced, p.changesAtUnplaced = keyOf(u), before
 	}
@@ -115,6 +120,13 @@
 
 // startIn starts the unit in the first set of workers whose free capacity holds it.
 func (p *pass) startIn(u *Unit, sets [][]*workerState) bool {
+	if u.Careful {
+		chosen := p.safestSet(u, sets)
+		if chosen != nil {
+			p.start(u, chosen)
+		}
+		return chosen != nil
+	}
 	for _, set := range sets {
 		if chosen := p.selectWorkers(u, set, freeCapacity); chosen != nil {
 			p.start(u, chosen)
@@ -156,8 +168,8 @@
 			Worker: w.ID, Ticket: u.Tickets[w.ID],
 		})
 	}
-	if u.Isolated {
-		for _, w := range chosen {
+	for _, w := range chosen {
+		if u.Isolated || (w.Suspect && !u.AcceptsSuspects) {
 			w.isolate()
 		}
 	}
@@ -184,16 +196,21 @@
 			stepTasks[i] = u.TasksByWorker[w.ID]
 		}
 	}
+	hasTask := make([]bool, len(workers))
 	chosen := make([]*workerState, 0, len(u.Indexes))
-	for range u.Indexes {
-		best := -1
+	for n := range u.Indexes {
+		best, lowest := -1, 0.0
 		p.examined += len(workers)
 		for i := range workers {
 			if !d.FitsIn(remaining[i]) || (s.MaxPerWorker > 0 && stepTasks[i] >= s.MaxPerWorker) {
 				continue
 			}
-			if best < 0 || u.betterFit(workers[i], workers[best], remaining[i], remaining[best]) {
-				best = i
+			risk := 0.0
+			if u.Careful && !u.Isolated {
+				risk = u.addedRisk(workers[i], hasTask[i], remaining[i], stepTasks[i], len(u.Indexes)-n)
+			}
+			if best < 0 || risk < lowest || (risk == lowest && u.betterFit(workers[i], workers[best], remaining[i], remaining[best])) {
+				best, lowest = i, risk
 			}
 		}
 		if best < 0 {
@@ -201,6 +218,7 @@
 		}
 		remaining[best] = remaining[best].Sub(d)
 		stepTasks[best]++
+		hasTask[best] = true
 		chosen = append(chosen, workers[best])
 	}
 	return chosen
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -59,7 +59,7 @@
 	budgets := make(map[string]*StopBudget) // by gang, or by group of single runs
 	for i := range drawInt(1, 14, "workers") {
 		w := &Worker{
-			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/drawInt(1, 4, "rack")), Schedulable: !drawOneIn(9, "closed"), Suspect: drawOneIn(9, "suspect"), StartedRecently: drawOneIn(5, "recent"),
+			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/drawInt(1, 4, "rack")), Schedulable: !drawOneIn(9, "closed"), Suspect: drawOneIn(9, "suspect"), Probing: drawOneIn(2, "probing"), FailureRisk: float64(drawInt(0, 4, "risk")) / 8, StartedRecently: drawOneIn(5, "recent"),
 			Capacity: work.Shape{MilliCPU: 32000, MemoryMB: 65536, Accelerators: 8},
 		}
 		if drawOneIn(3, "shrunk") { // below what its runs take, in one resource or several
@@ -103,6 +103,7 @@
 			Job: j, Guaranteed: drawOneIn(3, "reserved"), MustStartNow: drawOneIn(5, "pressed"), AnyRack: drawOneIn(5, "any rack"), Failed: drawOneIn(5, "failed"), Deferrable: drawOneIn(2, "patient"), Isolated: drawOneIn(5, "isolated"), Timeliness: Timeliness(drawInt(0, 3, "timeliness")),
 			QueuedSince: time.Unix(int64(drawInt(0, 5, "since")), 0), Deadline: time.Unix(int64(drawInt(0, 5, "due")), 0), TasksByWorker: tasksByWorker,
 		}
+		unit.Careful, unit.AcceptsSuspects, unit.MaxRisk = drawOneIn(3, "careful"), drawOneIn(4, "accepts"), float64(drawInt(0, 4, "bound"))/8
 		unit.AvoidsRecentStarts = unit.Isolated && drawOneIn(2, "waits")
 		for n := range s.Count {
 			if u := unit; s.Gang && n > 0 {
@@ -260,7 +261,11 @@
 	slices.SortFunc(p.workers, func(a, b *refWorker) int { return cmp.Compare(a.ID, b.ID) })
 	sortUnits(units)
 	for _, u := range units {
+		before := len(p.plan.Placements)
 		p.placeOrPreempt(u)
+		if len(p.plan.Placements) == before {
+			p.hold(u)
+		}
 	}
 	return p.plan
 }
@@ -286,6 +291,19 @@
 }
 
 func (p *refPass) startIn(u *Unit, sets [][]*refWorker) bool {
+	if u.Careful {
+		var selections [][]*refWorker
+		for _, set := range sets {
+			if chosen := refSelectWorkers(u, set, func(w *refWorker) work.Shape { return w.free }); chosen != nil {
+				selections = append(selections, chosen)
+			}
+		}
+		slices.SortStableFunc(selections, func(a, b []*refWorker) int { return cmp.Compare(refTotalRisk(a), refTotalRisk(b)) })
+		if len(selections) > 0 {
+			p.start(u, selections[0])
+		}
+		return len(selections) > 0
+	}
 	for _, set := range sets {
 		if chosen := refSelectWorkers(u, set, func(w *refWorker) work.Shape { return w.free }); chosen != nil {
 			p.start(u, chosen)
@@ -320,7 +338,7 @@
 		})
 	}
 	for _, w := range chosen {
-		if u.Isolated {
+		if u.Isolated || (w.Suspect && !u.AcceptsSuspects) {
 			w.free, w.projectedFree = work.Shape{}, work.Shape{}
 		}
 	}
@@ -330,13 +348,11 @@
 	s := u.step()
 	var eligible []*refWorker
 	for _, w := range p.workers {
-		if _, ok := u.Tickets[w.ID]; (ok || !u.Job.Advised) && w.Schedulable && w.canRun(u.Job, s) && u.satisfiesRackAffinity(w.Worker) && !(u.Isolated && w.hasStarts) && !(u.AvoidsRecentStarts && w.StartedRecently) {
+		if p.isCandidate(u, w) {
 			eligible = append(eligible, w)
 		}
 	}
-	if u.Failed {
-		eligible = refWithoutSuspects(eligible)
-	}
+	eligible = refWithinRisk(u, eligible)
 	racks := refRacksFullestFirst(eligible)
 	if s.DataRack == "" && (!s.Gang || !s.SameRack) {
 		if u.Deferrable && !s.Gang {
@@ -385,12 +401,47 @@
 	return slices.DeleteFunc(slices.Clone(workers), func(w *refWorker) bool { return p.keptForUrgent[w] && (!gang || p.keptFromGangs[w]) })
 }
 
-func refWithoutSuspects(workers []*refWorker) []*refWorker {
-	healthy := slices.DeleteFunc(slices.Clone(workers), func(w *refWorker) bool { return w.Suspect })
-	if len(healthy) == 0 {
+func (p *refPass) isCandidate(u *Unit, w *refWorker) bool {
+	_, ok := u.Tickets[w.ID]
+	return (ok || !u.Job.Advised) && w.Schedulable && w.canRun(u.Job, u.step()) && u.satisfiesRackAffinity(w.Worker) && !(u.Isolated && w.hasStarts) && !(u.AvoidsRecentStarts && w.StartedRecently)
+}
+
+func refWithinRisk(u *Unit, workers []*refWorker) []*refWorker {
+	if u.AcceptsSuspects {
 		return workers
 	}
-	return healthy
+	allSuspect := true
+	for _, w := range workers {
+		allSuspect = allSuspect && w.Suspect
+	}
+	var within []*refWorker
+	for _, w := range workers {
+		if (u.Failed && w.Suspect && !allSuspect) || (w.Suspect && w.Probing) || (u.MaxRisk > 0 && w.FailureRisk > u.MaxRisk) {
+			continue
+		}
+		within = append(within, w)
+	}
+	return within
+}
+
+// hold adds the step of a unit that has not started to the plan if all workers that could
+// run it, whatever their risk, have room for it.
+func (p *refPass) hold(u *Unit) {
+	step := StepKey{u.Job.ID, u.Occurrence, u.Step}
+	var all []*refWorker
+	for _, w := range p.workers {
+		if p.isCandidate(u, w) {
+			all = append(all, w)
+		}
+	}
+	if len(refWithinRisk(u, all)) == len(all) || slices.Contains(p.plan.Held, step) {
+		return
+	}
+	plain := *u
+	plain.Careful = false
+	if refSelectWorkers(&plain, all, func(w *refWorker) work.Shape { return w.free }) != nil {
+		p.plan.Held = append(p.plan.Held, step)
+	}
 }
 
 func refFitsReleasedRack(u *Unit, racks [][]*refWorker, dataRack string) bool {
@@ -460,7 +511,16 @@
 			if !d.FitsIn(remaining[i]) || (s.MaxPerWorker > 0 && stepTasks[i] >= s.MaxPerWorker) {
 				continue
 			}
-			if best < 0 || refBetterFit(u, workers[i], workers[best], remaining[i], remaining[best]) {
+			if best < 0 {
+				best = i
+				continue
+			}
+			riskA, riskB := 0.0, 0.0
+			if u.Careful && !u.Isolated {
+				riskA = refAddedRisk(u, workers[i], chosen, remaining[i], stepTasks[i])
+				riskB = refAddedRisk(u, workers[best], chosen, remaining[best], stepTasks[best])
+			}
+			if riskA < riskB || (riskA == riskB && refBetterFit(u, workers[i], workers[best], remaining[i], remaining[best])) {
 				best = i
 			}
 		}
@@ -474,6 +534,34 @@
 	return chosen
 }
 
+// refTotalRisk returns the sum of the risks of the different workers, in the order of
+// their first tasks.
+func refTotalRisk(chosen []*refWorker) float64 {
+	seen := make(map[*refWorker]bool)
+	sum := 0.0
+	for _, w := range chosen {
+		if !seen[w] {
+			sum += w.FailureRisk
+		}
+		seen[w] = true
+	}
+	return sum
+}
+
+// refAddedRisk returns the risk of a worker without tasks of the unit, divided by the
+// number of tasks that it would take one by one.
+func refAddedRisk(u *Unit, w *refWorker, chosen []*refWorker, remaining work.Shape, stepTasks int) float64 {
+	if slices.Contains(chosen, w) {
+		return 0
+	}
+	d, n := Demand(u.step()), 0
+	for n < len(u.Indexes)-len(chosen) && d.FitsIn(remaining) && (u.step().MaxPerWorker == 0 || stepTasks+n < u.step().MaxPerWorker) {
+		remaining = remaining.Sub(d)
+		n++
+	}
+	return w.FailureRisk / float64(n)
+}
+
 func refBetterFit(u *Unit, a, b *refWorker, remainingA, remainingB work.Shape) bool {
 	if u.Isolated && a.lossCost() != b.lossCost() {
 		return a.lossCost() < b.lossCost()
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -30,6 +30,9 @@
 	MustStartNow       bool              // has to start now, also spread over racks where it is slower
 	AnyRack            bool              // has waited long enough for a rack where it is not slower
 	Failed             bool              // a run of the unit has failed
+	Careful            bool              // goes where its members are least likely to fail
+	MaxRisk            float64           // highest FailureRisk of its workers; 0 for no bound
+	AcceptsSuspects    bool              // has waited long enough: suspect workers and MaxRisk do not bound it
 	Isolated           bool              // may crash its workers: nothing else starts there in the same pass
 	AvoidsRecentStarts bool              // isolated, and waits for workers on which nothing has just started
 	CompletesGang      bool              // holds the missing members of a gang that has partly started
@@ -61,6 +64,13 @@
 type Plan struct {
 	Placements []Placement
 	Stops      []work.RunKey
+	Held       []StepKey // that would have started units if these accepted suspects
+}
+
+// StepKey identifies a step of an occurrence of a job.
+type StepKey struct {
+	Job              string
+	Occurrence, Step int
 }
 
 // sortUnits sorts units by precedence: by priority, then units within a guarantee
