--- a/leader/soundness.go
+++ b/leader/soundness.go
@@ -98,7 +98,7 @@
 		return
 	}
 	p := w.trackers[k]
-	if s.job.Steps[k.Task.Step].Gang && (p == nil || !p.hasProgressed()) {
+	if s.job.Steps[k.Task.Step].Gang && (p == nil || !p.risen) {
 		return
 	}
 	if p != nil && now.Sub(p.startedAt) < soundness.ProofAge/2 {
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -23,39 +23,79 @@
 	// maxDoublings bounds the doublings of that time. It allows for a task of two days that
 	// declares a second.
 	maxDoublings = 10
+	// gapFactor multiplies the longest time between two rises so far: a percentage may rise
+	// in large steps, or be read once a second.
+	gapFactor = 2
+	// maxInheritedPause bounds the time that an inherited run without a declared duration is
+	// given.
+	maxInheritedPause = time.Minute
 )
 
 // tracker tracks the progress of a run.
+//
+// The speed of a run is measured from a rise of its percentage, or from its start. A run
+// that resumes shows its saved progress some time after its first report, and a run that
+// an earlier leader has placed is first reported anywhere between two rises. In both
+// cases, the first rise shows nothing about the speed and only begins the measurement.
 type tracker struct {
-	startedAt    time.Time // time of the first report
-	firstPercent int       // progress in the first report
+	startedAt    time.Time // begin of the measurement: time of the first report, or of the first rise
+	firstPercent int       // progress at startedAt
 	percent      int
-	progressedAt time.Time // when percent last rose
-	forecastEnd  time.Time // set once the run is expected to end soon
-	stalls       int       // earlier runs of the task that were stopped without progress
+	progressedAt time.Time     // when percent last rose
+	forecastEnd  time.Time     // set once the run is expected to end soon
+	stalls       int           // earlier runs of the task that were stopped without progress
+	midway       bool          // the measurement begins with the next rise
+	inherited    bool          // an earlier leader has placed the run
+	seenAt       time.Time     // time of the first report
+	workedBefore time.Duration // working time before startedAt, as far as known
+	risen        bool          // the progress has risen since the first report
+	longestPace  time.Duration // time per percent since its job was accepted, at the first report of an inherited run
+	rises        int           // since startedAt
+	longestGap   time.Duration // between two rises, and between startedAt and the first one
 }
 
 // observe records the progress of the run.
 func (p *tracker) observe(percent int, now time.Time) {
 	if p.startedAt.IsZero() {
-		p.startedAt, p.firstPercent, p.percent, p.progressedAt = now, percent, percent, now
+		p.seenAt, p.startedAt, p.firstPercent, p.percent, p.progressedAt = now, now, percent, percent, now
 		return
 	}
-	if percent > p.percent {
-		p.percent, p.progressedAt = percent, now
+	if percent <= p.percent {
+		return
+	}
+	p.risen = true
+	if p.midway {
+		p.workedBefore += now.Sub(p.startedAt)
+		p.startedAt, p.firstPercent, p.percent, p.progressedAt, p.midway = now, percent, percent, now, false
+		return
 	}
+	p.rises++
+	p.longestGap = max(p.longestGap, now.Sub(p.progressedAt))
+	p.percent, p.progressedAt = percent, now
 }
 
-// hasProgressed reports whether the progress has risen since the first report.
+// hasProgressed reports whether the progress has risen since the measurement began.
 func (p *tracker) hasProgressed() bool { return p.percent > p.firstPercent }
 
+// hasWorked reports whether the run has worked, rather than waited for other members of
+// its gang since its start.
+func (p *tracker) hasWorked() bool {
+	return p.risen || (p.inherited && p.percent > 0)
+}
+
 // maxPause returns the longest time between two rises of the progress that the speed of
-// the run explains. Before any progress, only the estimate is known, which may be missing
-// or wrong by any factor, so each earlier run that was stopped doubles the time.
+// the run explains. The first rises may be far apart from the average, so the estimate
+// counts as well, and half as much with each further rise. Before any progress, only the
+// estimate is known, which may be missing or wrong by any factor, so each earlier run that
+// was stopped doubles the time.
 func (p *tracker) maxPause(estimate time.Duration) time.Duration {
 	if p.hasProgressed() {
 		average := p.progressedAt.Sub(p.startedAt) / time.Duration(p.percent-p.firstPercent)
-		return max(minStallTime, stallFactor*average)
+		expected := min(estimate, maxEstimate) / completePercent >> min(p.rises-1, maxDoublings)
+		return max(minStallTime, stallFactor*average, stallFactor*expected, gapFactor*p.longestGap)
+	}
+	if estimate == 0 && p.longestPace > 0 {
+		return min(max(minStallTime, stallFactor*p.longestPace), maxInheritedPause) << min(p.stalls, maxDoublings)
 	}
 	pause := max(minStallTime, stallFactor*estimateFactor*min(cmp.Or(estimate, defaultEstimate), maxEstimate)/100)
 	return pause << min(p.stalls, maxDoublings)
@@ -79,7 +119,7 @@
 	if checkpointing {
 		return 0 // the run saves a checkpoint when it is stopped
 	}
-	return p.progressedAt.Sub(p.startedAt)
+	return p.workedBefore + p.progressedAt.Sub(p.startedAt)
 }
 
 // endsWithin reports whether the run is expected to end within d, for which its speed
@@ -121,23 +161,18 @@
 	}
 	p := w.trackers[run.Key]
 	if p == nil {
-		p = &tracker{stalls: task.Stalls}
+		p = t.newTracker(w, run, step, task, now)
 		w.trackers[run.Key] = p
-		if w.placedAt[run.Key].Equal(t.elected) {
-			// An earlier leader has placed the run; its progress indicates when it
-			// started.
-			w.placedAt[run.Key] = now.Add(-step.Estimate * time.Duration(run.Percent) / completePercent)
-		}
 	}
 	p.observe(run.Percent, now)
-	if step.Gang && p.percent == p.firstPercent && !t.allMembersSeen(s, run.Key) {
+	if step.Gang && !p.hasWorked() && !t.allMembersSeen(s, run.Key) {
 		p.progressedAt = now // waiting for other members is not a fault of the worker
-		if now.Sub(p.startedAt) > t.cfg.gangTimeout() && !task.Stopping {
+		if now.Sub(p.seenAt) > t.cfg.gangTimeout() && !task.Stopping {
 			t.stopGang(s, run.Key.Task, "a gang member has not started in time")
 		}
 		return
 	}
-	stalled := p.stalledFor(step.Estimate, now)
+	stalled := p.stalledFor(t.expectedStepDuration(s.job, run.Key.Task.Step), now)
 	if stalled == 0 || task.Stopping {
 		return
 	}
@@ -153,6 +188,21 @@
 	}
 }
 
+// newTracker returns the tracker of a run that is reported for the first time.
+func (t *term) newTracker(w *workerState, run work.RunStatus, step work.Step, task *work.Task, now time.Time) *tracker {
+	p := &tracker{stalls: task.Stalls, midway: task.Checkpoint != ""}
+	if w.placedAt[run.Key].Equal(t.elected) {
+		// An earlier leader has placed the run; its progress indicates when it started.
+		p.midway, p.inherited = true, true
+		p.workedBefore = step.Estimate * time.Duration(run.Percent) / completePercent
+		w.placedAt[run.Key] = now.Add(-p.workedBefore)
+		if run.Percent > 0 {
+			p.longestPace = min(time.Since(queuedSince(t.jobs[run.Key.Task.Job].job, run.Key.Task.Occurrence)), maxEstimate) / time.Duration(run.Percent)
+		}
+	}
+	return p
+}
+
 // recordStall counts a run that is stopped without progress, for all members of a gang.
 func recordStall(s *jobState, k work.TaskKey) {
 	s.dirty = true
