--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -47,7 +47,9 @@
 	Labels          []string
 	Capacity        work.Shape
 	Schedulable     bool    // accepts new tasks
-	Suspect         bool    // the last run that ended by itself there failed
+	Suspect         bool    // probably fails the next run; it gets one run at a time until one has worked
+	Probing         bool    // suspect, and a run there has not shown yet whether it fails
+	FailureRisk     float64 // probability that it fails the next run
 	StartedRecently bool    // a run has just started there, so that a crash would not point to another one
 	Speed           float64 // relative to the mean of its service; 0 counts as 1, if it is unknown
 	Slow            bool    // too slow for the objectives of some of its service's work; other work prefers it
