--- a/event/leader.go
+++ b/event/leader.go
@@ -27,6 +27,8 @@
 	LeaderLost           Event = 1151
 	LeaderResigned       Event = 1152
 	LeaderCommitFailed   Event = 1153
+	LeaderSuspended      Event = 1154
+	LeaderContinued      Event = 1155
 	LeaderPlaced         Event = 1160
 	LeaderStopped        Event = 1161
 	LeaderRunEnded       Event = 1162
@@ -75,6 +77,8 @@
 	LeaderLost:           {"LeaderLost", zerolog.WarnLevel, "This entry is no longer the leader."},
 	LeaderResigned:       {"LeaderResigned", zerolog.InfoLevel, "This entry has stepped down as leader."},
 	LeaderCommitFailed:   {"LeaderCommitFailed", zerolog.WarnLevel, "A commit of progress got no response; it is retried."},
+	LeaderSuspended:      {"LeaderSuspended", zerolog.WarnLevel, "The lease of the leader has expired by its own clock. It orders nothing until it has renewed the lease."},
+	LeaderContinued:      {"LeaderContinued", zerolog.InfoLevel, "A suspended leader has renewed its lease; no other entry has led meanwhile."},
 	LeaderPlaced:         {"LeaderPlaced", zerolog.InfoLevel, "The start of a run is recorded, and the worker was asked to start it."},
 	LeaderStopped:        {"LeaderStopped", zerolog.InfoLevel, "A run is being stopped."},
 	LeaderRunEnded:       {"LeaderRunEnded", zerolog.InfoLevel, "The leader has processed the end of a run."},
--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -173,9 +173,9 @@
 // returns the revision to continue from. After a failure this is the same revision,
 // unless the store has discarded the history since.
 func (f *Follower) applyNextChanges(ctx context.Context, revision uint64) (uint64, error) {
-	requestedAt := uptime.Now()
 	watchCtx, end := f.delivery.watch(ctx)
-	changes, next, err := f.store.Watch(watchCtx, f.prefix, revision, f.nextWatchTimeout())
+	r := f.watch(watchCtx, revision)
+	changes, next, err := r.changes, r.next, r.err
 	if end() && err != nil {
 		err = errUndelivered
 	}
@@ -192,23 +192,26 @@
 		f.applyIfNewer(c)
 	}
 	f.delivery.reached(next)
-	f.markFresh(requestedAt)
+	f.markFresh(r.requestedAt)
 	if len(changes) > 0 {
 		f.waitForBatch(ctx)
 	}
 	return next, nil
 }
 
-// nextWatchTimeout returns how long the next watch waits at the store. The first one
-// after a failure does not wait, because its reply shows that the store is back and the
-// copy is fresh: until then callers are refused.
-func (f *Follower) nextWatchTimeout() time.Duration {
+// watch makes one watch. After a failure it makes probes instead, which do not wait at the
+// store, because the first reply shows that the store is back and the copy is fresh: until
+// then callers are refused.
+func (f *Follower) watch(ctx context.Context, revision uint64) probeReply {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.healthy {
-		return 0
+	healthy := f.healthy
+	f.mu.Unlock()
+	if !healthy {
+		return f.probe(ctx, revision)
 	}
-	return f.watchTimeout
+	r := probeReply{requestedAt: uptime.Now()}
+	r.changes, r.next, r.err = f.store.Watch(ctx, f.prefix, revision, f.watchTimeout)
+	return r
 }
 
 // applyIfNewer applies a change unless the copy has the same or a later version.
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -307,3 +307,48 @@
 	require.Eventually(t, func() bool { return c.NumJobs() == 0 }, 5*time.Second, 5*time.Millisecond, "%d entries are left", c.NumJobs())
 	require.Empty(t, c.TakeChanged())
 }
+
+// silentProbe is a store whose watches after the first get no reply, except for one.
+type silentProbe struct {
+	rosemarysill.TransactionalStore
+	mu       sync.Mutex
+	calls    int
+	answered int // number of the call that gets a reply
+	reached  chan struct{}
+}
+
+func (s *silentProbe) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]rosemarysill.Change, uint64, error) {
+	s.mu.Lock()
+	s.calls++
+	n := s.calls
+	s.mu.Unlock()
+	switch {
+	case n == 1:
+		return nil, after, rosemarysill.ErrStoreUnavailable
+	case n < s.answered:
+		<-ctx.Done() // only the follower itself ends the call
+		return nil, after, ctx.Err()
+	case n == s.answered:
+		close(s.reached)
+	}
+	return s.TransactionalStore.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against a follower that waits for calls that were sent during an outage although
+// the store replies to later ones.
+func TestProbesDoNotWaitForEarlierOnes(t *testing.T) {
+	s := &silentProbe{TransactionalStore: standin.NewTransactions().View("v"), answered: 4, reached: make(chan struct{})}
+	recovered := make(chan struct{}, 1)
+	follower := jobstore.NewFollower(s, "p/", func(rosemarysill.Change) {}, func(error) {}, func() { recovered <- struct{}{} })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); follower.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	for _, c := range []chan struct{}{s.reached, recovered} {
+		select {
+		case <-c:
+		case <-time.After(testTimeout):
+			require.FailNow(t, "the follower waits for calls without a reply")
+		}
+	}
+}
--- a/leader/attach.go
+++ b/leader/attach.go
@@ -7,7 +7,6 @@
 
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/schedule"
-	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -99,7 +98,7 @@
 	t := s.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.over || !uptime.Now().Before(t.leaseExpiry) {
+	if !t.holdsLease() {
 		return control.Orders{}, false
 	}
 	o := control.Orders{Epoch: t.rec.Epoch, Echo: s.stamp, ExtendsLease: true, Incarnation: s.incarnation}
@@ -128,7 +127,7 @@
 
 // addRunOrder adds the start or stop of a run that is placed on the worker. A start is
 // ordered only once the placement is committed, and not if the worker lists the run, the
-// task is done, or the run will be taken for lost because the leases have lapsed. It is
+// task is done, the copies may lack a cancellation or a domain that was taken out, or the run will be taken for lost because the leases have lapsed. It is
 // deferred if the starts in the message, which have startBytes, leave no room for it: the
 // next report shows that some of them have been carried out.
 func (t *term) addRunOrder(o *control.Orders, startBytes *int, w *workerState, k work.RunKey, listed bool) {
@@ -140,7 +139,7 @@
 		o.Stops = append(o.Stops, k)
 		return
 	}
-	if listed || task.Done || w.LeasesLapsed || !t.isCommitted(s, k, w.Incarnation) {
+	if listed || task.Done || w.LeasesLapsed || t.copiesOutdated || !t.isCommitted(s, k, w.Incarnation) {
 		return
 	}
 	*startBytes += len(s.job.Spec) + len(task.Checkpoint) + len(task.Ticket)
--- a/leader/candidate.go
+++ b/leader/candidate.go
@@ -56,8 +56,13 @@
 	if c.vacantSince.IsZero() {
 		c.vacantSince = now
 	}
-	deferring := c.isOutranked(entries) || (!c.slowAt.IsZero() && now.Sub(c.slowAt) < slowBackoff)
-	return !deferring || now.Sub(c.vacantSince) >= deferToStronger
+	return !c.defers(entries, now) || now.Sub(c.vacantSince) >= deferToStronger
+}
+
+// defers reports whether the entry first leaves a vacancy to others: to a stronger entry,
+// or to any after it stepped down as too slow. entries includes this entry.
+func (c *candidate) defers(entries []jobstore.LeaderRecord, now time.Time) bool {
+	return c.isOutranked(entries) || (!c.slowAt.IsZero() && now.Sub(c.slowAt) < slowBackoff)
 }
 
 // observeLeader records that there is a leader.
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -21,6 +21,9 @@
 	maxBatchJobs = 15
 	// commitRetryDelay is the delay before a commit is repeated.
 	commitRetryDelay = 30 * time.Millisecond
+	// commitLogInterval is the least time between two lines about the failures of one
+	// commit. A store that refuses calls may do so for as long as maxSuspension.
+	commitLogInterval = time.Second
 	// A commit is expected in the watch of the records within minDeliveryDelay, or within
 	// deliveryFactor times the duration of its call if the store is slow.
 	minDeliveryDelay = 150 * time.Millisecond
@@ -101,9 +104,12 @@
 		c.Guards = append(c.Guards, rosemarysill.Guard{Key: key, Version: ch.state.version})
 		c.Writes = append(c.Writes, rosemarysill.Write{Key: key, Value: ch.value})
 	}
+	var logged time.Time
 	for {
 		sent := uptime.Now()
-		revision, items, err := t.cfg.Store.Commit(ctx, c)
+		callCtx, end := t.contact.begin(ctx)
+		revision, items, err := t.cfg.Store.Commit(callCtx, c)
+		interrupted := end()
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -114,8 +120,13 @@
 			return nil
 		case errors.Is(err, rosemarysill.ErrVersion):
 			return t.resolveConflict(b, c, items)
+		case interrupted:
+			t.cfg.Log.Debug().Err(err).Msg("the store replies to later calls; the commit is repeated")
 		default:
-			event.LeaderCommitFailed.Log(t.cfg.Log).Int("Jobs", len(b.changes)).Err(err).Send()
+			if now := uptime.Now(); now.Sub(logged) >= commitLogInterval {
+				logged = now
+				event.LeaderCommitFailed.Log(t.cfg.Log).Int("Jobs", len(b.changes)).Err(err).Send()
+			}
 			uptime.Sleep(ctx, commitRetryDelay)
 		}
 	}
@@ -137,6 +148,9 @@
 		found[i.Key] = i
 	}
 	if version := found[jobstore.LeaderKey].Version; version != t.leaderVersion {
+		t.mu.Lock()
+		t.recordGone = version == 0
+		t.mu.Unlock()
 		return errors.Wrapf(errDeposed, "commit of %d jobs: leader record has version %d, expected %d", len(b.changes), version, t.leaderVersion)
 	}
 	for i, ch := range b.changes {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -128,7 +128,7 @@
 	for ctx.Err() == nil {
 		if l.mayCampaign() {
 			if t, err := l.elect(ctx); err == nil {
-				l.serveTerm(ctx, t)
+				l.serveTerms(ctx, t)
 				continue
 			} else if !errors.Is(err, rosemarysill.ErrVersion) && ctx.Err() == nil {
 				l.cfg.Log.Debug().Err(err).Msg("grant of the lease, or commit of the leader record, failed")
@@ -167,6 +167,41 @@
 		return nil, errors.Wrap(rosemarysill.ErrVersion, "another entry has become the leader")
 	}
 	epoch, epochVersion := l.cfg.Cache.Epoch()
+	return l.takeLead(ctx, requested, lease, vacancy, epoch, epochVersion)
+}
+
+// reelect tries to lead again at once after a term whose leader record has been removed,
+// as by the expiry of the lease in an outage. The copies may not show the removal yet, but
+// the guards hold only if no other entry has been elected since: the epoch was written
+// together with the record of that term. It returns nil if this entry may not lead, or
+// another one does.
+func (l *Leader) reelect(ctx context.Context, earlier *term) *term {
+	if ctx.Err() != nil || !earlier.leaderRecordGone() || !l.mayLeadAgain() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, releaseCallTimeout)
+	defer cancel()
+	requested := uptime.Now()
+	lease, err := l.cfg.Store.Grant(ctx, l.ttl)
+	if err == nil {
+		var t *term
+		if t, err = l.takeLead(ctx, requested, lease, 0, earlier.rec.Epoch, earlier.leaderVersion); err == nil {
+			return t
+		}
+	}
+	l.cfg.Log.Debug().Err(err).Msg("the former leader was not elected again at once")
+	return nil
+}
+
+// mayLeadAgain reports whether this entry leaves a vacancy to no other.
+func (l *Leader) mayLeadAgain() (may bool) {
+	l.candidate.do(func(c *candidate) { may = !c.defers(l.cfg.Cache.Entries(), uptime.Now()) })
+	return may
+}
+
+// takeLead writes the leader record under the lease and the next epoch. vacancy and
+// epochVersion are the versions of the records that it replaces.
+func (l *Leader) takeLead(ctx context.Context, requested time.Time, lease rosemarysill.LeaseID, vacancy, epoch, epochVersion uint64) (*term, error) {
 	rec := l.cfg.leaderRecord()
 	rec.Epoch = epoch + 1
 	recValue, err := jobstore.EncodeLeader(rec)
@@ -215,6 +250,18 @@
 	}
 }
 
+// serveTerms leads until a term ends and this entry is not elected again at once.
+func (l *Leader) serveTerms(ctx context.Context, t *term) {
+	for t != nil {
+		l.serveTerm(ctx, t)
+		if t = l.reelect(ctx, t); t == nil {
+			// The cache may still show the leader record of this entry, which expires with
+			// the lease. Until then this entry does not campaign, so it pauses.
+			uptime.Sleep(ctx, electionRetryDelay)
+		}
+	}
+}
+
 // serveTerm leads until the term ends.
 func (l *Leader) serveTerm(ctx context.Context, t *term) {
 	event.LeaderElected.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).Send()
@@ -248,14 +295,10 @@
 		return
 	}
 	if steppedDown {
-		uptime.Sleep(ctx, electionRetryDelay)
 		return
 	}
 	event.LeaderLost.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).AnErr("Cause", t.cause()).Send()
 	l.releases.Go(func() { l.releaseLapsed(ctx, t.lease) })
-	// The cache may still show the leader record of this entry, which expires with the
-	// lease. Until then this entry does not campaign, so it pauses.
-	uptime.Sleep(ctx, electionRetryDelay)
 }
 
 var errNotLeader = errors.New("this entry is not the leader")
--- a/leader/term.go
+++ b/leader/term.go
@@ -71,6 +71,8 @@
 	leaseLost chan struct{} // signals that the lease has expired at the store
 	wake      chan struct{} // signals that there is something to decide
 
+	contact contact // with the store
+
 	mu                 sync.Mutex
 	leaseExpiry        time.Time // by the clock of this entry
 	jobs               map[string]*jobState
@@ -93,15 +95,21 @@
 	sweptAt            time.Time               // time of the last sweep; used by run only
 	endCause           error                   // why the term has ended
 	over               bool                    // the term has ended or is about to; it orders nothing any more
+	suspended          bool                    // the lease has expired by the clock of this entry; it may still be renewed
+	continuedAt        time.Time               // when the term last went on after a suspension
+	copiesOutdated     bool                    // the copies may lack changes that were made before continuedAt
+	recordGone         bool                    // the leader record was removed, and no other entry was seen to lead
 }
 
 func newTerm(cfg Config, rec jobstore.LeaderRecord, leaderVersion uint64, lease rosemarysill.LeaseID, leaseExpiry time.Time) *term {
-	return &term{
+	t := &term{
 		cfg: cfg, rec: rec, leaderVersion: leaderVersion, lease: lease, leaseExpiry: leaseExpiry, elected: uptime.Now(),
 		ended: make(chan struct{}), leaseLost: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
 		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), incompleteGangs: make(map[stepKey]bool), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
+	t.contact.observe(t.elected)
+	return t
 }
 
 // close ends the streams of agents. The lease may be released afterwards: a stream that
@@ -119,6 +127,14 @@
 	return t.endCause
 }
 
+// leaderRecordGone reports whether the leader record was removed, and no other entry was
+// seen to lead.
+func (t *term) leaderRecordGone() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recordGone
+}
+
 // recordEndCause records why the term ends, unless a cause is recorded already. The
 // caller then ends the term.
 func (t *term) recordEndCause(cause error) {
@@ -237,12 +253,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
+	copiesFresh := t.copiesFresh() // before the changes are taken, so that these are all there were
 	for id, e := range t.cfg.Cache.TakeChanged() {
 		t.merge(id, e)
 	}
+	t.recheckPlacements(copiesFresh)
 	t.expireWorkers(now)
 	t.giveUpJobs(now)
-	t.place(now)
+	if t.holdsLease() && !t.copiesOutdated {
+		t.place(now)
+	}
 	t.markCheckpoints(now)
 	return t.collectBatch()
 }
--- a/leader/wave.go
+++ b/leader/wave.go
@@ -48,6 +48,10 @@
 		return
 	}
 	for ctx.Err() == nil {
+		if !t.mayOrder() {
+			uptime.Sleep(ctx, wavePollInterval)
+			continue
+		}
 		waves := t.pendingWaves(ctx)
 		if len(waves) == 0 {
 			uptime.Sleep(ctx, wavePollInterval)
@@ -221,7 +225,7 @@
 
 // startMaintenance orders the maintenance of a machine and records it.
 func (t *term) startMaintenance(ctx context.Context, s *waveState, m work.Machine) {
-	if t.fenced {
+	if t.fenced || !t.mayOrder() {
 		return
 	}
 	refusal, err := t.cfg.Machines.StartMaintenance(ctx, t.cfg.Name, t.rec.Epoch, m.Name, s.Number)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -32,6 +32,10 @@
 	renewalInterval = 100 * time.Millisecond
 	// redialInterval is the pause before a new stream to the leader is opened.
 	redialInterval = 100 * time.Millisecond
+	// refreshTimeout bounds the read of the leader record after a stream has failed. A
+	// store that is 60 times slower takes 240 ms. During an outage of the store the agent
+	// has no stream for as long, and the leader learns of no ends.
+	refreshTimeout = 300 * time.Millisecond
 	// orderRetryInterval is the pause before an order that had no effect is repeated.
 	orderRetryInterval = 100 * time.Millisecond
 	// maxOrdersInFlight bounds the number of orders that are executed concurrently.
@@ -155,6 +159,8 @@
 // refreshLeader reads the record of the leader after a stream has failed, because a
 // stalled watch would deliver a change of leader later.
 func (r *Runner) refreshLeader(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
 	rec, err := jobstore.ReadLeader(ctx, r.cfg.Store)
 	if err != nil {
 		event.RunnerStoreFailed.Log(r.cfg.Log).Err(err).Send()
