--- a/error.go
+++ b/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -10,6 +11,9 @@
 type Error struct {
 	Code   Code
 	Detail string
+	// RetryAfter is how long the author of a request that did not run should wait before
+	// it is repeated; 0 if that is not known.
+	RetryAfter time.Duration
 }
 
 // Error returns the code's name, number and detail.
@@ -47,3 +51,19 @@
 	}
 	return err.Error()
 }
+
+// NewRefusal returns an Error of a request that did not run and should be repeated after
+// the given time.
+func NewRefusal(code Code, retryAfter time.Duration, format string, args ...any) error {
+	return errors.WithStackDepth(&Error{Code: code, Detail: fmt.Sprintf(format, args...), RetryAfter: retryAfter}, 1)
+}
+
+// RetryAfterOf returns the time after which the request of the first Error in the chain
+// should be repeated, 0 if it is not known.
+func RetryAfterOf(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -248,8 +248,9 @@
 		return rec.State(), nil
 	}
 	// The cache may lag behind the store by a second. If the store cannot be read,
-	// the cached state is the latest known one.
-	if !rec.State().Final() {
+	// the cached state is the latest known one. It is told at once while
+	// there is no contact, because the caller would wait for a call that gets no reply.
+	if !rec.State().Final() && g.StoreReachable() {
 		readCtx, cancel := context.WithTimeout(ctx, progressReadTimeout)
 		defer cancel()
 		if err := rec.ReadProgress(readCtx, g.cfg.Store); err != nil {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -31,6 +31,7 @@
 	jobTimes    *prometheus.HistogramVec
 	crashAges   prometheus.Histogram
 	relayed     *prometheus.CounterVec
+	pauses      *prometheus.HistogramVec
 
 	mu       sync.Mutex
 	accounts map[string]bool // that have a label of their own
@@ -58,7 +59,11 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rosemarysill_relayed_total", Help: "Calls forwarded to another entry, by the reason and the result code of the other entry.",
 	}, []string{"reason", "code"})
-	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, newEventCollector())
+	m.pauses = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "rosemarysill_retry_after_seconds", Help: "Pauses that refused callers were told, by result code.",
+		Buckets: []float64{1, 2, 3, 4, 6, 8, 15, 30},
+	}, []string{"code"})
+	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, m.pauses, newEventCollector())
 	return m
 }
 
@@ -95,6 +100,13 @@
 	}
 }
 
+// ObservePause records the pause that a refused caller was told.
+func (m *Meter) ObservePause(code rosemarysill.Code, pause time.Duration) {
+	if m != nil {
+		m.pauses.WithLabelValues(code.String()).Observe(pause.Seconds())
+	}
+}
+
 // ExportConfiguration exports the version of the configuration that is in force, 0 if
 // there is none. It must be called at most once.
 func (m *Meter) ExportConfiguration(version func() int64) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -73,7 +73,7 @@
 		return err
 	}
 	apiServer := &http.Server{
-		Handler: platform.NewCallerHandler(forwarder), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: platform.NewCallerHandler(forwarder).WithRetryAfter(forwarder.RetryAfter), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	readyServer := &http.Server{Handler: readinessHandler(ctx, gw), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	rpcServer := control.NewServer(log)
--- a/relay/message.go
+++ b/relay/message.go
@@ -44,6 +44,13 @@
 	State   work.State
 	Pending int
 	Config  queue.ConfigID // configuration that has decided the call
+	// StoreAway reports that the entry that has answered is not in contact with the store.
+	// Entries of earlier versions do not say so.
+	StoreAway bool `json:",omitempty"`
+	// RetryAfter is that of the error, 0 if there is none.
+	RetryAfter time.Duration `json:",omitempty"`
+
+	lost bool // the entry has not answered
 }
 
 // relayServer is the service that grpc registers.
@@ -94,7 +101,7 @@
 	var decidedBy queue.ConfigID
 	r.Call.DecidedBy = &decidedBy
 	a := execute(ctx, l.local, r)
-	a.Config = decidedBy
+	a.Config, a.StoreAway = decidedBy, !l.local.StoreReachable()
 	return a
 }
 
@@ -114,7 +121,7 @@
 	default:
 		err = rosemarysill.NewError(rosemarysill.InvalidRequest, "unknown operation %q in a relayed call", r.Operation)
 	}
-	a.Code, a.Detail = rosemarysill.CodeOf(err), rosemarysill.DetailOf(err)
+	a.Code, a.Detail, a.RetryAfter = rosemarysill.CodeOf(err), rosemarysill.DetailOf(err), rosemarysill.RetryAfterOf(err)
 	return a
 }
 
@@ -122,5 +129,5 @@
 	if a.Code == rosemarysill.Done {
 		return nil
 	}
-	return rosemarysill.NewError(a.Code, "%s", a.Detail)
+	return rosemarysill.NewRefusal(a.Code, a.RetryAfter, "%s", a.Detail)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,9 @@
 	attemptTimeout = 700 * time.Millisecond
 	// answerReserve is the part of a caller's time that is kept for the answer.
 	answerReserve = 150 * time.Millisecond
+	// replyReserve is the part of an attempt that is kept for the reply of a peer. A peer
+	// that waits for the store until its deadline would otherwise never be heard.
+	replyReserve = 50 * time.Millisecond
 	// maxPeerAttempts bounds the number of peers that are tried for one call.
 	maxPeerAttempts = 4
 )
@@ -70,9 +73,10 @@
 // Relay is a queue.Jobs that serves calls at this entry, or at others when this
 // entry cannot reach the store.
 type Relay struct {
-	cfg   Config
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*grpc.ClientConn
+	cfg    Config
+	outage outage
+	mu     sync.Mutex
+	conns  map[netip.AddrPort]*grpc.ClientConn
 }
 
 var _ queue.Jobs = (*Relay)(nil)
@@ -106,7 +110,7 @@
 	}
 	a := r.call(ctx, Request{Operation: Submit, Call: c}, func(ctx context.Context, req Request) Answer {
 		err := r.cfg.Local.Submit(ctx, req.Call, decodeOnce)
-		return Answer{Code: rosemarysill.CodeOf(err), Detail: rosemarysill.DetailOf(err)}
+		return Answer{Code: rosemarysill.CodeOf(err), Detail: rosemarysill.DetailOf(err), RetryAfter: rosemarysill.RetryAfterOf(err)}
 	}, func(req *Request) error {
 		j, err := decodeOnce()
 		req.Job = j
@@ -162,13 +166,23 @@
 	if err := prepare(&req); err != nil {
 		return Answer{Code: rosemarysill.CodeOf(err), Detail: rosemarysill.DetailOf(err)}
 	}
-	for i, peer := range r.cfg.Peers() {
+	var said replies
+	peers := r.cfg.Peers()
+	if len(peers) == 0 && !reachable {
+		r.outage.observe(said, 0, time.Now())
+	}
+	if r.outage.isGeneral(time.Now()) {
+		peers = nil
+	}
+	for i, peer := range peers {
 		if i == maxPeerAttempts || time.Until(deadline) <= 0 || ctx.Err() != nil {
 			break
 		}
 		sent := time.Now()
 		a := attempt(ctx, req, deadline, func(ctx context.Context, req Request) Answer { return r.forward(ctx, peer, req) })
 		r.report(req, peer, a, reason, contactAge, time.Since(sent))
+		said.add(a)
+		r.outage.observe(said, len(peers), time.Now())
 		if !retryable(a.Code) {
 			r.cfg.Local.RaiseMinRevision(a.Config.Revision)
 			return finalAnswer(req.Operation, a, uncertain)
@@ -177,7 +191,8 @@
 		last = a
 	}
 	if !reachable && !uncertain {
-		last = attempt(ctx, req, deadline, serveLocal)
+		// Nobody else is tried after this entry, which may use the remaining time.
+		last = attemptWithin(ctx, time.Until(deadline), req, deadline, serveLocal)
 	}
 	return finalAnswer(req.Operation, last, uncertain)
 }
@@ -213,7 +228,12 @@
 
 // attempt calls serve with a deadline for one entry.
 func attempt(ctx context.Context, req Request, deadline time.Time, serve func(context.Context, Request) Answer) Answer {
-	req.Remaining = min(attemptTimeout, time.Until(deadline))
+	return attemptWithin(ctx, attemptTimeout, req, deadline, serve)
+}
+
+// attemptWithin calls serve with a deadline for one entry, which has at most the given time.
+func attemptWithin(ctx context.Context, limit time.Duration, req Request, deadline time.Time, serve func(context.Context, Request) Answer) Answer {
+	req.Remaining = min(limit, time.Until(deadline))
 	req.Call.Deadline = time.Now().Add(req.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, req.Call.Deadline)
 	defer cancel()
@@ -224,16 +244,17 @@
 func (r *Relay) forward(ctx context.Context, peer Peer, req Request) Answer {
 	conn, err := r.conn(peer.Address)
 	if err != nil {
-		return Answer{Code: rosemarysill.StoreUnavailable, Detail: err.Error()}
+		return Answer{Code: rosemarysill.StoreUnavailable, Detail: err.Error(), lost: true}
 	}
+	req.Remaining -= min(replyReserve, req.Remaining/2)
 	req.Call.RelayedBy, req.Call.MinRevision = r.cfg.Name, r.cfg.Local.MinRevision()
 	var a Answer
 	if err := conn.Invoke(ctx, "/"+serviceName+"/"+methodName, &req, &a); err != nil {
-		return Answer{Code: rosemarysill.OutcomeUnknown, Detail: err.Error()}
+		return Answer{Code: rosemarysill.OutcomeUnknown, Detail: err.Error(), lost: true}
 	}
 	// The least revision may have risen while the call was in progress.
 	if outdated(req.Operation, a, r.cfg.Local.MinRevision()) {
-		return Answer{Code: rosemarysill.StaleConfiguration, Detail: "entry " + peer.Name + " has answered by an older configuration", Config: a.Config}
+		return Answer{Code: rosemarysill.StaleConfiguration, Detail: "entry " + peer.Name + " has answered by an older configuration", Config: a.Config, StoreAway: a.StoreAway}
 	}
 	return a
 }
