--- a/event/leader.go
+++ b/event/leader.go
@@ -13,6 +13,7 @@
 	QueueUnknown         Event = 1113
 	QueueRelayed         Event = 1114
 	QueueAnswered        Event = 1115
+	QueueMarked          Event = 1116
 	QueueConfigured      Event = 1120
 	QueueConfigBad       Event = 1121
 	QueueDomainOut       Event = 1122
@@ -63,6 +64,7 @@
 	QueueUnknown:         {"QueueUnknown", zerolog.WarnLevel, "It is not known whether a request took effect."},
 	QueueRelayed:         {"QueueRelayed", zerolog.InfoLevel, "A request was forwarded to another entry. Reason is StoreContactLost, or the code of the attempt at this entry; OwnVersion and Version are those of the configurations of this entry and of the other one."},
 	QueueAnswered:        {"QueueAnswered", zerolog.InfoLevel, "The state of a job, or the number of pending jobs of a queue, was reported to a caller."},
+	QueueMarked:          {"QueueMarked", zerolog.InfoLevel, "A job is about to be refused after a write of it without a reply, or by the load: a mark in the store makes late writes fail. Accepted says that the job is on record; with a Cause the answer is that the outcome is unknown."},
 	QueueConfigured:      {"QueueConfigured", zerolog.InfoLevel, "A configuration is in force at this entry."},
 	QueueConfigBad:       {"QueueConfigBad", zerolog.ErrorLevel, "An operators' document cannot be decoded; the previous one stays in force."},
 	QueueDomainOut:       {"QueueDomainOut", zerolog.InfoLevel, "A failure domain was taken out of service."},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	// minRevision is the revision of the newest configuration by which other entries have
 	// answered callers of this one. Those callers may not be answered by an older one.
 	minRevision atomic.Uint64
+	marks       markLease
 }
 
 var _ queue.Jobs = (*Gateway)(nil)
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -43,10 +43,11 @@
 		return rosemarysill.NewError(rosemarysill.QueueFull, "the limit of %d jobs on record is reached", g.cfg.MaxJobs)
 	}
 	uncertain := false
+	var markVersion uint64
 	for {
 		j := *draft
 		applyQueue(&j, id, account, q)
-		err := g.writeJob(ctx, cfg, &j)
+		err := g.writeJob(ctx, cfg, &j, &markVersion)
 		if errors.Is(err, rosemarysill.ErrStoreUnavailable) {
 			uncertain = true
 		}
@@ -55,7 +56,7 @@
 		}
 		if cfg, q, account, _, err = g.admit(c); err != nil {
 			if uncertain {
-				return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "an earlier write of the job may have taken effect: %v", err)
+				return g.refuseMarked(ctx, c, id, err)
 			}
 			return err
 		}
@@ -75,19 +76,27 @@
 
 // writeJob records a job on the condition that the configuration is still the
 // latest one. A record that exists already was written by an earlier attempt of
-// the same request, so it counts as success.
-func (g *Gateway) writeJob(ctx context.Context, cfg *queue.Configuration, j *work.Job) error {
+// the same request, so it counts as success. A mark of an earlier refusal of the job is
+// replaced if it has the version markVersion; otherwise the attempt fails and markVersion is
+// set for the next one. Writes that were sent before the mark have another version as guard
+// and fail.
+func (g *Gateway) writeJob(ctx context.Context, cfg *queue.Configuration, j *work.Job, markVersion *uint64) error {
 	value, err := jobstore.EncodeJob(j)
 	if err != nil {
 		return rosemarysill.NewError(rosemarysill.InternalError, "encode job: %v", err)
 	}
-	key := jobstore.JobKey(j.ID)
-	sent := uptime.Now()
-	_, items, err := g.cfg.Store.Commit(ctx, rosemarysill.Commit{
-		Guards: []rosemarysill.Guard{{Key: cfg.Key, Version: cfg.Revision}, {Key: key}},
+	key, markKey := jobstore.JobKey(j.ID), jobstore.MarkKey(j.ID)
+	commit := rosemarysill.Commit{
+		Guards: []rosemarysill.Guard{{Key: cfg.Key, Version: cfg.Revision}, {Key: key}, {Key: markKey, Version: *markVersion}},
 		Writes: []rosemarysill.Write{{Key: key, Value: value}},
-	})
+	}
+	if *markVersion != 0 {
+		commit.Remove = []string{markKey}
+	}
+	sent := uptime.Now()
+	_, items, err := g.cfg.Store.Commit(ctx, commit)
 	if errors.Is(err, rosemarysill.ErrVersion) {
+		*markVersion = versionOf(items, markKey)
 		for _, i := range items {
 			if i.Key == key && i.Version != 0 {
 				return nil
--- a/queue/jobs.go
+++ b/queue/jobs.go
@@ -22,6 +22,9 @@
 	MinRevision uint64 `json:",omitempty"`
 	// DecidedBy is set to the configuration that has decided the call, if it is not nil.
 	DecidedBy *ConfigID `json:"-"`
+	// Marked is set to true, if it is not nil, when a submission is refused and no earlier
+	// write of its job, by any entry, can take effect any more.
+	Marked *bool `json:"-"`
 }
 
 // LastSegment returns the part of the path behind the last slash. This is the identifier
--- a/relay/message.go
+++ b/relay/message.go
@@ -50,6 +50,10 @@
 	// RetryAfter is that of the error, 0 if there is none.
 	RetryAfter time.Duration `json:",omitempty"`
 
+	// Marked reports that a submission is refused and no earlier write of its job can take
+	// effect any more.
+	Marked bool `json:",omitempty"`
+
 	lost bool // the entry has not answered
 }
 
@@ -99,8 +103,10 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Call.Deadline)
 	defer cancel()
 	var decidedBy queue.ConfigID
-	r.Call.DecidedBy = &decidedBy
+	var marked bool
+	r.Call.DecidedBy, r.Call.Marked = &decidedBy, &marked
 	a := execute(ctx, l.local, r)
+	a.Marked = marked
 	a.Config, a.StoreAway = decidedBy, !l.local.StoreReachable()
 	return a
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -208,9 +208,10 @@
 
 // finalAnswer replaces an answer that claims that a request had no effect if an
 // earlier attempt may have taken effect, because a later refusal by another entry
-// does not rule that out. Status never has an effect.
+// does not rule that out. A refusal that has left a mark in the store does, because earlier
+// attempts are over by then. Status never has an effect.
 func finalAnswer(op Operation, a Answer, uncertain bool) Answer {
-	if op == Status || !uncertain || a.Code.Truth() != rosemarysill.TruthNotRun {
+	if op == Status || !uncertain || a.Marked || a.Code.Truth() != rosemarysill.TruthNotRun {
 		return a
 	}
 	return Answer{Code: rosemarysill.OutcomeUnknown, Detail: "an earlier attempt may have taken effect; last answer: " + a.Detail}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -30,6 +30,7 @@
 	cutOff bool    // from the store
 	raised *uint64 // revision that RaiseMinRevision was called with
 	least  *uint64 // MinRevision of the last call
+	marked bool    // refusals leave a mark
 
 	state    work.State  // answer to Status
 	known    work.State  // of the job, by the records of the entry
@@ -46,6 +47,9 @@
 	if s.code == rosemarysill.Done {
 		return nil
 	}
+	if s.marked && c.Marked != nil {
+		*c.Marked = true
+	}
 	return rosemarysill.NewError(s.code, "test")
 }
 
@@ -127,6 +131,25 @@
 	}
 }
 
+// Guards against an unknown outcome of a submission that a peer has refused for good: the
+// mark that it has left makes the write of this entry fail, if it comes late.
+func TestMarkedRefusalStands(t *testing.T) {
+	for name, tc := range map[string]struct {
+		peer stub
+		want rosemarysill.Code
+	}{
+		"marked":     {stub{code: rosemarysill.Overloaded, marked: true}, rosemarysill.Overloaded},
+		"not marked": {stub{code: rosemarysill.Overloaded}, rosemarysill.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRelay(t, stub{code: rosemarysill.OutcomeUnknown}, tc.peer, nil, zerolog.Nop())
+			call := queue.Call{Path: "/q/1", Deadline: time.Now().Add(20 * time.Second)}
+			err := r.Submit(context.Background(), call, func() (*work.Job, error) { return &work.Job{}, nil })
+			require.Equal(t, tc.want, rosemarysill.CodeOf(err))
+		})
+	}
+}
+
 // Guards against forwards that do not say why this entry did not answer itself, and which
 // configurations the two entries had.
 func TestForwardIsExplained(t *testing.T) {
