--- a/relay/message.go
+++ b/relay/message.go
@@ -44,6 +44,17 @@
 	State   work.State
 	Pending int
 	Config  queue.ConfigID // configuration that has decided the call
+	// StoreAway reports that the entry that has answered is not in contact with the store.
+	// Entries of earlier versions do not say so.
+	StoreAway bool `json:",omitempty"`
+	// RetryAfter is that of the error, 0 if there is none.
+	RetryAfter time.Duration `json:",omitempty"`
+
+	// Marked reports that a submission is refused and no earlier write of its job can take
+	// effect any more.
+	Marked bool `json:",omitempty"`
+
+	lost bool // the entry has not answered
 }
 
 // relayServer is the service that grpc registers.
@@ -92,9 +103,11 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Call.Deadline)
 	defer cancel()
 	var decidedBy queue.ConfigID
-	r.Call.DecidedBy = &decidedBy
+	var marked bool
+	r.Call.DecidedBy, r.Call.Marked = &decidedBy, &marked
 	a := execute(ctx, l.local, r)
-	a.Config = decidedBy
+	a.Marked = marked
+	a.Config, a.StoreAway = decidedBy, !l.local.StoreReachable()
 	return a
 }
 
@@ -114,7 +127,7 @@
 	default:
 		err = rosemarysill.NewError(rosemarysill.InvalidRequest, "unknown operation %q in a relayed call", r.Operation)
 	}
-	a.Code, a.Detail = rosemarysill.CodeOf(err), rosemarysill.DetailOf(err)
+	a.Code, a.Detail, a.RetryAfter = rosemarysill.CodeOf(err), rosemarysill.DetailOf(err), rosemarysill.RetryAfterOf(err)
 	return a
 }
 
@@ -122,5 +135,5 @@
 	if a.Code == rosemarysill.Done {
 		return nil
 	}
-	return rosemarysill.NewError(a.Code, "%s", a.Detail)
+	return rosemarysill.NewRefusal(a.Code, a.RetryAfter, "%s", a.Detail)
 }
