settings: memory and descriptors of the machine

Cause: limits on connections need the memory and the descriptors of the machine. The platform states them in its settings (memory-mb, max-fds); the product's own settings had no place for them, and max-fds was not kept.

Entries and agents have Limits.MemoryMB (2,048 and 1,024) and Limits.MaxDescriptors (8,192 and 4,096). Nothing uses the new values yet.

--- a/settings/agent.go
+++ b/settings/agent.go
@@ -19,14 +19,16 @@
 
 // AgentLimits are the resource limits of an agent. The comments state the defaults.
 type AgentLimits struct {
-	MaxBodyBytes   int `settings:"min=1,max=16777216"` // of a call or a task: 1 MiB
-	MaxAnswerBytes int `settings:"min=1,max=16777216"` // of an answer: 16 MiB
-	MaxEntries     int `settings:"min=1,max=64"`       // entries that receive heartbeats: 16
+	MemoryMB       int64 `settings:"min=64,max=1048576"`  // memory of the machine: 1,024 MiB
+	MaxDescriptors int   `settings:"min=256,max=1048576"` // open file descriptors of the process: 4,096
+	MaxBodyBytes   int   `settings:"min=1,max=16777216"`  // of a call or a task: 1 MiB
+	MaxAnswerBytes int   `settings:"min=1,max=16777216"`  // of an answer: 16 MiB
+	MaxEntries     int   `settings:"min=1,max=64"`        // entries that receive heartbeats: 16
 }
 
 // DefaultAgentLimits returns the default limits of an agent.
 func DefaultAgentLimits() AgentLimits {
-	return AgentLimits{MaxBodyBytes: 1 << 20, MaxAnswerBytes: 16 << 20, MaxEntries: 16}
+	return AgentLimits{MemoryMB: 1024, MaxDescriptors: 4096, MaxBodyBytes: 1 << 20, MaxAnswerBytes: 16 << 20, MaxEntries: 16}
 }
 
 // Agent holds the settings of an agent.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -23,6 +23,8 @@
 
 // EntryLimits are the resource limits of an entry. The comments state the defaults.
 type EntryLimits struct {
+	MemoryMB            int64         `settings:"min=64,max=1048576"`   // memory of the machine: 2,048 MiB
+	MaxDescriptors      int           `settings:"min=256,max=1048576"`  // open file descriptors of the process: 8,192
 	MaxBodyBytes        int           `settings:"min=1,max=16777216"`   // of a call: 1 MiB
 	MaxJobBodyBytes     int           `settings:"min=1,max=614400"`     // of a job: 512 KiB; the store accepts records of up to 1 MB
 	MaxAnswerBytes      int           `settings:"min=1,max=16777216"`   // of a call: 16 MiB
@@ -49,6 +51,8 @@
 // entries that share one store.
 func DefaultEntryLimits() EntryLimits {
 	return EntryLimits{
+		MemoryMB:            2048,
+		MaxDescriptors:      8192,
 		MaxBodyBytes:        1 << 20,
 		MaxJobBodyBytes:     512 << 10,
 		MaxAnswerBytes:      16 << 20,
