intake: limits on the connections of clients

Cause: a process took as many connections as came, kept a body for as long as its client liked, grew a buffer for each, decoded lists of any length, and opened a store connection for each request in progress. The gRPC servers bounded one message, but not their number, and the server between processes had no limits.

Change: package intake sizes the limits of a process by its memory and its descriptors and applies them to all servers. A new connection beyond the limit replaces the one that has had an unfinished request, or none, for longest. Bodies and incomplete gRPC messages draw on budgets as their bytes arrive; stalled ones, then those with the least progress for their age, give way. Pauses within a body, whole bodies and the reading of answers have timeouts. Requests in progress have slots. Accepted sockets have small receive buffers. Decoding a job stops at 64 steps. The product's server no longer takes the announced length of a body in advance, and a request counts as in progress only once its body has arrived.

A body that is late is answered with 429 (before: 413), a broken transfer with 400 (before: 413). Both promise that the request has not run.

peer.ServerConfig.Streams, which nothing set, is intake.MaxStreams (1,024 as before). The entry passes its log to its HTTP server.

--- a/caller/service.go
+++ b/caller/service.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/message"
 	"github.com/rs/zerolog"
 )
@@ -76,7 +77,7 @@
 		h.write(w, reply.Code, reply)
 		return nil, false
 	}
-	faults = append(faults, message.Decode(data, v)...)
+	intake.Decode(r, func() { faults = append(faults, message.Decode(data, v)...) })
 	switch {
 	case *id == uuid.Nil:
 		faults.Add("ID", "is missing")
--- a/cmd/rosemarysill/node.go
+++ b/cmd/rosemarysill/node.go
@@ -4,13 +4,13 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/logbook"
 	"github.com/rosemarysill/rosemarysill/node"
 	"github.com/rosemarysill/rosemarysill/platform"
@@ -43,7 +43,7 @@
 	if err != nil {
 		return rosemarysill.NewError(rosemarysill.InvalidSettings, "read settings file %q: %v", path, err)
 	}
-	limitMemory(n)
+	intake.LimitMemory(n.MemoryMB << 20)
 	n.MetricsPort = c.Metrics
 	ctx := shutdownContext()
 	go checkOnHangup(ctx, path, log.Logger)
@@ -53,16 +53,6 @@
 	return node.Agent(ctx, n, log.Logger)
 }
 
-// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the
-// VM's memory.
-const memoryLimitRatio = 0.6
-
-func limitMemory(n platform.Node) {
-	if n.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(n.MemoryMB<<20) * memoryLimitRatio))
-	}
-}
-
 // checkOnHangup reads the settings file at each SIGHUP and logs whether it is valid.
 // It applies no settings, because the addresses of a running process never change.
 func checkOnHangup(ctx context.Context, path string, log zerolog.Logger) {
--- a/cmd/rosemarysill/process.go
+++ b/cmd/rosemarysill/process.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/agent"
 	"github.com/rosemarysill/rosemarysill/entry"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/kvstore"
 	"github.com/rosemarysill/rosemarysill/message"
 	"github.com/rosemarysill/rosemarysill/peer"
@@ -86,9 +87,15 @@
 	defer store.Close()
 	opts = append(opts, rosemarysill.WithStore(store), rosemarysill.WithAgents(clients),
 		rosemarysill.WithPeers(clients), rosemarysill.WithPolicy(placement.New(placement.WithTimings(s.Timings))))
+	intake.LimitMemory(s.Limits.MemoryMB << 20)
 	return entry.New(entryConfig(s), opts...).Run(shutdownContext(), httpListener, grpcListener)
 }
 
+// machineLimits returns the limits on connections for a machine.
+func machineLimits(memoryMB int64, descriptors int) intake.Limits {
+	return intake.LimitsFor(memoryMB<<20, intake.Descriptors(descriptors))
+}
+
 func storeOptions(l settings.EntryLimits) kvstore.Options {
 	o := kvstore.DefaultOptions()
 	o.WritesPerS, o.ReadsPerS, o.CallTimeout = l.StoreWritesPerS, l.StoreReadsPerS, l.StoreTimeout
@@ -102,7 +109,10 @@
 		Limits: message.DefaultLimits(), Calls: upstream.DefaultLimits(),
 	}
 	cfg.Limits.BodyBytes = int64(s.Limits.MaxBodyBytes)*4/3 + 4096 // base64 adds a third; 4096 bytes for the other fields
-	cfg.Limits.HeldBytes = s.Limits.MaxHeldBytes
+	limits := machineLimits(s.Limits.MemoryMB, s.Limits.MaxDescriptors)
+	cfg.Limits.HeldBytes = min(s.Limits.MaxHeldBytes, limits.BodyBytes)
+	cfg.Limits.Connections = limits.Connections
+	cfg.Server = peer.ServerConfig{Connections: limits.RPCConnections, MessageBytes: limits.MessageBytes}
 	cfg.Limits.Requests = int64(s.Limits.MaxRequests)
 	cfg.Limits.ReadWithin, cfg.Limits.WriteWithin = s.Limits.ReadTimeout, s.Limits.WriteTimeout
 	d := &cfg.Calls.Dispatch
@@ -132,7 +142,9 @@
 	defer clients.Close()
 	a, closeBackEnd := newAgent(s, clients, opts)
 	defer closeBackEnd()
-	return a.Serve(shutdownContext(), l, peer.ServerConfig{})
+	intake.LimitMemory(s.Limits.MemoryMB << 20)
+	limits := machineLimits(s.Limits.MemoryMB, s.Limits.MaxDescriptors)
+	return a.Serve(shutdownContext(), l, peer.ServerConfig{Connections: limits.RPCConnections, MessageBytes: limits.MessageBytes})
 }
 
 // newAgent returns the agent and a function that closes the connections to its back
--- a/control/server.go
+++ b/control/server.go
@@ -15,9 +15,9 @@
 // NewServer returns a server for the calls of other processes of the system. It
 // recovers panics in handlers, so that a panic fails one call only. grpc-go does
 // not recover them: a message that causes a panic would end the process, and then
-// the next leader's, because its sender retries it there.
-func NewServer(log zerolog.Logger) *grpc.Server {
-	return grpc.NewServer(
+// the next leader's, because its sender retries it there. The options state the limits.
+func NewServer(log zerolog.Logger, opts ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append(opts,
 		grpc.UnaryInterceptor(func(ctx context.Context, r any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (a any, err error) {
 			defer recoverPanic(log, info.FullMethod, &err)
 			return next(ctx, r)
@@ -26,7 +26,7 @@
 			defer recoverPanic(log, info.FullMethod, &err)
 			return next(srv, s)
 		}),
-	)
+	)...)
 }
 
 // recoverPanic converts a panic into an error of the call. It has to be deferred.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,7 +35,8 @@
 	HTTP   netip.AddrPort // for callers and operators
 	GRPC   netip.AddrPort // for agents and other entries
 	Peers  []netip.AddrPort
-	Limits message.Limits  // of HTTP requests; default message.DefaultLimits
+	Limits message.Limits // of HTTP requests; default message.DefaultLimits
+	Server peer.ServerConfig
 	Calls  upstream.Limits // of the router; default upstream.DefaultLimits
 
 	MaxJobs         int           // jobs that are not final; default 10,000
@@ -140,13 +141,18 @@
 func (e *Entry) Run(ctx context.Context, httpListener, grpcListener net.Listener) error {
 	defer close(e.done)
 	e.started = e.opts.Now()
-	defer metric.Publish(e.cfg.Name, e.calls, e.jobs, e.routing)()
+	server := peer.NewServer(e.cfg.Server, peer.Handlers{Entry: e, Peer: e.members}, e.optionList()...)
+	callers := message.NewServer(e.Handler(), e.cfg.Limits, e.optionList()...)
+	defer metric.Publish(e.cfg.Name, e.calls, e.jobs, func() metric.Routing {
+		r := e.routing()
+		r.Connections = connections(callers.Counts(), server.Counts())
+		return r
+	})()
 	event.EntryStarted.Log(e.opts.Log).Str("Entry", e.cfg.Name).Str("ID", e.self.ID.String()).Send()
 
 	// The parts outlive ctx: requests in progress need them.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
-	server := peer.NewServer(peer.ServerConfig{}, peer.Handlers{Entry: e, Peer: e.members}, e.optionList()...)
 	watcher := kvstore.NewWatcher(e.opts.Store, job.Prefix, e.book.Update,
 		kvstore.WatcherOptions{ListEvery: time.Minute, Now: e.opts.Now, Log: e.opts.Log})
 	parts.Go(func() { _ = server.Run(serving, grpcListener) })
@@ -157,7 +163,7 @@
 	placed := make(chan struct{})
 	go func() { defer close(placed); e.placer.Run(placing) }()
 
-	err := message.NewServer(e.Handler(), e.cfg.Limits).Run(e.untilStop(ctx), httpListener)
+	err := callers.Run(e.untilStop(ctx), httpListener)
 
 	stopPlacing()
 	<-placed
--- a/entry/router.go
+++ b/entry/router.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/metric"
 	"github.com/rosemarysill/rosemarysill/upstream"
 )
@@ -35,3 +36,18 @@
 		LeaseGrants: c.Records.Grants, RecordsDropped: c.Records.Dropped,
 	}
 }
+
+// connections returns the sums of the counts of the entry's servers.
+func connections(servers ...intake.Counts) metric.Connections {
+	var c metric.Connections
+	for _, s := range servers {
+		c.Open += s.Open
+		c.Replaced += s.Replaced
+		c.Rejected += s.Rejected
+		c.BodyBytes += s.Held
+		c.BodiesDropped += s.Dropped
+		c.BodiesLate += s.Late
+		c.RequestsRefused += s.Busy
+	}
+	return c
+}
--- /dev/null
+++ b/intake/body.go
@@ -0,0 +1,225 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/event"
+)
+
+// segmentBytes is the size of the buffers into which bodies are read. A connection holds
+// one before the first byte arrives.
+const segmentBytes = 4 << 10
+
+var segments = sync.Pool{New: func() any { return new([segmentBytes]byte) }}
+
+type (
+	connKey    struct{}
+	requestKey struct{}
+)
+
+// request is an HTTP request under the limits of a gate.
+type request struct {
+	gate    *Gate
+	slots   *Slots
+	conn    *Conn // nil if the server has another listener
+	body    *share
+	entered bool
+}
+
+func newShare(drop func()) *share {
+	now := time.Now()
+	return &share{began: now, last: now, drop: drop}
+}
+
+// enter begins the execution. It returns false if the request is refused.
+func (q *request) enter(ctx context.Context) bool {
+	if q.entered {
+		return true
+	}
+	if !q.slots.Enter(ctx) {
+		return false
+	}
+	q.entered = true
+	if q.conn != nil {
+		q.conn.begin()
+	}
+	return true
+}
+
+// finish ends the execution and returns the memory of the body.
+func (q *request) finish() {
+	if q.entered {
+		q.slots.Leave()
+		if q.conn != nil {
+			q.conn.end()
+		}
+	}
+	q.gate.release(q.gate.bodies, q.body)
+}
+
+// ConnContext is for http.Server.ConnContext. It tells the handler the connection.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Refuse answers a request that was not executed with 503.
+func Refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Handler returns a handler that limits the requests in progress and the times of their
+// bodies and answers. The inner handler has to read bodies with Read. A request without a
+// body that is not admitted is answered by refuse.
+func (g *Gate) Handler(inner http.Handler, slots *Slots, refuse http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		q := &request{gate: g, slots: slots}
+		q.conn, _ = r.Context().Value(connKey{}).(*Conn)
+		// The deadline of the connection ends a read that waits for more of the body.
+		q.body = newShare(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+		defer q.finish()
+		// Deadlines are not supported by test recorders. After a request whose body the
+		// handler has not read, net/http reads up to 256 KiB of it.
+		if r.ContentLength != 0 {
+			_ = control.SetReadDeadline(time.Now().Add(g.limits.BodyPause))
+		} else if !q.enter(r.Context()) {
+			refuse(w, r)
+			return
+		}
+		inner.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestKey{}, q)))
+		_ = control.SetWriteDeadline(time.Now().Add(g.limits.AnswerTimeout))
+	})
+}
+
+// Read reads the body of a request of at most limit bytes until the deadline, and then
+// waits until the request may be executed. The memory of the body is part of the budget
+// until the handler returns. An error states that the request has not run: TooLarge,
+// Overloaded if the body was dropped, was late or the request was not admitted, and
+// InvalidRequest if the transfer failed otherwise. Without a gate only limit applies.
+func Read(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	q, ok := r.Context().Value(requestKey{}).(*request)
+	if !ok {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+		return data, readError(err, limit)
+	}
+	if r.ContentLength > limit {
+		return nil, rosemarysill.NewError(rosemarysill.TooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
+	}
+	control := http.NewResponseController(w)
+	data, err := q.read(control, http.MaxBytesReader(w, r.Body, limit), deadline)
+	if err != nil {
+		return nil, q.explain(err, limit)
+	}
+	// net/http watches the connection while the handler runs, and an expired deadline
+	// would cancel the request.
+	_ = control.SetReadDeadline(time.Time{})
+	if !q.enter(r.Context()) {
+		return nil, rosemarysill.NewError(rosemarysill.Overloaded, "too many requests in progress")
+	}
+	return data, nil
+}
+
+var errDropped = errors.New("the memory for bodies is used up")
+
+func (q *request) read(control *http.ResponseController, body io.Reader, deadline time.Time) ([]byte, error) {
+	if last := time.Now().Add(q.gate.limits.BodyTime); deadline.After(last) {
+		deadline = last
+	}
+	var full []*[segmentBytes]byte
+	current, used := segments.Get().(*[segmentBytes]byte), 0
+	defer func() {
+		segments.Put(current)
+		for _, s := range full {
+			segments.Put(s)
+		}
+	}()
+	for {
+		if used == segmentBytes {
+			full, current, used = append(full, current), segments.Get().(*[segmentBytes]byte), 0
+		}
+		next := time.Now().Add(q.gate.limits.BodyPause)
+		if next.After(deadline) {
+			next = deadline
+		}
+		_ = control.SetReadDeadline(next) // not supported by test recorders
+		n, err := body.Read(current[used:])
+		used += n
+		if n > 0 && !q.gate.draw(q.gate.bodies, q.body, int64(n), "body") {
+			return nil, errDropped
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return q.join(full, current[:used])
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// join returns the whole body, which is not dropped for others from now on.
+func (q *request) join(full []*[segmentBytes]byte, rest []byte) ([]byte, error) {
+	q.gate.mu.Lock()
+	dropped := q.body.dropped
+	q.body.complete = true
+	q.gate.mu.Unlock()
+	if dropped {
+		return nil, errDropped
+	}
+	var b bytes.Buffer
+	b.Grow(len(full)*segmentBytes + len(rest))
+	for _, s := range full {
+		b.Write(s[:])
+	}
+	b.Write(rest)
+	return b.Bytes(), nil
+}
+
+// explain returns the error of a body that did not arrive, and counts it.
+func (q *request) explain(err error, limit int64) error {
+	q.gate.mu.Lock()
+	dropped := q.body.dropped
+	q.gate.mu.Unlock()
+	q.gate.release(q.gate.bodies, q.body)
+	switch {
+	case dropped:
+		return rosemarysill.NewError(rosemarysill.Overloaded, "%v", errDropped)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.gate.counters.late.Add(1)
+		event.IntakeLate.Log(q.gate.log).Send()
+		return rosemarysill.NewError(rosemarysill.Overloaded, "the body did not arrive in time")
+	}
+	return readError(err, limit)
+}
+
+func readError(err error, limit int64) error {
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &large):
+		return rosemarysill.NewError(rosemarysill.TooLarge, "the body exceeds %d bytes", limit)
+	default:
+		return rosemarysill.NewError(rosemarysill.InvalidRequest, "the body was not received whole: %v", err)
+	}
+}
+
+// Decode runs f, which decodes the body of a request, when few others are decoded.
+func Decode(r *http.Request, f func()) {
+	if q, ok := r.Context().Value(requestKey{}).(*request); ok {
+		q.gate.decodings <- struct{}{}
+		defer func() { <-q.gate.decodings }()
+	}
+	f()
+}
--- /dev/null
+++ b/intake/budget.go
@@ -0,0 +1,89 @@
+package intake
+
+import "time"
+
+const (
+	// stallTime is the time without new bytes after which a body counts as stalled.
+	stallTime = 100 * time.Millisecond
+	// minAge is the least age in the comparison of two bodies, so that one that has just
+	// begun is not compared by a rate over almost no time.
+	minAge = 10 * time.Millisecond
+)
+
+// share is the part of a budget that one body, or the messages of one connection, hold.
+type share struct {
+	held     int64 // bytes
+	received int64 // bytes since began
+	began    time.Time
+	last     time.Time // of the latest bytes
+	complete bool      // is not dropped for others
+	dropped  bool
+	drop     func() // ends the transfer; called without locks
+}
+
+// progress is the mean rate of a share in bytes per second.
+func (s *share) progress(now time.Time) float64 {
+	return float64(s.received) / max(now.Sub(s.began), minAge).Seconds()
+}
+
+// worse reports whether s gives way before o: stalled ones first, and then the one with
+// the least progress for its age.
+func (s *share) worse(o *share, now time.Time) bool {
+	stalled, other := now.Sub(s.last) >= stallTime, now.Sub(o.last) >= stallTime
+	if stalled != other {
+		return stalled
+	}
+	return s.progress(now) < o.progress(now)
+}
+
+// budget divides a number of bytes among shares. It is not safe for concurrent use.
+type budget struct {
+	free   int64
+	shares map[*share]struct{}
+}
+
+func newBudget(size int64) *budget {
+	return &budget{free: size, shares: make(map[*share]struct{})}
+}
+
+// draw adds n bytes to a share. If they are not free, incomplete shares with less
+// progress are dropped. It returns those, and false if s itself has the least progress,
+// or too little could be freed; s is dropped then.
+func (b *budget) draw(s *share, n int64, now time.Time) (dropped []*share, ok bool) {
+	if s.dropped {
+		return nil, false
+	}
+	s.received += n
+	s.last = now
+	for b.free < n {
+		worst := s
+		for o := range b.shares {
+			if o != s && !o.complete && o.held > 0 && o.worse(worst, now) {
+				worst = o
+			}
+		}
+		b.release(worst)
+		worst.dropped = true
+		if worst == s {
+			return dropped, false
+		}
+		dropped = append(dropped, worst)
+	}
+	b.free -= n
+	s.held += n
+	b.shares[s] = struct{}{}
+	return dropped, true
+}
+
+// giveBack returns n bytes of a share.
+func (b *budget) giveBack(s *share, n int64) {
+	n = min(n, s.held)
+	s.held -= n
+	b.free += n
+}
+
+// release returns all bytes of a share.
+func (b *budget) release(s *share) {
+	b.giveBack(s, s.held)
+	delete(b.shares, s)
+}
--- a/message/answer.go
+++ b/message/answer.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/intake"
 )
 
 // Headers of an answer. They let the receiver prove that the answer is whole,
@@ -93,23 +93,10 @@
 	return id, nil
 }
 
-// Read reads a request's body of at most limit bytes until the deadline. It
-// clears the read deadline afterwards: net/http watches the connection for a
-// disconnect while the handler runs, and an expired deadline would cancel the
-// request in progress.
+// Read reads a request's body of at most limit bytes until the deadline, and
+// waits until the request may be executed. Server limits the memory of bodies.
 func Read(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(deadline) // not supported by test recorders
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return nil, rosemarysill.NewError(rosemarysill.TooLarge, "the request exceeds %d bytes", limit)
-		}
-		return nil, rosemarysill.NewError(rosemarysill.InvalidRequest, "the request was not received whole: %s", err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return data, nil
+	return intake.Read(w, r, limit, deadline)
 }
 
 // Write sends v with the status of the code and the headers that prove it
--- a/message/server.go
+++ b/message/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"log"
 	"net"
@@ -12,16 +13,17 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 )
 
 // Limits bound what a server accepts.
 type Limits struct {
 	HeaderBytes  int           // of a request's header
 	BodyBytes    int64         // of a request's body
-	HeldBytes    int64         // of all bodies held at a time
+	HeldBytes    int64         // of all bodies held at a time, those that have arrived in part included
 	Requests     int64         // in progress at a time
+	Connections  int           // open at a time; 0 stands for the default
 	ReadWithin   time.Duration // a client sends a request's header, and then its body, in this time
 	WriteWithin  time.Duration // a client takes an answer in this time
 	IdleFor      time.Duration // a connection without request is kept this long
@@ -38,6 +40,7 @@
 		BodyBytes:    1500 << 10,
 		HeldBytes:    256 << 20,
 		Requests:     4096,
+		Connections:  8192,
 		ReadWithin:   10 * time.Second,
 		WriteWithin:  30 * time.Second,
 		IdleFor:      2 * time.Minute,
@@ -50,8 +53,7 @@
 type Server struct {
 	limits   Limits
 	handler  http.Handler
-	requests *semaphore.Weighted
-	held     *semaphore.Weighted
+	gate     *intake.Gate
 	log      zerolog.Logger
 	stopping atomic.Bool
 	done     chan struct{}
@@ -59,16 +61,21 @@
 
 // NewServer returns a server of the handler that uses the Log of opts.
 func NewServer(handler http.Handler, limits Limits, opts ...rosemarysill.Option) *Server {
-	return &Server{
-		limits:   limits,
-		handler:  handler,
-		requests: semaphore.NewWeighted(limits.Requests),
-		held:     semaphore.NewWeighted(limits.HeldBytes),
-		log:      rosemarysill.NewOptions(opts...).Log,
-		done:     make(chan struct{}),
-	}
+	limits.Connections = cmp.Or(limits.Connections, DefaultLimits().Connections)
+	s := &Server{limits: limits, log: rosemarysill.NewOptions(opts...).Log, done: make(chan struct{})}
+	s.gate = intake.NewGate(intake.Limits{
+		Connections: limits.Connections, BodyBytes: limits.HeldBytes,
+		BodyPause: limits.ReadWithin, BodyTime: limits.ReadWithin, AnswerTimeout: limits.WriteWithin,
+	}, s.log)
+	s.handler = s.gate.Handler(handler, s.gate.NewSlots("callers", int(limits.Requests)), func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, r, rosemarysill.Overloaded, "too many requests in progress")
+	})
+	return s
 }
 
+// Counts returns the counts of the limits on connections.
+func (s *Server) Counts() intake.Counts { return s.gate.Counts() }
+
 // Done is closed when Run has returned.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
@@ -78,13 +85,14 @@
 	defer close(s.done)
 	server := &http.Server{
 		Handler:           s,
+		ConnContext:       intake.ConnContext,
 		ReadHeaderTimeout: s.limits.ReadWithin,
 		IdleTimeout:       s.limits.IdleFor,
 		MaxHeaderBytes:    s.limits.HeaderBytes,
 		ErrorLog:          log.New(faults{s.log}, "", 0),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l) }()
+	go func() { failed <- server.Serve(s.gate.Listen(l, "callers", s.limits.Connections)) }()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
@@ -120,24 +128,10 @@
 		s.refuse(w, r, rosemarysill.ShuttingDown, "the entry is shutting down")
 		return
 	}
-	if !s.requests.TryAcquire(1) {
-		s.refuse(w, r, rosemarysill.Overloaded, "too many requests in progress")
-		return
-	}
-	defer s.requests.Release(1)
-	size := r.ContentLength
-	if size > s.limits.BodyBytes {
+	if r.ContentLength > s.limits.BodyBytes {
 		s.refuse(w, r, rosemarysill.TooLarge, "the request exceeds the limit")
 		return
 	}
-	if size < 0 { // not announced
-		size = s.limits.BodyBytes
-	}
-	if !s.held.TryAcquire(size) {
-		s.refuse(w, r, rosemarysill.Overloaded, "the requests in progress are too large together")
-		return
-	}
-	defer s.held.Release(size)
 	s.handler.ServeHTTP(w, r)
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -13,6 +13,7 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/intake"
 )
 
 const (
@@ -103,6 +104,27 @@
 	}, func() float64 { return float64(version()) }))
 }
 
+// ExportIntake exports the counts of the limits on client connections. It must be called
+// at most once.
+func (m *Meter) ExportIntake(counts func() intake.Counts) {
+	if m == nil {
+		return
+	}
+	gauge := func(name, help string, value func(intake.Counts) int64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value(counts())) }))
+	}
+	counter := func(name, help string, value func(intake.Counts) int64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value(counts())) }))
+	}
+	gauge("rosemarysill_connections", "Open connections of clients and other processes.", func(c intake.Counts) int64 { return c.Open })
+	gauge("rosemarysill_body_bytes", "Memory of request bodies and of incomplete messages.", func(c intake.Counts) int64 { return c.Held })
+	counter("rosemarysill_connections_replaced_total", "Connections that were closed for new ones at the limit.", func(c intake.Counts) int64 { return c.Replaced })
+	counter("rosemarysill_connections_rejected_total", "New connections that were closed at the limit.", func(c intake.Counts) int64 { return c.Rejected })
+	counter("rosemarysill_bodies_dropped_total", "Bodies and messages that were dropped because the memory for them was used up.", func(c intake.Counts) int64 { return c.Dropped })
+	counter("rosemarysill_bodies_late_total", "Bodies that did not arrive in time.", func(c intake.Counts) int64 { return c.Late })
+	counter("rosemarysill_requests_refused_total", "Requests that were refused because too many were in progress.", func(c intake.Counts) int64 { return c.Busy })
+}
+
 // ObserveStart records the first start of a job.
 func (m *Meter) ObserveStart(account string, priority int, waited time.Duration) {
 	if m != nil {
--- a/metric/publish.go
+++ b/metric/publish.go
@@ -12,6 +12,18 @@
 	RecordReads    int
 	LeaseGrants    int
 	RecordsDropped int
+	Connections    Connections
+}
+
+// Connections holds the gauges and counters of the limits on connections.
+type Connections struct {
+	Open            int64
+	Replaced        int64
+	Rejected        int64
+	BodyBytes       int64
+	BodiesDropped   int64
+	BodiesLate      int64
+	RequestsRefused int64
 }
 
 // entries holds the metrics of the entries of this process by name. Only
@@ -57,6 +69,13 @@
 		Definition{"Routing.RecordReads", "reads", "Store reads for records of calls since the start of the process."},
 		Definition{"Routing.LeaseGrants", "writes", "Store leases granted for records of calls since the start of the process."},
 		Definition{"Routing.RecordsDropped", "records", "Records not resolved after an unresolved write, because too many records were waiting for resolution."},
+		Definition{"Routing.Connections.Open", "connections", "Open connections of clients, agents and other entries."},
+		Definition{"Routing.Connections.Replaced", "connections", "Connections closed for new ones at the limit since the start of the process."},
+		Definition{"Routing.Connections.Rejected", "connections", "New connections closed at the limit since the start of the process, because the requests of all others were being executed."},
+		Definition{"Routing.Connections.BodyBytes", "bytes", "Memory of request bodies and of incomplete messages."},
+		Definition{"Routing.Connections.BodiesDropped", "bodies", "Bodies and messages dropped since the start of the process because the memory for them was used up."},
+		Definition{"Routing.Connections.BodiesLate", "bodies", "Bodies that did not arrive in time since the start of the process."},
+		Definition{"Routing.Connections.RequestsRefused", "requests", "Requests refused since the start of the process because too many were in progress."},
 	)
 }
 
--- a/node/agent.go
+++ b/node/agent.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"sync"
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/meter"
 	"github.com/rosemarysill/rosemarysill/platform"
 	"github.com/rosemarysill/rosemarysill/runner"
+	"github.com/rosemarysill/rosemarysill/work"
 )
 
 // Agent runs the agent on a worker's machine until ctx is done. It needs no graceful
@@ -27,6 +30,12 @@
 	defer metricsServer.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	metricsServer.Go(func() { serveMetrics(ctx, netip.AddrPortFrom(n.IP, n.MetricsPort), meter.New(), log) })
-	return runner.New(runner.Config{Name: n.Name, Store: store, Runtime: worker, Register: platform.Register, Log: log}).Run(ctx, listeners[0])
+	gate, metrics := newGate(n, log), meter.New()
+	metrics.ExportIntake(gate.Counts)
+	metricsServer.Go(func() { serveMetrics(ctx, netip.AddrPortFrom(n.IP, n.MetricsPort), metrics, gate, log) })
+	register := func(r work.Registrar) http.Handler {
+		return gate.Handler(platform.Register(r), gate.NewSlots("worker", gate.Limits().SmallConnections), intake.Refuse)
+	}
+	return runner.New(runner.Config{Name: n.Name, Store: store, Runtime: worker, Register: register, Log: log}).
+		Run(ctx, gate.Listen(listeners[0], "worker", gate.Limits().SmallConnections))
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -18,6 +18,7 @@
 	"github.com/rosemarysill/rosemarysill/declaration"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/gateway"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/leader"
 	"github.com/rosemarysill/rosemarysill/meter"
@@ -72,13 +73,13 @@
 	if err != nil {
 		return err
 	}
-	apiServer := &http.Server{
-		Handler: platform.NewCallerHandler(forwarder), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	readyServer := &http.Server{Handler: readinessHandler(ctx, gw), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	rpcServer := control.NewServer(log)
+	gate := newGate(n, log)
+	metrics.ExportIntake(gate.Counts)
+	apiServer := newHTTPServer(gate, "callers", gate.Limits().Requests, platform.NewCallerHandler(forwarder))
+	readyServer := newHTTPServer(gate, "readiness", gate.Limits().SmallConnections, readinessHandler(ctx, gw))
+	rpcServer := control.NewServer(log, gate.RPCOptions()...)
 	control.Register(rpcServer, candidate)
-	relay.Register(rpcServer, gw)
+	relay.Register(rpcServer, gw, gate.NewSlots("relayed", gate.Limits().Requests))
 
 	event.QueueStarted.Log(log).Str("Entry", n.Name).Str("Domain", n.Domain).Send()
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
@@ -91,11 +92,15 @@
 			event.QueueStoreLost.Log(log).Str("Entry", n.Name).Err(err).Send()
 		})
 	})
-	goroutines.Go(func() { serveMetrics(serveCtx, netip.AddrPortFrom(n.IP, n.MetricsPort), metrics, log) })
+	goroutines.Go(func() { serveMetrics(serveCtx, netip.AddrPortFrom(n.IP, n.MetricsPort), metrics, gate, log) })
 	failed := make(chan error, 3)
-	goroutines.Go(func() { failed <- ignoreServerClosed(apiServer.Serve(listeners[0])) })
-	goroutines.Go(func() { failed <- ignoreServerClosed(readyServer.Serve(listeners[1])) })
-	goroutines.Go(func() { failed <- rpcServer.Serve(listeners[2]) })
+	goroutines.Go(func() {
+		failed <- ignoreServerClosed(apiServer.Serve(gate.Listen(listeners[0], "callers", gate.Limits().Connections)))
+	})
+	goroutines.Go(func() {
+		failed <- ignoreServerClosed(readyServer.Serve(gate.Listen(listeners[1], "readiness", gate.Limits().SmallConnections)))
+	})
+	goroutines.Go(func() { failed <- rpcServer.Serve(gate.ListenRPC(listeners[2], "internal")) })
 
 	select {
 	case <-ctx.Done():
@@ -113,6 +118,20 @@
 	return err
 }
 
+// newGate returns the limits on the connections of a process.
+func newGate(n platform.Node, log zerolog.Logger) *intake.Gate {
+	return intake.NewGate(intake.LimitsFor(n.MemoryMB<<20, intake.Descriptors(n.MaxDescriptors)), log)
+}
+
+// newHTTPServer returns a server under the limits of a gate, with a limit of requests in
+// progress.
+func newHTTPServer(gate *intake.Gate, name string, requests int, h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: gate.Handler(h, gate.NewSlots(name, requests), intake.Refuse), ConnContext: intake.ConnContext,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // peers returns the other entries, the leader first.
 func peers(c *jobstore.Cache, self string) []relay.Peer {
 	var all []relay.Peer
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/meter"
 )
 
@@ -17,7 +18,7 @@
 
 // serveMetrics serves the metrics of a process until ctx is done. If it fails, it
 // logs the error, and the process runs without them.
-func serveMetrics(ctx context.Context, address netip.AddrPort, m *meter.Meter, log zerolog.Logger) {
+func serveMetrics(ctx context.Context, address netip.AddrPort, m *meter.Meter, gate *intake.Gate, log zerolog.Logger) {
 	l, err := listen(address)
 	if err != nil {
 		event.NodeNoFigures.Log(log).Err(err).Send()
@@ -25,10 +26,10 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, m.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	server := newHTTPServer(gate, "metrics", gate.Limits().SmallConnections, mux)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // makes Serve return
 	defer stop()
-	if err := server.Serve(l[0]); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(gate.Listen(l[0], "metrics", gate.Limits().SmallConnections)); !errors.Is(err, http.ErrServerClosed) {
 		event.NodeNoFigures.Log(log).Err(err).Send()
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,8 +7,8 @@
 
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/peer/peerpb"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 )
@@ -22,18 +22,16 @@
 
 // ServerConfig bounds a server. Zero values stand for the defaults.
 type ServerConfig struct {
-	Connections int           // at a time; default 4,096
-	Streams     uint32        // requests at a time on one connection; default 1,024
-	StopWithin  time.Duration // time limit for the requests in progress at shutdown; default 30 s
+	Connections  int           // at a time; default 4,096
+	MessageBytes int64         // of all messages that are not complete; default and least value: one message of the largest size
+	StopWithin   time.Duration // time limit for the requests in progress at shutdown; default 30 s
 }
 
 func (c ServerConfig) withDefaults() ServerConfig {
 	if c.Connections <= 0 {
 		c.Connections = 4096
 	}
-	if c.Streams == 0 {
-		c.Streams = 1024
-	}
+	c.MessageBytes = max(c.MessageBytes, maxMessage)
 	if c.StopWithin <= 0 {
 		c.StopWithin = 30 * time.Second
 	}
@@ -44,6 +42,7 @@
 type Server struct {
 	cfg  ServerConfig
 	opts rosemarysill.Options
+	gate *intake.Gate
 	grpc *grpc.Server
 	done chan struct{}
 }
@@ -52,20 +51,16 @@
 func NewServer(cfg ServerConfig, h Handlers, opts ...rosemarysill.Option) *Server {
 	cfg = cfg.withDefaults()
 	s := &Server{cfg: cfg, opts: rosemarysill.NewOptions(opts...), done: make(chan struct{})}
-	s.grpc = grpc.NewServer(
+	s.gate = intake.NewGate(intake.Limits{RPCConnections: cfg.Connections, MessageBytes: cfg.MessageBytes}, s.opts.Log)
+	s.grpc = grpc.NewServer(append(s.gate.RPCOptions(),
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.MaxSendMsgSize(maxMessage),
-		grpc.MaxHeaderListSize(maxHeaderList),
-		grpc.MaxConcurrentStreams(cfg.Streams),
-		grpc.ConnectionTimeout(pingWithin),
-		grpc.ReadBufferSize(bufferSize),
-		grpc.WriteBufferSize(bufferSize),
 		grpc.InitialWindowSize(windowSize),
 		grpc.InitialConnWindowSize(windowSize),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPingAfter, Timeout: pingWithin}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing}),
 		grpc.UnaryInterceptor(s.intercept),
-	)
+	)...)
 	if h.Agent != nil {
 		peerpb.RegisterAgentServer(s.grpc, &agentServer{agent: h.Agent, now: s.opts.Now})
 	}
@@ -83,7 +78,7 @@
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	defer close(s.done)
 	failed := make(chan error, 1)
-	go func() { failed <- s.grpc.Serve(netutil.LimitListener(l, s.cfg.Connections)) }()
+	go func() { failed <- s.grpc.Serve(s.gate.ListenRPC(l, "peers")) }()
 	select {
 	case err := <-failed:
 		s.grpc.Stop()
@@ -99,6 +94,9 @@
 	return <-failed
 }
 
+// Counts returns the counts of the limits on connections.
+func (s *Server) Counts() intake.Counts { return s.gate.Counts() }
+
 // Done is closed when Run has returned.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
--- a/relay/message.go
+++ b/relay/message.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/queue"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -79,11 +80,16 @@
 }
 
 // Register adds the service for relayed calls, which the local entry answers, to a
-// server.
-func Register(s *grpc.Server, local Local) { s.RegisterService(&serviceDesc, localServer{local}) }
+// server. The slots limit the calls in progress.
+func Register(s *grpc.Server, local Local, slots *intake.Slots) {
+	s.RegisterService(&serviceDesc, localServer{local, slots})
+}
 
 // localServer serves relayed calls at this entry. It does not relay them again.
-type localServer struct{ local Local }
+type localServer struct {
+	local Local
+	slots *intake.Slots
+}
 
 func (l localServer) serve(ctx context.Context, r Request) Answer {
 	// The clocks of two entries may differ, so the deadline is derived from the
@@ -93,6 +99,13 @@
 	defer cancel()
 	var decidedBy queue.ConfigID
 	r.Call.DecidedBy = &decidedBy
+	// Half of the time is left for the call, or for the answer that refuses it.
+	waitCtx, stopWaiting := context.WithTimeout(ctx, r.Remaining/2)
+	defer stopWaiting()
+	if !l.slots.Enter(waitCtx) {
+		return Answer{Code: rosemarysill.Overloaded, Detail: "too many relayed calls in progress"}
+	}
+	defer l.slots.Leave()
 	a := execute(ctx, l.local, r)
 	a.Config = decidedBy
 	return a
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -86,7 +86,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := grpc.NewServer()
-	relay.Register(server, peer)
+	relay.Register(server, peer, nil)
 	done := make(chan struct{})
 	go func() { defer close(done); _ = server.Serve(l) }() // returns after Stop
 	t.Cleanup(func() { server.Stop(); <-done })
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/intake"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
@@ -34,6 +35,8 @@
 	redialInterval = 100 * time.Millisecond
 	// orderRetryInterval is the pause before an order that had no effect is repeated.
 	orderRetryInterval = 100 * time.Millisecond
+	// maxHeaderBytes bounds the headers of a status report.
+	maxHeaderBytes = 16 << 10
 	// maxOrdersInFlight bounds the number of orders that are executed concurrently.
 	maxOrdersInFlight = 64
 )
@@ -82,7 +85,10 @@
 	defer close(r.done)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	server := &http.Server{Handler: r.cfg.Register(r), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: time.Minute}
+	server := &http.Server{
+		Handler: r.cfg.Register(r), ConnContext: intake.ConnContext,
+		ReadHeaderTimeout: 3 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: maxHeaderBytes,
+	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
 	var loops sync.WaitGroup
