--- a/relay/outage_test.go
+++ b/relay/outage_test.go
@@ -53,7 +53,7 @@
 				l, err := net.Listen("tcp4", "127.0.0.1:0")
 				require.NoError(t, err)
 				server := grpc.NewServer()
-				relay.Register(server, countingPeer{s, &calls})
+				relay.Register(server, countingPeer{s, &calls}, nil)
 				done := make(chan struct{})
 				go func() { defer close(done); _ = server.Serve(l) }() // returns after Stop
 				t.Cleanup(func() { server.Stop(); <-done })
