--- a/leader/place.go
+++ b/leader/place.go
@@ -21,6 +21,7 @@
 	t.urgentUse.Observe(t.urgentCores(units), now)
 	t.observeWaits(units, now)
 	if len(units) == 0 {
+		t.restartSlowRun(nil, now)
 		return
 	}
 	fleet := t.fleet(guaranteed, now)
@@ -38,6 +39,9 @@
 		}
 	}
 	t.stopIncompleteGangs(units)
+	if len(plan.Placements) == 0 {
+		t.restartSlowRun(units, now)
+	}
 }
 
 // urgentCores returns the size of the work of priority 0 that runs or waits. Waiting
@@ -85,6 +89,7 @@
 	}
 	s.progress.Place(task, p.Worker, p.Ticket, k.Run)
 	s.dirty = true
+	delete(t.restartSpeeds, p.Task)
 	w := t.workers[p.Worker]
 	w.placedAt[k], w.placedUnder = now, w.Capacity
 	line := event.LeaderPlaced.Log(t.cfg.Log).Str("Job", p.Task.Job).Stringer("Run", k).Str("Worker", p.Worker).Int("Priority", s.job.Priority).
--- a/leader/speed.go
+++ b/leader/speed.go
@@ -73,7 +73,7 @@
 	g := groupOf(s.job, w, k)
 	g.Durations = true
 	t.speeds.Observe(speed.Sample{
-		Group: g, Worker: w.Incarnation, Service: w.Service, Rate: completePercent / took.Seconds(), Span: took, Change: completePercent, Number: 1, At: now,
+		Group: g, Worker: w.Incarnation, Service: w.Service, Rate: completePercent / took.Seconds(), Span: took, At: now,
 	})
 }
 
@@ -155,7 +155,11 @@
 		}
 		t.recordSpeedDemand(s, u, now)
 		waited := wallNow.Sub(u.QueuedSince)
-		if v := t.requiredSpeed(s, u.Occurrence, 0, waited); v > r.slowest && v <= r.fastest {
+		v := t.requiredSpeed(s, u.Occurrence, 0, waited)
+		if restart, ok := t.restartSpeeds[work.TaskKey{Job: u.Job.ID, Occurrence: u.Occurrence, Step: u.Step, Index: u.Indexes[0]}]; ok {
+			v = min(restart, r.fastest)
+		}
+		if v > r.slowest && v <= r.fastest {
 			u.MinSpeed, t.minSpeeds[keyOfUnit(u)] = v, v
 		}
 		if v := t.requiredSpeed(s, u.Occurrence, t.cfg.StopGrace, waited); u.MinSpeed > 0 && v <= r.fastest {
--- a/leader/term.go
+++ b/leader/term.go
@@ -88,6 +88,7 @@
 	recordedSpeeds     map[string]jobstore.WorkerSpeed // in the store, by incarnation
 	loadedSpeeds       map[string]jobstore.WorkerSpeed // of an earlier leader, by incarnation
 	minSpeeds          map[stepKey]float64             // of the units of the present pass that need a speed
+	restartSpeeds      map[work.TaskKey]float64        // speeds that restarted tasks need, until they are placed
 	totalCores         float64                         // size of the fleet
 	waitingSince       map[stepKey]time.Time           // steps with waiting units; see observeWaits
 	incompleteGangs    map[stepKey]bool                // gangs that wait for the replacement of refused members
@@ -106,7 +107,7 @@
 		cfg: cfg, rec: rec, leaderVersion: leaderVersion, lease: lease, leaseExpiry: leaseExpiry, elected: uptime.Now(),
 		ended: make(chan struct{}), leaseLost: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
-		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), speeds: speed.NewEstimator(), speedDemands: make(map[string]speedDemand), minSpeeds: make(map[stepKey]float64), incompleteGangs: make(map[stepKey]bool), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
+		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), speeds: speed.NewEstimator(), speedDemands: make(map[string]speedDemand), minSpeeds: make(map[stepKey]float64), restartSpeeds: make(map[work.TaskKey]float64), incompleteGangs: make(map[stepKey]bool), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
 }
 
--- a/runner/renewal.go
+++ b/runner/renewal.go
@@ -23,7 +23,7 @@
 		// the leader has not recorded yet, or the worker has not accepted a renewal with
 		// the current fence, which settles the starts without a reply.
 		if len(w.ended) == 0 && w.confirmed && fence == w.renewedFence {
-			renewal.Wait = renewalWait
+			renewal.Wait = w.renewalWait(uptime.Now())
 		}
 		r.mu.Unlock()
 		if !registered {
--- a/runner/renewal_test.go
+++ b/runner/renewal_test.go
@@ -46,3 +46,22 @@
 	require.Zero(t, <-worker.waits)
 	require.Equal(t, renewalWait, <-worker.waits, "the start is settled")
 }
+
+// Guards against a run whose progress is known only after seconds, when it is too late to
+// start it again elsewhere, and against frequent calls for long runs or for long lists.
+func TestRenewalWaitsBrieflyWhileARunIsYoung(t *testing.T) {
+	w := newWorkerState("a", 1)
+	now := uptime.Now()
+	require.Equal(t, renewalWait, w.renewalWait(now), "no run")
+	w.running = append(w.running, work.RunStatus{Key: key(0)})
+	w.recordRunning(now)
+	require.Equal(t, youngRenewalWait, w.renewalWait(now.Add(youngRunAge-1)))
+	w.recordRunning(now.Add(youngRunAge))
+	require.Equal(t, renewalWait, w.renewalWait(now.Add(youngRunAge)))
+	w.recordAcceptedStart(key(1), now)
+	require.Equal(t, youngRenewalWait, w.renewalWait(now.Add(youngRunAge)), "a start whose run is not listed yet")
+	for i := range maxYoungRuns {
+		w.recordAcceptedStart(key(i+2), now)
+	}
+	require.Equal(t, renewalWait, w.renewalWait(now), "a long list")
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -28,6 +28,13 @@
 	callTimeout = 400 * time.Millisecond
 	// renewalWait is how long a lease renewal may wait at the worker for a run to end.
 	renewalWait = time.Second
+	// youngRenewalWait replaces it while a run is younger than youngRunAge, whose progress
+	// shows the leader the speed of the worker and whether the run will be late. The call
+	// costs the store nothing. It is not used with more than maxYoungRuns, whose lists take
+	// much of the processor time of the smallest machines.
+	youngRenewalWait = 300 * time.Millisecond
+	youngRunAge      = 3 * time.Second
+	maxYoungRuns     = 32
 	// renewalInterval is the pause after a lease renewal that did not wait or failed.
 	renewalInterval = 100 * time.Millisecond
 	// redialInterval is the pause before a new stream to the leader is opened.
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -58,10 +58,37 @@
 	running := w.addRecentStarts(reply.Running, sent)
 	changed = changed || !sameRuns(w.running, running)
 	w.running = running
+	w.recordRunning(now)
 	w.pruneThrottles()
 	return w.refuseSettledStarts(fence, sent) || changed
 }
 
+// recordRunning records since when runs are listed.
+func (w *workerState) recordRunning(now time.Time) {
+	since := make(map[work.RunKey]time.Time, len(w.running))
+	for _, run := range w.running {
+		first, ok := w.runningSince[run.Key]
+		if !ok {
+			first = now
+		}
+		since[run.Key] = first
+	}
+	w.runningSince = since
+}
+
+// renewalWait returns how long a lease renewal may wait at the worker for a run to end.
+func (w *workerState) renewalWait(now time.Time) time.Duration {
+	if len(w.running) > maxYoungRuns {
+		return renewalWait
+	}
+	for _, run := range w.running {
+		if since, ok := w.runningSince[run.Key]; !ok || now.Sub(since) < youngRunAge {
+			return youngRenewalWait
+		}
+	}
+	return renewalWait
+}
+
 // addRecentStarts returns the running runs of a reply, and those whose start was
 // accepted after the renewal was sent.
 func (w *workerState) addRecentStarts(running []work.RunStatus, sent time.Time) []work.RunStatus {
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -49,6 +49,7 @@
 	failedCalls          int           // consecutive calls without a reply
 	incarnationUncertain bool          // a call has got no reply since the last accepted lease renewal
 	running              []work.RunStatus
+	runningSince         map[work.RunKey]time.Time // when a run was first listed
 	ended                []work.RunEnd
 	moreEnded            bool // the worker may have ended runs that its latest reply did not list
 	refused              []control.Refusal
@@ -63,7 +64,7 @@
 }
 
 func newWorkerState(agent string, fence int64) *workerState {
-	return &workerState{agent: agent, fence: fence, unansweredStarts: make(map[work.RunKey]int64), settledRuns: make(map[work.RunKey]settledRun), acceptedStarts: make(map[work.RunKey]time.Time), throttles: make(map[work.RunKey]int), demands: make(map[work.RunKey]work.Shape), startsInFlight: make(map[work.RunKey]bool)}
+	return &workerState{agent: agent, fence: fence, unansweredStarts: make(map[work.RunKey]int64), settledRuns: make(map[work.RunKey]settledRun), acceptedStarts: make(map[work.RunKey]time.Time), throttles: make(map[work.RunKey]int), demands: make(map[work.RunKey]work.Shape), runningSince: make(map[work.RunKey]time.Time), startsInFlight: make(map[work.RunKey]bool)}
 }
 
 // applyLease takes the lease and the acknowledged sequence number from the leader's
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -81,3 +81,13 @@
 func filter(workers []*workerState, keep func(*workerState) bool) []*workerState {
 	return slices.DeleteFunc(slices.Clone(workers), func(w *workerState) bool { return !keep(w) })
 }
+
+// FitsOnFastWorkers reports whether there is free capacity for the unit on workers that are
+// known to have its MinSpeed.
+func FitsOnFastWorkers(workers []*Worker, u *Unit) bool {
+	p := newPass(workers, 0)
+	sets, _ := p.candidateSets(u, p.only(p.candidates(u), func(workers []*workerState) []*workerState {
+		return filter(workers, func(w *workerState) bool { return w.speed() >= u.MinSpeed && !w.Unproven && !w.Suspect })
+	}))
+	return p.fitsIn(u, sets)
+}
--- a/speed/class.go
+++ b/speed/class.go
@@ -31,13 +31,13 @@
 	minEvidence = 2
 	// A worker is slow or fast once the logarithm of its speed exceeds enterDeviation and
 	// significance standard errors, until it falls below leaveDeviation.
-	enterDeviation = 0.15
-	leaveDeviation = 0.1
+	enterDeviation = 0.2
+	leaveDeviation = 0.15
 	significance   = 2.5
 	// These replace them for slow workers of a service whose workers are known to differ. A
 	// gang takes as long as its slowest member, so that a slow worker which is not known
 	// costs far more than another that is taken for slow for a while.
-	minMixedEvidence  = 1
+	minMixedEvidence  = 0.7
 	mixedSignificance = 1.3
 	// usualEvidence is the weight from which a worker that shows no difference is known to
 	// have none.
--- a/speed/estimator.go
+++ b/speed/estimator.go
@@ -55,6 +55,7 @@
 	level  *level
 	value  float64 // mean of the logarithms of the rates
 	weight float64
+	recent float64 // sum of the weights of the samples by themselves
 }
 
 // bucket is an observation of a worker: the samples of one bucketLength.
@@ -117,11 +118,12 @@
 		l = new(level)
 		e.levels[s.Group] = l
 	}
-	e.worker(s.Worker, s.Service).add(l, math.Log(s.Rate), s.weight(), s.At)
+	e.worker(s.Worker, s.Service).add(l, s)
 	e.changed = true
 }
 
-func (w *worker) add(l *level, value, weight float64, at time.Time) {
+func (w *worker) add(l *level, s Sample) {
+	value, weight, at := math.Log(s.Rate), s.weight(), s.At
 	if n := len(w.buckets); n == 0 || at.Sub(w.buckets[n-1].from) >= bucketLength {
 		if n == maxBuckets {
 			w.buckets = slices.Delete(w.buckets, 0, 1)
@@ -132,12 +134,13 @@
 	for i := range b.groups {
 		if g := &b.groups[i]; g.level == l {
 			g.weight += weight
+			g.recent += s.recentWeight()
 			g.value += (value - g.value) * weight / g.weight
 			return
 		}
 	}
 	if len(b.groups) < maxBucketGroups {
-		b.groups = append(b.groups, groupSamples{l, value, weight})
+		b.groups = append(b.groups, groupSamples{l, value, weight, s.recentWeight()})
 	}
 }
 
@@ -285,8 +288,8 @@
 func (b *bucket) recentResidual() float64 {
 	var sum, weight float64
 	for _, g := range b.groups {
-		sum += g.weight * (g.value - g.level.value)
-		weight += g.weight
+		sum += g.recent * (g.value - g.level.value)
+		weight += g.recent
 	}
 	return sum / weight
 }
@@ -294,7 +297,7 @@
 func (b *bucket) recentWeight() float64 {
 	var weight float64
 	for _, g := range b.groups {
-		weight += g.weight
+		weight += g.recent
 	}
 	return min(maxBucketWeight, weight)
 }
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -25,8 +25,7 @@
 	Service string
 	Rate    float64       // percent a second
 	Span    time.Duration // over which the rate was measured
-	Change  int           // of the percentage in that time
-	Number  int           // of the sample among those of the run, from 1
+	Elapsed time.Duration // from the first change of the run's percentage to the span
 	Even    bool          // all runs of the group have the same work, as the members of a gang
 	At      time.Time     // end of the span
 }
@@ -38,37 +37,46 @@
 	taskDeviation = 0.3
 	// evenDeviation replaces it for runs with the same work.
 	evenDeviation = 0.05
-	// reportJitter is the standard deviation of the time at which a change of the
-	// percentage is seen: agents report every 400 ms.
-	reportJitter = 160 * time.Millisecond
+	// reportJitter is the standard deviation of a time between two changes of the percentage:
+	// agents report every 400 ms, and learn the percentage every 300 ms or more.
+	reportJitter = 200 * time.Millisecond
 	// roundingDeviation is that of a change of the percentage, which is a whole number.
 	roundingDeviation = 0.4
 )
 
-// weight returns the weight of the sample, the inverse of the variance of the logarithm
-// of the rate.
+// weight returns the weight of the sample: what it adds to the information from the rate of
+// the run since its first change. The deviations of the samples of one run cancel out in
+// part, or are those of its task.
 func (s Sample) weight() float64 {
+	return s.information(s.Elapsed+s.Span, s.Even) - s.information(s.Elapsed, s.Even)
+}
+
+// recentWeight returns the weight of the sample by itself, for changes of the speed: these
+// show in comparison with earlier samples of the same run.
+func (s Sample) recentWeight() float64 { return s.information(s.Span, true) }
+
+// information returns the inverse of the variance of the logarithm of a rate over a time.
+func (s Sample) information(d time.Duration, even bool) float64 {
+	if d <= 0 {
+		return 0
+	}
 	own := taskDeviation
-	if s.Even {
+	if even {
 		own = evenDeviation
 	}
-	jitter := reportJitter.Seconds() / s.Span.Seconds()
-	rounding := roundingDeviation / float64(s.Change)
-	w := taskDeviation * taskDeviation / (own*own + jitter*jitter + rounding*rounding)
-	if !s.Even {
-		w /= float64(s.Number) // the samples of one run share the deviation of its task
-	}
-	return w
+	jitter := reportJitter.Seconds() / d.Seconds()
+	rounding := roundingDeviation / (s.Rate * d.Seconds())
+	return taskDeviation * taskDeviation / (own*own + jitter*jitter + rounding*rounding)
 }
 
 // valid reports whether the rate can be used.
 func (s Sample) valid() bool {
-	return s.Rate > 0 && !math.IsInf(s.Rate, 0) && s.Span > 0 && s.Change > 0 && s.Number > 0
+	return s.Rate > 0 && !math.IsInf(s.Rate, 0) && s.Span > 0 && s.Elapsed >= 0
 }
 
-// minSpan is the least time over which a rate is measured. The percentage changes about
-// once a second, and shorter spans are dominated by the times of the reports.
-const minSpan = 700 * time.Millisecond
+// minSpan is the least time over which a rate is measured. It is below the interval of the
+// reports, so that each change of the percentage is used.
+const minSpan = 350 * time.Millisecond
 
 // completePercent is the progress of a run that has done its work. The rate of a rise to
 // it is unknown, because the work may have been done before the report.
@@ -81,12 +89,14 @@
 	percent int  // at the end of the last span
 	latest  int  // latest report
 	at      time.Time
+	firstAt time.Time // of the first change
+	first   int       // percentage then
 	samples int
 }
 
 // Observe records the percentage in a report and returns the rate since the last sample.
-// It reports false if the rate is not known yet. Only Rate, Span, Change, Number and At of
-// the sample are set.
+// It reports false if the rate is not known yet. Only Rate, Span, Elapsed and At of the
+// sample are set.
 func (s *Sampler) Observe(percent int, now time.Time) (Sample, bool) {
 	if !s.started {
 		s.started, s.percent, s.latest = true, percent, percent
@@ -97,7 +107,7 @@
 	}
 	s.latest = percent
 	if s.at.IsZero() {
-		s.percent, s.at = percent, now
+		s.percent, s.at, s.first, s.firstAt = percent, now, percent, now
 		return Sample{}, false
 	}
 	span := now.Sub(s.at)
@@ -105,10 +115,22 @@
 		return Sample{}, false
 	}
 	s.samples++
-	sample := Sample{Rate: float64(percent-s.percent) / span.Seconds(), Span: span, Change: percent - s.percent, Number: s.samples, At: now}
+	sample := Sample{Rate: float64(percent-s.percent) / span.Seconds(), Span: span, Elapsed: s.at.Sub(s.firstAt), At: now}
 	s.percent, s.at = percent, now
 	return sample, true
 }
 
+// minForecastSpan is the least time over which the rate is measured for a forecast.
+const minForecastSpan = 600 * time.Millisecond
+
+// Rate returns the rate of the run since the first change of the percentage, in percent a
+// second, or 0 if it is not known well enough for a forecast.
+func (s *Sampler) Rate() float64 {
+	if s.samples == 0 || s.at.Sub(s.firstAt) < minForecastSpan {
+		return 0
+	}
+	return float64(s.percent-s.first) / s.at.Sub(s.firstAt).Seconds()
+}
+
 // HasSamples reports whether the rate of the run is known.
 func (s *Sampler) HasSamples() bool { return s.samples > 0 }
--- a/standin/stepcall.go
+++ b/standin/stepcall.go
@@ -90,7 +90,7 @@
 			w.observe(RunRefused, s.Key, string(refusal))
 			return refusal
 		}
-		r := &stepRun{spec: s.Spec, demand: s.Demand, come: now, saved: s.Checkpoint}
+		r := &stepRun{speed: w.speed, spec: s.Spec, demand: s.Demand, come: now, saved: s.Checkpoint}
 		w.observe(RunStarted, s.Key, s.Spec)
 		w.set.check(w, s.Key, now)
 		w.checkCapacity(s.Key, r, arrived)
--- a/standin/stepfault.go
+++ b/standin/stepfault.go
@@ -57,6 +57,14 @@
 	w.closed = closed
 }
 
+// SetSpeed changes the speed of the worker for runs that start from then on. A gang ends
+// with its slowest member.
+func (w *StepWorker) SetSpeed(v float64) {
+	w.set.mu.Lock()
+	defer w.set.mu.Unlock()
+	w.speed = v
+}
+
 // SetDeaf makes the worker leave starts unanswered and not carry them out, while
 // it answers all other calls.
 func (w *StepWorker) SetDeaf(deaf bool) {
--- a/standin/steps.go
+++ b/standin/steps.go
@@ -88,6 +88,7 @@
 	highest  int64 // highest fence in all incarnations
 	until    time.Duration
 	seq      uint64
+	speed    float64 // of runs that start from now on; 0 counts as 1
 	runs     map[work.RunKey]*stepRun
 	ended    []endedRun
 	latest   map[work.TaskKey]int // highest run that was stopped or has ended
