--- a/leader/advice.go
+++ b/leader/advice.go
@@ -32,6 +32,8 @@
 	tickets     map[string]string    // of the allowed workers
 	expiry      map[string]time.Time // of the tickets
 	requestedAt time.Time            // when the step last requested advice
+	askedAt     time.Time            // when the service was last asked about the step; zero if it has not been
+	waitsSince  time.Time            // askedAt, or before that, when the step first requested advice
 }
 
 func newStepAdvice() *stepAdvice {
@@ -100,6 +102,9 @@
 		t.advice[key] = a
 	}
 	a.requestedAt = now
+	if a.waitsSince.IsZero() {
+		a.waitsSince = now
+	}
 	tickets := a.validTickets(now)
 	out := make(map[string]string, len(tickets))
 	for id, w := range t.workers {
@@ -161,36 +166,47 @@
 // not waiting for advice any more.
 const adviceRequestMaxAge = time.Second
 
-// nextAdviceQuery returns the query for the waiting step whose job precedes the others.
+// nextAdviceQuery returns the query for the waiting step whose turn it is.
 func (t *term) nextAdviceQuery() (adviceQuery, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
-	var best adviceQuery
-	var bestJob *work.Job
+	free := t.freeCapacities()
+	var usable, other *adviceTurn
 	for key, a := range t.advice {
 		s, ok := t.jobs[key.job]
 		if !ok || s.progress.State.Final() {
 			delete(t.advice, key)
 			continue
 		}
-		if now.Sub(a.requestedAt) > adviceRequestMaxAge || (bestJob != nil && !precedes(s.job, bestJob)) {
+		if now.Sub(a.requestedAt) > adviceRequestMaxAge {
 			continue
 		}
 		step := s.job.Steps[key.step]
-		ids := a.nextWorkers(t.eligibleWorkers(s.job, step, now), step.Count, now)
+		candidates := t.eligibleWorkers(s.job, step, now)
+		ids := a.nextWorkers(candidates, step.Count, now)
 		if len(ids) == 0 {
 			continue
 		}
-		best = adviceQuery{key, ids, s.job.AdviceCallTime + time.Duration(len(ids))*s.job.AdviceTimePerWorker + adviceTimeoutMargin}
-		bestJob = s.job
+		timeout := s.job.AdviceCallTime + time.Duration(len(ids))*s.job.AdviceTimePerWorker + adviceTimeoutMargin
+		turn := &adviceTurn{adviceQuery{key, ids, timeout}, s.job, a.hasRoom(step, candidates, free), a.askedAt, a.waitsSince}
+		// An urgent step may start where runs are stopped for it, if at all, at once.
+		turn.usable = turn.usable || (s.job.Priority == 0 && a.askedAt.IsZero())
+		best := &other
+		if turn.usable {
+			best = &usable
+		}
+		if *best == nil || turn.compare(*best) < 0 {
+			*best = turn
+		}
 	}
-	return best, bestJob != nil
-}
-
-// precedes reports whether job a gets advice before job b: by priority, then by deadline.
-func precedes(a, b *work.Job) bool {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), deadline(a, 0).Compare(deadline(b, 0))) < 0
+	best := chooseTurn(usable, other, t.lastAdviceUsable, now)
+	if best == nil {
+		return adviceQuery{}, false
+	}
+	a := t.advice[best.query.key]
+	a.askedAt, a.waitsSince, t.lastAdviceUsable = now, now, best.usable
+	return best.query, true
 }
 
 // eligibleWorkers returns the identifiers of the workers on which a step may run, those
--- a/leader/advice_test.go
+++ b/leader/advice_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -82,3 +83,65 @@
 		})
 	}
 }
+
+// Guards against large steps that cannot start and are asked about without end, because
+// their tickets expire, while a small one that fits is never asked about (KNOWN-RED 18,
+// review/10), and against large ones that are never asked about in turn.
+func TestAdviceIsRequestedInTurn(t *testing.T) {
+	m := newFleetModel(2)
+	place := func(w *reportingWorker, accelerators int64) {
+		id := m.submitAdvised(1, accelerators)
+		s := m.term.jobs[id]
+		s.job.Advised = false
+		s.progress.Place(&s.progress.Tasks[0], w.id, "", 1)
+		m.term.workers[w.id].placedAt[work.RunKey{Task: work.TaskKey{Job: id}, Run: 1}] = uptime.Now()
+	}
+	for _, w := range m.workers {
+		place(w, 4) // a task of 8 accelerators has no room
+	}
+	var large []string
+	for range 9 {
+		large = append(large, m.submitAdvised(1, 8))
+	}
+	small := m.submitAdvised(2, 1)
+	urgent := m.submitAdvised(0, 8)
+	asked := make(map[string]int)
+	var order []string
+	for range 25 {
+		for _, id := range append(append([]string{}, large...), small, urgent) {
+			m.term.tickets(m.term.jobs[id], 0, 0, uptime.Now())
+		}
+		q, ok := m.term.nextAdviceQuery()
+		require.True(t, ok)
+		asked[q.key.job]++
+		order = append(order, q.key.job)
+		if q.key.job == urgent || q.key.job == small {
+			m.term.advice[q.key].apply(q.workers, work.Advice{Tickets: map[string]string{q.workers[0]: "t"}, TicketTTL: time.Minute}, uptime.Now())
+		}
+	}
+	require.Equal(t, []string{urgent, small}, order[:2])
+	for _, id := range large {
+		require.GreaterOrEqual(t, asked[id], 2, id)
+	}
+}
+
+// submitAdvised submits a job of one advised task and returns its identifier.
+func (m *fleetModel) submitAdvised(priority int, n int64) string {
+	m.submit(priority, work.Step{Count: 1, Shape: accelerators(n)})
+	id := fmt.Sprint("j", m.jobs-1)
+	m.term.jobs[id].job.Advised = true
+	return id
+}
+
+// Guards against a step without room that is never asked about while others with room are
+// asked again whenever their tickets expire.
+func TestStepWithoutRoomIsAskedAboutEventually(t *testing.T) {
+	now := uptime.Now()
+	turn := func(waited time.Duration) *adviceTurn { return &adviceTurn{waitsSince: now.Add(-waited)} }
+	room, recent, overdue := turn(0), turn(maxAdviceWait/2), turn(maxAdviceWait)
+	require.Same(t, room, chooseTurn(room, recent, true, now))
+	require.Same(t, overdue, chooseTurn(room, overdue, true, now))
+	require.Same(t, room, chooseTurn(room, overdue, false, now), "every second query")
+	require.Same(t, recent, chooseTurn(nil, recent, false, now))
+	require.Nil(t, chooseTurn(nil, nil, true, now))
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -87,6 +87,7 @@
 	heldSince          map[stepKey]time.Time   // steps with waiting units that fit only on workers too risky for them
 	riskRaised         bool                    // some worker is likelier to fail than soundness.BaseRisk
 	incompleteGangs    map[stepKey]bool        // gangs that wait for the replacement of refused members
+	lastAdviceUsable   bool                    // the last advice query was about a step that could start
 	adviceWanted       chan struct{}           // signals that a step waits for advice
 	waves              map[string]*waveState   // used by runMaintenance only
 	fenced             bool                    // a later leader has ordered machines; used by runMaintenance only
