--- a/loss/bound.go
+++ b/loss/bound.go
@@ -80,8 +80,8 @@
 const tick = 50 * time.Millisecond
 
 // Bound estimates what a scheduler that knows all durations and losses of workers could
-// have served. The fleet is one pool of processors, memory and accelerators that jobs
-// share without fragmentation, stops cost nothing, and a step runs at most as wide as it
+// have served. The workers of a group are one pool of processors, memory and accelerators
+// that jobs share without fragmentation, the fastest group first. Stops cost nothing, and a step runs at most as wide as it
 // is. Jobs are taken by value for their work, in descending order, and get the earliest
 // capacity that is left before their deadline, else before they expire. It is an
 // estimate and not a proven bound, because that order is not always the best one.
@@ -105,16 +105,24 @@
 	return s
 }
 
-// freeTicks returns the capacity of the fleet in each tick.
-func (d *Day) freeTicks() []work.Shape {
-	free := make([]work.Shape, d.tickAt(d.End)+1)
-	next, total := 0, work.Shape{}
+// freeTicks returns the capacity of each group of workers in each tick.
+func (d *Day) freeTicks() [][]work.Shape {
+	free := make([][]work.Shape, d.tickAt(d.End)+1)
+	next, total := 0, make([]work.Shape, len(d.Groups))
+	workers := make(map[string]knownWorker)
 	for i := range free {
-		for next < len(d.capacity) && d.tickAt(d.capacity[next].at) <= i {
-			total = d.capacity[next].total
-			next++
+		for ; next < len(d.capacity) && d.tickAt(d.capacity[next].at) <= i; next++ {
+			c := d.capacity[next]
+			if before := workers[c.agent]; before.incarnation != "" {
+				g := d.groupOf[before.incarnation]
+				total[g] = total[g].Sub(before.capacity)
+			}
+			if workers[c.agent] = c.worker; c.worker.incarnation != "" {
+				g := d.groupOf[c.worker.incarnation]
+				total[g] = total[g].Add(c.worker.capacity)
+			}
 		}
-		free[i] = total
+		free[i] = slices.Clone(total)
 	}
 	return free
 }
@@ -123,27 +131,47 @@
 
 // allocate takes the capacity for a job within the given time after its acceptance. It
 // takes nothing and reports false if there is not enough.
-func (d *Day) allocate(free []work.Shape, j *Job, within time.Duration) bool {
+func (d *Day) allocate(free [][]work.Shape, j *Job, within time.Duration) bool {
 	last := min(len(free)-1, d.tickAt(j.Accepted.Add(within)))
 	i := d.tickAt(j.Accepted)
-	taken := make(map[int]work.Shape)
+	taken := make(map[int][]work.Shape)
 	for n, s := range j.Steps {
 		remaining := j.stepDuration(n).Seconds()
 		for ; i <= last && remaining > 0; i++ {
-			share := min(shareOf(s, free[i]), remaining/tick.Seconds())
-			remaining -= share * tick.Seconds()
-			taken[i] = scale(s, share)
+			var done float64
+			taken[i], done = d.takeTick(s, free[i], remaining)
+			remaining -= done
 		}
-		if remaining > 0 {
+		if remaining > 1e-9 {
 			return false
 		}
 	}
-	for i, n := range taken {
-		free[i] = free[i].Sub(n)
+	for i, groups := range taken {
+		for g, n := range groups {
+			free[i][g] = free[i][g].Sub(n)
+		}
 	}
 	return true
 }
 
+// takeTick returns what a step takes of each group in one tick, and the part of its
+// duration on workers of mean speed that is done by it.
+func (d *Day) takeTick(s Step, free []work.Shape, remaining float64) (taken []work.Shape, done float64) {
+	taken = make([]work.Shape, len(free))
+	width := 1.0 // share of the step that has no capacity yet
+	for g, f := range d.Groups {
+		rate := tick.Seconds() / f.TimeFactor
+		share := min(shareOf(s, free[g]), width, max(0, remaining-done)/rate)
+		taken[g] = scale(s, share)
+		width -= share
+		if width < 1e-9 {
+			width = 0 // rounding errors would take a whole accelerator of the next group
+		}
+		done += share * rate
+	}
+	return taken, done
+}
+
 // shareOf returns the share of a step, at most 1, that fits in the free capacity.
 func shareOf(s Step, free work.Shape) float64 {
 	share := 1.0
--- a/loss/cause.go
+++ b/loss/cause.go
@@ -78,7 +78,7 @@
 			switch {
 			case r.Outcome == work.OutcomeDone:
 				declared := j.Estimate / time.Duration(len(j.Steps))
-				delays[Slow] += max(0, until.Sub(r.Placed)-declared)
+				delays[Slow] += max(0, until.Sub(r.Placed)-declared, until.Sub(r.Placed)-r.ownDuration())
 				done = true
 			case r.Ended.IsZero():
 				delays[Slow] += until.Sub(r.Placed)
--- a/loss/day.go
+++ b/loss/day.go
@@ -18,17 +18,19 @@
 type Day struct {
 	Jobs       []*Job // in the order of their acceptance
 	Begin, End time.Time
+	Groups     []Group          // of workers by speed, the fastest first
 	capacity   []capacityChange // in the order of time
 
 	jobs    map[string]*Job
-	running map[string]*Run        // by job and task
-	workers map[string]knownWorker // by agent
+	running map[string]*Run // by job and task
+	groupOf map[string]int  // index in Groups, by worker
 }
 
-// capacityChange is a change of the total capacity of the workers.
+// capacityChange is a change of the worker of an agent.
 type capacityChange struct {
-	at    time.Time
-	total work.Shape
+	at     time.Time
+	agent  string
+	worker knownWorker // zero if it has gone
 }
 
 // knownWorker is the worker of an agent that the leader knows.
@@ -40,7 +42,7 @@
 // NewDay puts the lines together. It returns an error if a line about a job lacks a
 // field or has one that cannot be read.
 func NewDay(lines []history.Line) (*Day, error) {
-	d := &Day{jobs: make(map[string]*Job), running: make(map[string]*Run), workers: make(map[string]knownWorker)}
+	d := &Day{jobs: make(map[string]*Job), running: make(map[string]*Run)}
 	lines = slices.Clone(lines)
 	slices.SortStableFunc(lines, func(a, b history.Line) int { return a.Time.Compare(b.Time) })
 	for _, l := range lines {
@@ -56,6 +58,7 @@
 		d.Jobs = append(d.Jobs, j)
 	}
 	slices.SortFunc(d.Jobs, func(a, b *Job) int { return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID)) })
+	d.estimateSpeeds()
 	return d, nil
 }
 
@@ -80,11 +83,11 @@
 	case "LeaderWorkerSeen":
 		return d.workerCapacity(l)
 	case "LeaderCapacity":
-		if d.workers[l.Value("Agent")].incarnation == l.Value("Worker") {
+		if d.worker(l.Value("Agent")) == l.Value("Worker") {
 			return d.workerCapacity(l)
 		}
 	case "LeaderWorkerLost":
-		if d.workers[l.Value("Agent")].incarnation == l.Value("Worker") {
+		if d.worker(l.Value("Agent")) == l.Value("Worker") {
 			d.setWorker(l, knownWorker{})
 		}
 	}
@@ -137,7 +140,7 @@
 	if r.Step >= len(j.Steps) {
 		return errors.Newf("run %s of a job with %d steps", l.Value("Run"), len(j.Steps))
 	}
-	r.Placed = l.Time
+	r.Placed, r.Worker = l.Time, l.Value("Worker")
 	j.Runs = append(j.Runs, r)
 	d.running[l.Value("Job")+" "+l.Value("Run")] = r
 	return nil
@@ -185,12 +188,17 @@
 }
 
 func (d *Day) setWorker(l history.Line, w knownWorker) {
-	d.workers[l.Value("Agent")] = w
-	var total work.Shape
-	for _, w := range d.workers {
-		total = total.Add(w.capacity)
+	d.capacity = append(d.capacity, capacityChange{l.Time, l.Value("Agent"), w})
+}
+
+// worker returns the latest worker of an agent, or an empty string.
+func (d *Day) worker(agent string) string {
+	for _, c := range slices.Backward(d.capacity) {
+		if c.agent == agent {
+			return c.worker.incarnation
+		}
 	}
-	d.capacity = append(d.capacity, capacityChange{l.Time, total})
+	return ""
 }
 
 // parseRun parses a run as logs show it: occurrence, step and index of the task, and
--- a/loss/job.go
+++ b/loss/job.go
@@ -41,11 +41,13 @@
 // Run is an execution of a task.
 type Run struct {
 	Occurrence, Step, Index, Number int
+	Worker                          string // its incarnation
 	Placed                          time.Time
 	Ended                           time.Time // zero if the logs show no end
 	Outcome                         work.Outcome
 	Stop                            string // reason of the order to stop; empty if there was none
 	Cause                           Cause
+	TimeFactor                      float64 // of its worker, in a gang of the slowest one, relative to the mean
 }
 
 // Cause tells why a run or a job lost time.
@@ -62,7 +64,7 @@
 	Refused          // the worker refused the start
 	Stalled          // the run made no progress
 	Cancelled        // the caller cancelled the job
-	Slow             // the runs took longer than declared
+	Slow             // the runs took longer than declared, or than on workers of mean speed
 	Other            // any other reason
 	numCauses
 )
@@ -100,15 +102,25 @@
 	}
 }
 
-// objective returns the time within which the job should be done by its real duration,
-// as users measure it. The duration of a step is that of its longest run that was done.
+// isDone reports whether the run was done.
+func (r *Run) isDone() bool { return r.Outcome == work.OutcomeDone && !r.Ended.IsZero() }
+
+// ownDuration returns the duration that a run which was done would have had on workers of
+// mean speed.
+func (r *Run) ownDuration() time.Duration {
+	return time.Duration(float64(r.Ended.Sub(r.Placed)) / r.TimeFactor)
+}
+
+// objective returns the time within which the job should be done by its real duration on
+// workers of mean speed, as users measure it. The duration of a step is that of its longest
+// run that was done.
 func (j *Job) objective() time.Duration {
 	var actual time.Duration
 	for i := range j.Steps {
 		longest := time.Duration(0)
 		for _, r := range j.Runs {
-			if r.Step == i && r.Outcome == work.OutcomeDone && !r.Ended.IsZero() {
-				longest = max(longest, r.Ended.Sub(r.Placed))
+			if r.Step == i && r.isDone() {
+				longest = max(longest, r.ownDuration())
 			}
 		}
 		if longest == 0 {
@@ -119,7 +131,7 @@
 	return j.Objective + time.Duration(j.Slowdown*float64(actual-j.Estimate))
 }
 
-// Work returns the size of the job in core-seconds. The duration of a step is the mean
+// Work returns the size of the job in core-seconds on workers of mean speed. The duration of a step is the mean
 // of its runs that were done, or the declared duration divided by the number of steps.
 func (j *Job) Work() float64 {
 	var sum float64
@@ -133,8 +145,8 @@
 	var sum time.Duration
 	n := 0
 	for _, r := range j.Runs {
-		if r.Step == step && r.Outcome == work.OutcomeDone && !r.Ended.IsZero() {
-			sum += r.Ended.Sub(r.Placed)
+		if r.Step == step && r.isDone() {
+			sum += r.ownDuration()
 			n++
 		}
 	}
--- a/loss/report.go
+++ b/loss/report.go
@@ -53,13 +53,17 @@
 }
 
 // Write writes the report: the share of the value that was served and its bound, the
-// losses by cause, and the waits for the first start.
+// workers by speed, the losses by cause, and the waits for the first start.
 func (d *Day) Write(out io.Writer, w Worths) error {
 	served, bound := d.Served(w), d.Bound(w)
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(tw, "served\t%.3f\tof a value of %.1f\n", served.Share(), served.Owed)
 	fmt.Fprintf(tw, "bound\t%.3f\n\n", bound.Share())
-	fmt.Fprintln(tw, "priority\tcause\tjobs\tvalue\truns\tcore-seconds")
+	fmt.Fprintln(tw, "time factor\tworkers\tcores\taccelerators")
+	for _, g := range d.Groups {
+		fmt.Fprintf(tw, "%.2f\t%d\t%.0f\t%d\n", g.TimeFactor, g.Workers, float64(g.Capacity.MilliCPU)/1000, g.Capacity.Accelerators)
+	}
+	fmt.Fprintln(tw, "\npriority\tcause\tjobs\tvalue\truns\tcore-seconds")
 	losses := d.Losses(w)
 	for _, priority := range slices.Sorted(maps.Keys(losses)) {
 		for _, c := range slices.Sorted(maps.Keys(losses[priority])) {
