--- a/event/leader.go
+++ b/event/leader.go
@@ -14,6 +14,7 @@
 	QueueRelayed         Event = 1114
 	QueueAnswered        Event = 1115
 	QueueMarked          Event = 1116
+	QueueNotServable     Event = 1117
 	QueueConfigured      Event = 1120
 	QueueConfigBad       Event = 1121
 	QueueDomainOut       Event = 1122
@@ -48,6 +49,7 @@
 	LeaderCapacity       Event = 1176
 	LeaderShrunk         Event = 1177
 	LeaderJobGivenUp     Event = 1178
+	LeaderLoad           Event = 1179
 	LeaderMachineOrdered Event = 1180
 	LeaderMachineFailed  Event = 1181
 	LeaderAdvice         Event = 1182
@@ -65,6 +67,7 @@
 	QueueRelayed:         {"QueueRelayed", zerolog.InfoLevel, "A request was forwarded to another entry. Reason is StoreContactLost, or the code of the attempt at this entry; OwnVersion and Version are those of the configurations of this entry and of the other one."},
 	QueueAnswered:        {"QueueAnswered", zerolog.InfoLevel, "The state of a job, or the number of pending jobs of a queue, was reported to a caller."},
 	QueueMarked:          {"QueueMarked", zerolog.InfoLevel, "A job is about to be refused after a write of it without a reply, or by the load: a mark in the store makes late writes fail. Accepted says that the job is on record; with a Cause the answer is that the outcome is unknown."},
+	QueueNotServable:     {"QueueNotServable", zerolog.InfoLevel, "A job cannot be served under the load that the leader has published, and is refused once that is confirmed (QueueMarked). The line has the inputs of the decision and their age."},
 	QueueConfigured:      {"QueueConfigured", zerolog.InfoLevel, "A configuration is in force at this entry."},
 	QueueConfigBad:       {"QueueConfigBad", zerolog.ErrorLevel, "An operators' document cannot be decoded; the previous one stays in force."},
 	QueueDomainOut:       {"QueueDomainOut", zerolog.InfoLevel, "A failure domain was taken out of service."},
@@ -99,6 +102,7 @@
 	LeaderWorkerCrashed:  {"LeaderWorkerCrashed", zerolog.WarnLevel, "A worker has crashed; the line has the runs that were on it, their ages, and the crashes under each of their tasks."},
 	LeaderCrashWithdrawn: {"LeaderCrashWithdrawn", zerolog.InfoLevel, "A crash of a worker does not count against a task, because other workers crashed at the same moment."},
 	LeaderJobGivenUp:     {"LeaderJobGivenUp", zerolog.WarnLevel, "A job is given up because one of its tasks crashes the workers that start it; the line has the crashes with the ages of its runs."},
+	LeaderLoad:           {"LeaderLoad", zerolog.DebugLevel, "The load of the fleet was published for the entries, which refuse jobs by it."},
 	LeaderMachineOrdered: {"LeaderMachineOrdered", zerolog.InfoLevel, "A machine was requested to move or to shut down for maintenance."},
 	LeaderMachineFailed:  {"LeaderMachineFailed", zerolog.WarnLevel, "A call to the machine manager failed, or a maintenance wave could not be recorded."},
 	LeaderAdvice:         {"LeaderAdvice", zerolog.InfoLevel, "The advice service was asked which workers may run a step."},
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -42,6 +42,11 @@
 	if _, known := g.cfg.Cache.Job(id); !known && g.cfg.Cache.NumJobs() >= g.cfg.MaxJobs {
 		return rosemarysill.NewError(rosemarysill.QueueFull, "the limit of %d jobs on record is reached", g.cfg.MaxJobs)
 	}
+	checked := *draft
+	applyQueue(&checked, id, account, q)
+	if submit, err := g.checkLoad(ctx, c, cfg, &checked); !submit {
+		return err
+	}
 	uncertain := false
 	var markVersion uint64
 	for {
--- a/jobstore/cache.go
+++ b/jobstore/cache.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarysill/rosemarysill"
+	"github.com/rosemarysill/rosemarysill/admission"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -53,7 +54,8 @@
 	leaderVersion uint64                  // version of the leader's record, 0 if there is none
 	entries       map[string]LeaderRecord // registered entries by name
 	epoch         uint64
-	epochVersion  uint64          // version of the record of the epoch
+	epochVersion  uint64 // version of the record of the epoch
+	load          admission.Load
 	changed       map[string]bool // jobs that have changed since the last All or TakeChanged
 	notifications chan struct{}
 }
@@ -179,6 +181,14 @@
 	return c.epoch, c.epochVersion
 }
 
+// Load returns the load that the present leader has published, and false if there is none:
+// that of an earlier leader may be old, while the present one publishes each change.
+func (c *Cache) Load() (admission.Load, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.load, c.leaderVersion != 0 && c.load.Epoch == c.leader.Epoch && c.load.Epoch != 0
+}
+
 // NumJobs returns the number of jobs of which there is any record.
 func (c *Cache) NumJobs() int {
 	c.mu.Lock()
@@ -228,6 +238,12 @@
 			return err
 		}
 		c.epoch, c.epochVersion = epoch, ch.Item.Version
+	case key == LoadKey && ch.Deleted:
+		c.load = admission.Load{}
+	case key == LoadKey:
+		load, err := admission.Decode(value)
+		c.load = load
+		return err
 	}
 	return nil
 }
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -21,6 +21,7 @@
 	Prefix         = "rs/"
 	LeaderKey      = "rs/leader" // attached to the lease of the leader
 	EpochKey       = "rs/epoch"  // attached to no lease
+	LoadKey        = "rs/load"   // load of the fleet, written by the leader
 	jobPrefix      = "rs/job/"
 	progressPrefix = "rs/progress/"
 	cancelPrefix   = "rs/cancel/"
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -278,6 +278,7 @@
 		wg.Go(func() { defer cancel(); t.run(termCtx) })
 		wg.Go(func() { t.queryAdvice(termCtx) })
 		wg.Go(func() { t.runMaintenance(termCtx) })
+		wg.Go(func() { t.publishLoad(termCtx) })
 		wg.Go(func() { defer cancel(); l.monitorLag(termCtx, t) })
 	}
 	<-termCtx.Done()
--- a/leader/objective.go
+++ b/leader/objective.go
@@ -37,16 +37,5 @@
 // longestChain returns the declared duration of the longest chain of steps, where
 // only the included steps count.
 func longestChain(j *work.Job, included func(step int) bool) time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	var longest time.Duration
-	for i, s := range j.Steps {
-		for _, dep := range s.DependsOn {
-			ends[i] = max(ends[i], ends[dep])
-		}
-		if included(i) {
-			ends[i] += s.Estimate
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
+	return j.LongestChain(included)
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -32,6 +32,7 @@
 	crashAges   prometheus.Histogram
 	relayed     *prometheus.CounterVec
 	pauses      *prometheus.HistogramVec
+	refused     *prometheus.CounterVec
 
 	mu       sync.Mutex
 	accounts map[string]bool // that have a label of their own
@@ -59,11 +60,14 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rosemarysill_relayed_total", Help: "Calls forwarded to another entry, by the reason and the result code of the other entry.",
 	}, []string{"reason", "code"})
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rosemarysill_not_servable_total", Help: "Submissions that could not be served under the load of the fleet, by reason.",
+	}, []string{"reason"})
 	m.pauses = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "rosemarysill_retry_after_seconds", Help: "Pauses that refused callers were told, by result code.",
 		Buckets: []float64{1, 2, 3, 4, 6, 8, 15, 30},
 	}, []string{"code"})
-	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, m.pauses, newEventCollector())
+	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, m.pauses, m.refused, newEventCollector())
 	return m
 }
 
@@ -100,6 +104,13 @@
 	}
 }
 
+// CountRefused counts a submission that could not be served under the load of the fleet.
+func (m *Meter) CountRefused(reason string) {
+	if m != nil {
+		m.refused.WithLabelValues(reason).Inc()
+	}
+}
+
 // ObservePause records the pause that a refused caller was told.
 func (m *Meter) ObservePause(code rosemarysill.Code, pause time.Duration) {
 	if m != nil {
--- a/work/job.go
+++ b/work/job.go
@@ -97,6 +97,23 @@
 	return j.Start.Add(time.Duration(occurrence) * j.Interval)
 }
 
+// LongestChain returns the declared duration of the longest chain of steps, where only the
+// included steps count; all of them if included is nil.
+func (j *Job) LongestChain(included func(step int) bool) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, s := range j.Steps {
+		for _, dep := range s.DependsOn {
+			ends[i] = max(ends[i], ends[dep])
+		}
+		if included == nil || included(i) {
+			ends[i] += s.Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // TaskKey identifies a task.
 type TaskKey struct {
 	Job        string
