--- a/leader/leader.go
+++ b/leader/leader.go
@@ -222,6 +222,7 @@
 	defer cancel()
 	l.cfg.Cache.SetUnbatched(true)
 	defer l.cfg.Cache.SetUnbatched(false)
+	defer l.cfg.Meter.SetSpeedClasses(nil)
 	var wg sync.WaitGroup
 	wg.Go(func() { defer cancel(); t.renew(termCtx) })
 	if t.load(termCtx) {
--- a/leader/restart.go
+++ b/leader/restart.go
@@ -45,6 +45,7 @@
 		clear(t.restartSpeeds)
 	}
 	t.restartSpeeds[r.key.Task] = r.minSpeed
+	t.cfg.Meter.CountSpeedRestart()
 	t.stopRun(r.state, r.key, "it will miss its objective, and faster workers are free")
 }
 
--- a/leader/speed.go
+++ b/leader/speed.go
@@ -107,7 +107,11 @@
 
 // updateSpeeds evaluates the measured rates and logs the workers whose class changes.
 func (t *term) updateSpeeds(now time.Time) {
-	for _, c := range t.speeds.Update(now) {
+	changes := t.speeds.Update(now)
+	if len(changes) > 0 {
+		t.cfg.Meter.SetSpeedClasses(t.speeds.Classes())
+	}
+	for _, c := range changes {
 		event.LeaderWorkerSpeed.Log(t.cfg.Log).Str("Worker", c.Worker).Stringer("From", c.From).Stringer("To", c.To).
 			Float64("Speed", c.Speed).Float64("Evidence", c.Weight).Bool("Recent", c.Recent).Send()
 	}
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -221,7 +221,7 @@
 	task := s.progress.Task(s.job, k)
 	if w := t.workers[task.Worker]; w != nil {
 		if p := w.trackers[work.RunKey{Task: k, Run: task.Run}]; p != nil {
-			return p.remaining(estimate, now)
+			return p.remaining(time.Duration(float64(estimate)/cmp.Or(p.slowest, 1)), now)
 		}
 	}
 	return estimate
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -31,6 +31,8 @@
 	jobTimes    *prometheus.HistogramVec
 	crashAges   prometheus.Histogram
 	relayed     *prometheus.CounterVec
+	classes     *prometheus.GaugeVec
+	restarts    prometheus.Counter
 
 	mu       sync.Mutex
 	accounts map[string]bool // that have a label of their own
@@ -58,7 +60,13 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rosemarysill_relayed_total", Help: "Calls forwarded to another entry, by the reason and the result code of the other entry.",
 	}, []string{"reason", "code"})
-	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, newEventCollector())
+	m.classes = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "rosemarysill_worker_speed_classes", Help: "Workers with an estimate of their speed, by class, at the leader.",
+	}, []string{"class"})
+	m.restarts = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "rosemarysill_speed_restarts_total", Help: "Runs that were started again on faster workers because they would have been late.",
+	})
+	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, m.classes, m.restarts, newEventCollector())
 	return m
 }
 
@@ -124,6 +132,25 @@
 	}
 }
 
+// SetSpeedClasses exports the numbers of workers by the class of their speed, which are
+// those of the leader. An entry that does not lead has none.
+func (m *Meter) SetSpeedClasses(workers map[string]int) {
+	if m == nil {
+		return
+	}
+	m.classes.Reset()
+	for class, n := range workers {
+		m.classes.WithLabelValues(class).Set(float64(n))
+	}
+}
+
+// CountSpeedRestart counts a run, or a gang, that is started again on faster workers.
+func (m *Meter) CountSpeedRestart() {
+	if m != nil {
+		m.restarts.Inc()
+	}
+}
+
 // eventCollector exports the number of log events, written or dropped, and the
 // number of those whose lines were dropped.
 type eventCollector struct{ total, dropped *prometheus.Desc }
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -312,13 +312,16 @@
 	if p.startIn(u, fast) {
 		return true
 	}
-	if u.CompletesGang || u.MustStartNow || u.MinSpeedAfterStop == 0 || !u.mayPreempt() {
+	if u.CompletesGang || u.MustStartNow || !u.mayPreempt() {
 		return false
 	}
-	fast, _ = p.candidateSets(u, func(w *refWorker) bool { return refSpeed(w) >= u.MinSpeedAfterStop })
 	if p.reserveIn(u, fast) {
 		return true
 	}
+	if u.MinSpeedAfterStop == 0 {
+		return false
+	}
+	fast, _ = p.candidateSets(u, func(w *refWorker) bool { return refSpeed(w) >= u.MinSpeedAfterStop })
 	all, _ := p.candidateSets(u, refAnyWorker)
 	for _, set := range all {
 		if refSelectWorkers(u, set, func(w *refWorker) work.Shape { return w.free }) != nil {
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -19,7 +19,15 @@
 	if p.startIn(u, sets) {
 		return true
 	}
-	if u.CompletesGang || u.MustStartNow || !u.mayPreempt() || u.MinSpeedAfterStop <= 0 {
+	if u.CompletesGang || u.MustStartNow || !u.mayPreempt() {
+		return false
+	}
+	// Runs that end or stop soon may have been told to stop for this unit, so that less
+	// than the time of a stop is left.
+	if p.reserveIn(u, sets) {
+		return true
+	}
+	if u.MinSpeedAfterStop <= 0 {
 		return false
 	}
 	limit := math.Inf(1)
@@ -27,7 +35,7 @@
 		limit = lateCost
 	}
 	sets, _ = p.candidateSets(u, p.fasterThan(all, u.MinSpeedAfterStop))
-	return p.reserveIn(u, sets) || p.preemptIn(u, sets, limit)
+	return p.preemptIn(u, sets, limit)
 }
 
 // fitsIn reports whether the unit fits in the free capacity of one of the sets.
--- a/speed/class.go
+++ b/speed/class.go
@@ -42,6 +42,11 @@
 	// usualEvidence is the weight from which a worker that shows no difference is known to
 	// have none.
 	usualEvidence = 4
+	// classWeight is the weight of the mean of a class in the speed of its workers: kinds of
+	// machines differ more than machines of a kind do. minCentreWeight is the evidence from
+	// which the mean is used.
+	classWeight     = 4
+	minCentreWeight = 8
 	// minSpeed and maxSpeed bound published speeds, which are measured far less exactly
 	// when they are extreme.
 	minSpeed, maxSpeed = 0.05, 20
@@ -61,6 +66,9 @@
 	}
 	w.speed = 1
 	if class != Usual {
+		if !recent {
+			value = w.towardsClass(value)
+		}
 		w.speed = min(max(math.Exp(value), minSpeed), maxSpeed)
 	}
 	from := w.class
@@ -100,6 +108,15 @@
 	return w != nil && (w.class != Usual || w.weight >= usualEvidence)
 }
 
+// Classes returns the number of workers with an estimate in each class.
+func (e *Estimator) Classes() map[string]int {
+	n := make(map[string]int)
+	for _, w := range e.order {
+		n[w.class.String()]++
+	}
+	return n
+}
+
 // LongTerm returns the long-term speed of a worker, 1 if it is unknown or close to the
 // mean.
 func (e *Estimator) LongTerm(id string) float64 {
@@ -108,7 +125,17 @@
 		return 1
 	}
 	if value := w.value + w.offset; w.differs(value, w.weight, false) {
-		return min(max(math.Exp(value), minSpeed), maxSpeed)
+		return min(max(math.Exp(w.towardsClass(value)), minSpeed), maxSpeed)
 	}
 	return 1
 }
+
+// towardsClass returns the logarithm of the speed of a slow or fast worker of a mixed
+// service: with little evidence, that of its class.
+func (w *worker) towardsClass(value float64) float64 {
+	c := w.centres[classOf(value)]
+	if !w.mixed || c.weight < minCentreWeight {
+		return value
+	}
+	return (value*w.weight + (c.value+w.offset)*classWeight) / (w.weight + classWeight)
+}
--- a/speed/estimator.go
+++ b/speed/estimator.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// updateInterval is the least time between two evaluations of all samples.
-	updateInterval = 250 * time.Millisecond
+	// updateInterval is the least time between two evaluations of all samples, and
+	// updateIntervalPerWorker that for each worker: an evaluation takes about 20 us a worker.
+	updateInterval          = 250 * time.Millisecond
+	updateIntervalPerWorker = time.Millisecond
 	// bucketLength is the time whose samples count as one observation of the worker.
 	bucketLength = time.Second
 	// maxBuckets bounds the observations of a worker. A short slowdown takes seven of them,
@@ -77,8 +79,9 @@
 	weight       float64
 	recent       float64
 	recentWeight float64
-	offset       float64 // of the service, which normalises its mean time to 1
-	mixed        bool    // the speeds of the service's workers differ
+	offset       float64   // of the service, which normalises its mean time to 1
+	mixed        bool      // the speeds of the service's workers differ
+	centres      [3]centre // of the classes of the service
 	class        Class
 	speed        float64 // published
 }
@@ -155,7 +158,7 @@
 // Update evaluates the samples if there may be a change, and returns the workers whose
 // class has changed.
 func (e *Estimator) Update(now time.Time) []Change {
-	if now.Sub(e.updatedAt) < updateInterval {
+	if now.Sub(e.updatedAt) < max(updateInterval, time.Duration(len(e.order))*updateIntervalPerWorker) {
 		return nil
 	}
 	e.updatedAt = now
@@ -308,10 +311,24 @@
 	// of the measurements, with which a service counts as mixed.
 	minMixedWorkers = 8
 	minSpread       = 0.2
+	// maxCentreWeight bounds the weight of a worker in the mean of its class.
+	maxCentreWeight = 8
 )
 
 // service holds sums over the workers of a service that have enough evidence.
-type service struct{ n, time, value, square, noise float64 }
+type service struct {
+	n, time, value, square, noise float64
+	centres                       [3]centre // by class
+}
+
+// centre is the mean of the long-term values of a class, before the offset.
+type centre struct{ value, weight float64 }
+
+func (c centre) add(value, weight float64) centre {
+	c.weight += weight
+	c.value += (value - c.value) * weight / c.weight
+	return c
+}
 
 // isMixed reports whether the speeds differ by more than the measurements do.
 func (s service) isMixed() bool {
@@ -326,13 +343,19 @@
 	for _, w := range e.order {
 		if w.weight >= minMixedEvidence {
 			s := services[w.service]
-			services[w.service] = service{s.n + 1, s.time + math.Exp(-w.value), s.value + w.value, s.square + w.value*w.value, s.noise + taskDeviation*taskDeviation/w.weight}
+			s.n++
+			s.time += math.Exp(-w.value)
+			s.value += w.value
+			s.square += w.value * w.value
+			s.noise += taskDeviation * taskDeviation / w.weight
+			s.centres[w.class] = s.centres[w.class].add(w.value, min(w.weight, maxCentreWeight))
+			services[w.service] = s
 		}
 	}
 	for _, w := range e.order {
 		w.offset, w.mixed = 0, false
 		if s := services[w.service]; s.n > 0 {
-			w.offset, w.mixed = math.Log(s.time/s.n), s.isMixed()
+			w.offset, w.mixed, w.centres = math.Log(s.time/s.n), s.isMixed(), s.centres
 		}
 	}
 }
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -222,3 +222,23 @@
 		require.Less(t, wrong, samples/20)
 	}
 }
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{66, 1100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			w := newWorld(n)
+			for i := range 30 {
+				for g := range n / 20 {
+					w.startStep(fmt.Sprint("gang", i, g), 5*time.Second, true, w.pick(7, n)...)
+				}
+				w.startStep(fmt.Sprint("wide", i), 6*time.Second, false, w.pick(n/2, n)...)
+				w.run(time.Second)
+			}
+			for b.Loop() {
+				w.est.Observe(speed.Sample{Group: speed.Group{Job: "next"}, Worker: name0, Rate: 8, Span: time.Second, At: w.now})
+				w.now = w.now.Add(time.Second)
+				w.est.Update(w.now)
+			}
+		})
+	}
+}
