--- a/leader/speed.go
+++ b/leader/speed.go
@@ -186,7 +186,7 @@
 }
 
 // markSlowWorkers marks the workers on which the work of some queue would be late, and
-// those of which that is not known.
+// those of which that is not known, in services whose workers differ.
 func (t *term) markSlowWorkers(fleet []*schedule.Worker, now time.Time) {
 	needed := make(map[string]float64)
 	for queue, d := range t.speedDemands {
@@ -202,6 +202,6 @@
 		threatened[w.Service] = threatened[w.Service] || w.Slow
 	}
 	for _, w := range fleet {
-		w.Unproven = threatened[w.Service] && !t.speeds.IsKnown(w.ID)
+		w.Unproven = threatened[w.Service] && t.speeds.IsMixed(w.Service) && !t.speeds.IsKnown(w.ID)
 	}
 }
--- a/leader/speed_test.go
+++ b/leader/speed_test.go
@@ -140,3 +140,42 @@
 	after.endIncarnation("slow", "", uptime.Now())
 	require.EqualValues(t, 1, after.speeds.Speed("slow"))
 }
+
+// Guards against speeds that are never learned from tasks that end before their progress
+// is known, and against the ends of gang members, which show nothing.
+func TestDurationsOfShortTasksShowSpeeds(t *testing.T) {
+	for name, gang := range map[string]bool{"single tasks": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			term := newTerm(Config{Log: zerolog.Nop()}, jobstore.LeaderRecord{}, 1, 1, uptime.Now())
+			now := uptime.Now()
+			for n := range 12 {
+				j := &work.Job{ID: string(rune('a' + n)), Steps: []work.Step{{Count: 6, Gang: gang}}}
+				s := &jobState{job: j, progress: work.NewProgress(j)}
+				term.jobs[j.ID] = s
+				now = now.Add(time.Second)
+				for i := range 6 {
+					id := string(rune('0' + i))
+					w := term.workers[id]
+					if w == nil {
+						w = newWorkerState(control.Worker{Incarnation: id, Service: "s"}, "", now)
+						term.workers[id] = w
+					}
+					k, took := work.RunKey{Task: work.TaskKey{Job: j.ID, Index: i}, Run: 1}, 700*time.Millisecond
+					if i == 0 {
+						took = 1700 * time.Millisecond
+					}
+					s.progress.Place(&s.progress.Tasks[i], id, "", 1)
+					w.placedAt[k] = now.Add(-took)
+					term.endRun(id, k, work.OutcomeDone, "", now)
+				}
+				term.updateSpeeds(now)
+			}
+			if gang {
+				require.EqualValues(t, 1, term.speeds.Speed("0"))
+				return
+			}
+			require.Less(t, term.speeds.Speed("0"), 0.7)
+			require.EqualValues(t, 1, term.speeds.Speed("1"))
+		})
+	}
+}
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -51,7 +51,7 @@
 	StartedRecently bool    // a run has just started there, so that a crash would not point to another one
 	Speed           float64 // relative to the mean of its service; 0 counts as 1, if it is unknown
 	Slow            bool    // too slow for the objectives of some of its service's work; other work prefers it
-	Unproven        bool    // its speed is not known, while that of others is too low for some work
+	Unproven        bool    // its speed is not known, while many others are too slow for some work
 	Runs            []Run
 }
 
--- a/speed/class.go
+++ b/speed/class.go
@@ -108,6 +108,10 @@
 	return w != nil && (w.class != Usual || w.weight >= usualEvidence)
 }
 
+// IsMixed reports whether the workers of a service are known to differ in speed, beyond
+// single workers that are slow.
+func (e *Estimator) IsMixed(service string) bool { return e.mixed[service] }
+
 // Classes returns the number of workers with an estimate in each class.
 func (e *Estimator) Classes() map[string]int {
 	n := make(map[string]int)
--- a/speed/estimator.go
+++ b/speed/estimator.go
@@ -91,6 +91,7 @@
 	workers   map[string]*worker
 	order     []*worker // in the order of their first samples, so that sums do not vary
 	levels    map[Group]*level
+	mixed     map[string]bool // services whose workers differ
 	updatedAt time.Time
 	changed   bool // there are new samples
 }
@@ -352,6 +353,10 @@
 			services[w.service] = s
 		}
 	}
+	e.mixed = make(map[string]bool)
+	for name, s := range services {
+		e.mixed[name] = s.isMixed()
+	}
 	for _, w := range e.order {
 		w.offset, w.mixed = 0, false
 		if s := services[w.service]; s.n > 0 {
