--- a/leader/speed.go
+++ b/leader/speed.go
@@ -107,7 +107,11 @@
 
 // updateSpeeds evaluates the measured rates and logs the workers whose class changes.
 func (t *term) updateSpeeds(now time.Time) {
-	for _, c := range t.speeds.Update(now) {
+	changes := t.speeds.Update(now)
+	if len(changes) > 0 {
+		t.cfg.Meter.SetSpeedClasses(t.speeds.Classes())
+	}
+	for _, c := range changes {
 		event.LeaderWorkerSpeed.Log(t.cfg.Log).Str("Worker", c.Worker).Stringer("From", c.From).Stringer("To", c.To).
 			Float64("Speed", c.Speed).Float64("Evidence", c.Weight).Bool("Recent", c.Recent).Send()
 	}
@@ -182,7 +186,7 @@
 }
 
 // markSlowWorkers marks the workers on which the work of some queue would be late, and
-// those of which that is not known.
+// those of which that is not known, in services whose workers differ.
 func (t *term) markSlowWorkers(fleet []*schedule.Worker, now time.Time) {
 	needed := make(map[string]float64)
 	for queue, d := range t.speedDemands {
@@ -198,6 +202,6 @@
 		threatened[w.Service] = threatened[w.Service] || w.Slow
 	}
 	for _, w := range fleet {
-		w.Unproven = threatened[w.Service] && !t.speeds.IsKnown(w.ID)
+		w.Unproven = threatened[w.Service] && t.speeds.IsMixed(w.Service) && !t.speeds.IsKnown(w.ID)
 	}
 }
