--- a/leader/health.go
+++ b/leader/health.go
@@ -31,6 +31,7 @@
 	risk         float64 // probability that the worker fails the next run
 	suspect      bool    // risk is above soundness.SuspectRisk
 	evidence     string  // the latest failure in record, for logs
+	acquittal    string  // why the latest failures in record do not count any more, for logs
 }
 
 func (h *health) isAvoided(now time.Time) bool { return now.Before(h.avoidedUntil) }
--- a/leader/soundness.go
+++ b/leader/soundness.go
@@ -50,10 +50,10 @@
 	h, s := &w.health, t.jobs[k.Task.Job]
 	switch {
 	case outcome == work.OutcomeDone && !e.placedAt.Equal(t.elected):
-		h.record.Prove(e.placedAt)
+		h.prove(e.placedAt, k, "is done")
 	case outcome == work.OutcomeFailed && len(s.failedOn) > workersToBlameJob:
 		for _, other := range t.workers {
-			other.health.record.Retract(k.Task.Job)
+			other.health.retract(k.Task.Job)
 		}
 	case outcome == work.OutcomeFailed:
 		f := soundness.Failure{
@@ -104,7 +104,25 @@
 	if p != nil && now.Sub(p.startedAt) < soundness.ProofAge/2 {
 		return // the order has arrived late
 	}
-	w.health.record.Prove(placedAt)
+	w.health.prove(placedAt, k, "works")
+}
+
+// prove records that a run which was placed at the given time has worked.
+func (h *health) prove(placedAt time.Time, k work.RunKey, how string) {
+	failed := h.record.HasFailures()
+	h.record.Prove(placedAt)
+	if failed && !h.record.HasFailures() {
+		h.acquittal = fmt.Sprintf("run %v of %s, which was placed since, %s", k, k.Task.Job, how)
+	}
+}
+
+// retract removes the failures of a job that fails wherever it starts.
+func (h *health) retract(job string) {
+	failed := h.record.HasFailures()
+	h.record.Retract(job)
+	if failed && !h.record.HasFailures() {
+		h.acquittal = job + " fails on other workers as well"
+	}
 }
 
 // updateSoundness estimates how probable it is that each worker fails the next run, and
@@ -135,7 +153,7 @@
 		event.LeaderWorkerSuspect.Log(t.cfg.Log).Str("Worker", w.Incarnation).Float64("Risk", h.risk).Str("Why", h.evidence).Send()
 		return
 	}
-	why := "a run that has started since works"
+	why := h.acquittal
 	if h.record.HasFailures() {
 		why = "no failure for some time"
 	}
--- a/leader/soundness_test.go
+++ b/leader/soundness_test.go
@@ -107,6 +107,7 @@
 	m.report(w)
 	require.Equal(t, 2, m.place(t))
 	require.Contains(t, log.String(), `"LeaderWorkerCleared"`)
+	require.Contains(t, log.String(), "of j1, which was placed since, works")
 }
 
 // Guards against a gang that waits for other workers for longer than its guarantee allows.
