--- a/jobstore/follower.go
+++ b/jobstore/follower.go
@@ -174,8 +174,9 @@
 // unless the store has discarded the history since.
 func (f *Follower) applyNextChanges(ctx context.Context, revision uint64) (uint64, error) {
 	watchCtx, end := f.delivery.watch(ctx)
-	r := f.watch(watchCtx, revision)
-	changes, next, err := r.changes, r.next, r.err
+	timeout := f.awaitStore(watchCtx)
+	requestedAt := uptime.Now()
+	changes, next, err := f.store.Watch(watchCtx, f.prefix, revision, timeout)
 	if end() && err != nil {
 		err = errUndelivered
 	}
@@ -192,26 +193,25 @@
 		f.applyIfNewer(c)
 	}
 	f.delivery.reached(next)
-	f.markFresh(r.requestedAt)
+	f.markFresh(requestedAt)
 	if len(changes) > 0 {
 		f.waitForBatch(ctx)
 	}
 	return next, nil
 }
 
-// watch makes one watch. After a failure it makes probes instead, which do not wait at the
-// store, because the first reply shows that the store is back and the copy is fresh: until
-// then callers are refused.
-func (f *Follower) watch(ctx context.Context, revision uint64) probeReply {
+// awaitStore returns how long the next watch waits at the store. After a failure it first
+// waits until the store replies, and the watch does not wait, because its reply shows that
+// the copy is fresh: until then callers are refused.
+func (f *Follower) awaitStore(ctx context.Context) time.Duration {
 	f.mu.Lock()
 	healthy := f.healthy
 	f.mu.Unlock()
-	if !healthy {
-		return f.probe(ctx, revision)
+	if healthy {
+		return f.watchTimeout
 	}
-	r := probeReply{requestedAt: uptime.Now()}
-	r.changes, r.next, r.err = f.store.Watch(ctx, f.prefix, revision, f.watchTimeout)
-	return r
+	f.probe(ctx)
+	return 0
 }
 
 // applyIfNewer applies a change unless the copy has the same or a later version.
--- a/jobstore/follower_test.go
+++ b/jobstore/follower_test.go
@@ -144,6 +144,11 @@
 	return nil, after, nil
 }
 
+// Get replies to probes.
+func (w *watchRecorder) Get(context.Context, string) (rosemarysill.Item, error) {
+	return rosemarysill.Item{}, rosemarysill.ErrNotFound
+}
+
 // Guards against callers that are refused for another watch timeout after an outage: the
 // copy counts as fresh once a watch has returned, and nothing may change for that long.
 func TestFirstWatchAfterFailureDoesNotWait(t *testing.T) {
@@ -308,47 +313,57 @@
 	require.Empty(t, c.TakeChanged())
 }
 
-// silentProbe is a store whose watches after the first get no reply, except for one.
+// silentProbe is a store whose first watch fails, and whose first probes get no reply.
 type silentProbe struct {
 	rosemarysill.TransactionalStore
 	mu       sync.Mutex
-	calls    int
-	answered int // number of the call that gets a reply
-	reached  chan struct{}
+	watches  int
+	probes   int
+	answered int // number of the probe that gets a reply
 }
 
 func (s *silentProbe) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]rosemarysill.Change, uint64, error) {
 	s.mu.Lock()
-	s.calls++
-	n := s.calls
+	s.watches++
+	first := s.watches == 1
 	s.mu.Unlock()
-	switch {
-	case n == 1:
+	if first {
 		return nil, after, rosemarysill.ErrStoreUnavailable
-	case n < s.answered:
-		<-ctx.Done() // only the follower itself ends the call
-		return nil, after, ctx.Err()
-	case n == s.answered:
-		close(s.reached)
 	}
 	return s.TransactionalStore.Watch(ctx, prefix, after, wait)
 }
 
+func (s *silentProbe) Get(ctx context.Context, key string) (rosemarysill.Item, error) {
+	s.mu.Lock()
+	s.probes++
+	n := s.probes
+	s.mu.Unlock()
+	if n < s.answered {
+		<-ctx.Done() // only the follower itself ends the call
+		return rosemarysill.Item{}, ctx.Err()
+	}
+	return s.TransactionalStore.Get(ctx, key)
+}
+
 // Guards against a follower that waits for calls that were sent during an outage although
-// the store replies to later ones.
+// the store replies to later ones, and against several watches at a time, each of which
+// would carry all changes that were missed.
 func TestProbesDoNotWaitForEarlierOnes(t *testing.T) {
-	s := &silentProbe{TransactionalStore: standin.NewTransactions().View("v"), answered: 4, reached: make(chan struct{})}
-	recovered := make(chan struct{}, 1)
-	follower := jobstore.NewFollower(s, "p/", func(rosemarysill.Change) {}, func(error) {}, func() { recovered <- struct{}{} })
+	s := &silentProbe{TransactionalStore: standin.NewTransactions().View("v"), answered: 4}
+	recovered := make(chan int, 1)
+	follower := jobstore.NewFollower(s, "p/", func(rosemarysill.Change) {}, func(error) {}, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		recovered <- s.watches
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); follower.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	for _, c := range []chan struct{}{s.reached, recovered} {
-		select {
-		case <-c:
-		case <-time.After(testTimeout):
-			require.FailNow(t, "the follower waits for calls without a reply")
-		}
+	select {
+	case watches := <-recovered:
+		require.Equal(t, 2, watches)
+	case <-time.After(testTimeout):
+		require.FailNow(t, "the follower waits for calls without a reply")
 	}
 }
