intake: a dropped body ends its connection and its read for certain

Cause: the read of a dropped body is ended by a deadline in the past, which the reading goroutine could replace by its next deadline; the body was then held, without being counted, until the pause within a body ended it. The deadline could also come after the request and meet the next one on the same connection.

Change: the reader looks after each new deadline whether its body has been dropped, and the connection is closed after a body that was not received whole.

--- a/intake/body.go
+++ b/intake/body.go
@@ -126,6 +126,8 @@
 	control := http.NewResponseController(w)
 	data, err := q.read(control, http.MaxBytesReader(w, r.Body, limit), deadline)
 	if err != nil {
+		// The deadline that ends the read must not meet a later request.
+		w.Header().Set("Connection", "close")
 		return nil, q.explain(err, limit)
 	}
 	// net/http watches the connection while the handler runs, and an expired deadline
@@ -160,6 +162,9 @@
 			next = deadline
 		}
 		_ = control.SetReadDeadline(next) // not supported by test recorders
+		if q.dropped() {                  // the line above may have undone the deadline that ends the read
+			return nil, errDropped
+		}
 		n, err := body.Read(current[used:])
 		used += n
 		if n > 0 && !q.gate.draw(q.gate.bodies, q.body, int64(n), "body") {
@@ -192,11 +197,15 @@
 	return b.Bytes(), nil
 }
 
+func (q *request) dropped() bool {
+	q.gate.mu.Lock()
+	defer q.gate.mu.Unlock()
+	return q.body.dropped
+}
+
 // explain returns the error of a body that did not arrive, and counts it.
 func (q *request) explain(err error, limit int64) error {
-	q.gate.mu.Lock()
-	dropped := q.body.dropped
-	q.gate.mu.Unlock()
+	dropped := q.dropped()
 	q.gate.release(q.gate.bodies, q.body)
 	switch {
 	case dropped:
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -54,6 +55,33 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
+// Guards against a dropped body that is kept or executed, and against a connection that
+// is used again after its read was ended.
+func TestDroppedBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(testLimits, zerolog.Nop())
+		codes := make(chan rosemarysill.Code, 2)
+		h := g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := Read(w, r, 90, time.Now().Add(time.Hour))
+			codes <- rosemarysill.CodeOf(err)
+		}), g.NewSlots("test", 1), Refuse)
+		body, client := io.Pipe()
+		dropped := httptest.NewRecorder()
+		go h.ServeHTTP(dropped, httptest.NewRequest(http.MethodPost, "/", body))
+		_, err := client.Write(make([]byte, 60))
+		require.NoError(t, err)
+		time.Sleep(stallTime)
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", 80))))
+		require.Equal(t, rosemarysill.Done, <-codes)
+		require.EqualValues(t, 1, g.Counts().Dropped)
+		require.Zero(t, g.Counts().Held)
+		_, _ = client.Write([]byte("x")) // may be refused
+		require.Equal(t, rosemarysill.Overloaded, <-codes)
+		synctest.Wait()
+		require.Equal(t, "close", dropped.Header().Get("Connection"))
+	})
+}
+
 // Guards against a request that runs although it was refused for want of a slot, and
 // against a slot that is not returned.
 func TestSlots(t *testing.T) {
