--- a/leader/fleet.go
+++ b/leader/fleet.go
@@ -61,7 +61,7 @@
 	step := s.job.Steps[k.Task.Step]
 	run := schedule.Run{
 		Key: k, LongRunning: step.LongRunning, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Priority: s.job.Priority, Guaranteed: guaranteed[s.job.ID], Stopping: task.Stopping,
-		Cost: step.Shape.Cores() * now.Sub(w.placedAt[k]).Seconds(), Budget: budgets.of(s, k.Task),
+		Budget: budgets.of(s, k.Task),
 	}
 	if since, ok := w.stopRequestedAt[k]; ok {
 		run.StopOverdue = now.Sub(since) > stopOverdueFactor*t.cfg.StopGrace
@@ -70,12 +70,7 @@
 		run.EndsSoon = p.endsWithin(t.cfg.StopGrace, step.Estimate, now)
 	}
 	run.Late = s.job.Priority == 0 && !step.LongRunning && t.isLate(s.job, w, k, now)
-	switch {
-	case step.LongRunning:
-		run.Cost = step.Shape.Cores() * serviceAbsence.Seconds()
-	case step.Checkpointing:
-		run.Cost = step.Shape.Cores() // one second: it saves a checkpoint when it is stopped
-	}
+	run.EndsIn, run.Cost = t.stopCost(s, w, k, now)
 	if step.Gang {
 		run.Gang = k.Task.Job + "/" + strconv.Itoa(k.Task.Occurrence) + "/" + strconv.Itoa(k.Task.Step)
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/declaration"
+	"github.com/rosemarysill/rosemarysill/delay"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/meter"
@@ -71,6 +72,7 @@
 	StopGrace        time.Duration       // longest time that the stop of a run takes
 	GangWait         time.Duration       // for which members of a gang wait for the others
 	ReclaimTimeout   time.Duration       // within which guaranteed work starts
+	Delay            delay.Model         // what delays and stops cost callers; the default if zero
 	RemoteSlowdown   float64             // factor by which tasks take longer away from their rack; 0 if unknown
 	Adviser          work.Adviser        // nil if there is no advice service
 	Machines         work.MachineManager // nil if machines cannot be controlled
--- a/leader/place.go
+++ b/leader/place.go
@@ -14,6 +14,7 @@
 // place makes one scheduling pass: it decides which tasks start and which runs are
 // preempted for them.
 func (t *term) place(now time.Time) {
+	clear(t.forecasts)
 	guaranteed := t.guaranteedJobs()
 	t.totalCores = t.fleetCores()
 	units := t.units(guaranteed)
@@ -25,10 +26,7 @@
 	fleet := t.fleet(guaranteed, now)
 	t.endWaits(units, fleet, now)
 	plan := schedule.Decide(fleet, units, t.urgentUse.Expected())
-	for _, k := range plan.Stops {
-		_, task := t.task(k)
-		t.stop(k, task, "preempted by a more urgent job")
-	}
+	t.preempt(plan.Stops)
 	incomplete := t.stepsWithRefusedMember(plan.Placements)
 	for _, p := range plan.Placements {
 		if !incomplete[keyOfStep(p.Task)] {
@@ -79,6 +77,7 @@
 		k.Run = gangRunNumber(s.progress.Step(s.job, p.Task.Occurrence, p.Task.Step))
 	}
 	if !s.progress.Started() {
+		t.startWaits[s.job.Priority] = t.startWaits[s.job.Priority].add(time.Since(queuedSince(s.job, p.Task.Occurrence)))
 		t.cfg.Meter.ObserveStart(s.job.Account, s.job.Priority, time.Since(queuedSince(s.job, p.Task.Occurrence)))
 	}
 	s.progress.Place(task, p.Worker, p.Ticket, k.Run)
@@ -180,11 +179,13 @@
 		MustStartNow: guaranteed && now.Sub(queuedSince(s.job, occurrence)) > t.cfg.ReclaimTimeout/2,
 		Deferrable:   t.isDeferrable(s, occurrence, now),
 		Timeliness:   t.timeliness(s, occurrence, now),
+		StopTime:     t.cfg.StopGrace,
 		FleetTime:    t.fleetTime(s.job, step),
 	}
 	if gang && len(waiting) < len(tasks) && !t.markAsCompletion(&unit, tasks) {
 		return nil
 	}
+	t.addForecast(&unit, s, now)
 	if s.job.Advised {
 		unit.Tickets = t.tickets(s, occurrence, step, uptime.Now())
 	}
@@ -195,6 +196,7 @@
 		}
 		return []*schedule.Unit{&unit}
 	}
+	unit.Forecast = unit.Forecast.Share(len(waiting))
 	units := make([]*schedule.Unit, 0, len(waiting))
 	for _, i := range waiting {
 		u := unit
--- a/leader/term.go
+++ b/leader/term.go
@@ -8,6 +8,7 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/crash"
+	"github.com/rosemarysill/rosemarysill/delay"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/schedule"
@@ -28,6 +29,7 @@
 	hasCrashes       bool                       // workers have crashed under some of its tasks
 	crashedAt        map[work.TaskKey]time.Time // when the latest crash under a task became known in this term
 	failedOn         map[string]time.Time       // latest failure by worker, in this term and since a run was done
+	preemptions      int                        // passes of this term that have stopped runs of the job for others
 }
 
 // workerState is the state of a worker's incarnation during a term.
@@ -79,28 +81,31 @@
 	latestStreams      map[string]uint64        // number of the latest stream, by agent
 	endedIncarnations  map[string]bool          // whose runs have been ended; a repeated report does nothing
 	advice             map[stepKey]*stepAdvice
-	urgentUse          schedule.UrgentUse      // of the fleet
-	recentCrashes      crash.Recent            // of workers
-	runDurations       map[string]meanDuration // by queue
-	totalCores         float64                 // size of the fleet
-	waitingSince       map[stepKey]time.Time   // steps with waiting units; see observeWaits
-	incompleteGangs    map[stepKey]bool        // gangs that wait for the replacement of refused members
-	adviceWanted       chan struct{}           // signals that a step waits for advice
-	waves              map[string]*waveState   // used by runMaintenance only
-	fenced             bool                    // a later leader has ordered machines; used by runMaintenance only
-	streamsOpened      uint64                  // number of streams opened in this term
-	checkpointsSavedAt time.Time               // when checkpoints were last marked for a commit
-	sweptAt            time.Time               // time of the last sweep; used by run only
-	endCause           error                   // why the term has ended
-	over               bool                    // the term has ended or is about to; it orders nothing any more
+	urgentUse          schedule.UrgentUse               // of the fleet
+	recentCrashes      crash.Recent                     // of workers
+	runDurations       map[string]meanDuration          // by queue
+	startWaits         map[int]meanDuration             // from acceptance to the first start, by priority
+	forecasts          map[occurrenceKey]delay.Forecast // of the present pass
+	totalCores         float64                          // size of the fleet
+	waitingSince       map[stepKey]time.Time            // steps with waiting units; see observeWaits
+	incompleteGangs    map[stepKey]bool                 // gangs that wait for the replacement of refused members
+	adviceWanted       chan struct{}                    // signals that a step waits for advice
+	waves              map[string]*waveState            // used by runMaintenance only
+	fenced             bool                             // a later leader has ordered machines; used by runMaintenance only
+	streamsOpened      uint64                           // number of streams opened in this term
+	checkpointsSavedAt time.Time                        // when checkpoints were last marked for a commit
+	sweptAt            time.Time                        // time of the last sweep; used by run only
+	endCause           error                            // why the term has ended
+	over               bool                             // the term has ended or is about to; it orders nothing any more
 }
 
 func newTerm(cfg Config, rec jobstore.LeaderRecord, leaderVersion uint64, lease rosemarysill.LeaseID, leaseExpiry time.Time) *term {
+	cfg.Delay = cfg.Delay.OrDefault()
 	return &term{
 		cfg: cfg, rec: rec, leaderVersion: leaderVersion, lease: lease, leaseExpiry: leaseExpiry, elected: uptime.Now(),
 		ended: make(chan struct{}), leaseLost: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
-		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), incompleteGangs: make(map[stepKey]bool), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
+		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), startWaits: make(map[int]meanDuration), forecasts: make(map[occurrenceKey]delay.Forecast), incompleteGangs: make(map[stepKey]bool), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
 }
 
--- a/leader/timeliness.go
+++ b/leader/timeliness.go
@@ -29,12 +29,13 @@
 // their runs take a little longer than expected.
 const durationTolerance = 0.2
 
-// timeliness predicts whether an occurrence meets its deadline. Declared durations are
+// timeliness predicts whether an occurrence meets its deadline. A late one counts as
+// Expiring from one expected duration before its last useful start. Declared durations are
 // often far too low, and users measure by the real ones: if the mean run duration of its
 // queue is longer than the declared duration, it replaces the declared one in both the
 // predicted end and the deadline.
 func (t *term) timeliness(s *jobState, occurrence int, now time.Time) schedule.Timeliness {
-	remaining := t.remainingPath(s, occurrence) + t.expectedDuration(s.job) - criticalPath(s.job)
+	remaining := t.expectedRemaining(s, occurrence)
 	limit := t.expectedObjective(s.job)
 	from, end := queuedSince(s.job, occurrence), now.Add(remaining)
 	margin := t.cfg.StopGrace + time.Duration(durationTolerance*float64(remaining))
@@ -43,13 +44,20 @@
 		return schedule.OnTime
 	case !end.After(from.Add(limit)):
 		return schedule.AtRisk
-	case !end.After(from.Add(work.ExpiredFactor * limit)):
+	case !end.Add(remaining).After(from.Add(work.ExpiredFactor * limit)):
 		return schedule.Late
+	case !end.After(from.Add(work.ExpiredFactor * limit)):
+		return schedule.Expiring
 	default:
 		return schedule.Expired
 	}
 }
 
+// expectedRemaining returns the expected duration of the steps that are not done.
+func (t *term) expectedRemaining(s *jobState, occurrence int) time.Duration {
+	return t.remainingPath(s, occurrence) + t.expectedDuration(s.job) - criticalPath(s.job)
+}
+
 // isDeferrable reports whether batch work would be on time if it started later, so that
 // it can leave capacity to urgent work that is expected.
 func (t *term) isDeferrable(s *jobState, occurrence int, now time.Time) bool {
--- a/leader/timeliness_test.go
+++ b/leader/timeliness_test.go
@@ -23,6 +23,8 @@
 		"no slack":                            {2000, 0, 700, schedule.AtRisk},
 		"will be late":                        {2000, 0, 1400, schedule.Late},
 		"too late to count":                   {2000, 0, 8000, schedule.Expired},
+		"late, and soon too late to count":    {2000, 0, 6000, schedule.Expiring},
+		"late, but not soon too late":         {2000, 0, 5800, schedule.Late},
 		"declared duration far too low":       {300, 2000, 400, schedule.OnTime},
 		"declared duration far too low, late": {300, 2000, 1400, schedule.Late},
 	} {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -30,6 +30,7 @@
 	startWaits  *prometheus.HistogramVec
 	jobTimes    *prometheus.HistogramVec
 	crashAges   prometheus.Histogram
+	preemptions *prometheus.HistogramVec
 	relayed     *prometheus.CounterVec
 
 	mu       sync.Mutex
@@ -58,7 +59,11 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rosemarysill_relayed_total", Help: "Calls forwarded to another entry, by the reason and the result code of the other entry.",
 	}, []string{"reason", "code"})
-	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, newEventCollector())
+	m.preemptions = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "rosemarysill_preemption_cost", Help: "Cost of the runs that were stopped for others, by their priority; docs/design/delay.md has the unit.",
+		Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
+	}, []string{"priority"})
+	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.preemptions, m.relayed, newEventCollector())
 	return m
 }
 
@@ -124,6 +129,13 @@
 	}
 }
 
+// ObservePreemption records the stop of a run of a priority for another job.
+func (m *Meter) ObservePreemption(priority int, cost float64) {
+	if m != nil {
+		m.preemptions.WithLabelValues(strconv.Itoa(priority)).Observe(cost)
+	}
+}
+
 // eventCollector exports the number of log events, written or dropped, and the
 // number of those whose lines were dropped.
 type eventCollector struct{ total, dropped *prometheus.Desc }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -22,6 +22,7 @@
 	}
 	m.ObserveEnd("account0", 0, "completed", time.Minute)
 	m.ObserveCrash(200 * time.Millisecond)
+	m.ObservePreemption(2, 0.2)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	body := w.Body.String()
@@ -29,6 +30,7 @@
 	require.Contains(t, body, `rosemarysill_start_wait_seconds_count{account="Rest",priority="0"} 172`)
 	require.Contains(t, body, `rosemarysill_job_seconds_count{account="account0",priority="0",state="completed"} 1`)
 	require.Contains(t, body, `rosemarysill_crash_run_age_seconds_bucket{le="0.3"} 1`)
+	require.Contains(t, body, `rosemarysill_preemption_cost_bucket{priority="2",le="0.3"} 1`)
 	require.NotContains(t, body, `account="account200"`)
 }
 
@@ -40,5 +42,6 @@
 		m.ObserveStart("a", 0, 0)
 		m.ObserveEnd("a", 0, "failed", 0)
 		m.ObserveCrash(0)
+		m.ObservePreemption(0, 0)
 	})
 }
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -16,11 +17,12 @@
 	Demand      work.Shape
 	MilliCPU    int64 // declared, also if Demand has none because the run is best-effort
 	Priority    int
-	Guaranteed  bool    // within the guaranteed capacity of its client account
-	Gang        string  // identifies the gang, whose runs end together; empty if not in a gang
-	Cost        float64 // core-seconds of work lost if it is stopped
-	Late        bool    // urgent, and its job is expected to miss its deadline
-	LongRunning bool    // does not end by itself
+	Guaranteed  bool          // within the guaranteed capacity of its client account
+	Gang        string        // identifies the gang, whose runs end together; empty if not in a gang
+	Cost        float64       // of stopping it, by delay.Model.CostOfStop; in a gang, its share
+	EndsIn      time.Duration // expected time until it ends by itself; 0 if unknown
+	Late        bool          // urgent, and its job is expected to miss its deadline
+	LongRunning bool          // does not end by itself
 	Stopping    bool
 	StopOverdue bool        // was told to stop and has not ended within the time allowed
 	EndsSoon    bool        // expected to end by itself no later than a stop would end it
@@ -51,21 +53,32 @@
 	Runs            []Run
 }
 
-// alignGangEnds clears EndsSoon for members of a gang that has a slower member,
-// because the runs of a gang end together.
+// alignGangEnds clears EndsSoon for members of a gang that has a slower member, and sets
+// EndsIn to that of the slowest one, because the runs of a gang end together.
 func alignGangEnds(workers []*Worker) {
 	endsLater := make(map[string]bool)
+	ends := make(map[string]time.Duration)
+	unknown := make(map[string]bool)
 	for _, w := range workers {
 		for _, r := range w.Runs {
 			if r.Gang != "" && !r.EndsSoon && !r.Stopping {
 				endsLater[r.Gang] = true
 			}
+			if r.Gang != "" {
+				ends[r.Gang] = max(ends[r.Gang], r.EndsIn)
+				unknown[r.Gang] = unknown[r.Gang] || (r.EndsIn == 0 && !r.EndsSoon)
+			}
 		}
 	}
 	for _, w := range workers {
 		for i := range w.Runs {
 			r := &w.Runs[i]
 			r.EndsSoon = r.EndsSoon && !endsLater[r.Gang]
+			if unknown[r.Gang] {
+				r.EndsIn = 0
+			} else if r.Gang != "" {
+				r.EndsIn = ends[r.Gang]
+			}
 		}
 	}
 }
@@ -91,10 +104,12 @@
 	freeCores     float64      // free, in cores; 0 if a resource is lacking
 	idleMilliCPU  int64        // not declared by any run, best-effort ones included
 	runsByCost    []*placedRun // ascending by gangStopCost; set by indexRuns
-	keptForUrgent bool         // not available to deferrable single tasks without a DataRack
-	keptFromGangs bool         // not available to deferrable gangs without a DataRack
-	lossCost      float64      // of losing all runs with the worker
-	hasStarts     bool         // a run starts there in this pass
+	ends          []*Run       // runs whose end is expected, ascending by EndsIn; set by indexEnds
+	endsIndexed   bool
+	keptForUrgent bool    // not available to deferrable single tasks without a DataRack
+	keptFromGangs bool    // not available to deferrable gangs without a DataRack
+	lossCost      float64 // of losing all runs with the worker
+	hasStarts     bool    // a run starts there in this pass
 }
 
 func newWorkerState(w *Worker) *workerState {
@@ -103,7 +118,7 @@
 		run := &w.Runs[i]
 		state.free = state.free.Sub(run.Demand)
 		state.idleMilliCPU -= run.MilliCPU
-		state.lossCost += run.stopCost()
+		state.lossCost += run.Cost
 		if run.StopOverdue || (!run.Stopping && !run.EndsSoon) {
 			state.projectedFree = state.projectedFree.Sub(run.Demand)
 		}
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -13,43 +13,19 @@
 	worker       *workerState
 	index        int           // position in Worker.Runs
 	gang         *[]*placedRun // the runs of its gang, or the run alone
-	gangStopCost float64       // sum of stopCost over gang
+	gangStopCost float64       // sum of Cost over gang
 }
 
 // preemptibleBy reports whether the run may be stopped for the unit, apart from its
 // budget. Runs that are ending or within a guarantee may not. Of the others, these may:
-// (1) runs that are not urgent; (2) late urgent runs, for a unit that can meet its
+// (1) runs of a lower priority; (2) late urgent runs, for an urgent unit that can meet its
 // deadline or is within a guarantee; (3) all urgent runs, for a unit within a guarantee
 // that must start now or is AtRisk or worse.
 func (r *Run) preemptibleBy(u *Unit) bool {
 	if r.Stopping || r.EndsSoon || r.Guaranteed {
 		return false
 	}
-	return r.Priority > 0 || (r.Late && u.effectiveTimeliness() <= AtRisk) || (u.Guaranteed && (u.MustStartNow || u.Timeliness > OnTime))
-}
-
-const (
-	// perStopCost is added for each run, so that fewer runs are stopped.
-	perStopCost = 1.0 // core-seconds
-	// urgentStopCost is added for a run of priority 0. Its job has hardly any slack,
-	// so that a stop makes it late, and users rate a late job like a thousand
-	// core-seconds of lost work.
-	urgentStopCost = 1000.0 // core-seconds
-	// lateStopCost is added instead if the job is late in any case: a late job
-	// counts a fifth of one that is on time.
-	lateStopCost = 200.0 // core-seconds
-)
-
-// stopCost returns the cost of stopping the run: the work lost and the surcharges.
-func (r *Run) stopCost() float64 {
-	switch {
-	case r.Priority > 0:
-		return r.Cost + perStopCost
-	case r.Late:
-		return r.Cost + perStopCost + lateStopCost
-	default:
-		return r.Cost + perStopCost + urgentStopCost
-	}
+	return r.Priority > u.Job.Priority || (r.Late && u.Job.Priority == 0 && u.effectiveTimeliness() <= AtRisk) || (u.Guaranteed && (u.MustStartNow || u.Timeliness > OnTime))
 }
 
 // indexRuns sets runsByCost of all workers and budgetWorkers. It runs once per pass,
@@ -79,7 +55,7 @@
 	for _, w := range p.workers {
 		for _, run := range w.runsByCost {
 			for _, other := range *run.gang {
-				run.gangStopCost += other.stopCost()
+				run.gangStopCost += other.Cost
 			}
 		}
 		slices.SortStableFunc(w.runsByCost, func(a, b *placedRun) int {
@@ -89,7 +65,9 @@
 }
 
 // preemptIn stops runs in the set of workers where that costs least, and reserves
-// their capacity for the unit.
+// their capacity for the unit. If the delay that the stops avoid costs less than the
+// stops, the unit waits where it is expected to fit soonest, provided that it hardly
+// loses by that.
 func (p *pass) preemptIn(u *Unit, sets [][]*workerState) bool {
 	p.indexRuns()
 	var best *preemption
@@ -101,6 +79,16 @@
 	if best == nil {
 		return false
 	}
+	if !u.Guaranteed && u.Forecast.Known() {
+		wait, chosen := p.soonestFit(u, sets)
+		if !u.preemptionPays(best.cost, wait) {
+			if !u.canWait(wait) {
+				return false
+			}
+			p.reserve(u, chosen)
+			return true
+		}
+	}
 	p.commit(u, best)
 	return true
 }
@@ -119,7 +107,7 @@
 		if victim.LongRunning && !victim.remains() {
 			victim.worker.releasable = victim.worker.releasable.Add(victim.Demand)
 		}
-		p.plan.Stops = append(p.plan.Stops, victim.Key)
+		p.plan.Stops = append(p.plan.Stops, Stop{RunKey: victim.Key, For: u.Job.ID, Cost: victim.Cost})
 	}
 	p.reserve(u, pr.chosen)
 }
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemarysill/rosemarysill/delay"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -13,10 +14,11 @@
 
 // Values of Timeliness, in order of precedence.
 const (
-	OnTime  Timeliness = iota // expected to meet its deadline with slack
-	AtRisk                    // expected to meet it only if nothing delays it
-	Late                      // expected to miss it; users rate it lower than an on-time job
-	Expired                   // so late that users rate it like a job that was not done
+	OnTime   Timeliness = iota // expected to meet its deadline with slack
+	AtRisk                     // expected to meet it only if nothing delays it
+	Expiring                   // expected to miss it, and to expire soon unless it starts
+	Late                       // expected to miss it; users rate it lower than an on-time job
+	Expired                    // so late that users rate it like a job that was not done
 )
 
 // Unit is a gang or a single task: its tasks are placed all together or not at all.
@@ -37,6 +39,9 @@
 	Deferrable         bool              // can start later and still meet its deadline
 	Deadline           time.Time         // by which the job should be done
 	Timeliness         Timeliness        // of the job
+	Forecast           delay.Forecast    // what the unit loses by waiting; zero without a deadline
+	Density            float64           // value lost per second of delay and core-second of its step
+	StopTime           time.Duration     // within which a run that is preempted for the unit ends
 	FleetTime          time.Duration     // time that the work of its whole step would take on the whole fleet
 	TasksByWorker      map[string]int    // tasks of the step by worker; shared by its units
 	Tickets            map[string]string // by worker; an advised job runs only where it has one
@@ -60,18 +65,27 @@
 // Plan is the result of a scheduling pass.
 type Plan struct {
 	Placements []Placement
-	Stops      []work.RunKey
+	Stops      []Stop
+}
+
+// Stop is the decision to stop a run.
+type Stop struct {
+	work.RunKey
+	For  string  // job for which it is stopped
+	Cost float64 // of the stop, by delay.Model.CostOfStop
 }
 
 // sortUnits sorts units by precedence: by priority, then units within a guarantee
-// first, then by timeliness, then by order time. Timeliness counts because under
-// overload jobs that are late in any case would make all others late as well.
+// first, then by precedence class, then batch units by density, then by order time.
+// Timeliness counts because under overload jobs that are late in any case would make all
+// others late as well.
 func sortUnits(units []*Unit) {
 	slices.SortStableFunc(units, func(a, b *Unit) int {
 		return cmp.Or(
 			cmp.Compare(a.Job.Priority, b.Job.Priority),
 			compareBool(b.Guaranteed, a.Guaranteed),
-			cmp.Compare(a.effectiveTimeliness(), b.effectiveTimeliness()),
+			cmp.Compare(a.precedenceClass(), b.precedenceClass()),
+			compareDensity(a, b),
 			a.orderTime().Compare(b.orderTime()),
 			cmp.Compare(a.Job.ID, b.Job.ID),
 		)
@@ -87,6 +101,41 @@
 	return u.Timeliness
 }
 
+// precedenceClass returns the timeliness by which units of a priority are ordered. Batch
+// units at risk are not put behind those with slack: they have waited longest, and can
+// still be in time. Urgent units at risk are: a preemption takes the rest of their slack.
+func (u *Unit) precedenceClass() Timeliness {
+	if c := u.effectiveTimeliness(); c != AtRisk || u.Job.Priority == 0 {
+		return c
+	}
+	return OnTime
+}
+
+// compareDensity puts the batch unit that loses more per unit of work and delay first.
+// Urgent units are ordered by arrival instead, so that their order does not change while
+// capacity is preempted for them.
+func compareDensity(a, b *Unit) int {
+	if a.Job.Priority == 0 {
+		return 0
+	}
+	return cmp.Compare(b.Density, a.Density)
+}
+
+// preemptionPays reports whether stops of the given cost lose less than the unit would
+// lose by starting after the wait instead of once the runs are stopped.
+func (u *Unit) preemptionPays(cost float64, wait time.Duration) bool {
+	return u.Forecast.Loss(wait)-u.Forecast.Loss(min(u.StopTime, wait)) > cost
+}
+
+// maxWaitLoss is the share of what lateness costs a unit that it may lose by waiting where
+// it runs at full speed rather than starting at once where it is slow.
+const maxWaitLoss = 0.1
+
+// canWait reports whether the unit hardly loses by the wait.
+func (u *Unit) canWait(wait time.Duration) bool {
+	return u.Forecast.CostOfDelay(wait) <= maxWaitLoss*u.Forecast.LateLoss
+}
+
 // mayPreempt reports whether capacity may be reserved and runs stopped for the unit.
 // Late units may preempt as well: they still count, and without preemption a wide
 // gang would not fit until the load ends. Units that avoid recent starts wait for
