--- a/delay/model.go
+++ b/delay/model.go
@@ -123,6 +123,15 @@
 	return f
 }
 
+// ForOneOf returns the forecast for one of n tasks that run independently. The stop of one
+// costs their job as much as the stop of all, of which usually some are stopped; the share
+// is the geometric mean of these cases.
+func (f Forecast) ForOneOf(n int) Forecast {
+	share := math.Sqrt(float64(n))
+	f.LateLoss, f.ExpiredLoss = f.LateLoss/share, f.ExpiredLoss/share
+	return f
+}
+
 // rateStep is the delay over which Density measures the loss.
 const rateStep = time.Second
 
@@ -138,15 +147,15 @@
 	Restarted time.Duration // expected duration of the job once the run has started again
 	Wait      time.Duration // time until it has started again
 	Work      float64       // core-seconds that are lost
-	Earlier   int           // times that runs of the job have been stopped before
+	Earlier   float64       // times that the task, or the tasks of its job on average, have been stopped before
 }
 
 // CostOfStop returns what a stop costs: the value that the job is likely to lose by
-// starting over, the work lost, and the new start. Each earlier stop of the job adds the
-// cost once more, so that no job is stopped again and again.
+// starting over, the work lost, and the new start. Each earlier stop adds the cost once
+// more, so that no job is stopped again and again.
 func (m Model) CostOfStop(s Stop) float64 {
 	restarted := s.Running
 	restarted.Remaining = s.Restarted
 	loss := max(0, restarted.Loss(s.Wait)-s.Running.Loss(0))
-	return float64(1+s.Earlier) * (m.StopPrice + m.WorkPrice*s.Work + loss)
+	return (1 + s.Earlier) * (m.StopPrice + m.WorkPrice*s.Work + loss)
 }
--- a/event/leader.go
+++ b/event/leader.go
@@ -76,7 +76,7 @@
 	LeaderResigned:       {"LeaderResigned", zerolog.InfoLevel, "This entry has stepped down as leader."},
 	LeaderCommitFailed:   {"LeaderCommitFailed", zerolog.WarnLevel, "A commit of progress got no response; it is retried."},
 	LeaderPlaced:         {"LeaderPlaced", zerolog.InfoLevel, "The start of a run is recorded, and the worker was asked to start it."},
-	LeaderStopped:        {"LeaderStopped", zerolog.InfoLevel, "A run is being stopped. If it is preempted, For is the job for which it is stopped, Cost what the stop costs (docs/design/delay.md), and Preemptions the number of passes that have stopped runs of its job."},
+	LeaderStopped:        {"LeaderStopped", zerolog.InfoLevel, "A run is being stopped. If it is preempted, For is the job for which it is stopped, Cost what the stop costs (docs/design/delay.md), and Preemptions how often the task has been preempted in the term of this leader."},
 	LeaderRunEnded:       {"LeaderRunEnded", zerolog.InfoLevel, "The leader has processed the end of a run."},
 	LeaderRefused:        {"LeaderRefused", zerolog.InfoLevel, "A worker refused to start a run. If it lists the run (Listed), an earlier call has started it, and the refusal has no effect."},
 	LeaderJobEnded:       {"LeaderJobEnded", zerolog.InfoLevel, "A job has reached a final state."},
--- a/leader/fleet.go
+++ b/leader/fleet.go
@@ -71,6 +71,7 @@
 	}
 	run.Late = s.job.Priority == 0 && !step.LongRunning && t.isLate(s.job, w, k, now)
 	run.EndsIn, run.Cost = t.stopCost(s, w, k, now)
+	run.Preempted = s.preempted[k.Task]
 	if step.Gang {
 		run.Gang = k.Task.Job + "/" + strconv.Itoa(k.Task.Occurrence) + "/" + strconv.Itoa(k.Task.Step)
 	}
--- a/leader/forecast.go
+++ b/leader/forecast.go
@@ -75,11 +75,20 @@
 	return max(j.Steps[step].Estimate, t.runDurations[j.Queue].mean)
 }
 
+// taskDuration returns the expected duration of a task, 0 if it does not end by itself or
+// nothing is known.
+func (t *term) taskDuration(j *work.Job, step int) time.Duration {
+	if j.Steps[step].LongRunning {
+		return 0
+	}
+	return t.stepDuration(j, step)
+}
+
 // stopCost returns in which time the run is expected to end by itself, 0 if that is not
 // known, and what its stop costs. The members of a gang share what their job loses.
 func (t *term) stopCost(s *jobState, w *workerState, k work.RunKey, now time.Time) (endsIn time.Duration, cost float64) {
 	step, model := s.job.Steps[k.Task.Step], t.cfg.Delay
-	stop := delay.Stop{Work: step.Shape.Cores() * now.Sub(w.placedAt[k]).Seconds(), Earlier: s.preemptions}
+	stop := delay.Stop{Work: step.Shape.Cores() * now.Sub(w.placedAt[k]).Seconds(), Earlier: s.earlierStops(k.Task)}
 	if step.LongRunning {
 		stop.Work = step.Shape.Cores() * serviceAbsence.Seconds()
 		return 0, model.CostOfStop(stop)
@@ -100,10 +109,18 @@
 	stop.Wait = t.cfg.StopGrace + t.startWaits[s.job.Priority].mean
 	if step.Gang {
 		stop.Running = stop.Running.Share(step.Count)
+	} else {
+		stop.Running = stop.Running.ForOneOf(step.Count)
 	}
 	return endsIn, model.CostOfStop(stop)
 }
 
+// earlierStops returns how often the task has been preempted in this term, or how often
+// the tasks of its job were on average if that is more.
+func (s *jobState) earlierStops(k work.TaskKey) float64 {
+	return max(float64(s.preempted[k]), float64(s.preemptions)/float64(len(s.progress.Tasks)))
+}
+
 // expectedEnd returns the time until the run is expected to end. It is 0 if the run has
 // taken longer than expected and its speed is not known.
 func (t *term) expectedEnd(s *jobState, w *workerState, k work.RunKey, now time.Time) time.Duration {
@@ -116,23 +133,23 @@
 
 // preempt stops runs for more urgent jobs.
 func (t *term) preempt(stops []schedule.Stop) {
-	counted := make(map[string]bool)
 	for _, stop := range stops {
 		s, task := t.task(stop.RunKey)
 		if task.Stopping {
 			continue
 		}
-		if !counted[s.job.ID] {
-			counted[s.job.ID] = true
-			s.preemptions++
+		if s.preempted == nil {
+			s.preempted = make(map[work.TaskKey]int)
 		}
+		s.preempted[stop.Task]++
+		s.preemptions++
 		t.cfg.Meter.ObservePreemption(s.job.Priority, stop.Cost)
 		task.Stopping = true
 		if w := t.workers[task.Worker]; w != nil {
 			w.stopRequestedAt[stop.RunKey] = uptime.Now()
 		}
 		event.LeaderStopped.Log(t.cfg.Log).Str("Job", stop.Task.Job).Stringer("Run", stop.RunKey).Str("Worker", task.Worker).Str("Why", "preempted by a more urgent job").
-			Str("For", stop.For).Float64("Cost", stop.Cost).Int("Priority", s.job.Priority).Int("Preemptions", s.preemptions).Send()
+			Str("For", stop.For).Float64("Cost", stop.Cost).Int("Priority", s.job.Priority).Int("Preemptions", s.preempted[stop.Task]).Send()
 		t.wakeStream(task.Worker)
 	}
 }
--- a/leader/forecast_test.go
+++ b/leader/forecast_test.go
@@ -51,7 +51,7 @@
 	require.Greater(t, stopCostAfter(time.Second, job(2, 3, nil), func(term *term, _ *jobState) {
 		term.startWaits[2] = meanDuration{}.add(10 * time.Second)
 	}), 5*stopCostAfter(time.Second, job(2, 3, nil), nil), "the job waits again, too long to be in time")
-	require.InDelta(t, 2*slack, stopCostAfter(time.Second, job(0, 10, nil), func(_ *term, s *jobState) { s.preemptions = 1 }), 1e-3, "stopped before")
+	require.InDelta(t, 2*slack, stopCostAfter(time.Second, job(0, 10, nil), func(_ *term, s *jobState) { s.preempted, s.preemptions = map[work.TaskKey]int{{Job: "j"}: 1}, 1 }), 1e-3, "stopped before")
 	require.Positive(t, stopCostAfter(time.Second, &work.Job{Steps: []work.Step{step}}, nil), "without an objective")
 }
 
--- a/leader/place.go
+++ b/leader/place.go
@@ -180,6 +180,7 @@
 		Deferrable:   t.isDeferrable(s, occurrence, now),
 		Timeliness:   t.timeliness(s, occurrence, now),
 		StopTime:     t.cfg.StopGrace,
+		Duration:     t.taskDuration(s.job, step),
 		FleetTime:    t.fleetTime(s.job, step),
 	}
 	if gang && len(waiting) < len(tasks) && !t.markAsCompletion(&unit, tasks) {
--- a/leader/term.go
+++ b/leader/term.go
@@ -29,7 +29,8 @@
 	hasCrashes       bool                       // workers have crashed under some of its tasks
 	crashedAt        map[work.TaskKey]time.Time // when the latest crash under a task became known in this term
 	failedOn         map[string]time.Time       // latest failure by worker, in this term and since a run was done
-	preemptions      int                        // passes of this term that have stopped runs of the job for others
+	preempted        map[work.TaskKey]int       // runs of each task that were stopped for other jobs in this term
+	preemptions      int                        // sum of preempted
 }
 
 // workerState is the state of a worker's incarnation during a term.
--- a/leader/wait.go
+++ b/leader/wait.go
@@ -43,6 +43,7 @@
 	loads := serviceLoads(fleet)
 	for _, u := range units {
 		waited := now.Sub(t.waitingSince[keyOfUnit(u)])
+		u.Waited = waited
 		overdue := waited > maxIdleWait && (u.Job.Steps[u.Step].LongRunning || loads[u.Job.Service] < idleLoad)
 		u.AnyRack = overdue || waited > t.rackWait(u.Job, u.Step)
 		u.Deferrable = u.Deferrable && !overdue
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -26,6 +26,7 @@
 	Stopping    bool
 	StopOverdue bool        // was told to stop and has not ended within the time allowed
 	EndsSoon    bool        // expected to end by itself no later than a stop would end it
+	Preempted   int         // times that the task has been stopped for others
 	Budget      *StopBudget // nil if its step has no bound
 }
 
@@ -106,10 +107,13 @@
 	runsByCost    []*placedRun // ascending by gangStopCost; set by indexRuns
 	ends          []*Run       // runs whose end is expected, ascending by EndsIn; set by indexEnds
 	endsIndexed   bool
-	keptForUrgent bool    // not available to deferrable single tasks without a DataRack
-	keptFromGangs bool    // not available to deferrable gangs without a DataRack
-	lossCost      float64 // of losing all runs with the worker
-	hasStarts     bool    // a run starts there in this pass
+	held          bool          // a batch gang will start here after heldUntil
+	heldUntil     time.Duration // from now
+	spare         work.Shape    // expected to be free after heldUntil, less what is held
+	keptForUrgent bool          // not available to deferrable single tasks without a DataRack
+	keptFromGangs bool          // not available to deferrable gangs without a DataRack
+	lossCost      float64       // of losing all runs with the worker
+	hasStarts     bool          // a run starts there in this pass
 }
 
 func newWorkerState(w *Worker) *workerState {
@@ -147,11 +151,31 @@
 	w.freeCores = usableCores(w.free)
 }
 
-// allocate assigns a demand to a task that starts now.
-func (w *workerState) allocate(d work.Shape) {
+// allocate assigns a demand to a task of the unit that starts now.
+func (w *workerState) allocate(u *Unit, d work.Shape) {
 	w.projectedFree = w.projectedFree.Sub(d)
 	w.free = w.free.Sub(d)
 	w.freeCores = usableCores(w.free)
+	if w.held && !u.endsWithin(w.heldUntil) {
+		w.spare = w.spare.Sub(d)
+	}
+}
+
+// hold keeps capacity that is expected to be free after the wait for a unit. Other units
+// use it until then if they end by then.
+func (w *workerState) hold(wait time.Duration, d work.Shape) {
+	if !w.held {
+		w.held, w.heldUntil, w.spare = true, wait, w.capacityAfter(wait)
+	}
+	w.spare = w.spare.Sub(d)
+}
+
+// freeFor returns the free capacity that a task of the unit may use.
+func (w *workerState) freeFor(u *Unit) work.Shape {
+	if !w.held || u.endsWithin(w.heldUntil) {
+		return w.free
+	}
+	return minShape(w.free, w.spare)
 }
 
 // isolate keeps the worker for the tasks that it has. Nothing else starts there or is
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -20,6 +20,7 @@
 	lastUnplaced      equivalenceKey // of the latest unit that could not be scheduled
 	changesAtUnplaced int            // value of changes at that unit
 	examined          int            // workers and runs examined, as a measure of cost
+	batchSearches     int            // batch gangs for which runs to stop were looked for
 	plan              Plan
 }
 
@@ -90,7 +91,8 @@
 }
 
 // placeOrPreempt starts a unit if it fits. Otherwise it reserves capacity for an
-// urgent unit, and preempts runs if there is not enough to reserve.
+// urgent unit, and preempts runs if there is not enough to reserve. For a batch gang whose
+// slack runs out, it holds capacity that is expected to be free later.
 func (p *pass) placeOrPreempt(u *Unit) {
 	sets, spread := p.candidateSets(u)
 	if u.CompletesGang {
@@ -105,18 +107,22 @@
 	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets)) {
 		return
 	}
-	if spread == nil || p.startIn(u, spread) || !u.mayPreempt() {
+	if p.startIn(u, spread) {
 		return
 	}
-	if !p.reserveIn(u, spread) {
-		p.preemptIn(u, spread)
+	if !u.mayPreempt() {
+		p.holdForBatch(u, sets, spread)
+		return
+	}
+	if !p.reserveIn(u, spread) && !p.preemptIn(u, spread) {
+		p.awaitSoonest(u, sets, spread)
 	}
 }
 
 // startIn starts the unit in the first set of workers whose free capacity holds it.
 func (p *pass) startIn(u *Unit, sets [][]*workerState) bool {
 	for _, set := range sets {
-		if chosen := p.selectWorkers(u, set, freeCapacity); chosen != nil {
+		if chosen := p.selectWorkers(u, set, func(w *workerState) work.Shape { return w.freeFor(u) }); chosen != nil {
 			p.start(u, chosen)
 			return true
 		}
@@ -147,7 +153,7 @@
 func (p *pass) start(u *Unit, chosen []*workerState) {
 	p.changes++
 	for i, w := range chosen {
-		w.allocate(Demand(u.step()))
+		w.allocate(u, Demand(u.step()))
 		w.hasStarts = true
 		w.idleMilliCPU -= u.step().Shape.MilliCPU
 		u.TasksByWorker[w.ID]++
@@ -163,8 +169,6 @@
 	}
 }
 
-func freeCapacity(w *workerState) work.Shape { return w.free }
-
 func projectedFreeCapacity(w *workerState) work.Shape { return w.projectedFree }
 
 func releasableCapacity(w *workerState) work.Shape { return w.releasable }
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -16,15 +18,23 @@
 	gangStopCost float64       // sum of Cost over gang
 }
 
+// maxBatchPreemptions bounds how often batch units stop runs of a job, which would
+// otherwise start over again and again while gangs of a higher priority arrive.
+const maxBatchPreemptions = 1
+
 // preemptibleBy reports whether the run may be stopped for the unit, apart from its
 // budget. Runs that are ending or within a guarantee may not. Of the others, these may:
-// (1) runs of a lower priority; (2) late urgent runs, for an urgent unit that can meet its
+// (1) runs of a lower priority, for a batch unit only if their job has been stopped less
+// than maxBatchPreemptions times; (2) late urgent runs, for an urgent unit that can meet its
 // deadline or is within a guarantee; (3) all urgent runs, for a unit within a guarantee
 // that must start now or is AtRisk or worse.
 func (r *Run) preemptibleBy(u *Unit) bool {
 	if r.Stopping || r.EndsSoon || r.Guaranteed {
 		return false
 	}
+	if u.Job.Priority > 0 && r.Preempted >= maxBatchPreemptions {
+		return false
+	}
 	return r.Priority > u.Job.Priority || (r.Late && u.Job.Priority == 0 && u.effectiveTimeliness() <= AtRisk) || (u.Guaranteed && (u.MustStartNow || u.Timeliness > OnTime))
 }
 
@@ -69,28 +79,50 @@
 // stops, the unit waits where it is expected to fit soonest, provided that it hardly
 // loses by that.
 func (p *pass) preemptIn(u *Unit, sets [][]*workerState) bool {
-	p.indexRuns()
-	var best *preemption
-	for _, set := range sets {
-		if candidate := p.planPreemption(u, set, best); candidate != nil {
-			best = candidate
-		}
+	limit, wait, soonest := math.Inf(1), time.Duration(0), []*workerState(nil)
+	if !u.Guaranteed && u.Forecast.Known() {
+		wait, soonest = p.soonestFit(u, sets)
+		wait = u.expectedWait(wait)
+		limit = u.avoidedLoss(wait)
+	}
+	if best := p.cheapestPreemption(u, sets, limit); best != nil {
+		p.commit(u, best)
+		return true
 	}
-	if best == nil {
+	if soonest == nil || !u.canWait(wait) {
 		return false
 	}
-	if !u.Guaranteed && u.Forecast.Known() {
-		wait, chosen := p.soonestFit(u, sets)
-		if !u.preemptionPays(best.cost, wait) {
-			if !u.canWait(wait) {
-				return false
-			}
-			p.reserve(u, chosen)
-			return true
+	p.reserve(u, soonest)
+	return true
+}
+
+// awaitSoonest reserves the capacity where an urgent unit for which no stop pays is
+// expected to fit soonest. Without that, work of lower priority would take it, and the wait
+// for which no stop pays would not end.
+func (p *pass) awaitSoonest(u *Unit, sets, spread [][]*workerState) {
+	if u.Guaranteed || !u.Forecast.Known() {
+		return
+	}
+	_, chosen := p.soonestFit(u, sets)
+	if chosen == nil {
+		_, chosen = p.soonestFit(u, spread)
+	}
+	if chosen != nil {
+		p.reserve(u, chosen)
+	}
+}
+
+// cheapestPreemption returns the preemption that costs least, or nil if none costs less
+// than the limit.
+func (p *pass) cheapestPreemption(u *Unit, sets [][]*workerState, limit float64) *preemption {
+	p.indexRuns()
+	var best *preemption
+	for _, set := range sets {
+		if candidate := p.planPreemption(u, set, limit); candidate != nil {
+			best, limit = candidate, candidate.cost
 		}
 	}
-	p.commit(u, best)
-	return true
+	return best
 }
 
 // commit adds the preemption to the plan. Stops are in the order of workers and runs.
@@ -137,9 +169,8 @@
 }
 
 // planPreemption selects the runs of a set of workers to stop for the unit. It
-// returns nil if the unit does not fit even then, or if the cost is not below that
-// of best.
-func (p *pass) planPreemption(u *Unit, workers []*workerState, best *preemption) *preemption {
+// returns nil if the unit does not fit even then, or if the cost is not below the limit.
+func (p *pass) planPreemption(u *Unit, workers []*workerState, limit float64) *preemption {
 	pr := &preemption{pass: p, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool), stops: make(map[*StopBudget]int)}
 	options := make([]*workerOption, len(workers))
 	for i, w := range workers {
@@ -151,7 +182,7 @@
 	}
 	for range u.Indexes {
 		option := pr.cheapestOption(options)
-		if option == nil || (best != nil && pr.cost+option.cost >= best.cost) {
+		if option == nil || pr.cost+option.cost >= limit {
 			return nil
 		}
 		pr.assignTask(option)
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -70,7 +70,7 @@
 			a := int64(drawInt(0, 3, "accelerators"))
 			d := work.Shape{MilliCPU: 1000 * a, MemoryMB: 100, Accelerators: a}
 			r := Run{
-				Key: work.RunKey{Task: work.TaskKey{Job: fmt.Sprintf("r%d.%d", i, n)}, Run: 1}, Demand: d, MilliCPU: d.MilliCPU, Priority: drawInt(0, 2, "priority"),
+				Key: work.RunKey{Task: work.TaskKey{Job: fmt.Sprintf("r%d.%d", i, n)}, Run: 1}, Demand: d, MilliCPU: d.MilliCPU, Priority: drawInt(0, 2, "priority"), Preempted: drawInt(0, 3, "preempted"),
 				Guaranteed: drawOneIn(6, "reserved"), Cost: float64(drawInt(0, 5, "cost")), LongRunning: drawOneIn(4, "long-running"), Late: drawOneIn(5, "late"), Stopping: drawOneIn(7, "stopping"), EndsSoon: drawOneIn(7, "ending"), StopOverdue: drawOneIn(9, "stuck"),
 			}
 			if drawOneIn(3, "gang") {
@@ -110,6 +110,8 @@
 				Priority: j.Priority, Work: 100, Remaining: time.Duration(drawInt(1, 5, "remaining")) * time.Second,
 				UntilLate: time.Duration(drawInt(-3, 9, "until late")) * time.Second, UntilExpired: time.Duration(drawInt(-3, 30, "until expired")) * time.Second,
 			})
+			unit.Duration = time.Duration(drawInt(0, 5, "duration")) * time.Second
+			unit.Waited = time.Duration(drawInt(0, 5, "waited")) * time.Second
 			unit.StopTime, unit.Density = time.Second, float64(drawInt(0, 2, "density"))
 		}
 		unit.AvoidsRecentStarts = unit.Isolated && drawOneIn(2, "waits")
@@ -137,7 +139,8 @@
 }
 
 // fullFleetInput returns the input that is most expensive to decide: n workers that
-// are all in use, n/40 urgent gangs of 8 that need preemption, and n single tasks.
+// are all in use, n/40 urgent gangs of 8 that need preemption, n/40 gangs of priority 1
+// whose slack runs out, and n single tasks.
 func fullFleetInput(n int) decideInput {
 	random := rand.New(rand.NewPCG(1, uint64(n)))
 	shape := func(accelerators int64) work.Shape {
@@ -152,7 +155,7 @@
 		for k := range 8 {
 			r := Run{
 				Key: work.RunKey{Task: work.TaskKey{Job: fmt.Sprintf("batch%d", i), Index: k}, Run: 1}, Demand: shape(1), Priority: 1 + k%2,
-				Cost: float64(random.IntN(500)),
+				Cost: float64(random.IntN(500)) / 2000, EndsIn: time.Duration(1000+random.IntN(9000)) * time.Millisecond,
 			}
 			if k < 2 {
 				r.Gang = fmt.Sprint("gang", i/4)
@@ -168,11 +171,17 @@
 	}
 	for g := range max(1, n/40) {
 		j := &work.Job{ID: fmt.Sprintf("gang%d", g), Service: "s", Steps: []work.Step{{Count: 8, Shape: shape(2), Gang: true, SameRack: true}}}
-		in.units = append(in.units, &Unit{Job: j, Indexes: []int{0, 1, 2, 3, 4, 5, 6, 7}, TasksByWorker: make(map[string]int)})
+		in.units = append(in.units, &Unit{Job: j, Indexes: []int{0, 1, 2, 3, 4, 5, 6, 7}, TasksByWorker: make(map[string]int), Forecast: forecastWithoutSlack(0), StopTime: time.Second})
+		k := &work.Job{ID: fmt.Sprintf("batch%d", g), Service: "s", Priority: 1, Steps: j.Steps}
+		in.units = append(in.units, &Unit{Job: k, Indexes: []int{0, 1, 2, 3, 4, 5, 6, 7}, TasksByWorker: make(map[string]int), Forecast: forecastWithoutSlack(1), StopTime: time.Second})
 	}
 	return in
 }
 
+func forecastWithoutSlack(priority int) delay.Forecast {
+	return delay.Default().Forecast(delay.Job{Priority: priority, Work: 100, Remaining: 2 * time.Second, UntilLate: 3 * time.Second, UntilExpired: 9 * time.Second})
+}
+
 // Guards against decisions that become too slow at the design size of 1,100 workers. The
 // bounds on runs and workers examined: at 240 workers, four times each run (8 a worker)
 // for each of the 6 urgent gangs, and ten times each run for everything else; at 1,100
@@ -215,6 +224,9 @@
 	projectedFree work.Shape // after runs that stop or end soon, less all reservations
 	idleMilliCPU  int64      // not declared by any run, best-effort ones included
 	hasStarts     bool       // a run starts there in this pass
+	held          bool       // a batch gang will start here after heldUntil
+	heldUntil     time.Duration
+	spare         work.Shape // expected to be free after heldUntil, less what is held
 }
 
 func newRefWorker(w *Worker) *refWorker {
@@ -257,6 +269,7 @@
 	urgentReserve float64             // cores that deferrable units leave free for urgent work
 	keptForUrgent map[*refWorker]bool // not available to deferrable single tasks; nil until needed
 	keptFromGangs map[*refWorker]bool // not available to deferrable gangs; nil until needed
+	batchSearches int                 // batch gangs for which runs to stop were looked for
 	plan          Plan
 }
 
@@ -286,17 +299,31 @@
 	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets)) {
 		return
 	}
-	if spread == nil || p.startIn(u, spread) || !u.mayPreempt() {
+	if p.startIn(u, spread) {
+		return
+	}
+	if !u.mayPreempt() {
+		if u.Job.Priority > 0 && u.step().Gang && u.Forecast.Known() && u.Timeliness < Expired && !u.AvoidsRecentStarts {
+			p.holdForBatch(u, sets, spread)
+		}
+		return
+	}
+	if p.reserveIn(u, spread) || p.preemptIn(u, spread) || u.Guaranteed || !u.Forecast.Known() {
 		return
 	}
-	if !p.reserveIn(u, spread) {
-		p.preemptIn(u, spread)
+	_, chosen := p.soonestFit(u, sets)
+	if chosen == nil {
+		_, chosen = p.soonestFit(u, spread)
+	}
+	for _, w := range chosen {
+		w.reserve(Demand(u.step()))
+		u.TasksByWorker[w.ID]++
 	}
 }
 
 func (p *refPass) startIn(u *Unit, sets [][]*refWorker) bool {
 	for _, set := range sets {
-		if chosen := refSelectWorkers(u, set, func(w *refWorker) work.Shape { return w.free }); chosen != nil {
+		if chosen := refSelectWorkers(u, set, func(w *refWorker) work.Shape { return refFreeFor(w, u) }); chosen != nil {
 			p.start(u, chosen)
 			return true
 		}
@@ -320,6 +347,9 @@
 func (p *refPass) start(u *Unit, chosen []*refWorker) {
 	for i, w := range chosen {
 		w.allocate(Demand(u.step()))
+		if w.held && (u.Duration == 0 || u.Duration > w.heldUntil) {
+			w.spare = w.spare.Sub(Demand(u.step()))
+		}
 		w.hasStarts = true
 		w.idleMilliCPU -= u.step().Shape.MilliCPU
 		u.TasksByWorker[w.ID]++
@@ -496,36 +526,85 @@
 	return remainingA.Cores() < remainingB.Cores()
 }
 
-func (p *refPass) preemptIn(u *Unit, sets [][]*refWorker) bool {
+// refFreeFor leaves out what is held for a gang, unless the unit ends before that starts.
+func refFreeFor(w *refWorker, u *Unit) work.Shape {
+	if w.held && (u.Duration == 0 || u.Duration > w.heldUntil) {
+		return minShape(w.free, w.spare)
+	}
+	return w.free
+}
+
+func (p *refPass) holdForBatch(u *Unit, sets, spread [][]*refWorker) {
+	isHeld := func(w *refWorker) bool { return w.held }
+	for _, group := range [][][]*refWorker{sets, spread} {
+		for i := range group {
+			group[i] = slices.DeleteFunc(slices.Clone(group[i]), isHeld)
+		}
+	}
+	where := sets
+	wait, chosen := p.soonestFit(u, sets)
+	if chosen == nil && spread != nil {
+		where = spread
+		wait, chosen = p.soonestFit(u, spread)
+	}
+	if horizon := min(wait, delay.Forever/2) + u.Forecast.Remaining; wait > 0 && u.Forecast.Loss(horizon)-u.Forecast.Loss(0) < minHoldLoss*u.Forecast.LateLoss {
+		return
+	}
+	avoided := u.Forecast.Loss(wait) - u.Forecast.Loss(min(u.StopTime, wait))
+	searches := p.batchSearches < maxBatchSearches
+	if avoided > 0 {
+		p.batchSearches++
+	}
+	if best := p.cheapest(u, where); best != nil && searches && avoided > best.totalCost {
+		p.commit(best)
+		return
+	}
+	for _, w := range chosen {
+		if !w.held {
+			w.held, w.heldUntil, w.spare = true, wait, refCapacityAfter(w, wait)
+		}
+		w.spare = w.spare.Sub(Demand(u.step()))
+		u.TasksByWorker[w.ID]++
+	}
+}
+
+func (p *refPass) cheapest(u *Unit, sets [][]*refWorker) *refPreemption {
 	var best *refPreemption
 	for _, set := range sets {
 		if candidate := p.planPreemption(u, set); candidate != nil && (best == nil || candidate.totalCost < best.totalCost) {
 			best = candidate
 		}
 	}
-	if best == nil {
+	return best
+}
+
+func (p *refPass) preemptIn(u *Unit, sets [][]*refWorker) bool {
+	best := p.cheapest(u, sets)
+	if u.Guaranteed || !u.Forecast.Known() {
+		if best != nil {
+			p.commit(best)
+		}
+		return best != nil
+	}
+	wait, chosen := p.soonestFit(u, sets)
+	wait = max(wait, u.Waited)
+	if best != nil && u.Forecast.Loss(wait)-u.Forecast.Loss(min(u.StopTime, wait)) > best.totalCost {
+		p.commit(best)
+		return true
+	}
+	if chosen == nil || u.Forecast.Loss(wait)-u.Forecast.Loss(0) > maxWaitLoss*u.Forecast.LateLoss {
 		return false
 	}
-	if !u.Guaranteed && u.Forecast.Known() {
-		wait, chosen := p.soonestFit(u, sets)
-		if u.Forecast.Loss(wait)-u.Forecast.Loss(min(u.StopTime, wait)) <= best.totalCost {
-			if u.Forecast.Loss(wait)-u.Forecast.Loss(0) > maxWaitLoss*u.Forecast.LateLoss {
-				return false
-			}
-			for _, w := range chosen {
-				w.reserve(Demand(u.step()))
-				u.TasksByWorker[w.ID]++
-			}
-			return true
-		}
+	for _, w := range chosen {
+		w.reserve(Demand(u.step()))
+		u.TasksByWorker[w.ID]++
 	}
-	p.commit(best)
 	return true
 }
 
 // soonestFit tries the ends of all runs of the sets in their order.
 func (p *refPass) soonestFit(u *Unit, sets [][]*refWorker) (time.Duration, []*refWorker) {
-	var waits []time.Duration
+	waits := []time.Duration{0}
 	for _, set := range sets {
 		for _, w := range set {
 			for _, run := range w.Runs {
--- a/schedule/soonest.go
+++ b/schedule/soonest.go
@@ -55,7 +55,7 @@
 		fitsAfter := func(wait time.Duration) bool {
 			return p.fits(u, set, func(w *workerState) work.Shape { return w.capacityAfter(wait) })
 		}
-		if !fitsAfter(best - 1) {
+		if best == 0 || !fitsAfter(best-1) {
 			continue
 		}
 		waits := []time.Duration{0}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -41,6 +41,8 @@
 	Timeliness         Timeliness        // of the job
 	Forecast           delay.Forecast    // what the unit loses by waiting; zero without a deadline
 	Density            float64           // value lost per second of delay and core-second of its step
+	Duration           time.Duration     // expected duration of a task; 0 if unknown
+	Waited             time.Duration     // since the unit could start
 	StopTime           time.Duration     // within which a run that is preempted for the unit ends
 	FleetTime          time.Duration     // time that the work of its whole step would take on the whole fleet
 	TasksByWorker      map[string]int    // tasks of the step by worker; shared by its units
@@ -121,10 +123,15 @@
 	return cmp.Compare(b.Density, a.Density)
 }
 
-// preemptionPays reports whether stops of the given cost lose less than the unit would
-// lose by starting after the wait instead of once the runs are stopped.
-func (u *Unit) preemptionPays(cost float64, wait time.Duration) bool {
-	return u.Forecast.Loss(wait)-u.Forecast.Loss(min(u.StopTime, wait)) > cost
+// expectedWait returns how long the unit is expected to wait if it would fit after the
+// given time. Work that goes before it may take that capacity, so that one that has waited
+// for some time is expected to wait as long again.
+func (u *Unit) expectedWait(wait time.Duration) time.Duration { return max(wait, u.Waited) }
+
+// avoidedLoss returns what the unit would lose by starting after the wait instead of once
+// runs are stopped for it. Stops pay if they cost less.
+func (u *Unit) avoidedLoss(wait time.Duration) float64 {
+	return u.Forecast.Loss(wait) - u.Forecast.Loss(min(u.StopTime, wait))
 }
 
 // maxWaitLoss is the share of what lateness costs a unit that it may lose by waiting where
@@ -136,6 +143,27 @@
 	return u.Forecast.CostOfDelay(wait) <= maxWaitLoss*u.Forecast.LateLoss
 }
 
+// endsWithin reports whether the tasks of the unit, started now, are expected to end within
+// d.
+func (u *Unit) endsWithin(d time.Duration) bool { return u.Duration > 0 && u.Duration <= d }
+
+// mayHold reports whether capacity may be held for the unit, or runs of lower priority be
+// stopped for it, once its slack runs out.
+func (u *Unit) mayHold() bool {
+	return u.Job.Priority > 0 && u.step().Gang && u.Forecast.Known() && u.Timeliness < Expired && !u.AvoidsRecentStarts
+}
+
+// minHoldLoss is the share of what lateness costs a batch gang that it is expected to lose
+// before capacity is held for it.
+const minHoldLoss = 0.05
+
+// slackRunsOut reports whether a unit that is expected to fit after the wait loses by
+// waiting without a reservation. Other work takes what becomes free meanwhile, so that the
+// wait is longer by a run.
+func (u *Unit) slackRunsOut(wait time.Duration) bool {
+	return u.Forecast.CostOfDelay(min(wait, delay.Forever/2)+u.Forecast.Remaining) >= minHoldLoss*u.Forecast.LateLoss
+}
+
 // mayPreempt reports whether capacity may be reserved and runs stopped for the unit.
 // Late units may preempt as well: they still count, and without preemption a wide
 // gang would not fit until the load ends. Units that avoid recent starts wait for
