--- a/leader/place.go
+++ b/leader/place.go
@@ -25,6 +25,7 @@
 	}
 	fleet := t.fleet(guaranteed, now)
 	t.endWaits(units, fleet, now)
+	t.addShares(units, guaranteed)
 	plan := schedule.Decide(fleet, units, t.urgentUse.Expected())
 	t.preempt(plan.Stops)
 	incomplete := t.stepsWithRefusedMember(plan.Placements)
@@ -78,6 +79,7 @@
 	}
 	if !s.progress.Started() {
 		t.startWaits[s.job.Priority] = t.startWaits[s.job.Priority].add(time.Since(queuedSince(s.job, p.Task.Occurrence)))
+		t.cfg.Meter.ObserveStartLoss(s.job.Priority, t.forecast(s, p.Task.Occurrence, time.Now()).Loss(0))
 		t.cfg.Meter.ObserveStart(s.job.Account, s.job.Priority, time.Since(queuedSince(s.job, p.Task.Occurrence)))
 	}
 	s.progress.Place(task, p.Worker, p.Ticket, k.Run)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -31,6 +31,7 @@
 	jobTimes    *prometheus.HistogramVec
 	crashAges   prometheus.Histogram
 	preemptions *prometheus.HistogramVec
+	delays      *prometheus.HistogramVec
 	relayed     *prometheus.CounterVec
 
 	mu       sync.Mutex
@@ -63,7 +64,11 @@
 		Name: "rosemarysill_preemption_cost", Help: "Cost of the runs that were stopped for others, by their priority; docs/design/delay.md has the unit.",
 		Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
 	}, []string{"priority"})
-	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.preemptions, m.relayed, newEventCollector())
+	m.delays = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "rosemarysill_start_loss", Help: "Value that a job is expected to lose by the time of its first start, by priority; docs/design/delay.md has the unit.",
+		Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
+	}, []string{"priority"})
+	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.preemptions, m.delays, m.relayed, newEventCollector())
 	return m
 }
 
@@ -136,6 +141,13 @@
 	}
 }
 
+// ObserveStartLoss records the value that a job is expected to lose when it first starts.
+func (m *Meter) ObserveStartLoss(priority int, loss float64) {
+	if m != nil {
+		m.delays.WithLabelValues(strconv.Itoa(priority)).Observe(loss)
+	}
+}
+
 // eventCollector exports the number of log events, written or dropped, and the
 // number of those whose lines were dropped.
 type eventCollector struct{ total, dropped *prometheus.Desc }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -23,6 +23,7 @@
 	m.ObserveEnd("account0", 0, "completed", time.Minute)
 	m.ObserveCrash(200 * time.Millisecond)
 	m.ObservePreemption(2, 0.2)
+	m.ObserveStartLoss(1, 0.02)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	body := w.Body.String()
@@ -31,6 +32,7 @@
 	require.Contains(t, body, `rosemarysill_job_seconds_count{account="account0",priority="0",state="completed"} 1`)
 	require.Contains(t, body, `rosemarysill_crash_run_age_seconds_bucket{le="0.3"} 1`)
 	require.Contains(t, body, `rosemarysill_preemption_cost_bucket{priority="2",le="0.3"} 1`)
+	require.Contains(t, body, `rosemarysill_start_loss_bucket{priority="1",le="0.03"} 1`)
 	require.NotContains(t, body, `account="account200"`)
 }
 
@@ -43,5 +45,6 @@
 		m.ObserveEnd("a", 0, "failed", 0)
 		m.ObserveCrash(0)
 		m.ObservePreemption(0, 0)
+		m.ObserveStartLoss(0, 0)
 	})
 }
--- a/schedule/delay_test.go
+++ b/schedule/delay_test.go
@@ -99,3 +99,41 @@
 	}
 	return all
 }
+
+// Guards against an account whose load goes before that of accounts that use less than
+// their share, and against an order by shares that breaks the one by priority, guarantee or
+// timeliness.
+func TestAccountsBelowTheirShareGoFirst(t *testing.T) {
+	whole := accelerators(8)
+	share := func(used int64) *schedule.Share {
+		return &schedule.Share{Used: accelerators(used), Capacity: work.Shape{MilliCPU: 96000, MemoryMB: 196608, Accelerators: 24}, Part: 0.5}
+	}
+	for name, c := range map[string]struct {
+		used   int64 // accelerators of the account that would go first without shares
+		change func(large, small *schedule.Unit)
+		want   string
+	}{
+		"share is used up":               {12, func(_, _ *schedule.Unit) {}, "small"},
+		"share is left":                  {11, func(_, _ *schedule.Unit) {}, "large"},
+		"used up, within a guarantee":    {12, func(large, _ *schedule.Unit) { large.Guaranteed = true }, "large"},
+		"used up, higher priority":       {12, func(large, _ *schedule.Unit) { large.Job.Priority = 0 }, "large"},
+		"used up, the other one is late": {12, func(_, small *schedule.Unit) { small.Timeliness = schedule.Late }, "large"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			large, small := units(newJob("large", 1, work.Step{Count: 1, Shape: whole}))[0], units(newJob("small", 1, work.Step{Count: 1, Shape: whole}))[0]
+			large.Share, small.Share = share(c.used), share(0)
+			c.change(large, small)
+			plan := schedule.Decide(fleet(1), []*schedule.Unit{large, small}, 0)
+			require.Equal(t, c.want, plan.Placements[0].Task.Job)
+		})
+	}
+	all := units(newJob("a", 1, work.Step{Count: 4, Shape: whole}))
+	common := share(0)
+	for _, u := range all {
+		u.Share = common
+	}
+	other := units(newJob("b", 1, work.Step{Count: 1, Shape: whole}))
+	other[0].Share = share(0)
+	plan := schedule.Decide(fleet(3), append(all, other...), 0)
+	require.Equal(t, "b", plan.Placements[2].Task.Job, "two units of the first account reach its share")
+}
--- a/schedule/replay_test.go
+++ b/schedule/replay_test.go
@@ -42,6 +42,7 @@
 	workers []*schedule.Worker
 	jobs    []*replayJob
 	before  bool // order and victims as before the model of delays
+	shares  bool // client accounts have equal shares
 	stops   int
 	stopsOf [3]int           // by priority of the run
 	waits   [3]time.Duration // recent mean from arrival to the first start, by priority
@@ -245,9 +246,37 @@
 			all = append(all, &single)
 		}
 	}
+	if r.shares {
+		r.addShares(all)
+	}
 	return all
 }
 
+// addShares gives equal shares to the accounts of all jobs.
+func (r *replay) addShares(units []*schedule.Unit) {
+	var capacity work.Shape
+	for _, w := range r.workers {
+		capacity = capacity.Add(w.Capacity)
+	}
+	shares := make(map[string]*schedule.Share)
+	for _, j := range r.jobs {
+		if shares[j.Account] == nil {
+			shares[j.Account] = &schedule.Share{Capacity: capacity}
+		}
+		for _, run := range j.runs {
+			if run.worker >= 0 {
+				shares[j.Account].Used = shares[j.Account].Used.Add(j.step().Shape)
+			}
+		}
+	}
+	for _, s := range shares {
+		s.Part = 1 / float64(len(shares))
+	}
+	for _, u := range units {
+		u.Share = shares[u.Job.Account]
+	}
+}
+
 // orderBefore returns the class that gives the order before the model of delays, in which
 // batch work at risk came after that on time, and all late work was of one class.
 func orderBefore(priority int, c schedule.Timeliness) schedule.Timeliness {
@@ -351,3 +380,17 @@
 	require.Less(t, after.result("", -1).notServed, before.result("", -1).notServed)
 	require.Greater(t, after.result("", -1).value, before.result("", -1).value)
 }
+
+// Guards against the load of one account, ten times that of another one, that makes the
+// jobs of the other one late.
+func TestReplayTwoAccounts(t *testing.T) {
+	before, after := compare(t, 120*time.Second, func(r *replay) {
+		r.workers = fleet(3)
+		r.shares = !r.before
+		r.add("large", 1, 100, 0, 300*time.Millisecond, 4*time.Second, 3, work.Step{Count: 1, Shape: accelerators(4)})
+		r.add("small", 1, 10, time.Second, 3*time.Second, 4*time.Second, 3, work.Step{Count: 1, Shape: accelerators(4)})
+	})
+	require.Greater(t, after.result("small", 1).inTime, before.result("small", 1).inTime)
+	require.Equal(t, 10, after.result("small", 1).inTime)
+	require.Greater(t, after.result("", -1).value, 0.95*before.result("", -1).value, "the share of the small account costs others little")
+}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -44,6 +44,8 @@
 	Duration           time.Duration     // expected duration of a task; 0 if unknown
 	Waited             time.Duration     // since the unit could start
 	StopTime           time.Duration     // within which a run that is preempted for the unit ends
+	Share              *Share            // of the client account in the service; nil if it does not count
+	beyondShare        bool              // the account uses its share without the unit; set by sortUnits
 	FleetTime          time.Duration     // time that the work of its whole step would take on the whole fleet
 	TasksByWorker      map[string]int    // tasks of the step by worker; shared by its units
 	Tickets            map[string]string // by worker; an advised job runs only where it has one
@@ -57,6 +59,22 @@
 	return !u.CompletesGang || !u.step().SameRack || w.Rack == u.GangRack
 }
 
+// Share is the share of a client account in the capacity of a service. The units of the
+// account have the same one.
+type Share struct {
+	Used     work.Shape // by the runs of the account beyond its guarantee
+	Capacity work.Shape // of the service, without that used within guarantees
+	Part     float64    // of the capacity that the account may use before others go first
+}
+
+// isUsedUp reports whether the account uses its share of a resource if units of the given
+// demand start as well.
+func (s *Share) isUsedUp(more work.Shape) bool {
+	used := s.Used.Add(more)
+	reaches := func(used, capacity int64) bool { return used > 0 && float64(used) >= s.Part*float64(capacity) }
+	return reaches(used.MilliCPU, s.Capacity.MilliCPU) || reaches(used.MemoryMB, s.Capacity.MemoryMB) || reaches(used.Accelerators, s.Capacity.Accelerators)
+}
+
 // Placement is the decision to start a task.
 type Placement struct {
 	Task   work.TaskKey
@@ -78,20 +96,54 @@
 }
 
 // sortUnits sorts units by precedence: by priority, then units within a guarantee
-// first, then by precedence class, then batch units by density, then by order time.
-// Timeliness counts because under overload jobs that are late in any case would make all
-// others late as well.
+// first, then by precedence class, then units of accounts that use less than their share
+// first, then batch units by density, then by order time. Timeliness counts because under
+// overload jobs that are late in any case would make all others late as well.
 func sortUnits(units []*Unit) {
 	slices.SortStableFunc(units, func(a, b *Unit) int {
 		return cmp.Or(
-			cmp.Compare(a.Job.Priority, b.Job.Priority),
-			compareBool(b.Guaranteed, a.Guaranteed),
-			cmp.Compare(a.precedenceClass(), b.precedenceClass()),
+			compareClass(a, b),
 			compareDensity(a, b),
 			a.orderTime().Compare(b.orderTime()),
 			cmp.Compare(a.Job.ID, b.Job.ID),
 		)
 	})
+	if !markBeyondShare(units) {
+		return
+	}
+	slices.SortStableFunc(units, func(a, b *Unit) int {
+		return cmp.Or(compareClass(a, b), compareBool(a.beyondShare, b.beyondShare))
+	})
+}
+
+// compareClass compares the parts of the precedence that come before the shares of client
+// accounts.
+func compareClass(a, b *Unit) int {
+	return cmp.Or(
+		cmp.Compare(a.Job.Priority, b.Job.Priority),
+		compareBool(b.Guaranteed, a.Guaranteed),
+		cmp.Compare(a.precedenceClass(), b.precedenceClass()),
+	)
+}
+
+// markBeyondShare sets beyondShare of sorted units and reports whether there are any. A
+// unit that exceeds the share by itself is not marked, so that no unit is too large to go
+// first. Units within a guarantee do not count.
+func markBeyondShare(units []*Unit) bool {
+	taken := make(map[*Share]work.Shape)
+	marked := false
+	for _, u := range units {
+		u.beyondShare = false
+		if u.Share == nil || u.Guaranteed {
+			continue
+		}
+		u.beyondShare = u.Share.isUsedUp(taken[u.Share])
+		marked = marked || u.beyondShare
+		for range u.Indexes {
+			taken[u.Share] = taken[u.Share].Add(Demand(u.step()))
+		}
+	}
+	return marked
 }
 
 // effectiveTimeliness returns the timeliness used for ordering and preemption. A unit
