--- a/event/leader.go
+++ b/event/leader.go
@@ -90,7 +90,7 @@
 	LeaderSuspended:      {"LeaderSuspended", zerolog.WarnLevel, "The lease of the leader has expired by its own clock. It orders nothing until it has renewed the lease."},
 	LeaderContinued:      {"LeaderContinued", zerolog.InfoLevel, "A suspended leader has renewed its lease; no other entry has led meanwhile."},
 	LeaderPlaced:         {"LeaderPlaced", zerolog.InfoLevel, "The start of a run is recorded, and the worker was asked to start it."},
-	LeaderStopped:        {"LeaderStopped", zerolog.InfoLevel, "A run is being stopped."},
+	LeaderStopped:        {"LeaderStopped", zerolog.InfoLevel, "A run is being stopped. If it is preempted, For is the job for which it is stopped, Cost what the stop costs (docs/design/delay.md), and Preemptions how often the task has been preempted in the term of this leader."},
 	LeaderRunEnded:       {"LeaderRunEnded", zerolog.InfoLevel, "The leader has processed the end of a run."},
 	LeaderRefused:        {"LeaderRefused", zerolog.InfoLevel, "A worker refused to start a run. If it lists the run (Listed), an earlier call has started it, and the refusal has no effect."},
 	LeaderJobEnded:       {"LeaderJobEnded", zerolog.InfoLevel, "A job has reached a final state."},
--- a/leader/restart.go
+++ b/leader/restart.go
@@ -92,7 +92,7 @@
 	if step.Gang {
 		indexes = allIndexes(step.Count)
 	}
-	f, ok := t.forecast(s, k, indexes, now)
+	f, ok := t.forecastRun(s, k, indexes, now)
 	// Without evidence that the worker is slow, the rate may be measured inexactly, or the
 	// task may be as slow on any worker.
 	if !ok || f.speed >= 1 || f.percent > maxRestartPercent || f.age.Seconds() > maxRestartAge*f.usual.Seconds() {
@@ -125,9 +125,9 @@
 	speed     float64       // of the worker of the slowest one
 }
 
-// forecast returns the forecast of a gang or a run by its own progress, and false if that
+// forecastRun returns the forecast of a gang or a run by its own progress, and false if that
 // does not show it or if a member is being stopped.
-func (t *term) forecast(s *jobState, first work.RunKey, indexes []int, now time.Time) (f runForecast, ok bool) {
+func (t *term) forecastRun(s *jobState, first work.RunKey, indexes []int, now time.Time) (f runForecast, ok bool) {
 	var highest, usualRate float64
 	for _, i := range indexes {
 		k := memberRun(first, i)
--- a/leader/soundness.go
+++ b/leader/soundness.go
@@ -58,7 +58,7 @@
 	case outcome == work.OutcomeFailed:
 		f := soundness.Failure{
 			Job: k.Task.Job, At: now, FailedElsewhere: max(0, len(s.failedOn)-1),
-			Early:    e.progress < earlyPercent && now.Sub(e.placedAt) < max(earlyAge, t.expectedStepDuration(s.job, k.Task.Step)/10),
+			Early:    e.progress < earlyPercent && now.Sub(e.placedAt) < max(earlyAge, t.stepDuration(s.job, k.Task.Step)/10),
 			Contrast: t.worksElsewhere(s, k, w.Incarnation),
 		}
 		h.record.Fail(f)
@@ -67,12 +67,6 @@
 	}
 }
 
-// expectedStepDuration returns the declared duration of a step or the mean duration of the
-// runs of its queue, whichever is longer.
-func (t *term) expectedStepDuration(j *work.Job, step int) time.Duration {
-	return max(j.Steps[step].Estimate, t.runDurations[j.Queue].mean)
-}
-
 // worksElsewhere reports whether other tasks of the step of a run work on other workers or
 // are done.
 func (t *term) worksElsewhere(s *jobState, k work.RunKey, worker string) bool {
--- a/leader/speed.go
+++ b/leader/speed.go
@@ -123,7 +123,7 @@
 	if s.job.MaxSlowdown == 0 && s.job.Objective == 0 {
 		return 0
 	}
-	remaining := t.remainingPath(s, occurrence) + t.expectedDuration(s.job) - criticalPath(s.job)
+	remaining := t.expectedRemaining(s, occurrence)
 	left := t.expectedObjective(s.job) - waited - delay - startOverhead
 	if left <= 0 || remaining <= 0 {
 		return 0
--- a/leader/term.go
+++ b/leader/term.go
@@ -8,6 +8,7 @@
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/control"
 	"github.com/rosemarysill/rosemarysill/crash"
+	"github.com/rosemarysill/rosemarysill/delay"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/jobstore"
 	"github.com/rosemarysill/rosemarysill/schedule"
@@ -29,6 +30,8 @@
 	hasCrashes       bool                       // workers have crashed under some of its tasks
 	crashedAt        map[work.TaskKey]time.Time // when the latest crash under a task became known in this term
 	failedOn         map[string]time.Time       // latest failure by worker, in this term and since a run was done
+	preempted        map[work.TaskKey]int       // runs of each task that were stopped for other jobs in this term
+	preemptions      int                        // sum of preempted
 }
 
 // workerState is the state of a worker's incarnation during a term.
@@ -82,9 +85,11 @@
 	latestStreams      map[string]uint64        // number of the latest stream, by agent
 	endedIncarnations  map[string]bool          // whose runs have been ended; a repeated report does nothing
 	advice             map[stepKey]*stepAdvice
-	urgentUse          schedule.UrgentUse      // of the fleet
-	recentCrashes      crash.Recent            // of workers
-	runDurations       map[string]meanDuration // by queue, on workers of speed 1
+	urgentUse          schedule.UrgentUse               // of the fleet
+	recentCrashes      crash.Recent                     // of workers
+	runDurations       map[string]meanDuration          // by queue, on workers of speed 1
+	startWaits         map[int]meanDuration             // from acceptance to the first start, by priority
+	forecasts          map[occurrenceKey]delay.Forecast // of the present pass
 	speeds             *speed.Estimator
 	speedDemands       map[string]speedDemand          // by queue
 	recordedSpeeds     map[string]jobstore.WorkerSpeed // in the store, by incarnation
@@ -112,11 +117,12 @@
 }
 
 func newTerm(cfg Config, rec jobstore.LeaderRecord, leaderVersion uint64, lease rosemarysill.LeaseID, leaseExpiry time.Time) *term {
+	cfg.Delay = cfg.Delay.OrDefault()
 	t := &term{
 		cfg: cfg, rec: rec, leaderVersion: leaderVersion, lease: lease, leaseExpiry: leaseExpiry, elected: uptime.Now(),
 		ended: make(chan struct{}), leaseLost: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
-		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), speeds: speed.NewEstimator(), speedDemands: make(map[string]speedDemand), minSpeeds: make(map[stepKey]float64), restartSpeeds: make(map[work.TaskKey]float64), incompleteGangs: make(map[stepKey]bool), heldSince: make(map[stepKey]time.Time), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
+		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), startWaits: make(map[int]meanDuration), forecasts: make(map[occurrenceKey]delay.Forecast), speeds: speed.NewEstimator(), speedDemands: make(map[string]speedDemand), minSpeeds: make(map[stepKey]float64), restartSpeeds: make(map[work.TaskKey]float64), incompleteGangs: make(map[stepKey]bool), heldSince: make(map[stepKey]time.Time), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
 	t.contact.observe(t.elected)
 	return t
--- a/leader/watch.go
+++ b/leader/watch.go
@@ -176,7 +176,7 @@
 		}
 		return
 	}
-	stalled := p.stalledFor(t.expectedStepDuration(s.job, run.Key.Task.Step), now)
+	stalled := p.stalledFor(t.stepDuration(s.job, run.Key.Task.Step), now)
 	if stalled == 0 || task.Stopping {
 		return
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -31,6 +31,8 @@
 	startWaits  *prometheus.HistogramVec
 	jobTimes    *prometheus.HistogramVec
 	crashAges   prometheus.Histogram
+	preemptions *prometheus.HistogramVec
+	delays      *prometheus.HistogramVec
 	relayed     *prometheus.CounterVec
 	pauses      *prometheus.HistogramVec
 	refused     *prometheus.CounterVec
@@ -63,6 +65,14 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rosemarysill_relayed_total", Help: "Calls forwarded to another entry, by the reason and the result code of the other entry.",
 	}, []string{"reason", "code"})
+	m.preemptions = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "rosemarysill_preemption_cost", Help: "Cost of the runs that were stopped for others, by their priority; docs/design/delay.md has the unit.",
+		Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
+	}, []string{"priority"})
+	m.delays = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "rosemarysill_start_loss", Help: "Value that a job is expected to lose by the time of its first start, by priority; docs/design/delay.md has the unit.",
+		Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
+	}, []string{"priority"})
 	m.classes = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "rosemarysill_worker_speed_classes", Help: "Workers with an estimate of their speed, by class, at the leader.",
 	}, []string{"class"})
@@ -76,7 +86,7 @@
 		Name: "rosemarysill_retry_after_seconds", Help: "Pauses that refused callers were told, by result code.",
 		Buckets: []float64{1, 2, 3, 4, 6, 8, 15, 30},
 	}, []string{"code"})
-	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, m.pauses, m.refused, m.classes, m.restarts, newEventCollector())
+	m.registry.MustRegister(m.answerTimes, m.startWaits, m.jobTimes, m.crashAges, m.relayed, m.pauses, m.refused, m.classes, m.restarts, m.preemptions, m.delays, newEventCollector())
 	return m
 }
 
@@ -196,6 +206,20 @@
 	}
 }
 
+// ObservePreemption records the stop of a run of a priority for another job.
+func (m *Meter) ObservePreemption(priority int, cost float64) {
+	if m != nil {
+		m.preemptions.WithLabelValues(strconv.Itoa(priority)).Observe(cost)
+	}
+}
+
+// ObserveStartLoss records the value that a job is expected to lose when it first starts.
+func (m *Meter) ObserveStartLoss(priority int, loss float64) {
+	if m != nil {
+		m.delays.WithLabelValues(strconv.Itoa(priority)).Observe(loss)
+	}
+}
+
 // eventCollector exports the number of log events, written or dropped, and the
 // number of those whose lines were dropped.
 type eventCollector struct{ total, dropped *prometheus.Desc }
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -17,14 +18,16 @@
 	Demand      work.Shape
 	MilliCPU    int64 // declared, also if Demand has none because the run is best-effort
 	Priority    int
-	Guaranteed  bool    // within the guaranteed capacity of its client account
-	Gang        string  // identifies the gang, whose runs end together; empty if not in a gang
-	Cost        float64 // core-seconds of work lost if it is stopped
-	Late        bool    // urgent, and its job is expected to miss its deadline
-	LongRunning bool    // does not end by itself
+	Guaranteed  bool          // within the guaranteed capacity of its client account
+	Gang        string        // identifies the gang, whose runs end together; empty if not in a gang
+	Cost        float64       // of stopping it, by delay.Model.CostOfStop; in a gang, its share
+	EndsIn      time.Duration // expected time until it ends by itself; 0 if unknown
+	Late        bool          // urgent, and its job is expected to miss its deadline
+	LongRunning bool          // does not end by itself
 	Stopping    bool
 	StopOverdue bool        // was told to stop and has not ended within the time allowed
 	EndsSoon    bool        // expected to end by itself no later than a stop would end it
+	Preempted   int         // times that the task has been stopped for others
 	Budget      *StopBudget // nil if its step has no bound
 }
 
@@ -64,21 +67,32 @@
 // in the same pass show nothing more.
 func (w *workerState) needsTrial() bool { return w.Unproven && len(w.Runs) == 0 && !w.hasStarts }
 
-// alignGangEnds clears EndsSoon for members of a gang that has a slower member,
-// because the runs of a gang end together.
+// alignGangEnds clears EndsSoon for members of a gang that has a slower member, and sets
+// EndsIn to that of the slowest one, because the runs of a gang end together.
 func alignGangEnds(workers []*Worker) {
 	endsLater := make(map[string]bool)
+	ends := make(map[string]time.Duration)
+	unknown := make(map[string]bool)
 	for _, w := range workers {
 		for _, r := range w.Runs {
 			if r.Gang != "" && !r.EndsSoon && !r.Stopping {
 				endsLater[r.Gang] = true
 			}
+			if r.Gang != "" {
+				ends[r.Gang] = max(ends[r.Gang], r.EndsIn)
+				unknown[r.Gang] = unknown[r.Gang] || (r.EndsIn == 0 && !r.EndsSoon)
+			}
 		}
 	}
 	for _, w := range workers {
 		for i := range w.Runs {
 			r := &w.Runs[i]
 			r.EndsSoon = r.EndsSoon && !endsLater[r.Gang]
+			if unknown[r.Gang] {
+				r.EndsIn = 0
+			} else if r.Gang != "" {
+				r.EndsIn = ends[r.Gang]
+			}
 		}
 	}
 }
@@ -104,10 +118,15 @@
 	freeCores     float64      // free, in cores; 0 if a resource is lacking
 	idleMilliCPU  int64        // not declared by any run, best-effort ones included
 	runsByCost    []*placedRun // ascending by gangStopCost; set by indexRuns
-	keptForUrgent bool         // not available to deferrable single tasks without a DataRack
-	keptFromGangs bool         // not available to deferrable gangs without a DataRack
-	lossCost      float64      // of losing all runs with the worker
-	hasStarts     bool         // a run starts there in this pass
+	ends          []*Run       // runs whose end is expected, ascending by EndsIn; set by indexEnds
+	endsIndexed   bool
+	held          bool          // a batch gang will start here after heldUntil
+	heldUntil     time.Duration // from now
+	spare         work.Shape    // expected to be free after heldUntil, less what is held
+	keptForUrgent bool          // not available to deferrable single tasks without a DataRack
+	keptFromGangs bool          // not available to deferrable gangs without a DataRack
+	lossCost      float64       // of losing all runs with the worker
+	hasStarts     bool          // a run starts there in this pass
 }
 
 func newWorkerState(w *Worker) *workerState {
@@ -116,7 +135,7 @@
 		run := &w.Runs[i]
 		state.free = state.free.Sub(run.Demand)
 		state.idleMilliCPU -= run.MilliCPU
-		state.lossCost += run.stopCost()
+		state.lossCost += run.Cost
 		if run.StopOverdue || (!run.Stopping && !run.EndsSoon) {
 			state.projectedFree = state.projectedFree.Sub(run.Demand)
 		}
@@ -145,11 +164,31 @@
 	w.freeCores = usableCores(w.free)
 }
 
-// allocate assigns a demand to a task that starts now.
-func (w *workerState) allocate(d work.Shape) {
+// allocate assigns a demand to a task of the unit that starts now.
+func (w *workerState) allocate(u *Unit, d work.Shape) {
 	w.projectedFree = w.projectedFree.Sub(d)
 	w.free = w.free.Sub(d)
 	w.freeCores = usableCores(w.free)
+	if w.held && !u.endsWithin(w.heldUntil) {
+		w.spare = w.spare.Sub(d)
+	}
+}
+
+// hold keeps capacity that is expected to be free after the wait for a unit. Other units
+// use it until then if they end by then.
+func (w *workerState) hold(wait time.Duration, d work.Shape) {
+	if !w.held {
+		w.held, w.heldUntil, w.spare = true, wait, w.capacityAfter(wait)
+	}
+	w.spare = w.spare.Sub(d)
+}
+
+// freeFor returns the free capacity that a task of the unit may use.
+func (w *workerState) freeFor(u *Unit) work.Shape {
+	if !w.held || u.endsWithin(w.heldUntil) {
+		return w.free
+	}
+	return minShape(w.free, w.spare)
 }
 
 // isolate keeps the worker for the tasks that it has. Nothing else starts there or is
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -21,6 +21,7 @@
 	lastUnplaced      equivalenceKey // of the latest unit that could not be scheduled
 	changesAtUnplaced int            // value of changes at that unit
 	examined          int            // workers and runs examined, as a measure of cost
+	batchSearches     int            // batch gangs for which runs to stop were looked for
 	plan              Plan
 }
 
@@ -97,7 +98,8 @@
 }
 
 // placeOrPreempt starts a unit if it fits. Otherwise it reserves capacity for an
-// urgent unit, and preempts runs if there is not enough to reserve.
+// urgent unit, and preempts runs if there is not enough to reserve. For a batch gang whose
+// slack runs out, it holds capacity that is expected to be free later.
 func (p *pass) placeOrPreempt(u *Unit) {
 	if u.MinSpeed > 0 && p.placeOnFastWorkers(u) {
 		return
@@ -118,11 +120,15 @@
 	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets, math.Inf(1))) {
 		return
 	}
-	if spread == nil || p.startIn(u, spread) || !u.mayPreempt() {
+	if p.startIn(u, spread) {
 		return
 	}
-	if !p.reserveIn(u, spread) {
-		p.preemptIn(u, spread, math.Inf(1))
+	if !u.mayPreempt() {
+		p.holdForBatch(u, sets, spread)
+		return
+	}
+	if !p.reserveIn(u, spread) && !p.preemptIn(u, spread, math.Inf(1)) {
+		p.awaitSoonest(u, sets, spread)
 	}
 }
 
@@ -136,7 +142,7 @@
 		return chosen != nil
 	}
 	for _, set := range sets {
-		if chosen := p.selectWorkers(u, set, freeCapacity); chosen != nil {
+		if chosen := p.selectWorkers(u, set, u.freeCapacity); chosen != nil {
 			p.start(u, chosen)
 			return true
 		}
@@ -167,7 +173,7 @@
 func (p *pass) start(u *Unit, chosen []*workerState) {
 	p.changes++
 	for i, w := range chosen {
-		w.allocate(Demand(u.step()))
+		w.allocate(u, Demand(u.step()))
 		w.hasStarts = true
 		w.idleMilliCPU -= u.step().Shape.MilliCPU
 		u.TasksByWorker[w.ID]++
@@ -183,7 +189,8 @@
 	}
 }
 
-func freeCapacity(w *workerState) work.Shape { return w.free }
+// freeCapacity returns the capacity of a worker that is free for the unit.
+func (u *Unit) freeCapacity(w *workerState) work.Shape { return w.freeFor(u) }
 
 func projectedFreeCapacity(w *workerState) work.Shape { return w.projectedFree }
 
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -13,43 +14,27 @@
 	worker       *workerState
 	index        int           // position in Worker.Runs
 	gang         *[]*placedRun // the runs of its gang, or the run alone
-	gangStopCost float64       // sum of stopCost over gang
+	gangStopCost float64       // sum of Cost over gang
 }
 
+// maxBatchPreemptions bounds how often batch units stop runs of a job, which would
+// otherwise start over again and again while gangs of a higher priority arrive.
+const maxBatchPreemptions = 1
+
 // preemptibleBy reports whether the run may be stopped for the unit, apart from its
 // budget. Runs that are ending or within a guarantee may not. Of the others, these may:
-// (1) runs that are not urgent; (2) late urgent runs, for a unit that can meet its
+// (1) runs of a lower priority, for a batch unit only if their job has been stopped less
+// than maxBatchPreemptions times; (2) late urgent runs, for an urgent unit that can meet its
 // deadline or is within a guarantee; (3) all urgent runs, for a unit within a guarantee
 // that must start now or is AtRisk or worse.
 func (r *Run) preemptibleBy(u *Unit) bool {
 	if r.Stopping || r.EndsSoon || r.Guaranteed {
 		return false
 	}
-	return r.Priority > 0 || (r.Late && u.effectiveTimeliness() <= AtRisk) || (u.Guaranteed && (u.MustStartNow || u.Timeliness > OnTime))
-}
-
-const (
-	// perStopCost is added for each run, so that fewer runs are stopped.
-	perStopCost = 1.0 // core-seconds
-	// urgentStopCost is added for a run of priority 0. Its job has hardly any slack,
-	// so that a stop makes it late, and users rate a late job like a thousand
-	// core-seconds of lost work.
-	urgentStopCost = 1000.0 // core-seconds
-	// lateStopCost is added instead if the job is late in any case: a late job
-	// counts a fifth of one that is on time.
-	lateStopCost = 200.0 // core-seconds
-)
-
-// stopCost returns the cost of stopping the run: the work lost and the surcharges.
-func (r *Run) stopCost() float64 {
-	switch {
-	case r.Priority > 0:
-		return r.Cost + perStopCost
-	case r.Late:
-		return r.Cost + perStopCost + lateStopCost
-	default:
-		return r.Cost + perStopCost + urgentStopCost
+	if u.Job.Priority > 0 && r.Preempted >= maxBatchPreemptions {
+		return false
 	}
+	return r.Priority > u.Job.Priority || (r.Late && u.Job.Priority == 0 && u.effectiveTimeliness() <= AtRisk) || (u.Guaranteed && (u.MustStartNow || u.Timeliness > OnTime))
 }
 
 // indexRuns sets runsByCost of all workers and budgetWorkers. It runs once per pass,
@@ -79,7 +64,7 @@
 	for _, w := range p.workers {
 		for _, run := range w.runsByCost {
 			for _, other := range *run.gang {
-				run.gangStopCost += other.stopCost()
+				run.gangStopCost += other.Cost
 			}
 		}
 		slices.SortStableFunc(w.runsByCost, func(a, b *placedRun) int {
@@ -89,8 +74,46 @@
 }
 
 // preemptIn stops runs in the set of workers where that costs least, if it costs less than
-// the limit, and reserves their capacity for the unit.
+// the limit, and reserves their capacity for the unit. If the delay that the stops avoid
+// costs less than the stops, the unit waits where it is expected to fit soonest, provided
+// that it hardly loses by that.
 func (p *pass) preemptIn(u *Unit, sets [][]*workerState, limit float64) bool {
+	wait, soonest := time.Duration(0), []*workerState(nil)
+	if !u.Guaranteed && u.Forecast.Known() {
+		wait, soonest = p.soonestFit(u, sets)
+		wait = u.expectedWait(wait)
+		limit = min(limit, u.avoidedLoss(wait))
+	}
+	if best := p.cheapestPreemption(u, sets, limit); best != nil {
+		p.commit(u, best)
+		return true
+	}
+	if soonest == nil || !u.canWait(wait) {
+		return false
+	}
+	p.reserve(u, soonest)
+	return true
+}
+
+// awaitSoonest reserves the capacity where an urgent unit for which no stop pays is
+// expected to fit soonest. Without that, work of lower priority would take it, and the wait
+// for which no stop pays would not end.
+func (p *pass) awaitSoonest(u *Unit, sets, spread [][]*workerState) {
+	if u.Guaranteed || !u.Forecast.Known() {
+		return
+	}
+	_, chosen := p.soonestFit(u, sets)
+	if chosen == nil {
+		_, chosen = p.soonestFit(u, spread)
+	}
+	if chosen != nil {
+		p.reserve(u, chosen)
+	}
+}
+
+// cheapestPreemption returns the preemption that costs least, or nil if none costs less
+// than the limit.
+func (p *pass) cheapestPreemption(u *Unit, sets [][]*workerState, limit float64) *preemption {
 	p.indexRuns()
 	var best *preemption
 	for _, set := range sets {
@@ -98,11 +121,7 @@
 			best, limit = candidate, candidate.cost
 		}
 	}
-	if best == nil {
-		return false
-	}
-	p.commit(u, best)
-	return true
+	return best
 }
 
 // commit adds the preemption to the plan. Stops are in the order of workers and runs.
@@ -119,7 +138,7 @@
 		if victim.LongRunning && !victim.remains() {
 			victim.worker.releasable = victim.worker.releasable.Add(victim.Demand)
 		}
-		p.plan.Stops = append(p.plan.Stops, victim.Key)
+		p.plan.Stops = append(p.plan.Stops, Stop{RunKey: victim.Key, For: u.Job.ID, Cost: victim.Cost})
 	}
 	p.reserve(u, pr.chosen)
 }
--- a/schedule/risk.go
+++ b/schedule/risk.go
@@ -37,7 +37,7 @@
 		return
 	}
 	c := p.candidates(u)
-	if len(c.withheld) > 0 && p.fits(u, slices.Concat(c.eligible, c.withheld), freeCapacity) {
+	if len(c.withheld) > 0 && p.fits(u, slices.Concat(c.eligible, c.withheld), u.freeCapacity) {
 		p.plan.Held = append(p.plan.Held, step)
 	}
 }
@@ -48,7 +48,7 @@
 	var best []*workerState
 	lowest := 0.0
 	for _, set := range sets {
-		chosen := p.selectWorkers(u, set, freeCapacity)
+		chosen := p.selectWorkers(u, set, u.freeCapacity)
 		if chosen == nil {
 			continue
 		}
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -5,14 +5,10 @@
 	"slices"
 )
 
-// lateCost is what it costs in core-seconds that an urgent job is late rather than in
-// time: the difference of the surcharges for the stop of an urgent run.
-const lateCost = urgentStopCost - lateStopCost
-
 // placeOnFastWorkers starts the unit on workers of its MinSpeed. If they have no room, it
 // reserves capacity or preempts runs there for an urgent unit, where that costs less than
-// the delay: lateCost if the unit can start elsewhere at once. It reports whether the unit
-// starts or has a reservation.
+// the delay: what the unit loses by being late if it can start elsewhere at once. It reports
+// whether the unit starts or has a reservation.
 func (p *pass) placeOnFastWorkers(u *Unit) bool {
 	all := p.candidates(u)
 	sets, _ := p.candidateSets(u, p.fasterThan(all, u.MinSpeed))
@@ -31,8 +27,8 @@
 		return false
 	}
 	limit := math.Inf(1)
-	if sets, _ := p.candidateSets(u, all); p.fitsIn(u, sets) {
-		limit = lateCost
+	if sets, _ := p.candidateSets(u, all); u.Forecast.Known() && p.fitsIn(u, sets) {
+		limit = u.Forecast.LateLoss
 	}
 	sets, _ = p.candidateSets(u, p.fasterThan(all, u.MinSpeedAfterStop))
 	return p.preemptIn(u, sets, limit)
@@ -40,7 +36,7 @@
 
 // fitsIn reports whether the unit fits in the free capacity of one of the sets.
 func (p *pass) fitsIn(u *Unit, sets [][]*workerState) bool {
-	return slices.ContainsFunc(sets, func(set []*workerState) bool { return p.fits(u, set, freeCapacity) })
+	return slices.ContainsFunc(sets, func(set []*workerState) bool { return p.fits(u, set, u.freeCapacity) })
 }
 
 // startOnAlikeWorkers starts a gang on slow workers only, or else on others only, because
