--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -303,6 +303,16 @@
 	uncertain := false
 	for {
 		rec, err := g.findJob(ctx, c, id)
+		if rosemarysill.CodeOf(err) == rosemarysill.UnknownJob && validJobID(id) {
+			// A write that would accept the job may still be executed late.
+			recorded, markErr := g.mark(ctx, c, id)
+			if recorded {
+				continue
+			}
+			if markErr != nil {
+				return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "no job %q on record, and a late write may still record it: %v", id, markErr)
+			}
+		}
 		if err != nil {
 			return err
 		}
--- a/gateway/mark_test.go
+++ b/gateway/mark_test.go
@@ -152,3 +152,21 @@
 	})
 	require.False(t, errors.Is(err, rosemarysill.ErrVersion), "an earlier version would take the job for accepted: %v", items)
 }
+
+// Guards against a job that starts seconds after its cancel was answered with "no such job",
+// because the write that accepts it is executed late.
+func TestCancelOfUnknownJobStands(t *testing.T) {
+	s := standin.NewTransactions()
+	s.LateBy = 300 * time.Millisecond
+	g, cfg := markedEntry(s)
+	ctx := context.Background()
+	s.SetFault("entry", standin.Late)
+	require.ErrorIs(t, g.writeJob(ctx, cfg, testJob(), new(uint64)), rosemarysill.ErrStoreUnavailable)
+	s.SetFault("entry", standin.Healthy)
+	require.Equal(t, rosemarysill.UnknownJob, rosemarysill.CodeOf(g.Cancel(ctx, testCall(nil))))
+	time.Sleep(2 * s.LateBy) // the late write is executed
+	require.Empty(t, s.Keys(jobstore.JobKey("")), "the job that does not exist is on record")
+	require.NoError(t, g.Submit(ctx, testCall(nil), func() (*work.Job, error) { return testJob(), nil }))
+	require.NoError(t, g.Cancel(ctx, testCall(nil)))
+	require.Len(t, s.Keys(jobstore.CancelKey("")), 1)
+}
