--- a/leader/fleet.go
+++ b/leader/fleet.go
@@ -60,7 +60,7 @@
 	}
 	step := s.job.Steps[k.Task.Step]
 	run := schedule.Run{
-		Key: k, LongRunning: step.LongRunning, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Priority: s.job.Priority, Guaranteed: guaranteed[s.job.ID], Stopping: task.Stopping,
+		Key: k, LongRunning: step.LongRunning, Demand: schedule.Demand(step), MilliCPU: step.Shape.MilliCPU, Priority: s.job.Priority, Guaranteed: guaranteed[s.job.ID], Account: s.job.Account, RequiredLabel: step.RequiredLabel, Advised: s.job.Advised, Stopping: task.Stopping,
 		Budget: budgets.of(s, k.Task),
 	}
 	if since, ok := w.stopRequestedAt[k]; ok {
--- a/leader/guarantee_cluster_test.go
+++ b/leader/guarantee_cluster_test.go
@@ -82,3 +82,31 @@
 	require.Equal(t, 2, c.agents["agent0"].worker.Started(), "the tasks on the first worker go on")
 	c.requireNoBreaches()
 }
+
+// Guards against a claim that does not start because what is left of the guarantee lies in
+// pieces on two workers, beside runs of the same account that last for minutes.
+func TestClaimStartsThoughGuaranteeIsInPieces(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 0, 2)
+	c.declarations.cfg.Accounts = map[string]queue.Account{"north": {GuaranteedAccelerators: 16}}
+	c.addEntry("entry0")
+	submit := func(id string, duration time.Duration) {
+		c.submitJob(&work.Job{
+			ID: id, Account: "north", Service: "s", Queue: "urgent", MaxAttempts: 2, MaxSlowdown: 2, Objective: 10 * time.Second, Accepted: time.Now(),
+			Steps: []work.Step{{Count: 1, Shape: work.Shape{MilliCPU: 1000, MemoryMB: 100, Accelerators: 4}}}, Spec: spec(duration, ""),
+		})
+	}
+	// Best fit puts the first two on one worker and the others on the other one.
+	for i, duration := range []time.Duration{15 * time.Second, 3 * time.Second, 15 * time.Second, 3 * time.Second} {
+		submit(string(rune('a'+i)), duration)
+		require.Eventually(t, func() bool { return c.steps.Runs() == i+1 }, 20*time.Second, time.Millisecond)
+	}
+	c.awaitState("b", work.Completed)
+	c.awaitState("d", work.Completed)
+	c.claim(work.Step{Count: 1, Shape: work.Shape{MilliCPU: 1000, MemoryMB: 100, Accelerators: 8}})
+	c.awaitState("claim", work.Completed)
+	require.Equal(t, 2, c.steps.Runs(), "the claim has not waited for the others to end")
+	c.awaitState("a", work.Completed)
+	c.awaitState("c", work.Completed)
+	c.requireNoBreaches()
+}
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -13,21 +13,24 @@
 
 // Run is an execution of a task that occupies capacity of a worker.
 type Run struct {
-	Key         work.RunKey
-	Demand      work.Shape
-	MilliCPU    int64 // declared, also if Demand has none because the run is best-effort
-	Priority    int
-	Guaranteed  bool          // within the guaranteed capacity of its client account
-	Gang        string        // identifies the gang, whose runs end together; empty if not in a gang
-	Cost        float64       // of stopping it, by delay.Model.CostOfStop; in a gang, its share
-	EndsIn      time.Duration // expected time until it ends by itself; 0 if unknown
-	Late        bool          // urgent, and its job is expected to miss its deadline
-	LongRunning bool          // does not end by itself
-	Stopping    bool
-	StopOverdue bool        // was told to stop and has not ended within the time allowed
-	EndsSoon    bool        // expected to end by itself no later than a stop would end it
-	Preempted   int         // times that the task has been stopped for others
-	Budget      *StopBudget // nil if its step has no bound
+	Key           work.RunKey
+	Demand        work.Shape
+	MilliCPU      int64 // declared, also if Demand has none because the run is best-effort
+	Priority      int
+	Guaranteed    bool          // within the guaranteed capacity of its client account
+	Account       string        // client account of its job
+	RequiredLabel string        // label that its worker must have
+	Advised       bool          // only workers that the advice service returns may run it
+	Gang          string        // identifies the gang, whose runs end together; empty if not in a gang
+	Cost          float64       // of stopping it, by delay.Model.CostOfStop; in a gang, its share
+	EndsIn        time.Duration // expected time until it ends by itself; 0 if unknown
+	Late          bool          // urgent, and its job is expected to miss its deadline
+	LongRunning   bool          // does not end by itself
+	Stopping      bool
+	StopOverdue   bool        // was told to stop and has not ended within the time allowed
+	EndsSoon      bool        // expected to end by itself no later than a stop would end it
+	Preempted     int         // times that the task has been stopped for others
+	Budget        *StopBudget // nil if its step has no bound
 }
 
 // StopBudget bounds how many runs of a step may be stopped. The runs of the step share
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -114,7 +114,7 @@
 		p.holdForBatch(u, sets, spread)
 		return
 	}
-	if !p.reserveIn(u, spread) && !p.preemptIn(u, spread) {
+	if !p.reserveIn(u, spread) && !p.preemptIn(u, spread) && !p.moveRuns(u, sets, spread) {
 		p.awaitSoonest(u, sets, spread)
 	}
 }
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -118,7 +118,7 @@
 	p.indexRuns()
 	var best *preemption
 	for _, set := range sets {
-		if candidate := p.planPreemption(u, set, limit); candidate != nil {
+		if candidate := p.planPreemption(u, set, limit, false); candidate != nil {
 			best, limit = candidate, candidate.cost
 		}
 	}
@@ -154,6 +154,7 @@
 	stops    map[*StopBudget]int // victims by budget
 	victims  []*placedRun
 	chosen   []*workerState // one worker for each task of the unit
+	moves    bool           // runs within the guarantee of the unit's account may be moved
 	cost     float64        // of stopping the victims
 }
 
@@ -170,8 +171,8 @@
 
 // planPreemption selects the runs of a set of workers to stop for the unit. It
 // returns nil if the unit does not fit even then, or if the cost is not below the limit.
-func (p *pass) planPreemption(u *Unit, workers []*workerState, limit float64) *preemption {
-	pr := &preemption{pass: p, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool), stops: make(map[*StopBudget]int)}
+func (p *pass) planPreemption(u *Unit, workers []*workerState, limit float64, moves bool) *preemption {
+	pr := &preemption{pass: p, moves: moves, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool), stops: make(map[*StopBudget]int)}
 	options := make([]*workerOption, len(workers))
 	for i, w := range workers {
 		options[i] = &workerOption{worker: w, projectedFree: w.projectedFree}
@@ -187,6 +188,9 @@
 		}
 		pr.assignTask(option)
 	}
+	if moves && !pr.victimsFitElsewhere() {
+		return nil
+	}
 	return pr
 }
 
@@ -220,6 +224,11 @@
 	option.projectedFree = option.projectedFree.Sub(pr.demand)
 	option.stepTasks++
 	option.upToDate = false
+	if pr.moves { // which runs have another place depends on all tasks and victims
+		for _, other := range pr.optionOf {
+			other.upToDate = false
+		}
+	}
 }
 
 // addVictim adds a run and all other members of its gang to the victims.
@@ -302,7 +311,7 @@
 	remaining := option.projectedFree
 	for _, run := range runs {
 		pr.pass.examined++
-		if pr.isVictim[run] || !run.preemptibleBy(pr.unit) || !pr.withinBudget(run, selected) {
+		if pr.isVictim[run] || !pr.mayStop(run) || !pr.withinBudget(run, selected) {
 			continue
 		}
 		selected = append(selected, run)
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -60,7 +60,7 @@
 	budgets := make(map[string]*StopBudget) // by gang, or by group of single runs
 	for i := range drawInt(1, 14, "workers") {
 		w := &Worker{
-			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/drawInt(1, 4, "rack")), Schedulable: !drawOneIn(9, "closed"), Suspect: drawOneIn(9, "suspect"), StartedRecently: drawOneIn(5, "recent"),
+			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/drawInt(1, 4, "rack")), Schedulable: !drawOneIn(9, "closed"), Suspect: drawOneIn(9, "suspect"), Labels: []string{"a", "b"}[:drawInt(0, 2, "labels")], StartedRecently: drawOneIn(5, "recent"),
 			Capacity: work.Shape{MilliCPU: 32000, MemoryMB: 65536, Accelerators: 8},
 		}
 		if drawOneIn(3, "shrunk") { // below what its runs take, in one resource or several
@@ -70,7 +70,7 @@
 			a := int64(drawInt(0, 3, "accelerators"))
 			d := work.Shape{MilliCPU: 1000 * a, MemoryMB: 100, Accelerators: a}
 			r := Run{
-				Key: work.RunKey{Task: work.TaskKey{Job: fmt.Sprintf("r%d.%d", i, n)}, Run: 1}, Demand: d, MilliCPU: d.MilliCPU, Priority: drawInt(0, 2, "priority"), Preempted: drawInt(0, 3, "preempted"),
+				Key: work.RunKey{Task: work.TaskKey{Job: fmt.Sprintf("r%d.%d", i, n)}, Run: 1}, Demand: d, MilliCPU: d.MilliCPU, Priority: drawInt(0, 2, "priority"), Preempted: drawInt(0, 3, "preempted"), Account: fmt.Sprint("a", drawInt(0, 1, "account")), RequiredLabel: []string{"", "a", "b"}[drawInt(0, 2, "required label")], Advised: drawOneIn(9, "advised"),
 				Guaranteed: drawOneIn(6, "reserved"), Cost: float64(drawInt(0, 5, "cost")), LongRunning: drawOneIn(4, "long-running"), Late: drawOneIn(5, "late"), Stopping: drawOneIn(7, "stopping"), EndsSoon: drawOneIn(7, "ending"), StopOverdue: drawOneIn(9, "stuck"),
 			}
 			if drawOneIn(3, "gang") {
@@ -99,7 +99,7 @@
 		if drawOneIn(4, "bound") {
 			s.MaxPerWorker = drawInt(1, 2, "per worker")
 		}
-		j := &work.Job{ID: fmt.Sprintf("j%d", i), Service: "s", Priority: drawInt(0, 2, "priority"), Steps: []work.Step{s}}
+		j := &work.Job{ID: fmt.Sprintf("j%d", i), Account: fmt.Sprint("a", drawInt(0, 1, "account")), Service: "s", Priority: drawInt(0, 2, "priority"), Steps: []work.Step{s}}
 		tasksByWorker := map[string]int{"w00": drawInt(0, 1, "beside")}
 		unit := Unit{
 			Job: j, Guaranteed: drawOneIn(3, "reserved"), MustStartNow: drawOneIn(5, "pressed"), AnyRack: drawOneIn(5, "any rack"), Failed: drawOneIn(5, "failed"), Deferrable: drawOneIn(2, "patient"), Isolated: drawOneIn(5, "isolated"), Timeliness: Timeliness(drawInt(0, 4, "timeliness")),
@@ -308,7 +308,13 @@
 		}
 		return
 	}
-	if p.reserveIn(u, spread) || p.preemptIn(u, spread) || u.Guaranteed || !u.Forecast.Known() {
+	if p.reserveIn(u, spread) || p.preemptIn(u, spread) {
+		return
+	}
+	if u.Guaranteed && (u.MustStartNow || u.Timeliness > OnTime) {
+		p.moveRuns(u, slices.Concat(sets, spread))
+	}
+	if u.Guaranteed || !u.Forecast.Known() {
 		return
 	}
 	_, chosen := p.soonestFit(u, sets)
@@ -633,8 +639,90 @@
 	return free
 }
 
+// moveRuns also stops runs of the account within its guarantee that fit elsewhere.
+func (p *refPass) moveRuns(u *Unit, sets [][]*refWorker) {
+	var best *refPreemption
+	for _, set := range sets {
+		if candidate := p.planMoves(u, set, true); candidate != nil && candidate.victimsFitElsewhere() && (best == nil || candidate.totalCost < best.totalCost) {
+			best = candidate
+		}
+	}
+	if best != nil {
+		p.commit(best)
+	}
+}
+
+// reclaimable returns the capacity of each worker that is not used within guarantees.
+func (pr *refPreemption) reclaimable() []work.Shape {
+	left := make([]work.Shape, len(pr.workers))
+	for i, w := range pr.workers {
+		left[i] = w.projectedFree
+		for _, run := range w.Runs {
+			if pr.isVictim[run.Key] || run.preemptibleBy(pr.unit) {
+				left[i] = left[i].Add(run.Demand)
+			}
+		}
+		for _, chosen := range pr.chosen {
+			if chosen == w {
+				left[i] = left[i].Sub(Demand(pr.unit.step()))
+			}
+		}
+	}
+	return left
+}
+
+func refMayRun(w *refWorker, run Run) bool {
+	return w.Schedulable && (run.RequiredLabel == "" || slices.Contains(w.Labels, run.RequiredLabel))
+}
+
+// movable reports whether the run may be moved to another worker.
+func (pr *refPreemption) movable(from *refWorker, run Run) bool {
+	if !pr.moves || !run.movableFor(pr.unit) {
+		return false
+	}
+	for i, left := range pr.reclaimable() {
+		if w := pr.workers[i]; w != from && refMayRun(w, run) && run.Demand.FitsIn(left) {
+			return true
+		}
+	}
+	return false
+}
+
+func (pr *refPreemption) victimsFitElsewhere() bool {
+	left := pr.reclaimable()
+	for _, key := range pr.order {
+		victim := pr.run(key)
+		if !victim.Guaranteed {
+			continue
+		}
+		i := slices.IndexFunc(pr.workers, func(w *refWorker) bool {
+			return refMayRun(w, victim) && victim.Demand.FitsIn(left[slices.Index(pr.workers, w)])
+		})
+		if i < 0 {
+			return false
+		}
+		left[i] = left[i].Sub(victim.Demand)
+	}
+	return true
+}
+
+func (pr *refPreemption) run(key work.RunKey) Run {
+	for _, w := range pr.workers {
+		for _, run := range w.Runs {
+			if run.Key == key {
+				return run
+			}
+		}
+	}
+	return Run{}
+}
+
 func (p *refPass) planPreemption(u *Unit, workers []*refWorker) *refPreemption {
-	pr := &refPreemption{refPass: p, unit: u, projectedFree: make(map[*refWorker]work.Shape), stepTasks: maps.Clone(u.TasksByWorker), isVictim: make(map[work.RunKey]bool)}
+	return p.planMoves(u, workers, false)
+}
+
+func (p *refPass) planMoves(u *Unit, workers []*refWorker, moves bool) *refPreemption {
+	pr := &refPreemption{refPass: p, unit: u, moves: moves, projectedFree: make(map[*refWorker]work.Shape), stepTasks: maps.Clone(u.TasksByWorker), isVictim: make(map[work.RunKey]bool)}
 	for _, w := range p.workers {
 		pr.projectedFree[w] = w.projectedFree
 	}
@@ -674,6 +762,8 @@
 	projectedFree map[*refWorker]work.Shape
 	stepTasks     map[string]int
 	isVictim      map[work.RunKey]bool
+	order         []work.RunKey // of the victims, as they were selected
+	moves         bool          // runs within the guarantee of the unit's account may be moved
 	chosen        []*refWorker
 	totalCost     float64 // of stopping the victims
 }
@@ -709,6 +799,7 @@
 		for _, run := range w.Runs {
 			if !run.Stopping && !run.EndsSoon && !pr.isVictim[run.Key] && (run.Key == victim.Key || (victim.Gang != "" && run.Gang == victim.Gang)) {
 				pr.isVictim[run.Key] = true
+				pr.order = append(pr.order, run.Key)
 				pr.projectedFree[w] = pr.projectedFree[w].Add(run.Demand)
 			}
 		}
@@ -721,7 +812,7 @@
 	}
 	var runs []Run
 	for _, run := range w.Runs {
-		if run.preemptibleBy(pr.unit) && !pr.isVictim[run.Key] {
+		if (run.preemptibleBy(pr.unit) || pr.movable(w, run)) && !pr.isVictim[run.Key] {
 			runs = append(runs, run)
 		}
 	}
