--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -127,7 +127,7 @@
 		p.holdForBatch(u, sets, spread)
 		return
 	}
-	if !p.reserveIn(u, spread) && !p.preemptIn(u, spread, math.Inf(1)) {
+	if !p.reserveIn(u, spread) && !p.preemptIn(u, spread, math.Inf(1)) && !p.moveRuns(u, sets, spread) {
 		p.awaitSoonest(u, sets, spread)
 	}
 }
