--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -206,8 +206,9 @@
 }
 
 // minHoldLoss is the share of what lateness costs a batch gang that it is expected to lose
-// before capacity is held for it.
-const minHoldLoss = 0.05
+// before capacity is held for it. With 0.05, capacity was held so early that in replays of
+// overload more single tasks became late than gangs were in time.
+const minHoldLoss = 0.3
 
 // slackRunsOut reports whether a unit that is expected to fit after the wait loses by
 // waiting without a reservation. Other work takes what becomes free meanwhile, so that the
