--- a/delay/model.go
+++ b/delay/model.go
@@ -117,6 +117,13 @@
 	return 1 / (1 + math.Pow(float64(left)/float64(max(f.Remaining, time.Millisecond)), f.Spread))
 }
 
+// Slowed returns the forecast of a job whose remaining work takes longer by the factor. A
+// factor below 1 counts as 1.
+func (f Forecast) Slowed(factor float64) Forecast {
+	f.Remaining = time.Duration(float64(f.Remaining) * max(1, factor))
+	return f
+}
+
 // Share returns the part of the forecast for one of n units that the job needs.
 func (f Forecast) Share(n int) Forecast {
 	f.LateLoss, f.ExpiredLoss = f.LateLoss/float64(n), f.ExpiredLoss/float64(n)
--- a/leader/place.go
+++ b/leader/place.go
@@ -195,9 +195,9 @@
 		MustStartNow: guaranteed && now.Sub(queuedSince(s.job, occurrence)) > t.cfg.ReclaimTimeout/2,
 		Deferrable:   t.isDeferrable(s, occurrence, now),
 		Timeliness:   t.timeliness(s, occurrence, now),
-		StopTime:     t.cfg.StopGrace,
-		Duration:     t.taskDuration(s.job, step),
-		FleetTime:    t.fleetTime(s.job, step),
+		StopTime:     t.cfg.StopGrace, SpreadSlowdown: t.cfg.RemoteSlowdown,
+		Duration:  t.taskDuration(s.job, step),
+		FleetTime: t.fleetTime(s.job, step),
 	}
 	if gang && len(waiting) < len(tasks) && !t.markAsCompletion(&unit, tasks) {
 		return nil
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -120,6 +120,9 @@
 	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets, math.Inf(1))) {
 		return
 	}
+	if spread != nil && p.awaitFullSpeed(u, sets) {
+		return
+	}
 	if p.startIn(u, spread) {
 		return
 	}
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -76,7 +76,7 @@
 // preemptIn stops runs in the set of workers where that costs least, if it costs less than
 // the limit, and reserves their capacity for the unit. If the delay that the stops avoid
 // costs less than the stops, the unit waits where it is expected to fit soonest, provided
-// that it hardly loses by that.
+// that it hardly loses by that and has not waited long enough for a rack.
 func (p *pass) preemptIn(u *Unit, sets [][]*workerState, limit float64) bool {
 	wait, soonest := time.Duration(0), []*workerState(nil)
 	if !u.Guaranteed && u.Forecast.Known() {
@@ -88,13 +88,27 @@
 		p.commit(u, best)
 		return true
 	}
-	if soonest == nil || !u.canWait(wait) {
+	if soonest == nil || u.AnyRack || !u.canWait(wait) {
 		return false
 	}
 	p.reserve(u, soonest)
 	return true
 }
 
+// awaitFullSpeed reserves capacity for an urgent unit where it is expected to fit soonest
+// at full speed, if the wait costs less than a start at once where the unit is slow.
+func (p *pass) awaitFullSpeed(u *Unit, sets [][]*workerState) bool {
+	if !u.mayPreempt() || u.Guaranteed || u.AnyRack || !u.Forecast.Known() {
+		return false
+	}
+	wait, chosen := p.soonestFit(u, sets)
+	if chosen == nil || u.Forecast.Loss(u.expectedWait(wait)) >= u.Forecast.Slowed(u.SpreadSlowdown).Loss(0) {
+		return false
+	}
+	p.reserve(u, chosen)
+	return true
+}
+
 // awaitSoonest reserves the capacity where an urgent unit for which no stop pays is
 // expected to fit soonest. Without that, work of lower priority would take it, and the wait
 // for which no stop pays would not end.
--- a/schedule/rack_test.go
+++ b/schedule/rack_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rosemarysill/rosemarysill/delay"
 	"github.com/rosemarysill/rosemarysill/schedule"
 	"github.com/rosemarysill/rosemarysill/work"
 )
@@ -74,3 +76,38 @@
 	f[0].Runs[0].LongRunning = false
 	require.Empty(t, schedule.Decide(f, units(gang), 0).Placements, "the first rack will be free")
 }
+
+// Guards against an urgent gang that is spread over racks, where it takes three times as
+// long, although a rack becomes free in a moment, and against one that waits longer than
+// it would lose by that.
+func TestUrgentGangAwaitsRackIfThatCostsLess(t *testing.T) {
+	for name, c := range map[string]struct {
+		endsIn  time.Duration
+		waited  time.Duration
+		anyRack bool
+		starts  int
+	}{
+		"rack is free soon":          {500 * time.Millisecond, 0, false, 0},
+		"rack is free after its due": {20 * time.Second, 0, false, 2},
+		"end is not known":           {0, 0, false, 2},
+		"loses something":            {4 * time.Second, 0, false, 0},
+		"would expire meanwhile":     {500 * time.Millisecond, 20 * time.Second, false, 2},
+		"may start in any rack":      {500 * time.Millisecond, 0, true, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(6)
+			for i, w := range f {
+				if i%3 > 0 { // one free worker in each rack of three
+					addRun(w, fmt.Sprint("urgent", i), 0, accelerators(8), 10)
+					w.Runs[0].EndsIn = c.endsIn
+				}
+			}
+			gang := units(newJob("gang", 0, work.Step{Count: 2, Shape: accelerators(8), Gang: true, SameRack: true}))
+			gang[0].SpreadSlowdown, gang[0].Waited, gang[0].AnyRack = 3, c.waited, c.anyRack
+			gang[0].Forecast = delay.Default().Forecast(delay.Job{Remaining: 5 * time.Second, UntilLate: 8 * time.Second, UntilExpired: 24 * time.Second})
+			plan := schedule.Decide(f, gang, 0)
+			require.Len(t, plan.Placements, c.starts)
+			require.Empty(t, plan.Stops)
+		})
+	}
+}
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -121,6 +121,7 @@
 			})
 			unit.Duration = time.Duration(drawInt(0, 5, "duration")) * time.Second
 			unit.Waited = time.Duration(drawInt(0, 5, "waited")) * time.Second
+			unit.SpreadSlowdown = float64(drawInt(0, 3, "spread slowdown"))
 			unit.StopTime, unit.Density = time.Second, float64(drawInt(0, 2, "density"))
 		}
 		unit.AvoidsRecentStarts = unit.Isolated && drawOneIn(2, "waits")
@@ -322,6 +323,17 @@
 	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets, nil)) {
 		return
 	}
+	if spread != nil && u.mayPreempt() && !u.Guaranteed && !u.AnyRack && u.Forecast.Known() {
+		slowed := u.Forecast
+		slowed.Remaining = time.Duration(float64(slowed.Remaining) * max(1, u.SpreadSlowdown))
+		if wait, chosen := p.soonestFit(u, sets); chosen != nil && u.Forecast.Loss(max(wait, u.Waited)) < slowed.Loss(0) {
+			for _, w := range chosen {
+				w.reserve(Demand(u.step()))
+				u.TasksByWorker[w.ID]++
+			}
+			return
+		}
+	}
 	if p.startIn(u, spread) {
 		return
 	}
@@ -795,7 +807,7 @@
 		p.commit(best)
 		return true
 	}
-	if chosen == nil || u.Forecast.Loss(wait)-u.Forecast.Loss(0) > maxWaitLoss*u.Forecast.LateLoss {
+	if chosen == nil || u.AnyRack || u.Forecast.Loss(wait)-u.Forecast.Loss(0) > maxWaitLoss*u.Forecast.LateLoss {
 		return false
 	}
 	for _, w := range chosen {
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -46,6 +46,7 @@
 	Density            float64           // value lost per second of delay and core-second of its step
 	Duration           time.Duration     // expected duration of a task; 0 if unknown
 	Waited             time.Duration     // since the unit could start
+	SpreadSlowdown     float64           // factor by which the unit takes longer on several racks, or away from its data; 0 counts as 1
 	StopTime           time.Duration     // within which a run that is preempted for the unit ends
 	Share              *Share            // of the client account in the service; nil if it does not count
 	beyondShare        bool              // the account uses its share without the unit; set by sortUnits
