intake: a request of any method needs a slot, also with an unread body

A GET or DELETE that announced a body was executed without a slot, and its connection could be closed for another while a cancel was written, because only Read began the execution and these handlers do not call it. Methods other than POST and PUT now begin before the handler; Read gives the slot back while a body arrives. TestUnreadBodyNeedsSlot failed before and passes.

--- a/intake/body.go
+++ b/intake/body.go
@@ -56,6 +56,18 @@
 	return true
 }
 
+// leave undoes enter before anything has been executed.
+func (q *request) leave() {
+	if !q.entered {
+		return
+	}
+	q.entered = false
+	q.slots.Leave()
+	if q.conn != nil {
+		q.conn.end()
+	}
+}
+
 // finish ends the execution and returns the memory of the body. The connection of a
 // request that may have had an effect may be closed only after its answer; ConnState does
 // that.
@@ -85,9 +97,14 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// takesBody reports whether handlers read the body of a request with Read before they
+// execute it. Requests of other methods are executed without it, also if they have one.
+func takesBody(method string) bool { return method == http.MethodPost || method == http.MethodPut }
+
 // Handler returns a handler that limits the requests in progress and the times of their
-// bodies and answers. The inner handler has to read bodies with Read. A request without a
-// body that is not admitted is answered by refuse.
+// bodies and answers. The inner handler has to read the bodies of POST and PUT with Read
+// before it executes the request. A request without a body, or of another method, that is
+// not admitted is answered by refuse.
 func (g *Gate) Handler(inner http.Handler, slots *Slots, refuse http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
@@ -100,7 +117,8 @@
 		// handler has not read, net/http reads up to 256 KiB of it.
 		if r.ContentLength != 0 {
 			_ = control.SetReadDeadline(time.Now().Add(g.limits.BodyPause))
-		} else if !q.enter(r.Context()) {
+		}
+		if (r.ContentLength == 0 || !takesBody(r.Method)) && !q.enter(r.Context()) {
 			refuse(w, r)
 			return
 		}
@@ -123,6 +141,9 @@
 	if r.ContentLength > limit {
 		return nil, rosemarysill.NewError(rosemarysill.TooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
+	if r.ContentLength != 0 {
+		q.leave() // of a method that needs no body: a slot is not held while one arrives
+	}
 	control := http.NewResponseController(w)
 	data, err := q.read(control, http.MaxBytesReader(w, r.Body, limit), deadline)
 	if err != nil {
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -131,6 +131,59 @@
 	}
 }
 
+// Guards against a request that is executed without a slot because it announces a body that
+// its handler does not read, and against its connection being closed for another meanwhile.
+func TestUnreadBodyNeedsSlot(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodDelete} {
+		g := NewGate(testLimits, zerolog.Nop())
+		l := &Listener{gate: g, table: newTable(1)}
+		client, server := net.Pipe()
+		defer func() { _ = client.Close() }()
+		c := &Conn{Conn: server, listener: l}
+		l.table.add(c)
+		slots := g.NewSlots("test", 1)
+		ran := 0
+		h := g.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			ran++
+			require.Zero(t, l.table.waiting.Len(), method)
+		}), slots, Refuse)
+		ask := func() int {
+			w := httptest.NewRecorder()
+			r := httptest.NewRequest(method, "/", strings.NewReader("x"))
+			h.ServeHTTP(w, r.WithContext(ConnContext(r.Context(), c)))
+			return w.Code
+		}
+		require.True(t, slots.Enter(t.Context()))
+		require.Equal(t, http.StatusServiceUnavailable, ask(), method)
+		require.Zero(t, ran, method)
+		slots.Leave()
+		require.Equal(t, http.StatusOK, ask(), method)
+		require.Equal(t, 1, ran, method)
+	}
+}
+
+// Guards against a slot that is held while the body of a question arrives.
+func TestArrivingBodyHoldsNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(testLimits, zerolog.Nop())
+		slots := g.NewSlots("test", 1)
+		h := g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := Read(w, r, 90, time.Now().Add(time.Hour))
+			require.NoError(t, err)
+			require.Len(t, slots.taken, 1)
+		}), slots, Refuse)
+		body, client := io.Pipe()
+		go h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", body))
+		_, err := client.Write([]byte("x"))
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Empty(t, slots.taken)
+		require.NoError(t, client.Close())
+		synctest.Wait()
+		require.Empty(t, slots.taken)
+	})
+}
+
 // Guards against a listener that leaks connections or does not close the replaced one.
 func TestListenerReplaces(t *testing.T) {
 	g := NewGate(testLimits, zerolog.Nop())
