intake: a request does not run on a connection that was closed for another

A connection could be chosen to give way after its body had arrived and before its execution began. The request then ran, although its client was told by the closed connection that it had not. begin reports whether the connection is open, and the request is refused if not. TestReplacedConnectionRunsNothing failed before and passes.

--- a/intake/body.go
+++ b/intake/body.go
@@ -50,8 +50,11 @@
 		return false
 	}
 	q.entered = true
-	if q.conn != nil {
-		q.conn.begin()
+	// A request whose connection has just been closed for another must not run, because the
+	// closed connection tells its client that it has not.
+	if q.conn != nil && !q.conn.begin() {
+		q.leave()
+		return false
 	}
 	return true
 }
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -109,10 +109,10 @@
 	return c.Conn.Close()
 }
 
-func (c *Conn) begin() {
+func (c *Conn) begin() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.listener.table.begin(c)
+	return c.listener.table.begin(c)
 }
 
 // ConnState is for http.Server.ConnState. It ends the execution of a request that may
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -184,6 +184,27 @@
 	})
 }
 
+// Guards against a request that runs although its connection was closed for another just
+// before, which tells the client that it has not run.
+func TestReplacedConnectionRunsNothing(t *testing.T) {
+	g := NewGate(testLimits, zerolog.Nop())
+	l := g.Listen(&pipeListener{}, "test", 1)
+	first, err := l.Accept()
+	require.NoError(t, err)
+	_, err = l.Accept()
+	require.NoError(t, err)
+	slots := g.NewSlots("test", 1)
+	for name, body := range map[string]io.Reader{"without body": http.NoBody, "with body": strings.NewReader("x")} {
+		h := g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := Read(w, r, 90, time.Now().Add(time.Hour))
+			require.Equal(t, rosemarysill.Overloaded, rosemarysill.CodeOf(err), name)
+		}), slots, Refuse)
+		r := httptest.NewRequest(http.MethodPost, "/", body)
+		h.ServeHTTP(httptest.NewRecorder(), r.WithContext(ConnContext(r.Context(), first.(*Conn))))
+		require.Empty(t, slots.taken, name)
+	}
+}
+
 // Guards against a listener that leaks connections or does not close the replaced one.
 func TestListenerReplaces(t *testing.T) {
 	g := NewGate(testLimits, zerolog.Nop())
--- a/intake/table.go
+++ b/intake/table.go
@@ -30,13 +30,16 @@
 	return victim, true
 }
 
-// begin records that a request of the connection is executed from now on.
-func (t *table) begin(c *Conn) {
+// begin records that a request of the connection is executed from now on. It returns
+// false if the connection was closed. After either result, end must be called.
+func (t *table) begin(c *Conn) bool {
 	c.executing++
 	if c.position != nil {
 		t.waiting.Remove(c.position)
 		c.position = nil
 	}
+	_, open := t.open[c]
+	return open
 }
 
 // end records that a request is not executed any more.
