intake: a closed gRPC connection takes nothing more from the budget

A connection that was closed for another, or by the server, while a read of it was in progress drew the bytes of that read after its share had been returned. They stayed taken until the budget ran out. The share is now closed, and a share that was dropped is counted once.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -87,6 +87,13 @@
 	s.empty = s.held == 0
 }
 
+// close returns all bytes of a share, which gets no more. A read that is in progress while
+// its connection is closed may still ask for some.
+func (b *budget) close(s *share) {
+	b.release(s)
+	s.dropped = true
+}
+
 // release returns all bytes of a share.
 func (b *budget) release(s *share) {
 	b.giveBack(s, s.held)
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -68,6 +68,10 @@
 // returns false if the share was dropped.
 func (g *Gate) draw(b *budget, s *share, n int64, what string) bool {
 	g.mu.Lock()
+	if s.dropped { // and counted then
+		g.mu.Unlock()
+		return false
+	}
 	dropped, ok := b.draw(s, n, time.Now())
 	g.mu.Unlock()
 	for _, d := range dropped {
@@ -91,6 +95,13 @@
 	b.giveBack(s, n)
 }
 
+// close returns all bytes of a share, which gets no more.
+func (g *Gate) close(b *budget, s *share) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.close(s)
+}
+
 // release returns all bytes of a share.
 func (g *Gate) release(b *budget, s *share) {
 	g.mu.Lock()
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -103,7 +103,7 @@
 		c.listener.gate.counters.open.Add(-1)
 		if c.messages != nil {
 			c.listener.gate.rpcConns.CompareAndDelete(rpcConnKey(c.LocalAddr(), c.RemoteAddr()), c)
-			c.listener.gate.release(c.listener.gate.messages, c.messages)
+			c.listener.gate.close(c.listener.gate.messages, c.messages)
 		}
 	})
 	return c.Conn.Close()
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
 
 	"github.com/rosemarysill/rosemarysill"
 )
@@ -205,6 +206,36 @@
 	}
 }
 
+// Guards against bytes of messages that are taken from the budget after their connection
+// was closed, and are never returned.
+func TestClosedConnectionDrawsNothing(t *testing.T) {
+	g := NewGate(Limits{RPCConnections: 1, MessageBytes: 1 << 20}, zerolog.Nop())
+	l := g.ListenRPC(&pipeListener{}, "test")
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	c := accepted.(*Conn)
+	sent := append([]byte(http2.ClientPreface), headers(t, 1)...)
+	c.Conn = closingConn{Conn: c.Conn, sent: sent, closed: func() { _ = c.Close() }}
+	_, err = c.Read(make([]byte, len(sent)))
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.Zero(t, g.Counts().Held)
+	require.Zero(t, g.Counts().Dropped)
+	require.Empty(t, g.messages.shares)
+}
+
+// closingConn is closed by another goroutine while its bytes are delivered.
+type closingConn struct {
+	net.Conn
+	sent   []byte
+	closed func()
+}
+
+func (c closingConn) Read(p []byte) (int, error) {
+	n := copy(p, c.sent)
+	c.closed()
+	return n, nil
+}
+
 // Guards against a listener that leaks connections or does not close the replaced one.
 func TestListenerReplaces(t *testing.T) {
 	g := NewGate(testLimits, zerolog.Nop())
