intake: the least budgets admit one body or message of the largest size

The product's gRPC server cut a single call of 16 MiB without load, because its budget was the size of one message, without the stream and the frames; on machines of up to 64 MB the same held for messages of 4 MiB between entries and agents, and a machine of a few MB admitted no body and few connections. The budgets now have floors, and so has the number of connections of other processes. TestCallOfFullSize and TestLeastLimits failed before and pass.

--- a/cmd/rosemarysill/process.go
+++ b/cmd/rosemarysill/process.go
@@ -110,7 +110,7 @@
 	}
 	cfg.Limits.BodyBytes = int64(s.Limits.MaxBodyBytes)*4/3 + 4096 // base64 adds a third; 4096 bytes for the other fields
 	limits := machineLimits(s.Limits.MemoryMB, s.Limits.MaxDescriptors)
-	cfg.Limits.HeldBytes = min(s.Limits.MaxHeldBytes, limits.BodyBytes)
+	cfg.Limits.HeldBytes = min(s.Limits.MaxHeldBytes, max(limits.BodyBytes, cfg.Limits.BodyBytes)) // at least one body
 	cfg.Limits.Connections = limits.Connections
 	cfg.Server = peer.ServerConfig{Connections: limits.RPCConnections, MessageBytes: limits.MessageBytes}
 	cfg.Limits.Requests = int64(s.Limits.MaxRequests)
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -45,6 +45,11 @@
 	fileDescriptors = 256
 	// smallConnections are for health checks, metrics, and the status reports of a worker.
 	smallConnections = 16
+	// minBodyBytes is the least budget for bodies: four of the largest legal ones.
+	minBodyBytes = 1 << 20
+	// maxRPCMessage is the largest message between processes of the system, the default of
+	// gRPC.
+	maxRPCMessage = 4 << 20
 	// minConnections is the least limit of connections of a kind.
 	minConnections = 32
 	// maxRequests bounds the requests in progress on large machines.
@@ -79,7 +84,7 @@
 // LimitsFor returns the limits for a machine with the given memory in bytes and open
 // descriptors; 0 stands for a default. An eighth of the memory is for connections of
 // clients, a quarter for those of other processes, and a sixteenth each for bodies and
-// for messages. Leaders of 1,100 agents need 1,112 connections of other processes, which
+// for messages, but at least what a few of the largest of them need. Leaders of 1,100 agents need 1,112 connections of other processes, which
 // the smallest machines of the design (144 MB, 3,075 descriptors) allow.
 func LimitsFor(memory int64, descriptors int) Limits {
 	if memory <= 0 {
@@ -92,18 +97,22 @@
 	l := Limits{
 		SmallConnections: smallConnections,
 		Requests:         min(max(sockets/8, minConnections), maxRequests),
-		BodyBytes:        memory / 16,
-		MessageBytes:     memory / 16,
+		BodyBytes:        max(memory/16, minBodyBytes),
+		MessageBytes:     max(memory/16, MessageBudget(maxRPCMessage)),
 		BodyPause:        bodyPause,
 		BodyTime:         maxBodyTime,
 		AnswerTimeout:    answerTimeout,
 		SlotWait:         slotWait,
 	}
-	l.RPCConnections = min(sockets*45/100, int(memory/4/connectionBytes))
+	l.RPCConnections = max(min(sockets*45/100, int(memory/4/connectionBytes)), minConnections)
 	l.Connections = max(min(sockets-l.RPCConnections-2*l.Requests-2*smallConnections, int(memory/8/connectionBytes)), minConnections)
 	return l
 }
 
+// MessageBudget returns the least budget of messages that admits one message of the given
+// size beside its stream and its frames, which have 1 KiB or more on average.
+func MessageBudget(size int64) int64 { return size + size/1024*frameBytes + streamBytes }
+
 // LimitMemory sets the soft memory limit of the Go runtime for a machine with the given
 // memory in bytes, and does nothing for 0.
 func LimitMemory(memory int64) {
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -65,3 +66,20 @@
 	require.GreaterOrEqual(t, smallest.RPCConnections, 1112)
 	require.GreaterOrEqual(t, smallest.Connections, 500)
 }
+
+// Guards against limits of small machines under which a single body or message within the
+// limits of the system is never accepted, or no connection is.
+func TestLeastLimits(t *testing.T) {
+	for _, memoryMB := range []int64{1, 32, 64, 144} {
+		for _, descriptors := range []int{1, 256, 3075} {
+			l := LimitsFor(memoryMB<<20, descriptors)
+			require.GreaterOrEqual(t, l.BodyBytes, int64(262_144), "%d MB", memoryMB)
+			require.GreaterOrEqual(t, l.RPCConnections, minConnections, "%d MB, %d descriptors", memoryMB, descriptors)
+			require.GreaterOrEqual(t, l.Connections, minConnections, "%d MB, %d descriptors", memoryMB, descriptors)
+			const size, frame = 4 << 20, 4 << 10
+			b := newBudget(l.MessageBytes)
+			_, ok := b.draw(newShare(func() {}), size+streamBytes+size/frame*frameBytes, time.Now())
+			require.True(t, ok, "message of %d bytes, %d MB", size, memoryMB)
+		}
+	}
+}
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -125,3 +125,22 @@
 	_, err = agent.Forward(context.Background(), request)
 	require.Equal(t, rosemarysill.OutcomeUnknown, rosemarysill.CodeOf(err), "answer to another call")
 }
+
+// TestCallOfFullSize guards against a budget of messages that one call of the largest size
+// exceeds, on the machine with the least memory.
+func TestCallOfFullSize(t *testing.T) {
+	f := &fake{}
+	l, address := listen(t)
+	serve(t, f, l)
+	agent, err := connect(t, ClientsConfig{}).Agent(address)
+	require.NoError(t, err)
+	body := bytes.Repeat([]byte{7}, MaxBody)
+	f.forward = func(r rosemarysill.ForwardRequest) (rosemarysill.Answer, error) {
+		require.Len(t, r.Call.Body, MaxBody)
+		return rosemarysill.Answer{ID: r.Call.ID, Upstream: "u1"}, nil
+	}
+	_, err = agent.Forward(context.Background(), rosemarysill.ForwardRequest{
+		Call: rosemarysill.Call{ID: id1, Class: rosemarysill.Urgent, Body: body}, Remaining: time.Minute,
+	})
+	require.NoError(t, err)
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -31,7 +31,7 @@
 	if c.Connections <= 0 {
 		c.Connections = 4096
 	}
-	c.MessageBytes = max(c.MessageBytes, maxMessage)
+	c.MessageBytes = max(c.MessageBytes, intake.MessageBudget(maxMessage))
 	if c.StopWithin <= 0 {
 		c.StopWithin = 30 * time.Second
 	}
