intake: the time to read an answer also holds while the handler writes it

The deadline was set after the handler had returned. An answer larger than the buffers, such as the metrics, blocked a handler for ever if the client did not read it, with its slot and a connection that could not be closed for another. TestUnreadAnswerEndsHandler failed before and passes.

--- a/intake/body.go
+++ b/intake/body.go
@@ -33,9 +33,42 @@
 	slots   *Slots
 	conn    *Conn // nil if the server has another listener
 	body    *share
+	writer  http.ResponseWriter // of net/http, which http.MaxBytesReader has to know
 	entered bool
 }
 
+// answerWriter sets the deadline for the client to read an answer when the handler begins
+// to write it. An answer larger than the buffers of net/http and of the kernel is written
+// while the handler runs.
+type answerWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+	begun   bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap is for http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *answerWriter) begin() {
+	if !w.begun {
+		w.begun = true
+		_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout)) // not supported by test recorders
+	}
+}
+
 func newShare(drop func()) *share {
 	now := time.Now()
 	return &share{began: now, last: now, drop: drop}
@@ -125,7 +158,8 @@
 			refuse(w, r)
 			return
 		}
-		inner.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestKey{}, q)))
+		q.writer = w
+		inner.ServeHTTP(&answerWriter{ResponseWriter: w, control: control, timeout: g.limits.AnswerTimeout}, r.WithContext(context.WithValue(r.Context(), requestKey{}, q)))
 		_ = control.SetWriteDeadline(time.Now().Add(g.limits.AnswerTimeout))
 	})
 }
@@ -148,7 +182,7 @@
 		q.leave() // of a method that needs no body: a slot is not held while one arrives
 	}
 	control := http.NewResponseController(w)
-	data, err := q.read(control, http.MaxBytesReader(w, r.Body, limit), deadline)
+	data, err := q.read(control, http.MaxBytesReader(q.writer, r.Body, limit), deadline)
 	if err != nil {
 		// The deadline that ends the read must not meet a later request.
 		w.Header().Set("Connection", "close")
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -236,6 +236,46 @@
 	return n, nil
 }
 
+// Guards against a handler that writes an answer which the client does not read, and never
+// returns.
+func TestUnreadAnswerEndsHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(testLimits, zerolog.Nop())
+		client, server := net.Pipe()
+		defer func() { _ = client.Close() }()
+		returned := make(chan error, 1)
+		h := g.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, err := w.Write(make([]byte, 64<<10))
+			returned <- err
+		}), g.NewSlots("test", 1), Refuse)
+		l := &oneListener{conns: make(chan net.Conn, 1)}
+		l.conns <- server
+		s := &http.Server{Handler: h, ReadHeaderTimeout: time.Hour}
+		go func() { _ = s.Serve(l) }()
+		defer func() { _ = s.Close() }()
+		_, err := client.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		require.NoError(t, err)
+		time.Sleep(2 * testLimits.AnswerTimeout)
+		synctest.Wait()
+		require.Len(t, returned, 1)
+		require.Error(t, <-returned)
+	})
+}
+
+// oneListener accepts the connections in its channel.
+type oneListener struct{ conns chan net.Conn }
+
+func (l *oneListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *oneListener) Close() error   { close(l.conns); return nil }
+func (l *oneListener) Addr() net.Addr { return pipeAddr("one") }
+
 // Guards against a listener that leaks connections or does not close the replaced one.
 func TestListenerReplaces(t *testing.T) {
 	g := NewGate(testLimits, zerolog.Nop())
