intake: a connection can be ended in one direction, as net/http does after a refusal

The accepted connections hid CloseWrite, so after an answer to a request that was not read completely, net/http reset the connection, and a client that was still sending could lose the answer. TestRefusalEndsConnectionInOrder failed before and passes.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -109,6 +109,16 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the connection towards the client. net/http uses it after an answer to a
+// request that it has not read completely; closing alone would reset the connection, and
+// the client might lose the answer.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 func (c *Conn) begin() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -276,6 +276,28 @@
 func (l *oneListener) Close() error   { close(l.conns); return nil }
 func (l *oneListener) Addr() net.Addr { return pipeAddr("one") }
 
+// Guards against a client that sees its connection reset before it has read a refusal:
+// net/http ends the connection in that direction first, if it can, and waits.
+func TestRefusalEndsConnectionInOrder(t *testing.T) {
+	g := NewGate(testLimits, zerolog.Nop())
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := g.Listen(raw, "test", 2)
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = client.Close() }()
+	server, err := l.Accept()
+	require.NoError(t, err)
+	defer func() { _ = server.Close() }()
+	half, ok := server.(interface{ CloseWrite() error })
+	require.True(t, ok)
+	require.NoError(t, half.CloseWrite())
+	_, err = client.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.EqualValues(t, 1, g.Counts().Open)
+}
+
 // Guards against a listener that leaks connections or does not close the replaced one.
 func TestListenerReplaces(t *testing.T) {
 	g := NewGate(testLimits, zerolog.Nop())
