relay: the time of an attempt begins when the body has arrived

A body that took more than 0.7 s used up the time of this entry's attempt to write the job, also without load: the write was cut off and the call forwarded, or answered with 504 where no other entry is left. TestSlowBodyLeavesTimeToWrite failed before and passes; TestAttemptIsBoundedAfterBody holds the bound of the write.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -108,8 +108,18 @@
 		}
 		return job, decodeErr
 	}
-	a := r.call(ctx, Request{Operation: Submit, Call: c}, func(ctx context.Context, req Request) Answer {
-		err := r.cfg.Local.Submit(ctx, req.Call, decodeOnce)
+	a := r.call(ctx, Request{Operation: Submit, Call: c}, func(_ context.Context, req Request) Answer {
+		// The time of the attempt begins when the body has arrived, which may take all of
+		// the caller's time but what the store needs.
+		attemptCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		timeout := time.AfterFunc(req.Remaining, cancel)
+		defer timeout.Stop()
+		err := r.cfg.Local.Submit(attemptCtx, req.Call, func() (*work.Job, error) {
+			timeout.Stop()
+			defer timeout.Reset(req.Remaining)
+			return decodeOnce()
+		})
 		return Answer{Code: rosemarysill.CodeOf(err), Detail: rosemarysill.DetailOf(err), RetryAfter: rosemarysill.RetryAfterOf(err)}
 	}, func(req *Request) error {
 		j, err := decodeOnce()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -233,3 +234,56 @@
 		})
 	}
 }
+
+// slowBody is an entry that writes a job to the store after its body has arrived.
+type slowBody struct{ stub }
+
+func (s slowBody) Submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) error {
+	if _, err := decode(); err != nil {
+		return err
+	}
+	if ctx.Err() != nil {
+		return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "the write was cut off")
+	}
+	return s.answer(c)
+}
+
+// Guards against a body that arrives slowly, but within the time of its caller, and uses up
+// the time of the attempt to write the job. The entry would answer 504 or forward the call.
+func TestSlowBodyLeavesTimeToWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := relay.New(relay.Config{Name: "this", Local: slowBody{}, Log: zerolog.Nop(), Peers: func() []relay.Peer { return nil }})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		deadline, _ := ctx.Deadline()
+		err := r.Submit(ctx, queue.Call{Path: "/q/1", Deadline: deadline}, func() (*work.Job, error) {
+			time.Sleep(2800 * time.Millisecond)
+			return &work.Job{}, nil
+		})
+		require.NoError(t, err)
+	})
+}
+
+// stuckStore is an entry whose write to the store gets no reply.
+type stuckStore struct{ stub }
+
+func (stuckStore) Submit(ctx context.Context, _ queue.Call, decode func() (*work.Job, error)) error {
+	_, _ = decode()
+	<-ctx.Done()
+	return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "no reply")
+}
+
+// Guards against a write without a reply that takes all the time of a call, so that no other
+// entry is asked.
+func TestAttemptIsBoundedAfterBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := relay.New(relay.Config{Name: "this", Local: stuckStore{}, Log: zerolog.Nop(), Peers: func() []relay.Peer { return nil }})
+		start := time.Now()
+		err := r.Submit(t.Context(), queue.Call{Path: "/q/1", Deadline: start.Add(3 * time.Second)}, func() (*work.Job, error) {
+			time.Sleep(time.Second)
+			return &work.Job{}, nil
+		})
+		require.Equal(t, rosemarysill.OutcomeUnknown, rosemarysill.CodeOf(err))
+		require.Less(t, time.Since(start), 2*time.Second)
+	})
+}
