--- a/intake/body.go
+++ b/intake/body.go
@@ -33,9 +33,42 @@
 	slots   *Slots
 	conn    *Conn // nil if the server has another listener
 	body    *share
+	writer  http.ResponseWriter // of net/http, which http.MaxBytesReader has to know
 	entered bool
 }
 
+// answerWriter sets the deadline for the client to read an answer when the handler begins
+// to write it. An answer larger than the buffers of net/http and of the kernel is written
+// while the handler runs.
+type answerWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+	begun   bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap is for http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *answerWriter) begin() {
+	if !w.begun {
+		w.begun = true
+		_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout)) // not supported by test recorders
+	}
+}
+
 func newShare(drop func()) *share {
 	now := time.Now()
 	return &share{began: now, last: now, drop: drop}
@@ -50,12 +83,27 @@
 		return false
 	}
 	q.entered = true
-	if q.conn != nil {
-		q.conn.begin()
+	// A request whose connection has just been closed for another must not run, because the
+	// closed connection tells its client that it has not.
+	if q.conn != nil && !q.conn.begin() {
+		q.leave()
+		return false
 	}
 	return true
 }
 
+// leave undoes enter before anything has been executed.
+func (q *request) leave() {
+	if !q.entered {
+		return
+	}
+	q.entered = false
+	q.slots.Leave()
+	if q.conn != nil {
+		q.conn.end()
+	}
+}
+
 // finish ends the execution and returns the memory of the body. The connection of a
 // request that may have had an effect may be closed only after its answer; ConnState does
 // that.
@@ -85,9 +133,14 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// takesBody reports whether handlers read the body of a request with Read before they
+// execute it. Requests of other methods are executed without it, also if they have one.
+func takesBody(method string) bool { return method == http.MethodPost || method == http.MethodPut }
+
 // Handler returns a handler that limits the requests in progress and the times of their
-// bodies and answers. The inner handler has to read bodies with Read. A request without a
-// body that is not admitted is answered by refuse.
+// bodies and answers. The inner handler has to read the bodies of POST and PUT with Read
+// before it executes the request. A request without a body, or of another method, that is
+// not admitted is answered by refuse.
 func (g *Gate) Handler(inner http.Handler, slots *Slots, refuse http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
@@ -100,11 +153,13 @@
 		// handler has not read, net/http reads up to 256 KiB of it.
 		if r.ContentLength != 0 {
 			_ = control.SetReadDeadline(time.Now().Add(g.limits.BodyPause))
-		} else if !q.enter(r.Context()) {
+		}
+		if (r.ContentLength == 0 || !takesBody(r.Method)) && !q.enter(r.Context()) {
 			refuse(w, r)
 			return
 		}
-		inner.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestKey{}, q)))
+		q.writer = w
+		inner.ServeHTTP(&answerWriter{ResponseWriter: w, control: control, timeout: g.limits.AnswerTimeout}, r.WithContext(context.WithValue(r.Context(), requestKey{}, q)))
 		_ = control.SetWriteDeadline(time.Now().Add(g.limits.AnswerTimeout))
 	})
 }
@@ -123,8 +178,11 @@
 	if r.ContentLength > limit {
 		return nil, rosemarysill.NewError(rosemarysill.TooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
+	if r.ContentLength != 0 {
+		q.leave() // of a method that needs no body: a slot is not held while one arrives
+	}
 	control := http.NewResponseController(w)
-	data, err := q.read(control, http.MaxBytesReader(w, r.Body, limit), deadline)
+	data, err := q.read(control, http.MaxBytesReader(q.writer, r.Body, limit), deadline)
 	if err != nil {
 		// The deadline that ends the read must not meet a later request.
 		w.Header().Set("Connection", "close")
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
 
 	"github.com/rosemarysill/rosemarysill"
 )
@@ -131,6 +132,172 @@
 	}
 }
 
+// Guards against a request that is executed without a slot because it announces a body that
+// its handler does not read, and against its connection being closed for another meanwhile.
+func TestUnreadBodyNeedsSlot(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodDelete} {
+		g := NewGate(testLimits, zerolog.Nop())
+		l := &Listener{gate: g, table: newTable(1)}
+		client, server := net.Pipe()
+		defer func() { _ = client.Close() }()
+		c := &Conn{Conn: server, listener: l}
+		l.table.add(c)
+		slots := g.NewSlots("test", 1)
+		ran := 0
+		h := g.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			ran++
+			require.Zero(t, l.table.waiting.Len(), method)
+		}), slots, Refuse)
+		ask := func() int {
+			w := httptest.NewRecorder()
+			r := httptest.NewRequest(method, "/", strings.NewReader("x"))
+			h.ServeHTTP(w, r.WithContext(ConnContext(r.Context(), c)))
+			return w.Code
+		}
+		require.True(t, slots.Enter(t.Context()))
+		require.Equal(t, http.StatusServiceUnavailable, ask(), method)
+		require.Zero(t, ran, method)
+		slots.Leave()
+		require.Equal(t, http.StatusOK, ask(), method)
+		require.Equal(t, 1, ran, method)
+	}
+}
+
+// Guards against a slot that is held while the body of a question arrives.
+func TestArrivingBodyHoldsNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(testLimits, zerolog.Nop())
+		slots := g.NewSlots("test", 1)
+		h := g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := Read(w, r, 90, time.Now().Add(time.Hour))
+			require.NoError(t, err)
+			require.Len(t, slots.taken, 1)
+		}), slots, Refuse)
+		body, client := io.Pipe()
+		go h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", body))
+		_, err := client.Write([]byte("x"))
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Empty(t, slots.taken)
+		require.NoError(t, client.Close())
+		synctest.Wait()
+		require.Empty(t, slots.taken)
+	})
+}
+
+// Guards against a request that runs although its connection was closed for another just
+// before, which tells the client that it has not run.
+func TestReplacedConnectionRunsNothing(t *testing.T) {
+	g := NewGate(testLimits, zerolog.Nop())
+	l := g.Listen(&pipeListener{}, "test", 1)
+	first, err := l.Accept()
+	require.NoError(t, err)
+	_, err = l.Accept()
+	require.NoError(t, err)
+	slots := g.NewSlots("test", 1)
+	for name, body := range map[string]io.Reader{"without body": http.NoBody, "with body": strings.NewReader("x")} {
+		h := g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := Read(w, r, 90, time.Now().Add(time.Hour))
+			require.Equal(t, rosemarysill.Overloaded, rosemarysill.CodeOf(err), name)
+		}), slots, Refuse)
+		r := httptest.NewRequest(http.MethodPost, "/", body)
+		h.ServeHTTP(httptest.NewRecorder(), r.WithContext(ConnContext(r.Context(), first.(*Conn))))
+		require.Empty(t, slots.taken, name)
+	}
+}
+
+// Guards against bytes of messages that are taken from the budget after their connection
+// was closed, and are never returned.
+func TestClosedConnectionDrawsNothing(t *testing.T) {
+	g := NewGate(Limits{RPCConnections: 1, MessageBytes: 1 << 20}, zerolog.Nop())
+	l := g.ListenRPC(&pipeListener{}, "test")
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	c := accepted.(*Conn)
+	sent := append([]byte(http2.ClientPreface), headers(t, 1)...)
+	c.Conn = closingConn{Conn: c.Conn, sent: sent, closed: func() { _ = c.Close() }}
+	_, err = c.Read(make([]byte, len(sent)))
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.Zero(t, g.Counts().Held)
+	require.Zero(t, g.Counts().Dropped)
+	require.Empty(t, g.messages.shares)
+}
+
+// closingConn is closed by another goroutine while its bytes are delivered.
+type closingConn struct {
+	net.Conn
+	sent   []byte
+	closed func()
+}
+
+func (c closingConn) Read(p []byte) (int, error) {
+	n := copy(p, c.sent)
+	c.closed()
+	return n, nil
+}
+
+// Guards against a handler that writes an answer which the client does not read, and never
+// returns.
+func TestUnreadAnswerEndsHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(testLimits, zerolog.Nop())
+		client, server := net.Pipe()
+		defer func() { _ = client.Close() }()
+		returned := make(chan error, 1)
+		h := g.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, err := w.Write(make([]byte, 64<<10))
+			returned <- err
+		}), g.NewSlots("test", 1), Refuse)
+		l := &oneListener{conns: make(chan net.Conn, 1)}
+		l.conns <- server
+		s := &http.Server{Handler: h, ReadHeaderTimeout: time.Hour}
+		go func() { _ = s.Serve(l) }()
+		defer func() { _ = s.Close() }()
+		_, err := client.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		require.NoError(t, err)
+		time.Sleep(2 * testLimits.AnswerTimeout)
+		synctest.Wait()
+		require.Len(t, returned, 1)
+		require.Error(t, <-returned)
+	})
+}
+
+// oneListener accepts the connections in its channel.
+type oneListener struct{ conns chan net.Conn }
+
+func (l *oneListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *oneListener) Close() error   { close(l.conns); return nil }
+func (l *oneListener) Addr() net.Addr { return pipeAddr("one") }
+
+// Guards against a client that sees its connection reset before it has read a refusal:
+// net/http ends the connection in that direction first, if it can, and waits.
+func TestRefusalEndsConnectionInOrder(t *testing.T) {
+	g := NewGate(testLimits, zerolog.Nop())
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := g.Listen(raw, "test", 2)
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = client.Close() }()
+	server, err := l.Accept()
+	require.NoError(t, err)
+	defer func() { _ = server.Close() }()
+	half, ok := server.(interface{ CloseWrite() error })
+	require.True(t, ok)
+	require.NoError(t, half.CloseWrite())
+	_, err = client.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.EqualValues(t, 1, g.Counts().Open)
+}
+
 // Guards against a listener that leaks connections or does not close the replaced one.
 func TestListenerReplaces(t *testing.T) {
 	g := NewGate(testLimits, zerolog.Nop())
