--- a/speed/load_test.go
+++ b/speed/load_test.go
@@ -215,7 +215,7 @@
 		for _, j := range s.jobs {
 			for _, u := range j.units {
 				for _, r := range u.runs {
-					if r.key == k {
+					if r.key == k.RunKey {
 						r.stopping = s.now
 						s.stopped++
 					}
