--- a/leader/publish.go
+++ b/leader/publish.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rosemarysill/rosemarysill"
 	"github.com/rosemarysill/rosemarysill/admission"
 	"github.com/rosemarysill/rosemarysill/event"
@@ -17,34 +19,62 @@
 const publishInterval = time.Second
 
 // publishLoad writes the load of the fleet after each change that may change the decision
-// about a submission, until ctx ends. A record that cannot be written is written again at
-// the next interval; entries accept everything if there is none of this term.
+// about a submission, until ctx ends. Entries accept everything if there is no record of
+// this term.
 func (t *term) publishLoad(ctx context.Context) {
 	observer := admission.NewObserver(t.rec.Epoch, t.elected)
-	var published admission.Load
+	publisher := loadPublisher{term: t}
 	for {
 		uptime.Sleep(ctx, publishInterval)
 		if ctx.Err() != nil {
 			return
 		}
 		current, ok := t.observeLoad(observer)
-		if !ok || !admission.Differs(published, current) {
+		if !ok {
 			continue
 		}
-		value, err := admission.Encode(current)
-		if err == nil {
-			_, _, err = t.cfg.Store.Commit(ctx, rosemarysill.Commit{
-				Guards: []rosemarysill.Guard{{Key: jobstore.LeaderKey, Version: t.leaderVersion}},
-				Writes: []rosemarysill.Write{{Key: jobstore.LoadKey, Value: value}},
-			})
+		if err := publisher.publish(ctx, current); err != nil {
+			t.cfg.Log.Debug().Err(err).Msg("the load of the fleet was not published; it is written again at the next interval")
 		}
-		if err != nil {
-			t.cfg.Log.Debug().Err(err).Msg("the load of the fleet was not published; entries use the record before")
-			continue
+	}
+}
+
+// loadPublisher writes the record of the load. Each write is guarded by the version of the
+// record, so that one without a reply does not replace a later one when it is executed late.
+type loadPublisher struct {
+	term      *term
+	published admission.Load // the load on record; empty if the latest write is not confirmed
+	version   uint64         // of the record, as far as known
+}
+
+// publish writes the load if it differs from the one on record.
+func (p *loadPublisher) publish(ctx context.Context, current admission.Load) error {
+	if !admission.Differs(p.published, current) {
+		return nil
+	}
+	p.published = admission.Load{}
+	value, err := admission.Encode(current)
+	if err != nil {
+		return err
+	}
+	revision, items, err := p.term.cfg.Store.Commit(ctx, rosemarysill.Commit{
+		Guards: []rosemarysill.Guard{{Key: jobstore.LeaderKey, Version: p.term.leaderVersion}, {Key: jobstore.LoadKey, Version: p.version}},
+		Writes: []rosemarysill.Write{{Key: jobstore.LoadKey, Value: value}},
+	})
+	if errors.Is(err, rosemarysill.ErrVersion) {
+		p.version = 0
+		for _, i := range items {
+			if i.Key == jobstore.LoadKey {
+				p.version = i.Version
+			}
 		}
-		published = current
-		event.LeaderLoad.Log(t.cfg.Log).Interface("Load", current.Services).Send()
 	}
+	if err != nil {
+		return err
+	}
+	p.published, p.version = current, revision
+	event.LeaderLoad.Log(p.term.cfg.Log).Interface("Load", current.Services).Send()
+	return nil
 }
 
 // observeLoad returns the present load, and false while the term is suspended.
--- a/leader/publish_test.go
+++ b/leader/publish_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -54,3 +55,50 @@
 	_, ok = term.observeLoad(observer)
 	require.False(t, ok)
 }
+
+// Guards against a record of the load that is replaced by an earlier one, whose write got no
+// reply and is executed late, or that stands although the load has changed back: entries
+// would refuse jobs by it for as long as the load stays the same.
+func TestLateRecordOfLoadIsReplaced(t *testing.T) {
+	load := func(ahead time.Duration) admission.Load {
+		return admission.Load{Epoch: 6, Services: map[string]admission.Service{"s": {Settled: true, Ahead: []time.Duration{ahead}}}}
+	}
+	for name, tc := range map[string]struct {
+		fault        standin.Fault
+		before, next time.Duration // load on record before the write without a reply, and after it
+	}{
+		"executed after the next write":            {standin.Late, 0, 10 * time.Minute},
+		"reply lost, the load has changed back":    {standin.Losing, 0, 0},
+		"executed late, the load has changed back": {standin.Late, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := standin.NewTransactions()
+			s.LateBy = 200 * time.Millisecond
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			store := s.View("leader")
+			version := s.Put(jobstore.LeaderKey, []byte("{}"))
+			s.Put(jobstore.LoadKey, []byte("{}")) // of an earlier term
+			p := loadPublisher{term: newTerm(Config{Store: store, Log: zerolog.Nop()}.withDefaults(), jobstore.LeaderRecord{Epoch: 6}, version, 1, uptime.Now().Add(time.Minute))}
+			publish := func(ahead time.Duration) {
+				for p.publish(ctx, load(ahead)) != nil {
+					require.NoError(t, ctx.Err())
+					uptime.Sleep(ctx, 10*time.Millisecond)
+				}
+			}
+			publish(tc.before)
+			s.SetFault("leader", tc.fault)
+			callCtx, cancelCall := context.WithTimeout(ctx, 20*time.Millisecond)
+			defer cancelCall()
+			require.Error(t, p.publish(callCtx, load(time.Hour)))
+			s.SetFault("leader", standin.Healthy)
+			publish(tc.next)
+			uptime.Sleep(ctx, 2*s.LateBy) // the late write is executed
+			item, err := store.Get(ctx, jobstore.LoadKey)
+			require.NoError(t, err)
+			recorded, err := admission.Decode(item.Value)
+			require.NoError(t, err)
+			require.Equal(t, load(tc.next), recorded)
+		})
+	}
+}
