--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -313,6 +313,9 @@
 				return rosemarysill.NewError(rosemarysill.OutcomeUnknown, "no job %q on record, and a late write may still record it: %v", id, markErr)
 			}
 		}
+		if err != nil && uncertain {
+			return commitError(err, uncertain) // an earlier commit of the cancellation may have taken effect
+		}
 		if err != nil {
 			return err
 		}
--- a/gateway/mark_test.go
+++ b/gateway/mark_test.go
@@ -170,3 +170,42 @@
 	require.NoError(t, g.Cancel(ctx, testCall(nil)))
 	require.Len(t, s.Keys(jobstore.CancelKey("")), 1)
 }
+
+// refusedReads is a store that refuses reads of single keys.
+type refusedReads struct {
+	rosemarysill.TransactionalStore
+}
+
+func (refusedReads) Get(context.Context, string) (rosemarysill.Item, error) {
+	return rosemarysill.Item{}, rosemarysill.ErrStoreRefused
+}
+
+// cancelsLost is a store whose commits get no reply, and which refuses reads after the first
+// commit.
+type cancelsLost struct {
+	rosemarysill.TransactionalStore
+	reads rosemarysill.TransactionalStore
+}
+
+func (s *cancelsLost) Get(ctx context.Context, key string) (rosemarysill.Item, error) {
+	return s.reads.Get(ctx, key)
+}
+
+func (s *cancelsLost) Commit(ctx context.Context, c rosemarysill.Commit) (uint64, []rosemarysill.Item, error) {
+	s.reads = refusedReads{s.reads}
+	_, _, _ = s.TransactionalStore.Commit(ctx, c)
+	return 0, nil, rosemarysill.ErrStoreUnavailable
+}
+
+// Guards against a cancel that is answered with 503, which says that it had no effect,
+// although a commit of it without a reply took effect, because the job cannot be read again.
+func TestCancelWithoutReplyIsUnknown(t *testing.T) {
+	s := standin.NewTransactions()
+	g, cfg := markedEntry(s)
+	require.NoError(t, g.writeJob(context.Background(), cfg, testJob(), new(uint64)))
+	g.cfg.Store = &cancelsLost{g.cfg.Store, g.cfg.Store}
+	c := testCall(nil)
+	c.Deadline = time.Now().Add(300 * time.Millisecond)
+	require.Equal(t, rosemarysill.OutcomeUnknown, rosemarysill.CodeOf(g.Cancel(context.Background(), c)))
+	require.Len(t, s.Keys(jobstore.CancelKey("")), 1)
+}
