--- a/gateway/mark_test.go
+++ b/gateway/mark_test.go
@@ -209,3 +209,29 @@
 	require.Equal(t, rosemarysill.OutcomeUnknown, rosemarysill.CodeOf(g.Cancel(context.Background(), c)))
 	require.Len(t, s.Keys(jobstore.CancelKey("")), 1)
 }
+
+// Guards against a job that runs after it was refused at the limit of jobs on record,
+// because an earlier write of it takes effect late.
+func TestLateWriteOfJobBeyondLimitFails(t *testing.T) {
+	s := standin.NewTransactions()
+	s.LateBy = 300 * time.Millisecond
+	g, cfg := markedEntry(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); g.cfg.Cache.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	other := testJob()
+	other.ID = "0000000000000002"
+	require.NoError(t, g.writeJob(ctx, cfg, other, new(uint64)))
+	require.Eventually(t, func() bool { return g.cfg.Cache.NumJobs() == 1 }, 10*time.Second, time.Millisecond)
+	g.cfg.MaxJobs = 1
+	s.SetFault("entry", standin.Late)
+	require.ErrorIs(t, g.writeJob(ctx, cfg, testJob(), new(uint64)), rosemarysill.ErrStoreUnavailable)
+	s.SetFault("entry", standin.Healthy)
+	var marked bool
+	err := g.Submit(ctx, testCall(&marked), func() (*work.Job, error) { return testJob(), nil })
+	require.Equal(t, rosemarysill.QueueFull, rosemarysill.CodeOf(err))
+	require.True(t, marked)
+	time.Sleep(2 * s.LateBy) // the late write is executed
+	require.Equal(t, []string{jobstore.JobKey(other.ID)}, s.Keys(jobstore.JobKey("")), "the refused job is on record")
+}
