--- a/leader/attach.go
+++ b/leader/attach.go
@@ -127,14 +127,19 @@
 
 // addRunOrder adds the start or stop of a run that is placed on the worker. A start is
 // ordered only once the placement is committed, and not if the worker lists the run, the
-// task is done, the copies may lack a cancellation or a domain that was taken out, or the run will be taken for lost because the leases have lapsed. It is
-// deferred if the starts in the message, which have startBytes, leave no room for it: the
-// next report shows that some of them have been carried out.
+// task is done, the copies may lack a cancellation or a domain that was taken out, or the
+// run will be taken for lost because the leases have lapsed. A placement by an earlier
+// leader is withdrawn if the domain has been taken out since. A start is deferred if the
+// starts in the message, which have startBytes, leave no room for it: the next report shows
+// that some of them have been carried out.
 func (t *term) addRunOrder(o *control.Orders, startBytes *int, w *workerState, k work.RunKey, listed bool) {
 	s, task := t.placedRun(w, k)
 	if task == nil {
 		return
 	}
+	if !listed && !t.copiesOutdated && t.placedByEarlierLeader(w, k) && t.cfg.Declarations.DomainOut(w.Domain) {
+		t.stop(k, task, domainTakenOut)
+	}
 	if task.Stopping {
 		o.Stops = append(o.Stops, k)
 		return
@@ -150,6 +155,12 @@
 	o.Starts = append(o.Starts, work.Start{Key: k, Spec: s.job.Spec, Checkpoint: task.Checkpoint, Ticket: task.Ticket, Demand: schedule.Demand(s.job.Steps[k.Task.Step])})
 }
 
+// placedByEarlierLeader reports whether a run that is placed on the worker was placed before
+// this term.
+func (t *term) placedByEarlierLeader(w *workerState, k work.RunKey) bool {
+	return !w.placedAt[k].After(t.elected)
+}
+
 // isCommitted reports whether the placement of a run on the worker is committed.
 func (t *term) isCommitted(s *jobState, k work.RunKey, worker string) bool {
 	p := work.Progress{Tasks: s.committed}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -42,6 +42,11 @@
 	releaseCallTimeout = 500 * time.Millisecond
 	// releaseRetryDelay is the pause between two of these calls.
 	releaseRetryDelay = 50 * time.Millisecond
+	// maxCopyAge is the age of the copies at an election beyond which a new leader starts
+	// nothing until they have been confirmed: after an outage they may lack a domain that
+	// was taken out. It exceeds their age of up to 2 s at rest, when watches return once a
+	// second, by two replies of a slow store.
+	maxCopyAge = 2500 * time.Millisecond
 	// decisionInterval is the longest time between two scheduling passes.
 	decisionInterval = 100 * time.Millisecond
 )
@@ -222,7 +227,9 @@
 		l.release(lease)
 		return nil, err
 	}
-	return newTerm(l.cfg, rec, revision, lease, requested.Add(l.ttl)), nil
+	t := newTerm(l.cfg, rec, revision, lease, requested.Add(l.ttl))
+	t.requireCopies(requested.Add(-maxCopyAge))
+	return t, nil
 }
 
 // release revokes a lease, so that other entries need not wait until it expires.
--- a/leader/renew.go
+++ b/leader/renew.go
@@ -26,6 +26,9 @@
 	maxSuspension = 30 * time.Second
 )
 
+// domainTakenOut is why a placement is withdrawn.
+const domainTakenOut = "its failure domain was taken out before it was started"
+
 var errLeaseLapsed = errors.New("the lease of the leader record has expired")
 
 // renew renews the lease until the term ends. Calls overlap: one that is delayed by other
@@ -132,11 +135,15 @@
 	if !expiry.After(t.leaseExpiry) {
 		return
 	}
+	now := uptime.Now()
+	// A process that was paused after checkLease may not have noticed the expiry.
+	lapsed := t.suspended || now.After(t.leaseExpiry)
 	t.leaseExpiry = expiry
-	if !t.suspended || t.over || !uptime.Now().Before(expiry) {
+	if !lapsed || t.over || !now.Before(expiry) {
 		return
 	}
-	t.suspended, t.copiesOutdated, t.continuedAt = false, true, uptime.Now()
+	t.suspended = false
+	t.requireCopies(now)
 	event.LeaderContinued.Log(t.cfg.Log).Uint64("Epoch", t.rec.Epoch).Send()
 	for _, wake := range t.streams {
 		notify(wake)
@@ -154,10 +161,13 @@
 // holdsLease is mayOrder for callers that hold mu.
 func (t *term) holdsLease() bool { return !t.over && uptime.Now().Before(t.leaseExpiry) }
 
-// copiesFresh reports whether the copies have all changes that were made before the term
-// last went on after a suspension.
+// requireCopies has nothing placed or started until the copies have all changes that were
+// made before the given time.
+func (t *term) requireCopies(asOf time.Time) { t.copiesOutdated, t.copiesDue = true, asOf }
+
+// copiesFresh reports whether the copies have the changes that requireCopies asks for.
 func (t *term) copiesFresh() bool {
-	return !t.copiesOutdated || !t.cfg.Cache.FreshAsOf().Before(t.continuedAt) && !t.cfg.Declarations.FreshAsOf().Before(t.continuedAt)
+	return !t.copiesOutdated || !t.cfg.Cache.FreshAsOf().Before(t.copiesDue) && !t.cfg.Declarations.FreshAsOf().Before(t.copiesDue)
 }
 
 // recheckPlacements checks the placements that were made before a suspension, once the
@@ -176,7 +186,7 @@
 		}
 		for k := range w.placedAt {
 			if _, task := t.placedRun(w, k); task != nil && !work.ListsRun(w.running, k) {
-				t.stop(k, task, "its failure domain was taken out before it was started")
+				t.stop(k, task, domainTakenOut)
 			}
 		}
 	}
--- a/leader/renew_test.go
+++ b/leader/renew_test.go
@@ -259,3 +259,94 @@
 	require.NoError(t, <-result)
 	require.Equal(t, 2, store.commits)
 }
+
+// placedTerm is a term with one committed placement on an attached worker in the domain
+// "d-out", and the stream of its agent.
+func placedTerm(t *testing.T, d Declarations, leaseExpiry time.Time) (*term, *workerState, work.RunKey, *stream) {
+	t.Helper()
+	cache := jobstore.NewCache(standin.NewTransactions().View("cache"), zerolog.Nop())
+	term := newTerm(Config{Cache: cache, Declarations: d, Log: zerolog.Nop()}.withDefaults(), jobstore.LeaderRecord{Epoch: 1}, 1, 1, leaseExpiry)
+	j, _, _ := storedJob(t)
+	s := &jobState{job: j, progress: work.NewProgress(j)}
+	w := newWorkerState(control.Worker{Incarnation: "b/i/1", Domain: "d-out"}, "b", uptime.Now())
+	w.attached = true
+	s.progress.Place(&s.progress.Tasks[0], w.Incarnation, "", 1)
+	s.committed = append(s.committed, s.progress.Tasks...)
+	key := work.RunKey{Task: work.TaskKey{Job: j.ID}, Run: 1}
+	term.jobs[j.ID], term.workers[w.Incarnation] = s, w
+	w.placedAt[key] = uptime.Now()
+	agent := term.newStream()
+	agent.incarnation = w.Incarnation
+	return term, w, key, agent
+}
+
+// Guards against a start, after an outage, of a run that an earlier leader placed in a domain
+// that has been taken out since. A run that is listed goes on.
+func TestPlacementOfEarlierLeaderIsWithdrawn(t *testing.T) {
+	for name, c := range map[string]struct {
+		out           string
+		listed        bool
+		starts, stops int
+	}{
+		"domain in":               {"", false, 1, 0},
+		"domain out":              {"d-out", false, 0, 1},
+		"domain out, run started": {"d-out", true, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			term, w, key, agent := placedTerm(t, &fakeFreshness{asOf: uptime.Now(), out: c.out}, uptime.Now().Add(time.Minute))
+			w.placedAt[key] = term.elected
+			if c.listed {
+				w.running = []work.RunStatus{{Key: key}}
+			}
+			o, ok := agent.orders()
+			require.True(t, ok)
+			require.Len(t, o.Starts, c.starts)
+			require.Len(t, o.Stops, c.stops)
+		})
+	}
+}
+
+// Guards against a new leader that places or starts by declarations from before an outage,
+// which may lack a domain that was taken out, and against one that waits for declarations of
+// the age that they have at rest.
+func TestNewLeaderNeedsFreshDeclarations(t *testing.T) {
+	for name, c := range map[string]struct {
+		age   time.Duration
+		fresh bool
+	}{
+		"from before an outage": {5 * time.Second, false},
+		"at rest":               {2 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := standin.NewTransactions()
+			store := s.View("entry")
+			ctx, cancel := context.WithCancel(context.Background())
+			cache := jobstore.NewCache(store, zerolog.Nop())
+			done := make(chan struct{})
+			go func() { defer close(done); cache.Run(ctx) }()
+			defer func() { cancel(); <-done }()
+			<-cache.Synced()
+			declarations := &fakeFreshness{asOf: uptime.Now().Add(-c.age)}
+			l := New(Config{Name: "a", Store: store, Cache: cache, Declarations: declarations, Log: zerolog.Nop()})
+			term, err := l.elect(ctx)
+			require.NoError(t, err)
+			term.recheckPlacements(term.copiesFresh())
+			require.Equal(t, c.fresh, !term.copiesOutdated)
+			declarations.asOf = uptime.Now()
+			term.recheckPlacements(term.copiesFresh())
+			require.False(t, term.copiesOutdated)
+		})
+	}
+}
+
+// Guards against starts by outdated copies after a pause of the process between the check of
+// the lease and the sending of the renewal: the expiry was then not seen as a suspension.
+func TestUnnoticedExpiryIsASuspension(t *testing.T) {
+	term, _, _, agent := placedTerm(t, &fakeFreshness{asOf: uptime.Now()}, uptime.Now().Add(-time.Second))
+	require.False(t, term.suspended)
+	term.extendLease(uptime.Now().Add(time.Minute))
+	o, ok := agent.orders()
+	require.True(t, ok)
+	require.Empty(t, o.Starts, "the copies may be old")
+	require.True(t, term.copiesOutdated)
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -111,8 +111,8 @@
 	endCause           error                           // why the term has ended
 	over               bool                            // the term has ended or is about to; it orders nothing any more
 	suspended          bool                            // the lease has expired by the clock of this entry; it may still be renewed
-	continuedAt        time.Time                       // when the term last went on after a suspension
-	copiesOutdated     bool                            // the copies may lack changes that were made before continuedAt
+	copiesOutdated     bool                            // the copies may lack changes that were made before copiesDue
+	copiesDue          time.Time                       // see requireCopies
 	recordGone         bool                            // the leader record was removed, and no other entry was seen to lead
 }
 
