--- a/gateway/mark_test.go
+++ b/gateway/mark_test.go
@@ -235,3 +235,57 @@
 	time.Sleep(2 * s.LateBy) // the late write is executed
 	require.Equal(t, []string{jobstore.JobKey(other.ID)}, s.Keys(jobstore.JobKey("")), "the refused job is on record")
 }
+
+// markedMeanwhile is a store whose first commit is refused, after another entry has refused
+// the same job.
+type markedMeanwhile struct {
+	rosemarysill.TransactionalStore
+	refuse func()
+}
+
+func (s *markedMeanwhile) Commit(ctx context.Context, c rosemarysill.Commit) (uint64, []rosemarysill.Item, error) {
+	if s.refuse != nil {
+		s.refuse()
+		s.refuse = nil
+		return 0, nil, rosemarysill.ErrStoreRefused
+	}
+	return s.TransactionalStore.Commit(ctx, c)
+}
+
+// Guards against a job that runs after it was refused, because an earlier try of it, whose
+// connection the caller has lost, is repeated at another entry and replaces the mark.
+func TestEarlierTryDoesNotReplaceMark(t *testing.T) {
+	refusal := rosemarysill.NewError(rosemarysill.NoCapacity, "test")
+	for name, tc := range map[string]struct {
+		repeated bool // by the relay of another entry
+	}{
+		"repeated at this entry": {},
+		"repeated by a relay":    {true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := standin.NewTransactions()
+			g, _ := markedEntry(s)
+			other := New(g.cfg)
+			other.cfg.Store = s.View("other")
+			refuse := func() {
+				require.ErrorIs(t, other.refuseMarked(context.Background(), testCall(nil), testJobID, refusal), refusal)
+			}
+			var marked bool
+			c := testCall(&marked)
+			if c.Repeated = tc.repeated; tc.repeated {
+				refuse()
+			} else {
+				g.cfg.Store = &markedMeanwhile{g.cfg.Store, refuse}
+			}
+			err := g.Submit(context.Background(), c, func() (*work.Job, error) { return testJob(), nil })
+			require.Equal(t, rosemarysill.Overloaded, rosemarysill.CodeOf(err))
+			require.True(t, marked)
+			require.Empty(t, s.Keys(jobstore.JobKey("")), "the refused job is on record")
+			require.Len(t, s.Keys(jobstore.MarkKey("")), 1)
+
+			// The next try of the caller is accepted.
+			require.NoError(t, other.Submit(context.Background(), testCall(nil), func() (*work.Job, error) { return testJob(), nil }))
+			require.Len(t, s.Keys(jobstore.JobKey("")), 1)
+		})
+	}
+}
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -49,10 +49,14 @@
 	}
 	uncertain := false
 	var markVersion uint64
-	for {
+	for repeated := c.Repeated; ; repeated = true {
 		j := *draft
 		applyQueue(&j, id, account, q)
+		known := markVersion
 		err := g.writeJob(ctx, cfg, &j, &markVersion)
+		if repeated && markVersion != 0 && markVersion != known {
+			return refuseBehindMark(c)
+		}
 		if errors.Is(err, rosemarysill.ErrStoreUnavailable) {
 			uncertain = true
 		}
@@ -68,6 +72,16 @@
 	}
 }
 
+// refuseBehindMark refuses a job of which another try was refused while this one was in
+// progress. The caller may have given up this try and relies on that refusal. Writes of this
+// try that were sent before the mark have another version as guard and fail.
+func refuseBehindMark(c queue.Call) error {
+	if c.Marked != nil {
+		*c.Marked = true
+	}
+	return rosemarysill.NewError(rosemarysill.Overloaded, "another try of the job was refused meanwhile")
+}
+
 // applyQueue sets the identifier and the account of a job, and the fields that its
 // queue determines.
 func applyQueue(j *work.Job, id, account string, q *queue.Queue) {
@@ -101,11 +115,11 @@
 	sent := uptime.Now()
 	_, items, err := g.cfg.Store.Commit(ctx, commit)
 	if errors.Is(err, rosemarysill.ErrVersion) {
+		if versionOf(items, key) != 0 {
+			return nil
+		}
 		*markVersion = versionOf(items, markKey)
 		for _, i := range items {
-			if i.Key == key && i.Version != 0 {
-				return nil
-			}
 			if i.Key == cfg.Key && i.Version > cfg.Revision {
 				// A slow store may take as long to deliver the change as it took to answer.
 				now := uptime.Now()
--- a/queue/jobs.go
+++ b/queue/jobs.go
@@ -20,6 +20,9 @@
 	// MinRevision is the least revision of the configuration that may decide the call.
 	// A relaying entry sets it.
 	MinRevision uint64 `json:",omitempty"`
+	// Repeated reports that another entry has tried the call before. The relaying entry sets
+	// it. Such a call does not replace the mark of a refusal, which may be later than the call.
+	Repeated bool `json:",omitempty"`
 	// DecidedBy is set to the configuration that has decided the call, if it is not nil.
 	DecidedBy *ConfigID `json:"-"`
 	// Marked is set to true, if it is not nil, when a submission is refused and no earlier
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -179,6 +179,7 @@
 			break
 		}
 		sent := time.Now()
+		req.Call.Repeated = reachable || i > 0
 		a := attempt(ctx, req, deadline, func(ctx context.Context, req Request) Answer { return r.forward(ctx, peer, req) })
 		r.report(req, peer, a, reason, contactAge, time.Since(sent))
 		said.add(a)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -233,3 +233,35 @@
 		})
 	}
 }
+
+// repeatedPeer records whether a call has said that it was tried before.
+type repeatedPeer struct {
+	stub
+	repeated *bool
+}
+
+func (p repeatedPeer) Submit(ctx context.Context, c queue.Call, decode func() (*work.Job, error)) error {
+	*p.repeated = c.Repeated
+	return p.stub.Submit(ctx, c, decode)
+}
+
+// Guards against a repetition that replaces the mark of a later refusal because it is taken
+// for a new try of the caller, and against a new try that is refused as a repetition because
+// it reaches an entry without contact with the store.
+func TestRepeatedCallSaysSo(t *testing.T) {
+	for name, tc := range map[string]struct {
+		local stub
+		want  bool
+	}{
+		"tried here before": {stub{code: rosemarysill.StoreUnavailable}, true},
+		"not tried here":    {stub{cutOff: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			repeated := !tc.want
+			r := newRelay(t, tc.local, repeatedPeer{stub{}, &repeated}, nil, zerolog.Nop())
+			call := queue.Call{Path: "/q/1", Deadline: time.Now().Add(20 * time.Second)}
+			require.NoError(t, r.Submit(context.Background(), call, func() (*work.Job, error) { return &work.Job{}, nil }))
+			require.Equal(t, tc.want, repeated)
+		})
+	}
+}
