--- a/speed/load_test.go
+++ b/speed/load_test.go
@@ -211,11 +211,11 @@
 			}
 		}
 	}
-	for _, k := range plan.Stops {
+	for _, stop := range plan.Stops {
 		for _, j := range s.jobs {
 			for _, u := range j.units {
 				for _, r := range u.runs {
-					if r.key == k {
+					if r.key == stop.RunKey {
 						r.stopping = s.now
 						s.stopped++
 					}
