--- a/leader/wait.go
+++ b/leader/wait.go
@@ -38,16 +38,19 @@
 }
 
 // endWaits lets units that have waited long enough start in any rack. Those that users
-// would take for lost use the capacity that is kept for urgent work as well.
+// would take for lost use the capacity that is kept for urgent work as well, and in a
+// service of which much is idle that held for gangs; they wait for no better place there.
 func (t *term) endWaits(units []*schedule.Unit, fleet []*schedule.Worker, now time.Time) {
 	loads := serviceLoads(fleet)
 	for _, u := range units {
 		waited := now.Sub(t.waitingSince[keyOfUnit(u)])
 		u.Waited = waited
-		overdue := waited > maxIdleWait && (u.Job.Steps[u.Step].LongRunning || loads[u.Job.Service] < idleLoad)
+		isIdle := loads[u.Job.Service] < idleLoad
+		overdue := waited > maxIdleWait && (u.Job.Steps[u.Step].LongRunning || isIdle)
 		u.AnyRack = overdue || waited > t.rackWait(u.Job, u.Step)
 		u.Deferrable = u.Deferrable && !overdue
 		u.AcceptsSuspects = u.AcceptsSuspects || overdue
+		u.MustStartNow = u.MustStartNow || (overdue && isIdle)
 	}
 }
 
--- a/leader/wait_test.go
+++ b/leader/wait_test.go
@@ -13,8 +13,8 @@
 )
 
 // Guards against units that wait without a bound for a rack or for capacity that is kept
-// free, and against units that run where they are slower although their rack is released
-// sooner.
+// free, held or expected, and against units that run where they are slower although their
+// rack is released sooner.
 func TestWaitsEnd(t *testing.T) {
 	const estimate = 10 * time.Second
 	const short, long = maxIdleWait + time.Millisecond, estimate + time.Millisecond // with a slowdown of 2
@@ -26,16 +26,18 @@
 		hasRun     bool
 		anyRack    bool
 		deferrable bool
+		startsNow  bool
 	}{
-		"idle service":                      {batch, 3, maxIdleWait, false, false, true},
-		"idle service, overdue":             {batch, 3, short, false, true, false},
-		"idle service, job has a run":       {batch, 3, short, true, false, true},
-		"busy service":                      {batch, 4, short, false, false, true},
-		"busy service, longer than it runs": {batch, 4, long, false, true, true},
-		"busy service, no estimate":         {work.Step{Count: 2}, 8, short, false, true, true},
-		"long-running":                      {service, 8, maxIdleWait, false, false, true},
-		"long-running, overdue":             {service, 8, short, false, true, false},
-		"long-running, job has a run":       {service, 8, short, true, true, false},
+		"idle service":                      {batch, 3, maxIdleWait, false, false, true, false},
+		"idle service, overdue":             {batch, 3, short, false, true, false, true},
+		"idle service, job has a run":       {batch, 3, short, true, false, true, false},
+		"busy service":                      {batch, 4, short, false, false, true, false},
+		"busy service, longer than it runs": {batch, 4, long, false, true, true, false},
+		"busy service, no estimate":         {work.Step{Count: 2}, 8, short, false, true, true, false},
+		"long-running":                      {service, 8, maxIdleWait, false, false, true, false},
+		"long-running, overdue":             {service, 8, short, false, true, false, false},
+		"long-running, idle service":        {service, 3, short, false, true, false, true},
+		"long-running, job has a run":       {service, 8, short, true, true, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			j := &work.Job{ID: "j", Service: "s", Steps: []work.Step{c.step}}
@@ -53,6 +55,7 @@
 			term.endWaits([]*schedule.Unit{u}, fleet, now.Add(c.waits))
 			require.Equal(t, c.anyRack, u.AnyRack)
 			require.Equal(t, c.deferrable, u.Deferrable)
+			require.Equal(t, c.startsNow, u.MustStartNow)
 
 			term.observeWaits(nil, now.Add(c.waits))
 			require.Empty(t, term.waitingSince, "nothing waits any more")
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -186,9 +186,11 @@
 	w.spare = w.spare.Sub(d)
 }
 
-// freeFor returns the free capacity that a task of the unit may use.
+// freeFor returns the free capacity that a task of the unit may use. A unit that has to
+// start now may use what is held for gangs: with a hold of some seconds on the only worker
+// with its label, a job would wait beside idle capacity.
 func (w *workerState) freeFor(u *Unit) work.Shape {
-	if !w.held || u.endsWithin(w.heldUntil) {
+	if !w.held || u.MustStartNow || u.endsWithin(w.heldUntil) {
 		return w.free
 	}
 	return minShape(w.free, w.spare)
--- a/schedule/hold_test.go
+++ b/schedule/hold_test.go
@@ -112,3 +112,30 @@
 	small := units(newJob("small", 2, work.Step{Count: 20, Shape: accelerators(1)}))
 	require.Empty(t, schedule.Decide(f, append(small, waitingGang("gang", time.Minute)...), 0).Placements)
 }
+
+// Guards against capacity that is held for a gang and kept from a job that has to start
+// now, and against a job of that kind that waits for its rack although it fits elsewhere.
+func TestUnitThatMustStartNowUsesHeldCapacity(t *testing.T) {
+	for name, mustStart := range map[string]bool{"can wait": false, "has to start now": true} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(1)
+			addRun(f[0], "run", 1, accelerators(4), 10)
+			f[0].Runs[0].EndsIn = 20 * time.Second
+			gang := withSlack(units(newJob("gang", 1, work.Step{Count: 1, Shape: accelerators(8), Gang: true})), time.Second)
+			small := units(newJob("small", 2, work.Step{Count: 1, Shape: accelerators(1)}))
+			small[0].Duration, small[0].MustStartNow = time.Minute, mustStart
+			require.Equal(t, mustStart, len(schedule.Decide(f, append(gang, small...), 0).Placements) == 1)
+
+			f = fleet(6)
+			for i, w := range f {
+				if i%3 == 0 {
+					addRun(w, w.ID, 0, accelerators(8), 1e6)
+					w.Runs[0].EndsIn = 2 * time.Second
+				}
+			}
+			urgent := withSlack(units(newJob("urgent", 0, work.Step{Count: 3, Shape: accelerators(8), Gang: true, SameRack: true})), time.Minute)
+			urgent[0].MustStartNow = mustStart
+			require.Equal(t, mustStart, len(schedule.Decide(f, urgent, 0).Placements) == 3)
+		})
+	}
+}
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -726,9 +726,10 @@
 	return remainingA.Cores() < remainingB.Cores()
 }
 
-// refFreeFor leaves out what is held for a gang, unless the unit ends before that starts.
+// refFreeFor leaves out what is held for a gang, unless the unit ends before that starts or
+// has to start now.
 func refFreeFor(w *refWorker, u *Unit) work.Shape {
-	if w.held && (u.Duration == 0 || u.Duration > w.heldUntil) {
+	if w.held && !u.MustStartNow && (u.Duration == 0 || u.Duration > w.heldUntil) {
 		return minShape(w.free, w.spare)
 	}
 	return w.free
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -29,7 +29,7 @@
 	Indexes            []int
 	Guaranteed         bool              // within the guaranteed capacity of the client account
 	QueuedSince        time.Time         // later of job acceptance and occurrence start
-	MustStartNow       bool              // has to start now, also spread over racks where it is slower
+	MustStartNow       bool              // has to start now, also where it is slower or capacity is held
 	AnyRack            bool              // has waited long enough for a rack where it is not slower
 	Failed             bool              // a run of the unit has failed
 	Careful            bool              // goes where its members are least likely to fail
