--- a/schedule/fast_test.go
+++ b/schedule/fast_test.go
@@ -107,3 +107,30 @@
 		require.Contains(t, []string{"w02", "w05"}, p.Worker)
 	}
 }
+
+// Guards against a last attempt of a gang on slow workers that are likelier to fail it than
+// others, and against one on unlike workers where that is no sounder.
+func TestCarefulGangPrefersSoundToAlikeWorkers(t *testing.T) {
+	for name, c := range map[string]struct {
+		slowRisk float64
+		slow     bool
+	}{
+		"slow workers are riskier": {0.1, false},
+		"equal risks":              {0.01, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := unequalFleet()
+			for _, w := range f {
+				w.FailureRisk = 0.01
+				if w.Slow {
+					w.FailureRisk = c.slowRisk
+				}
+			}
+			u := units(newJob("gang", 1, work.Step{Count: 2, Shape: accelerators(8), Gang: true}))
+			u[0].Careful = true
+			for _, p := range schedule.Decide(f, u, 0).Placements {
+				require.Equal(t, c.slow, p.Worker == "w00" || p.Worker == "w03")
+			}
+		})
+	}
+}
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -388,11 +388,19 @@
 	return w.Speed
 }
 
-// startOnAlikeWorkers starts a gang on slow workers or on others, if there are both.
+// startOnAlikeWorkers starts a gang on slow workers or on others, if there are both, and a
+// careful gang where it is least likely to fail, which may be on both.
 func (p *refPass) startOnAlikeWorkers(u *Unit) bool {
 	slow, _ := p.candidateSets(u, func(w *refWorker) bool { return w.Slow })
 	others, _ := p.candidateSets(u, func(w *refWorker) bool { return !w.Slow })
-	return refHasBoth(p.eligible(u)) && (p.startIn(u, slow) || p.startIn(u, others))
+	if !refHasBoth(p.eligible(u)) {
+		return false
+	}
+	if !u.Careful {
+		return p.startIn(u, slow) || p.startIn(u, others)
+	}
+	all, _ := p.candidateSets(u, refAnyWorker)
+	return p.startIn(u, slices.Concat(slow, others, all))
 }
 
 func refHasBoth(workers []*refWorker) bool {
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -40,8 +40,9 @@
 }
 
 // startOnAlikeWorkers starts a gang on slow workers only, or else on others only, because
-// a gang takes as long as its slowest member. It reports false if the gang does not fit
-// there, or if there are no slow workers.
+// a gang takes as long as its slowest member. A careful gang starts on alike workers only if
+// no others are sounder, because a failed run costs more than a slow one. It reports false
+// if the gang does not fit there, or if there are no slow workers.
 func (p *pass) startOnAlikeWorkers(u *Unit) bool {
 	if !u.step().Gang || len(u.Indexes) == 1 || u.CompletesGang {
 		return false
@@ -51,12 +52,16 @@
 	if len(slow.eligible) == 0 || len(slow.eligible) == len(all.eligible) {
 		return false
 	}
+	var alike [][]*workerState
 	for _, c := range []candidates{slow, p.only(all, otherWorkers)} {
-		if sets, _ := p.candidateSets(u, c); p.startIn(u, sets) {
-			return true
-		}
+		sets, _ := p.candidateSets(u, c)
+		alike = append(alike, sets...)
 	}
-	return false
+	if u.Careful { // the first of equal risks counts
+		sets, _ := p.candidateSets(u, all)
+		alike = append(alike, sets...)
+	}
+	return p.startIn(u, alike)
 }
 
 // fasterThan returns the candidates of at least a speed.
