--- a/leader/soundness.go
+++ b/leader/soundness.go
@@ -45,9 +45,14 @@
 }
 
 // recordEvidence updates the record of a worker at the end of a run that was not stopped.
-// It follows recordOutcome, which updates the workers on which the job has failed.
+// It follows recordOutcome, which updates the workers on which the job has failed. After a
+// failure the step is withheld from suspect workers anew: otherwise its tasks start on the
+// failing worker as often as they fail, and use up their attempts.
 func (t *term) recordEvidence(w *workerState, k work.RunKey, outcome work.Outcome, e endedRun, now time.Time) {
 	h, s := &w.health, t.jobs[k.Task.Job]
+	if outcome == work.OutcomeFailed {
+		delete(t.heldSince, keyOfStep(k.Task))
+	}
 	switch {
 	case outcome == work.OutcomeDone && !e.placedAt.Equal(t.elected):
 		h.prove(e.placedAt, k, "is done")
--- a/leader/soundness_test.go
+++ b/leader/soundness_test.go
@@ -135,3 +135,27 @@
 		})
 	}
 }
+
+// Guards against tasks that use up their attempts on a failing worker within a second,
+// because their step was withheld from it for long enough before they failed there.
+func TestFailureRestartsTheTimeForWhichAStepIsWithheld(t *testing.T) {
+	m := newFleetModel(1)
+	m.submit(2, work.Step{Count: 12, Shape: accelerators(1), Estimate: time.Second})
+	m.term.jobs["j0"].job.MaxAttempts = 3
+	require.Equal(t, 8, m.place(t))
+	failAll := func() {
+		for k := range m.placed(m.workers[0].id) {
+			m.failRun(m.workers[0].id, k, uptime.Now())
+		}
+	}
+	failAll()
+	require.Equal(t, 1, m.place(t), "a probe")
+	require.Zero(t, m.place(t))
+	key := stepKey{job: "j0"}
+	require.Contains(t, m.term.heldSince, key)
+	m.term.heldSince[key] = uptime.Now().Add(-maxHold)
+	require.Equal(t, 7, m.place(t), "it was withheld for long enough")
+	failAll()
+	require.Equal(t, 1, m.place(t), "a probe")
+	require.Zero(t, m.place(t))
+}
