--- a/leader/restart.go
+++ b/leader/restart.go
@@ -38,6 +38,7 @@
 	fleet := t.fleet(nil, now)
 	t.requireSpeeds(nil, fleet, now)
 	u := &schedule.Unit{Job: r.state.job, Occurrence: r.key.Task.Occurrence, Step: r.key.Task.Step, Indexes: r.indexes, MinSpeed: r.minSpeed, TasksByWorker: make(map[string]int)}
+	t.setRisk(u, 0) // it is the first run, and has not failed
 	if !schedule.FitsOnFastWorkers(fleet, u) {
 		return
 	}
--- a/leader/restart_test.go
+++ b/leader/restart_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemarysill/rosemarysill/control"
+	"github.com/rosemarysill/rosemarysill/schedule"
 	"github.com/rosemarysill/rosemarysill/speed"
 	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
@@ -112,3 +113,24 @@
 		})
 	}
 }
+
+// Guards against a stop without a gain: the workers for which a run is stopped are kept for
+// urgent work, or are too risky for its last attempt, so that it starts on a slow one again.
+func TestRestartedRunGetsTheWorkersThatItNeeds(t *testing.T) {
+	g := newSlowGang()
+	g.term.restartSpeeds[g.key(0).Task] = 1.2
+	u := &schedule.Unit{Job: g.state.job, Indexes: []int{0, 1}, Deferrable: true, TasksByWorker: make(map[string]int)}
+	fleet := g.term.fleet(nil, g.now)
+	g.term.requireSpeeds([]*schedule.Unit{u}, fleet, g.now)
+	require.InDelta(t, 1.2, u.MinSpeed, 0.01)
+	require.False(t, u.Deferrable)
+
+	g = newSlowGang()
+	g.state.job.MaxAttempts = 1
+	for _, id := range []string{"fast1", "fast2", "fast3"} {
+		g.term.workers[id].health.risk = maxLastAttemptRisk * 0.9
+	}
+	g.report(48)
+	g.term.restartSlowRun(nil, g.now)
+	require.False(t, g.state.progress.Tasks[0].Stopping, "two members would take twice the risk of a last attempt")
+}
--- a/leader/speed.go
+++ b/leader/speed.go
@@ -162,6 +162,7 @@
 		v := t.requiredSpeed(s, u.Occurrence, 0, waited)
 		if restart, ok := t.restartSpeeds[work.TaskKey{Job: u.Job.ID, Occurrence: u.Occurrence, Step: u.Step, Index: u.Indexes[0]}]; ok {
 			v = min(restart, r.fastest)
+			u.Deferrable = false // its run was stopped for workers that may be kept for urgent work
 		}
 		if v > r.slowest && v <= r.fastest {
 			u.MinSpeed, t.minSpeeds[keyOfUnit(u)] = v, v
