--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -117,6 +117,8 @@
 	rackIndex     int          // of the rack, by first occurrence in pass.workers
 	free          work.Shape   // not used by runs, less reservations beyond what ending ones release
 	projectedFree work.Shape   // after runs that stop or end soon, less all reservations
+	freeNow       work.Shape   // like free, without what units wait for until runs end by themselves
+	projectedNow  work.Shape   // like projectedFree, without the same
 	releasable    work.Shape   // after all runs that end by themselves or are being stopped
 	freeCores     float64      // free, in cores; 0 if a resource is lacking
 	idleMilliCPU  int64        // not declared by any run, best-effort ones included
@@ -146,6 +148,7 @@
 			state.releasable = state.releasable.Sub(run.Demand)
 		}
 	}
+	state.freeNow, state.projectedNow = state.free, state.projectedFree
 	state.freeCores = usableCores(state.free)
 	return state
 }
@@ -162,6 +165,14 @@
 // reserve sets a demand aside for a unit that starts once runs have ended. It takes
 // capacity that is about to be released first, and free capacity for the rest.
 func (w *workerState) reserve(d work.Shape) {
+	w.await(d)
+	w.projectedNow = w.projectedNow.Sub(d)
+	w.freeNow = minShape(w.freeNow, w.projectedNow)
+}
+
+// await sets a demand aside for a unit that waits until runs end by themselves, which may
+// take some seconds. Units that have to start now may use it.
+func (w *workerState) await(d work.Shape) {
 	w.projectedFree = w.projectedFree.Sub(d)
 	w.free = minShape(w.free, w.projectedFree)
 	w.freeCores = usableCores(w.free)
@@ -171,6 +182,7 @@
 func (w *workerState) allocate(u *Unit, d work.Shape) {
 	w.projectedFree = w.projectedFree.Sub(d)
 	w.free = w.free.Sub(d)
+	w.projectedNow, w.freeNow = w.projectedNow.Sub(d), w.freeNow.Sub(d)
 	w.freeCores = usableCores(w.free)
 	if w.held && !u.endsWithin(w.heldUntil) {
 		w.spare = w.spare.Sub(d)
@@ -187,10 +199,13 @@
 }
 
 // freeFor returns the free capacity that a task of the unit may use. A unit that has to
-// start now may use what is held for gangs: with a hold of some seconds on the only worker
+// start now may use what is held or awaited: with a wait of some seconds on the only worker
 // with its label, a job would wait beside idle capacity.
 func (w *workerState) freeFor(u *Unit) work.Shape {
-	if !w.held || u.MustStartNow || u.endsWithin(w.heldUntil) {
+	if u.MustStartNow {
+		return w.freeNow
+	}
+	if !w.held || u.endsWithin(w.heldUntil) {
 		return w.free
 	}
 	return minShape(w.free, w.spare)
@@ -198,7 +213,10 @@
 
 // isolate keeps the worker for the tasks that it has. Nothing else starts there or is
 // reserved.
-func (w *workerState) isolate() { w.free, w.projectedFree, w.freeCores = work.Shape{}, work.Shape{}, 0 }
+func (w *workerState) isolate() {
+	w.free, w.projectedFree, w.freeCores = work.Shape{}, work.Shape{}, 0
+	w.freeNow, w.projectedNow = work.Shape{}, work.Shape{}
+}
 
 func minShape(a, b work.Shape) work.Shape {
 	return work.Shape{
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -170,6 +170,15 @@
 	}
 }
 
+// await sets capacity aside that is expected to be free once runs end by themselves.
+func (p *pass) await(u *Unit, chosen []*workerState) {
+	p.changes++
+	for _, w := range chosen {
+		w.await(Demand(u.step()))
+		u.TasksByWorker[w.ID]++
+	}
+}
+
 func (p *pass) start(u *Unit, chosen []*workerState) {
 	p.changes++
 	for i, w := range chosen {
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -91,7 +91,7 @@
 	if soonest == nil || !u.canWait(wait) {
 		return false
 	}
-	p.reserve(u, soonest)
+	p.await(u, soonest)
 	return true
 }
 
@@ -107,7 +107,7 @@
 		_, chosen = p.soonestFit(u, spread)
 	}
 	if chosen != nil {
-		p.reserve(u, chosen)
+		p.await(u, chosen)
 	}
 }
 
@@ -135,6 +135,7 @@
 			victim.Budget.Left--
 		}
 		victim.worker.projectedFree = victim.worker.projectedFree.Add(victim.Demand)
+		victim.worker.projectedNow = victim.worker.projectedNow.Add(victim.Demand)
 		if victim.LongRunning && !victim.remains() {
 			victim.worker.releasable = victim.worker.releasable.Add(victim.Demand)
 		}
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -235,6 +235,8 @@
 	*Worker
 	free          work.Shape // not used by runs, less reservations beyond what ending ones release
 	projectedFree work.Shape // after runs that stop or end soon, less all reservations
+	freeNow       work.Shape // like free, without what units wait for until runs end by themselves
+	projectedNow  work.Shape // like projectedFree, without the same
 	idleMilliCPU  int64      // not declared by any run, best-effort ones included
 	hasStarts     bool       // a run starts there in this pass
 	held          bool       // a batch gang will start here after heldUntil
@@ -251,10 +253,18 @@
 			state.projectedFree = state.projectedFree.Sub(run.Demand)
 		}
 	}
+	state.freeNow, state.projectedNow = state.free, state.projectedFree
 	return state
 }
 
 func (w *refWorker) reserve(d work.Shape) {
+	w.await(d)
+	w.projectedNow = w.projectedNow.Sub(d)
+	w.freeNow = minShape(w.freeNow, w.projectedNow)
+}
+
+// await sets a demand aside, but not from units that have to start now.
+func (w *refWorker) await(d work.Shape) {
 	w.projectedFree = w.projectedFree.Sub(d)
 	w.free = minShape(w.free, w.projectedFree)
 }
@@ -262,6 +272,8 @@
 func (w *refWorker) allocate(d work.Shape) {
 	w.projectedFree = w.projectedFree.Sub(d)
 	w.free = w.free.Sub(d)
+	w.projectedNow = w.projectedNow.Sub(d)
+	w.freeNow = w.freeNow.Sub(d)
 }
 
 func (w *refWorker) lossCost() float64 {
@@ -345,7 +357,7 @@
 		_, chosen = p.soonestFit(u, spread)
 	}
 	for _, w := range chosen {
-		w.reserve(Demand(u.step()))
+		w.await(Demand(u.step()))
 		u.TasksByWorker[w.ID]++
 	}
 }
@@ -460,6 +472,7 @@
 	for _, w := range chosen {
 		if u.Isolated || (w.Suspect && !u.AcceptsSuspects) {
 			w.free, w.projectedFree = work.Shape{}, work.Shape{}
+			w.freeNow, w.projectedNow = work.Shape{}, work.Shape{}
 		}
 	}
 }
@@ -734,10 +747,13 @@
 	return remainingA.Cores() < remainingB.Cores()
 }
 
-// refFreeFor leaves out what is held for a gang, unless the unit ends before that starts or
-// has to start now.
+// refFreeFor leaves out what is held for a gang, unless the unit ends before that starts. A
+// unit that has to start now also gets what others wait for.
 func refFreeFor(w *refWorker, u *Unit) work.Shape {
-	if w.held && !u.MustStartNow && (u.Duration == 0 || u.Duration > w.heldUntil) {
+	if u.MustStartNow {
+		return w.freeNow
+	}
+	if w.held && (u.Duration == 0 || u.Duration > w.heldUntil) {
 		return minShape(w.free, w.spare)
 	}
 	return w.free
@@ -808,7 +824,7 @@
 		return false
 	}
 	for _, w := range chosen {
-		w.reserve(Demand(u.step()))
+		w.await(Demand(u.step()))
 		u.TasksByWorker[w.ID]++
 	}
 	return true
@@ -952,6 +968,7 @@
 					run.Budget.Left--
 				}
 				w.projectedFree = w.projectedFree.Add(run.Demand)
+				w.projectedNow = w.projectedNow.Add(run.Demand)
 				p.plan.Stops = append(p.plan.Stops, Stop{RunKey: run.Key, For: pr.unit.Job.ID, Cost: run.Cost})
 			}
 		}
