--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -91,7 +91,7 @@
 	if soonest == nil || u.AnyRack || !u.canWait(wait) {
 		return false
 	}
-	p.reserve(u, soonest)
+	p.await(u, soonest)
 	return true
 }
 
@@ -121,7 +121,7 @@
 		_, chosen = p.soonestFit(u, spread)
 	}
 	if chosen != nil {
-		p.reserve(u, chosen)
+		p.await(u, chosen)
 	}
 }
 
@@ -131,7 +131,7 @@
 	p.indexRuns()
 	var best *preemption
 	for _, set := range sets {
-		if candidate := p.planPreemption(u, set, limit, false); candidate != nil {
+		if candidate := p.planPreemption(u, set, limit, nil); candidate != nil {
 			best, limit = candidate, candidate.cost
 		}
 	}
@@ -149,6 +149,7 @@
 			victim.Budget.Left--
 		}
 		victim.worker.projectedFree = victim.worker.projectedFree.Add(victim.Demand)
+		victim.worker.projectedNow = victim.worker.projectedNow.Add(victim.Demand)
 		if victim.LongRunning && !victim.remains() {
 			victim.worker.releasable = victim.worker.releasable.Add(victim.Demand)
 		}
@@ -168,6 +169,7 @@
 	victims  []*placedRun
 	chosen   []*workerState // one worker for each task of the unit
 	moves    bool           // runs within the guarantee of the unit's account may be moved
+	holders  holders        // with the victims and the tasks assigned so far
 	cost     float64        // of stopping the victims
 }
 
@@ -184,8 +186,10 @@
 
 // planPreemption selects the runs of a set of workers to stop for the unit. It
 // returns nil if the unit does not fit even then, or if the cost is not below the limit.
-func (p *pass) planPreemption(u *Unit, workers []*workerState, limit float64, moves bool) *preemption {
-	pr := &preemption{pass: p, moves: moves, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool), stops: make(map[*StopBudget]int)}
+// Unless shared is nil, runs within the guarantee of the unit's account may be moved;
+// shared are the holders before any task of the unit is assigned.
+func (p *pass) planPreemption(u *Unit, workers []*workerState, limit float64, shared holders) *preemption {
+	pr := &preemption{pass: p, moves: shared != nil, holders: shared, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool), stops: make(map[*StopBudget]int)}
 	options := make([]*workerOption, len(workers))
 	for i, w := range workers {
 		options[i] = &workerOption{worker: w, projectedFree: w.projectedFree}
@@ -201,7 +205,7 @@
 		}
 		pr.assignTask(option)
 	}
-	if moves && !pr.victimsFitElsewhere() {
+	if pr.moves && !pr.victimsFitElsewhere() {
 		return nil
 	}
 	return pr
@@ -238,6 +242,7 @@
 	option.stepTasks++
 	option.upToDate = false
 	if pr.moves { // which runs have another place depends on all tasks and victims
+		pr.holders = make(holders)
 		for _, other := range pr.optionOf {
 			other.upToDate = false
 		}
