--- a/leader/place.go
+++ b/leader/place.go
@@ -22,7 +22,7 @@
 	units := t.units(guaranteed)
 	t.urgentUse.Observe(t.urgentCores(units), now)
 	t.observeWaits(units, now)
-	t.endHolds(units, now)
+	t.endWithholding(units, now)
 	if len(units) == 0 {
 		t.restartSlowRun(nil, now)
 		return
@@ -32,7 +32,7 @@
 	t.requireSpeeds(units, fleet, now)
 	t.addShares(units, guaranteed)
 	plan := schedule.Decide(fleet, units, t.urgentUse.Expected())
-	t.observeHolds(plan.Held, now)
+	t.observeWithheld(plan.Withheld, now)
 	t.preempt(plan.Stops)
 	incomplete := t.stepsWithRefusedMember(plan.Placements)
 	for _, p := range plan.Placements {
--- a/leader/soundness.go
+++ b/leader/soundness.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// maxHold is the time for which a unit waits for workers that are likelier to be sound,
-	// from the first pass in which it would fit without. Users take a job for lost after
-	// 3 s, in which it may also wait for a rack.
-	maxHold = 800 * time.Millisecond
-	// maxGuaranteedHold is the same within a guarantee, whose units have to start within
-	// 2.7 s of their submission, also after runs have been stopped for them.
-	maxGuaranteedHold = 400 * time.Millisecond
+	// maxWithheldTime is the time for which a unit waits for workers that are likelier to be
+	// sound, from the first pass in which it would fit without. Users take a job for lost
+	// after 3 s, in which it may also wait for a rack.
+	maxWithheldTime = 800 * time.Millisecond
+	// maxGuaranteedWithheldTime is the same within a guarantee, whose units have to start
+	// within 2.7 s of their submission, also after runs have been stopped for them.
+	maxGuaranteedWithheldTime = 400 * time.Millisecond
 	// maxLastAttemptRisk is the risk that a last attempt does not take at once: a job that
 	// fails costs its users more than ten late ones, so that a wait that makes the job late
 	// costs less than this risk.
@@ -51,7 +51,7 @@
 func (t *term) recordEvidence(w *workerState, k work.RunKey, outcome work.Outcome, e endedRun, now time.Time) {
 	h, s := &w.health, t.jobs[k.Task.Job]
 	if outcome == work.OutcomeFailed {
-		delete(t.heldSince, keyOfStep(k.Task))
+		delete(t.withheldSince, keyOfStep(k.Task))
 	}
 	switch {
 	case outcome == work.OutcomeDone && !e.placedAt.Equal(t.elected):
@@ -189,32 +189,33 @@
 	}
 }
 
-// endHolds lets units that have been held back long enough start on any worker.
-func (t *term) endHolds(units []*schedule.Unit, now time.Time) {
-	held := make(map[stepKey]time.Time, len(t.heldSince))
+// endWithholding lets units that have been withheld from risky workers for long enough
+// start on any worker.
+func (t *term) endWithholding(units []*schedule.Unit, now time.Time) {
+	withheld := make(map[stepKey]time.Time, len(t.withheldSince))
 	for _, u := range units {
 		key := keyOfUnit(u)
-		since, ok := t.heldSince[key]
+		since, ok := t.withheldSince[key]
 		if !ok {
 			continue
 		}
-		held[key] = since
-		limit := maxHold
+		withheld[key] = since
+		limit := maxWithheldTime
 		if u.Guaranteed {
-			limit = maxGuaranteedHold
+			limit = maxGuaranteedWithheldTime
 		}
 		u.AcceptsSuspects = u.AcceptsSuspects || now.Sub(since) >= limit
 	}
-	t.heldSince = held
+	t.withheldSince = withheld
 }
 
-// observeHolds records since when steps have units that would have started on workers
+// observeWithheld records since when steps have units that would have started on workers
 // which were too risky for them.
-func (t *term) observeHolds(held []schedule.StepKey, now time.Time) {
-	for _, k := range held {
+func (t *term) observeWithheld(withheld []schedule.StepKey, now time.Time) {
+	for _, k := range withheld {
 		key := stepKey{k.Job, k.Occurrence, k.Step}
-		if _, ok := t.heldSince[key]; !ok {
-			t.heldSince[key] = now
+		if _, ok := t.withheldSince[key]; !ok {
+			t.withheldSince[key] = now
 		}
 	}
 }
--- a/leader/soundness_test.go
+++ b/leader/soundness_test.go
@@ -69,12 +69,12 @@
 	m.failRun(worker, work.RunKey{Task: work.TaskKey{Job: "j1"}, Run: 1}, uptime.Now())
 	require.Zero(t, m.place(t), "it waits for another worker")
 	key := stepKey{job: "j1"}
-	require.Contains(t, m.term.heldSince, key)
-	m.term.heldSince[key] = uptime.Now().Add(-maxHold)
+	require.Contains(t, m.term.withheldSince, key)
+	m.term.withheldSince[key] = uptime.Now().Add(-maxWithheldTime)
 	require.Equal(t, 1, m.place(t))
 	require.Equal(t, worker, task.Worker)
 	m.place(t)
-	require.Empty(t, m.term.heldSince, "it waits no more")
+	require.Empty(t, m.term.withheldSince, "it waits no more")
 }
 
 // Guards against a worker that stays suspect although a run which started there since has
@@ -111,15 +111,15 @@
 }
 
 // Guards against a gang that waits for other workers for longer than its guarantee allows.
-func TestHoldIsBounded(t *testing.T) {
+func TestWithholdingIsBounded(t *testing.T) {
 	for name, c := range map[string]struct {
 		guaranteed, mustStartNow bool
-		held                     time.Duration
+		withheld                 time.Duration
 		want                     bool
 	}{
-		"held briefly":                 {false, false, 500 * time.Millisecond, false},
-		"held long enough":             {false, false, maxHold, true},
-		"guaranteed":                   {true, false, maxGuaranteedHold, true},
+		"withheld briefly":             {false, false, 500 * time.Millisecond, false},
+		"withheld long enough":         {false, false, maxWithheldTime, true},
+		"guaranteed":                   {true, false, maxGuaranteedWithheldTime, true},
 		"guaranteed, has to start now": {true, true, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -129,8 +129,8 @@
 			units[0].Guaranteed, units[0].MustStartNow = c.guaranteed, c.mustStartNow
 			m.term.setRisk(units[0], 1)
 			now := uptime.Now()
-			m.term.heldSince[keyOfUnit(units[0])] = now.Add(-c.held)
-			m.term.endHolds(units, now)
+			m.term.withheldSince[keyOfUnit(units[0])] = now.Add(-c.withheld)
+			m.term.endWithholding(units, now)
 			require.Equal(t, c.want, units[0].AcceptsSuspects)
 		})
 	}
@@ -152,8 +152,8 @@
 	require.Equal(t, 1, m.place(t), "a probe")
 	require.Zero(t, m.place(t))
 	key := stepKey{job: "j0"}
-	require.Contains(t, m.term.heldSince, key)
-	m.term.heldSince[key] = uptime.Now().Add(-maxHold)
+	require.Contains(t, m.term.withheldSince, key)
+	m.term.withheldSince[key] = uptime.Now().Add(-maxWithheldTime)
 	require.Equal(t, 7, m.place(t), "it was withheld for long enough")
 	failAll()
 	require.Equal(t, 1, m.place(t), "a probe")
--- a/leader/spell_test.go
+++ b/leader/spell_test.go
@@ -83,7 +83,7 @@
 // first one did: 38 of 107 did when suspect workers were only the last choice.
 func TestLastAttemptsInSpell(t *testing.T) {
 	const seeds = 200
-	first, second, held := 0, 0, 0
+	first, second, withheld := 0, 0, 0
 	for seed := range uint64(seeds) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		now := uptime.Now()
@@ -112,7 +112,7 @@
 				continue
 			}
 			if ms > 900 {
-				held++
+				withheld++
 			}
 			if failed {
 				second++
@@ -120,7 +120,7 @@
 			break
 		}
 	}
-	t.Logf("of %d gangs, %d fail once, %d twice; %d second runs waited", seeds, first, second, held)
+	t.Logf("of %d gangs, %d fail once, %d twice; %d second runs waited", seeds, first, second, withheld)
 	require.Greater(t, first, seeds/4)
 	require.LessOrEqual(t, second, first/10)
 }
--- a/leader/term.go
+++ b/leader/term.go
@@ -98,7 +98,7 @@
 	restartSpeeds      map[work.TaskKey]float64        // speeds that restarted tasks need, until they are placed
 	totalCores         float64                         // size of the fleet
 	waitingSince       map[stepKey]time.Time           // steps with waiting units; see observeWaits
-	heldSince          map[stepKey]time.Time           // steps with waiting units that fit only on workers too risky for them
+	withheldSince      map[stepKey]time.Time           // steps with waiting units that fit only on workers too risky for them
 	riskRaised         bool                            // some worker is likelier to fail than soundness.BaseRisk
 	incompleteGangs    map[stepKey]bool                // gangs that wait for the replacement of refused members
 	lastAdviceUsable   bool                            // the last advice query was about a step that could start
@@ -122,7 +122,7 @@
 		cfg: cfg, rec: rec, leaderVersion: leaderVersion, lease: lease, leaseExpiry: leaseExpiry, elected: uptime.Now(),
 		ended: make(chan struct{}), leaseLost: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		jobs: make(map[string]*jobState), workers: make(map[string]*workerState),
-		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), startWaits: make(map[int]meanDuration), forecasts: make(map[occurrenceKey]delay.Forecast), speeds: speed.NewEstimator(), speedDemands: make(map[string]speedDemand), minSpeeds: make(map[stepKey]float64), restartSpeeds: make(map[work.TaskKey]float64), incompleteGangs: make(map[stepKey]bool), heldSince: make(map[stepKey]time.Time), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
+		streams: make(map[string]chan struct{}), latestStreams: make(map[string]uint64), endedIncarnations: make(map[string]bool), advice: make(map[stepKey]*stepAdvice), runDurations: make(map[string]meanDuration), startWaits: make(map[int]meanDuration), forecasts: make(map[occurrenceKey]delay.Forecast), speeds: speed.NewEstimator(), speedDemands: make(map[string]speedDemand), minSpeeds: make(map[stepKey]float64), restartSpeeds: make(map[work.TaskKey]float64), incompleteGangs: make(map[stepKey]bool), withheldSince: make(map[stepKey]time.Time), adviceWanted: make(chan struct{}, 1), waves: make(map[string]*waveState),
 	}
 	t.contact.observe(t.elected)
 	return t
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -22,21 +22,21 @@
 	return run.preemptibleBy(pr.unit) || (pr.moves && run.movableFor(pr.unit) && pr.fitsElsewhere(run))
 }
 
-// holderKey identifies runs that fit on the same workers.
-type holderKey struct {
+// placeKey identifies runs that fit on the same workers.
+type placeKey struct {
 	demand         work.Shape
 	service, label string
 }
 
-// holders are up to two workers that hold a run on its own, which shows for a run on any
-// worker whether another one does. They are searched once for equal runs: a search for each
+// places are up to two workers on which a run fits on its own, which shows for a run on any
+// worker whether it fits on another one. They are searched once for equal runs: a search for each
 // run took 200 ms for one unit on 1,100 workers.
-type holders map[holderKey][]*workerState
+type places map[placeKey][]*workerState
 
-// fitsElsewhere reports whether another worker holds the run on its own.
+// fitsElsewhere reports whether the run fits on another worker on its own.
 func (pr *preemption) fitsElsewhere(run *placedRun) bool {
-	key := holderKey{run.Demand, run.worker.Service, run.RequiredLabel}
-	found, ok := pr.holders[key]
+	key := placeKey{run.Demand, run.worker.Service, run.RequiredLabel}
+	found, ok := pr.places[key]
 	if !ok {
 		for _, w := range pr.pass.workers {
 			pr.pass.examined += 1 + len(w.runsByCost)
@@ -46,7 +46,7 @@
 				}
 			}
 		}
-		pr.holders[key] = found
+		pr.places[key] = found
 	}
 	return slices.ContainsFunc(found, func(w *workerState) bool { return w != run.worker })
 }
@@ -60,7 +60,7 @@
 	}
 	p.indexRuns()
 	var best *preemption
-	limit, shared := math.Inf(1), make(holders)
+	limit, shared := math.Inf(1), make(places)
 	for _, set := range slices.Concat(sets, spread) {
 		if candidate := p.planPreemption(u, set, limit, shared); candidate != nil {
 			best, limit = candidate, candidate.cost
@@ -114,7 +114,7 @@
 func (pr *preemption) reclaimable(w *workerState) work.Shape {
 	free := w.projectedFree
 	for _, run := range w.runsByCost {
-		if pr.isVictim[run] || (run.holds() && run.preemptibleBy(pr.unit)) {
+		if pr.isVictim[run] || (run.keepsCapacity() && run.preemptibleBy(pr.unit)) {
 			free = free.Add(run.Demand)
 		}
 	}
--- a/schedule/pass.go
+++ b/schedule/pass.go
@@ -90,7 +90,7 @@
 	before, started := p.changes, len(p.plan.Placements)
 	p.placeOrPreempt(u)
 	if len(p.plan.Placements) == started {
-		p.hold(u)
+		p.recordWithheld(u)
 	}
 	if p.changes == before {
 		p.lastUnplaced, p.changesAtUnplaced = keyOf(u), before
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -155,7 +155,7 @@
 	victims  []*placedRun
 	chosen   []*workerState // one worker for each task of the unit
 	moves    bool           // runs within the guarantee of the unit's account may be moved
-	holders  holders        // with the victims and the tasks assigned so far
+	places   places         // with the victims and the tasks assigned so far
 	cost     float64        // of stopping the victims
 }
 
@@ -173,9 +173,9 @@
 // planPreemption selects the runs of a set of workers to stop for the unit. It
 // returns nil if the unit does not fit even then, or if the cost is not below the limit.
 // Unless shared is nil, runs within the guarantee of the unit's account may be moved;
-// shared are the holders before any task of the unit is assigned.
-func (p *pass) planPreemption(u *Unit, workers []*workerState, limit float64, shared holders) *preemption {
-	pr := &preemption{pass: p, moves: shared != nil, holders: shared, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool), stops: make(map[*StopBudget]int)}
+// shared are the places before any task of the unit is assigned.
+func (p *pass) planPreemption(u *Unit, workers []*workerState, limit float64, shared places) *preemption {
+	pr := &preemption{pass: p, moves: shared != nil, places: shared, unit: u, demand: Demand(u.step()), optionOf: make(map[*workerState]*workerOption, len(workers)), isVictim: make(map[*placedRun]bool), stops: make(map[*StopBudget]int)}
 	options := make([]*workerOption, len(workers))
 	for i, w := range workers {
 		options[i] = &workerOption{worker: w, projectedFree: w.projectedFree}
@@ -228,7 +228,7 @@
 	option.stepTasks++
 	option.upToDate = false
 	if pr.moves { // which runs have another place depends on all tasks and victims
-		pr.holders = make(holders)
+		pr.places = make(places)
 		for _, other := range pr.optionOf {
 			other.upToDate = false
 		}
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -310,7 +310,7 @@
 		before := len(p.plan.Placements)
 		p.placeOrPreempt(u)
 		if len(p.plan.Placements) == before {
-			p.hold(u)
+			p.recordWithheld(u)
 		}
 	}
 	return p.plan
@@ -587,9 +587,9 @@
 	return within
 }
 
-// hold adds the step of a unit that has not started to the plan if all workers that could
+// recordWithheld adds the step of a unit that has not started to the plan if all workers that could
 // run it, whatever their risk, have room for it.
-func (p *refPass) hold(u *Unit) {
+func (p *refPass) recordWithheld(u *Unit) {
 	step := StepKey{u.Job.ID, u.Occurrence, u.Step}
 	var all []*refWorker
 	for _, w := range p.workers {
@@ -597,13 +597,13 @@
 			all = append(all, w)
 		}
 	}
-	if len(refWithinRisk(u, all)) == len(all) || slices.Contains(p.plan.Held, step) {
+	if len(refWithinRisk(u, all)) == len(all) || slices.Contains(p.plan.Withheld, step) {
 		return
 	}
 	plain := *u
 	plain.Careful = false
 	if refSelectWorkers(&plain, all, func(w *refWorker) work.Shape { return refFreeFor(w, u) }) != nil {
-		p.plan.Held = append(p.plan.Held, step)
+		p.plan.Withheld = append(p.plan.Withheld, step)
 	}
 }
 
--- a/schedule/risk.go
+++ b/schedule/risk.go
@@ -29,16 +29,16 @@
 	return eligible, withheld
 }
 
-// hold adds the step of a unit that has not started to Plan.Held if it would fit with the
+// recordWithheld adds the step of a unit that has not started to Plan.Withheld if it would fit with the
 // workers that are too risky for it.
-func (p *pass) hold(u *Unit) {
+func (p *pass) recordWithheld(u *Unit) {
 	step := StepKey{u.Job.ID, u.Occurrence, u.Step}
-	if slices.Contains(p.plan.Held, step) {
+	if slices.Contains(p.plan.Withheld, step) {
 		return
 	}
 	c := p.candidates(u)
 	if len(c.withheld) > 0 && p.fits(u, slices.Concat(c.eligible, c.withheld), u.freeCapacity) {
-		p.plan.Held = append(p.plan.Held, step)
+		p.plan.Withheld = append(p.plan.Withheld, step)
 	}
 }
 
--- a/schedule/risk_test.go
+++ b/schedule/risk_test.go
@@ -56,12 +56,12 @@
 	tasks := func() []*schedule.Unit { return units(newJob("j", 1, work.Step{Count: 3, Shape: accelerators(1)})) }
 	plan := schedule.Decide(f, tasks(), 0)
 	require.Len(t, plan.Placements, 1)
-	require.Empty(t, plan.Held, "the others wait for the probe")
+	require.Empty(t, plan.Withheld, "the others wait for the probe")
 
 	f[0].Probing = true
 	plan = schedule.Decide(f, tasks(), 0)
 	require.Empty(t, plan.Placements)
-	require.Equal(t, []schedule.StepKey{{Job: "j"}}, plan.Held)
+	require.Equal(t, []schedule.StepKey{{Job: "j"}}, plan.Withheld)
 
 	waited := tasks()
 	for _, u := range waited {
@@ -71,7 +71,7 @@
 }
 
 // Guards against a unit that never starts because the only worker with room is suspect.
-func TestUnitIsHeldOnlyForItsRisk(t *testing.T) {
+func TestUnitIsWithheldOnlyForItsRisk(t *testing.T) {
 	f := fleet(2)
 	f[0].Suspect, f[0].FailureRisk = true, 0.5
 	f[1].Runs = []schedule.Run{{Key: work.RunKey{Task: work.TaskKey{Job: "other"}, Run: 1}, Demand: accelerators(8), LongRunning: true}}
@@ -79,10 +79,10 @@
 	failed[0].Failed, failed[0].MaxRisk = true, 0.2
 	plan := schedule.Decide(f, failed, 0)
 	require.Empty(t, plan.Placements)
-	require.Equal(t, []schedule.StepKey{{Job: "failed"}}, plan.Held)
+	require.Equal(t, []schedule.StepKey{{Job: "failed"}}, plan.Withheld)
 	failed[0].AcceptsSuspects = true
 	require.Equal(t, map[string]int{"w00": 1}, workersOf(schedule.Decide(f, failed, 0)))
 
 	f[0].Runs = f[1].Runs
-	require.Empty(t, schedule.Decide(f, failed, 0).Held, "there is no room")
+	require.Empty(t, schedule.Decide(f, failed, 0).Withheld, "there is no room")
 }
--- a/schedule/soonest.go
+++ b/schedule/soonest.go
@@ -24,9 +24,9 @@
 	slices.SortStableFunc(w.ends, func(a, b *Run) int { return cmp.Compare(a.EndsIn, b.EndsIn) })
 }
 
-// holds reports whether the run takes part of what projectedFree leaves out: it neither
+// keepsCapacity reports whether the run takes part of what projectedFree leaves out: it neither
 // ends soon nor is being stopped.
-func (r *Run) holds() bool { return !r.Stopping && !r.EndsSoon }
+func (r *Run) keepsCapacity() bool { return !r.Stopping && !r.EndsSoon }
 
 // capacityAfter returns the capacity of the worker that is expected to be free after the
 // wait, less all reservations.
@@ -36,7 +36,7 @@
 		if run.EndsIn > wait {
 			break
 		}
-		if run.holds() {
+		if run.keepsCapacity() {
 			free = free.Add(run.Demand)
 		}
 	}
@@ -61,7 +61,7 @@
 		waits := []time.Duration{0}
 		for _, w := range set {
 			for _, run := range w.ends {
-				if run.EndsIn < best && run.holds() {
+				if run.EndsIn < best && run.keepsCapacity() {
 					waits = append(waits, run.EndsIn)
 				}
 			}
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -91,7 +91,7 @@
 type Plan struct {
 	Placements []Placement
 	Stops      []Stop
-	Held       []StepKey // that would have started units if these accepted suspects
+	Withheld   []StepKey // that would have started units if these accepted suspects
 }
 
 // StepKey identifies a step of an occurrence of a job.
