--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -21,6 +21,11 @@
 	Expired                    // so late that users rate it like a job that was not done
 )
 
+// String returns the name of the value.
+func (t Timeliness) String() string {
+	return [...]string{"OnTime", "AtRisk", "Expiring", "Late", "Expired"}[t]
+}
+
 // Unit is a gang or a single task: its tasks are placed all together or not at all.
 type Unit struct {
 	Job                *work.Job
@@ -56,6 +61,10 @@
 	Tickets            map[string]string // by worker; an advised job runs only where it has one
 }
 
+// BeyondShare reports whether the client account uses its share without the unit. It is
+// known after a pass.
+func (u *Unit) BeyondShare() bool { return u.beyondShare }
+
 func (u *Unit) step() work.Step { return u.Job.Steps[u.Step] }
 
 // satisfiesRackAffinity reports whether the worker is in the rack that the unit is
--- a/schedule/urgent.go
+++ b/schedule/urgent.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // peakWindow is how long a peak of urgent use counts as expected demand. It has to
 // exceed the two to three seconds between the jobs of a burst, and is shorter than the
@@ -43,3 +46,6 @@
 	}
 	return burstGrowth*u.peaks[0].cores - u.current
 }
+
+// Clone returns an independent copy.
+func (u *UrgentUse) Clone() UrgentUse { return UrgentUse{u.current, slices.Clone(u.peaks)} }
