--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -20,12 +20,10 @@
 // published. It returns nil if the job may be submitted, and false if it is on record
 // already.
 func (g *Gateway) checkLoad(ctx context.Context, c queue.Call, cfg *queue.Configuration, j *work.Job) (submit bool, err error) {
-	load, ok := g.cfg.Cache.Load()
-	age := uptime.Now().Sub(g.cfg.Cache.FreshAsOf())
-	if _, known := g.cfg.Cache.Job(j.ID); known || !ok || age > maxLoadAge || cfg.Services[j.Service].Standby || withinGuarantee(cfg, j) {
+	if _, known := g.cfg.Cache.Job(j.ID); known {
 		return true, nil
 	}
-	r := admission.Decide(load, j)
+	r, load, age := g.loadRefusal(cfg, j)
 	if r == nil {
 		return true, nil
 	}
@@ -36,6 +34,17 @@
 	return false, err
 }
 
+// loadRefusal returns why a job cannot be served, or nil, and the load that says so with
+// its age.
+func (g *Gateway) loadRefusal(cfg *queue.Configuration, j *work.Job) (*admission.Refusal, admission.Load, time.Duration) {
+	load, ok := g.cfg.Cache.Load()
+	age := uptime.Now().Sub(g.cfg.Cache.FreshAsOf())
+	if !ok || age > maxLoadAge || cfg.Services[j.Service].Standby || withinGuarantee(cfg, j) {
+		return nil, load, age
+	}
+	return admission.Decide(load, j), load, age
+}
+
 // withinGuarantee reports whether a job may be within the guarantee of its client account.
 // The jobs of the account that run are not counted: such a job is never refused.
 func withinGuarantee(cfg *queue.Configuration, j *work.Job) bool {
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -58,6 +58,13 @@
 			}
 			c := testCall(nil)
 			c.Key = "k"
+			if !tc.recorded {
+				_, refusal, err := g.Preview(c.Host, c.Path, "a", job)
+				require.NoError(t, err)
+				require.Equal(t, tc.want, rosemarysill.CodeOf(refusal), "the preview of the submission")
+				require.Empty(t, s.Keys(jobstore.MarkKey("")), "the preview leaves no mark")
+				require.Empty(t, s.Keys(jobstore.JobKey("")))
+			}
 			err = g.Submit(ctx, c, func() (*work.Job, error) { return job, nil })
 			require.Equal(t, tc.want, rosemarysill.CodeOf(err))
 			refused := tc.want != rosemarysill.Done
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -40,7 +40,7 @@
 		return rosemarysill.NewError(rosemarysill.InvalidRequest, "%s", problem)
 	}
 	if _, known := g.cfg.Cache.Job(id); !known && g.cfg.Cache.NumJobs() >= g.cfg.MaxJobs {
-		return rosemarysill.NewError(rosemarysill.QueueFull, "the limit of %d jobs on record is reached", g.cfg.MaxJobs)
+		return g.queueFull()
 	}
 	checked := *draft
 	applyQueue(&checked, id, account, q)
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -66,7 +66,8 @@
 // entry is an entry of the election with the server of its streams.
 type entry struct {
 	process
-	cache *jobstore.Cache
+	cache  *jobstore.Cache
+	leader *leader.Leader
 }
 
 // agent is the agent of a worker.
@@ -144,6 +145,7 @@
 		cfg.Machines = c.machines
 	}
 	elector := leader.New(cfg)
+	e.leader = elector
 	server := grpc.NewServer()
 	control.Register(server, elector)
 	go func() {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -110,6 +110,8 @@
 
 	mu   sync.Mutex
 	term *term // nil while this entry does not lead
+
+	explanations explanationLimit
 }
 
 var _ control.Leader = (*Leader)(nil)
--- a/leader/place.go
+++ b/leader/place.go
@@ -27,10 +27,7 @@
 		t.restartSlowRun(nil, now)
 		return
 	}
-	fleet := t.fleet(guaranteed, now)
-	t.endWaits(units, fleet, now)
-	t.requireSpeeds(units, fleet, now)
-	t.addShares(units, guaranteed)
+	fleet := t.describeFleet(units, guaranteed, now)
 	plan := schedule.Decide(fleet, units, t.urgentUse.Expected())
 	t.observeHolds(plan.Held, now)
 	t.preempt(plan.Stops)
@@ -46,6 +43,16 @@
 	}
 }
 
+// describeFleet returns the workers for a scheduling pass, and completes what the units
+// need of them.
+func (t *term) describeFleet(units []*schedule.Unit, guaranteed map[string]bool, now time.Time) []*schedule.Worker {
+	fleet := t.fleet(guaranteed, now)
+	t.endWaits(units, fleet, now)
+	t.requireSpeeds(units, fleet, now)
+	t.addShares(units, guaranteed)
+	return fleet
+}
+
 // urgentCores returns the size of the work of priority 0 that runs or waits. Waiting
 // units that have expired are left out: they may never fit, and would keep that capacity
 // free for as long as they wait.
--- a/node/agent.go
+++ b/node/agent.go
@@ -32,7 +32,7 @@
 	defer cancel()
 	gate, metrics := newGate(n, log), meter.New()
 	metrics.ExportIntake(gate.Counts)
-	metricsServer.Go(func() { serveMetrics(ctx, netip.AddrPortFrom(n.IP, n.MetricsPort), metrics, gate, log) })
+	metricsServer.Go(func() { serveMetrics(ctx, netip.AddrPortFrom(n.IP, n.MetricsPort), newMetricsMux(metrics), gate, log) })
 	register := func(r work.Registrar) http.Handler {
 		return gate.Handler(platform.Register(r), gate.NewSlots("worker", gate.Limits().SmallConnections), intake.Refuse)
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -77,6 +77,8 @@
 	metrics.ExportIntake(gate.Counts)
 	apiServer := newHTTPServer(gate, "callers", gate.Limits().Requests, platform.NewCallerHandler(forwarder).WithRetryAfter(forwarder.RetryAfter))
 	readyServer := newHTTPServer(gate, "readiness", gate.Limits().SmallConnections, readinessHandler(ctx, gw))
+	operatorMux := newMetricsMux(metrics)
+	operatorMux.Handle("POST "+explanationPath, explanationHandler(gw, candidate))
 	rpcServer := control.NewServer(log, gate.RPCOptions()...)
 	control.Register(rpcServer, candidate)
 	relay.Register(rpcServer, gw, gate.NewSlots("relayed", gate.Limits().Requests))
@@ -92,7 +94,7 @@
 			event.QueueStoreLost.Log(log).Str("Entry", n.Name).Err(err).Send()
 		})
 	})
-	goroutines.Go(func() { serveMetrics(serveCtx, netip.AddrPortFrom(n.IP, n.MetricsPort), metrics, gate, log) })
+	goroutines.Go(func() { serveMetrics(serveCtx, netip.AddrPortFrom(n.IP, n.MetricsPort), operatorMux, gate, log) })
 	failed := make(chan error, 3)
 	goroutines.Go(func() {
 		failed <- ignoreServerClosed(apiServer.Serve(gate.Listen(listeners[0], "callers", gate.Limits().Connections)))
