--- a/leader/renew.go
+++ b/leader/renew.go
@@ -136,8 +136,9 @@
 		return
 	}
 	now := uptime.Now()
-	// A process that was paused after checkLease may not have noticed the expiry.
-	lapsed := t.suspended || now.After(t.leaseExpiry)
+	// checkLease runs every probeInterval by the time of the expiry, and misses a longer one
+	// if the process was paused.
+	lapsed := t.suspended || now.Sub(t.leaseExpiry) > probeInterval
 	t.leaseExpiry = expiry
 	if !lapsed || t.over || !now.Before(expiry) {
 		return
