--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,7 +196,7 @@
 
 // waitRetry waits before a retry. It returns false if the caller's remaining time
 // does not allow one.
-func (g *Gateway) waitRetry(ctx context.Context, c queue.Call, _ error) bool {
+func (g *Gateway) waitRetry(ctx context.Context, c queue.Call) bool {
 	if time.Until(c.Deadline) < answerReserve+retryDelay {
 		return false
 	}
@@ -280,7 +280,7 @@
 			return jobstore.JobRecord{}, rosemarysill.NewError(rosemarysill.InternalError, "decode the record of job %s: %v", id, err)
 		case err == nil:
 			return rec, nil
-		case !g.waitRetry(ctx, c, err):
+		case !g.waitRetry(ctx, c):
 			return jobstore.JobRecord{}, rosemarysill.NewError(rosemarysill.StoreUnavailable, "read job %s from the store: %v", id, err)
 		}
 	}
@@ -335,7 +335,7 @@
 			}
 		}
 		uncertain = uncertain || errors.Is(err, rosemarysill.ErrStoreUnavailable)
-		if err == nil || !g.waitRetry(ctx, c, err) {
+		if err == nil || !g.waitRetry(ctx, c) {
 			return commitError(err, uncertain)
 		}
 	}
--- a/gateway/mark.go
+++ b/gateway/mark.go
@@ -61,7 +61,7 @@
 	var version uint64
 	for {
 		accepted, version, err = g.tryMark(ctx, id, version)
-		if err == nil || !errors.Is(err, rosemarysill.ErrVersion) && !g.waitRetry(ctx, c, err) || ctx.Err() != nil {
+		if err == nil || !errors.Is(err, rosemarysill.ErrVersion) && !g.waitRetry(ctx, c) || ctx.Err() != nil {
 			return accepted, err
 		}
 	}
@@ -83,24 +83,14 @@
 		g.marks.drop(lease)
 	}
 	if errors.Is(err, rosemarysill.ErrVersion) {
-		if versionOf(items, jobKey) != 0 {
+		if rosemarysill.VersionOf(items, jobKey) != 0 {
 			return true, 0, nil
 		}
-		version = versionOf(items, markKey)
+		version = rosemarysill.VersionOf(items, markKey)
 	}
 	return false, version, err
 }
 
-// versionOf returns the version of the item with the key, 0 if there is none.
-func versionOf(items []rosemarysill.Item, key string) uint64 {
-	for _, i := range items {
-		if i.Key == key {
-			return i.Version
-		}
-	}
-	return 0
-}
-
 // refuseMarked returns the refusal of a job once no earlier write of it can take effect,
 // nil if the job is on record, and OutcomeUnknown if neither is confirmed.
 func (g *Gateway) refuseMarked(ctx context.Context, c queue.Call, id string, refusal error) error {
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -60,7 +60,7 @@
 		if errors.Is(err, rosemarysill.ErrStoreUnavailable) {
 			uncertain = true
 		}
-		if err == nil || !g.waitRetry(ctx, c, err) {
+		if err == nil || !g.waitRetry(ctx, c) {
 			return commitError(err, uncertain)
 		}
 		if cfg, q, account, _, err = g.admit(c); err != nil {
@@ -115,10 +115,10 @@
 	sent := uptime.Now()
 	_, items, err := g.cfg.Store.Commit(ctx, commit)
 	if errors.Is(err, rosemarysill.ErrVersion) {
-		if versionOf(items, key) != 0 {
+		if rosemarysill.VersionOf(items, key) != 0 {
 			return nil
 		}
-		*markVersion = versionOf(items, markKey)
+		*markVersion = rosemarysill.VersionOf(items, markKey)
 		for _, i := range items {
 			if i.Key == cfg.Key && i.Version > cfg.Revision {
 				// A slow store may take as long to deliver the change as it took to answer.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -302,11 +302,6 @@
 	if ctx.Err() != nil || steppedDown {
 		l.release(t.lease)
 		event.LeaderResigned.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).AnErr("Cause", t.cause()).Send()
-	}
-	if ctx.Err() != nil {
-		return
-	}
-	if steppedDown {
 		return
 	}
 	event.LeaderLost.Log(l.cfg.Log).Uint64("Epoch", t.rec.Epoch).AnErr("Cause", t.cause()).Send()
--- a/leader/publish.go
+++ b/leader/publish.go
@@ -62,12 +62,7 @@
 		Writes: []rosemarysill.Write{{Key: jobstore.LoadKey, Value: value}},
 	})
 	if errors.Is(err, rosemarysill.ErrVersion) {
-		p.version = 0
-		for _, i := range items {
-			if i.Key == jobstore.LoadKey {
-				p.version = i.Version
-			}
-		}
+		p.version = rosemarysill.VersionOf(items, jobstore.LoadKey)
 	}
 	if err != nil {
 		return err
--- a/transaction.go
+++ b/transaction.go
@@ -55,3 +55,13 @@
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
 }
+
+// VersionOf returns the version of the item with the key, 0 if there is none.
+func VersionOf(items []Item, key string) uint64 {
+	for _, i := range items {
+		if i.Key == key {
+			return i.Version
+		}
+	}
+	return 0
+}
