control: the leader closes a stream without reports after 10 s

Only agents bounded the time without a message. A client that sent one report kept its connection in use, so that it was never closed for another.

--- a/control/server_test.go
+++ b/control/server_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 )
 
 // panickingLeader is a Leader that panics on its first stream.
@@ -53,3 +56,60 @@
 	require.NoError(t, err)
 	require.Equal(t, "a", o.Incarnation)
 }
+
+// waitingLeader serves a stream until its context is done.
+type waitingLeader struct{}
+
+func (waitingLeader) Attach(s AgentStream) error {
+	go func() {
+		for {
+			if _, err := s.Receive(); err != nil {
+				return
+			}
+		}
+	}()
+	<-s.Context().Done()
+	return context.Cause(s.Context())
+}
+
+// reportStream is a stream on which reports arrive at the given times.
+type reportStream struct {
+	grpc.ServerStream
+	ctx     context.Context
+	reports <-chan struct{}
+}
+
+func (s reportStream) Context() context.Context { return s.ctx }
+
+func (s reportStream) RecvMsg(any) error {
+	if _, ok := <-s.reports; !ok {
+		return io.EOF
+	}
+	return nil
+}
+
+// Guards against a stream of a client that sends one report and then nothing. Its connection
+// is in use as long as the stream is open, and is not closed for another.
+func TestSilentStreamEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reports := make(chan struct{})
+		start := time.Now()
+		ended := make(chan error, 1)
+		go func() {
+			ended <- serviceDesc.Streams[0].Handler(waitingLeader{}, reportStream{ctx: t.Context(), reports: reports})
+		}()
+		for range 10 {
+			time.Sleep(silenceTimeout - ReportEvery)
+			reports <- struct{}{}
+		}
+		synctest.Wait()
+		require.Empty(t, ended)
+		last := time.Now()
+		time.Sleep(2 * silenceTimeout)
+		synctest.Wait()
+		require.Len(t, ended, 1)
+		require.ErrorIs(t, <-ended, errSilent)
+		require.Greater(t, last.Sub(start), silenceTimeout)
+		close(reports)
+	})
+}
--- a/control/stream.go
+++ b/control/stream.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -44,18 +45,43 @@
 	HandlerType: (*Leader)(nil),
 	Streams: []grpc.StreamDesc{{
 		StreamName: "Attach", ServerStreams: true, ClientStreams: true,
-		Handler: func(srv any, s grpc.ServerStream) error { return srv.(Leader).Attach(serverStream{s}) },
+		Handler: func(srv any, s grpc.ServerStream) error { return serveStream(srv.(Leader), s) },
 	}},
 }
 
 // Register adds the leader's service to a server.
 func Register(s *grpc.Server, l Leader) { s.RegisterService(&serviceDesc, l) }
 
-type serverStream struct{ grpc.ServerStream }
+// silenceTimeout is the time without a report after which the leader closes a stream. An
+// agent closes it much earlier, and its worker is lost by then; other clients must not keep
+// connections in use with streams on which they send nothing.
+const silenceTimeout = 10 * time.Second
+
+var errSilent = errors.Newf("no report on the stream for %v", silenceTimeout)
+
+func serveStream(l Leader, s grpc.ServerStream) error {
+	ctx, cancel := context.WithCancelCause(s.Context())
+	defer cancel(nil)
+	silence := time.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
+	defer silence.Stop()
+	return l.Attach(serverStream{s, ctx, silence})
+}
+
+type serverStream struct {
+	grpc.ServerStream
+	ctx     context.Context
+	silence *time.Timer
+}
+
+// Context implements grpc.ServerStream.
+func (s serverStream) Context() context.Context { return s.ctx }
 
 func (s serverStream) Receive() (Report, error) {
 	var r Report
 	err := s.RecvMsg(&r)
+	if err == nil {
+		s.silence.Reset(silenceTimeout)
+	}
 	return r, err
 }
 
