--- a/intake/frames.go
+++ b/intake/frames.go
@@ -8,18 +8,21 @@
 	frameHeader   = 9
 	messageHeader = 5 // a flag and the length
 
-	frameData      = 0x0
-	frameHeaders   = 0x1
-	frameReset     = 0x3
-	flagEndStream  = 0x1
-	flagPadded     = 0x8
-	maxOpenStreams = 2 * MaxStreams // in the scanner, which does not see what the server ends
+	frameData     = 0x0
+	frameHeaders  = 0x1
+	frameReset    = 0x3
+	flagEndStream = 0x1
+	flagPadded    = 0x8
 )
 
 // MaxStreams is the number of concurrent streams on a gRPC connection. A relay has one
 // connection to an entry, on which it sends all its calls.
 const MaxStreams = 1024
 
+// maxOpenStreams is the number of streams that the scanner follows on a connection. It
+// does not see which of them the server has ended.
+const maxOpenStreams = 2 * MaxStreams
+
 // streamState is the gRPC message that arrives on a stream.
 type streamState struct {
 	header  [messageHeader]byte
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -87,8 +87,11 @@
 	closeOnce sync.Once
 
 	position  *list.Element // in the list of connections that may be closed; nil if it is not there
-	executing int           // requests that are being executed
-	answering bool          // the request has ended, and its answer may not have been written; of the goroutine that serves the connection
+	executing int           // number of requests that are being executed
+
+	// answering reports that a request has ended and its answer may not have been written.
+	// Only the goroutine of net/http that serves the connection uses it.
+	answering bool
 
 	scan     *frameScanner // nil for HTTP/1.1
 	messages *share        // incomplete gRPC messages
--- a/intake/rpc.go
+++ b/intake/rpc.go
@@ -106,6 +106,8 @@
 	switch s.(type) {
 	case *stats.InPayload:
 		if !call.begun.Swap(true) {
+			// On a closed connection the call may still run. Its caller gets an error that
+			// leaves the outcome open, and not a refusal.
 			call.conn.begin()
 		}
 	case *stats.End:
