--- a/leader/restart.go
+++ b/leader/restart.go
@@ -5,18 +5,12 @@
 	"time"
 
 	"github.com/rosemarysill/rosemarysill/schedule"
+	"github.com/rosemarysill/rosemarysill/speed"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
-const (
-	// maxRestartPercent and maxRestartAge bound the work that is lost with a run that is
-	// started again elsewhere: its progress, and its age as a share of the duration on a
-	// worker of speed 1.
-	maxRestartPercent = 40
-	maxRestartAge     = 0.75
-	// maxRestartSpeeds bounds the tasks that wait to be started again.
-	maxRestartSpeeds = 256
-)
+// maxRestartSpeeds bounds the tasks that wait to be started again.
+const maxRestartSpeeds = 256
 
 // slowRun is a run, or a gang, that will miss its objective on its workers and could be in
 // time elsewhere.
@@ -93,19 +87,16 @@
 	if step.Gang {
 		indexes = allIndexes(step.Count)
 	}
-	f, ok := t.forecastRun(s, k, indexes, now)
-	// Without evidence that the worker is slow, the rate may be measured inexactly, or the
-	// task may be as slow on any worker.
-	if !ok || f.speed >= 1 || f.percent > maxRestartPercent || f.age.Seconds() > maxRestartAge*f.usual.Seconds() {
+	members, known := t.progressOf(s, k, indexes, now)
+	f, ok := speed.ForecastRun(members)
+	if !known || !ok {
 		return nil
 	}
-	deadline := queuedSince(s.job, k.Task.Occurrence).Add(max(objectiveFor(s.job, f.usual), t.expectedObjective(s.job)))
-	left := time.Until(deadline)
-	leftAfterStop := left - t.cfg.StopGrace - startOverhead
-	if f.remaining <= left || leftAfterStop <= 0 || f.fastest > leftAfterStop {
-		return nil
+	left := time.Until(queuedSince(s.job, k.Task.Occurrence).Add(max(objectiveFor(s.job, f.Usual), t.expectedObjective(s.job))))
+	if minSpeed := f.RestartSpeed(left, left-t.cfg.StopGrace-startOverhead); minSpeed > 0 {
+		return &slowRun{s, k, indexes, minSpeed}
 	}
-	return &slowRun{s, k, indexes, (1 + speedMargin/2) * f.usual.Seconds() / leftAfterStop.Seconds()}
+	return nil
 }
 
 func allIndexes(n int) []int {
@@ -116,45 +107,19 @@
 	return all
 }
 
-// runForecast is what the progress of the members of a gang, or of a single run, shows.
-type runForecast struct {
-	remaining time.Duration // until the slowest one is done
-	percent   int           // of the slowest one
-	age       time.Duration // since the first report
-	usual     time.Duration // duration on workers of speed 1
-	fastest   time.Duration // duration at the highest rate of a member; 0 for a single run
-	speed     float64       // of the worker of the slowest one
-}
-
-// forecastRun returns the forecast of a gang or a run by its own progress, and false if that
-// does not show it or if a member is being stopped.
-func (t *term) forecastRun(s *jobState, first work.RunKey, indexes []int, now time.Time) (f runForecast, ok bool) {
-	var highest, usualRate float64
+// progressOf returns the progress of the members of a gang, or of a single run, and false if
+// one of them is not known or is being stopped.
+func (t *term) progressOf(s *jobState, first work.RunKey, indexes []int, now time.Time) ([]speed.Progress, bool) {
+	members := make([]speed.Progress, 0, len(indexes))
 	for _, i := range indexes {
 		k := memberRun(first, i)
 		task := s.progress.Task(s.job, k.Task)
 		w := t.workers[task.Worker]
 		if w == nil || task.Run != k.Run || task.Stopping || w.trackers[k] == nil {
-			return f, false
+			return nil, false
 		}
 		p := w.trackers[k]
-		f.age = max(f.age, now.Sub(p.startedAt))
-		rate := p.sampler.Rate()
-		if rate <= 0 {
-			continue
-		}
-		if remaining := time.Duration(float64(completePercent-p.percent) / rate * float64(time.Second)); remaining > f.remaining {
-			f.remaining, f.percent, f.speed = remaining, p.percent, t.speeds.Speed(w.Incarnation)
-		}
-		highest = max(highest, rate)
-		usualRate = max(usualRate, rate/t.speeds.Speed(w.Incarnation))
-	}
-	if highest == 0 {
-		return f, false
-	}
-	f.usual = time.Duration(completePercent / usualRate * float64(time.Second))
-	if len(indexes) > 1 {
-		f.fastest = time.Duration(completePercent / highest * float64(time.Second))
+		members = append(members, speed.Progress{Percent: p.percent, Rate: p.sampler.Rate(), Speed: t.speeds.Speed(w.Incarnation), Age: now.Sub(p.startedAt)})
 	}
-	return f, true
+	return members, true
 }
