--- a/gateway/mark_test.go
+++ b/gateway/mark_test.go
@@ -170,3 +170,122 @@
 	require.NoError(t, g.Cancel(ctx, testCall(nil)))
 	require.Len(t, s.Keys(jobstore.CancelKey("")), 1)
 }
+
+// refusedReads is a store that refuses reads of single keys.
+type refusedReads struct {
+	rosemarysill.TransactionalStore
+}
+
+func (refusedReads) Get(context.Context, string) (rosemarysill.Item, error) {
+	return rosemarysill.Item{}, rosemarysill.ErrStoreRefused
+}
+
+// cancelsLost is a store whose commits get no reply, and which refuses reads after the first
+// commit.
+type cancelsLost struct {
+	rosemarysill.TransactionalStore
+	reads rosemarysill.TransactionalStore
+}
+
+func (s *cancelsLost) Get(ctx context.Context, key string) (rosemarysill.Item, error) {
+	return s.reads.Get(ctx, key)
+}
+
+func (s *cancelsLost) Commit(ctx context.Context, c rosemarysill.Commit) (uint64, []rosemarysill.Item, error) {
+	s.reads = refusedReads{s.reads}
+	_, _, _ = s.TransactionalStore.Commit(ctx, c)
+	return 0, nil, rosemarysill.ErrStoreUnavailable
+}
+
+// Guards against a cancel that is answered with 503, which says that it had no effect,
+// although a commit of it without a reply took effect, because the job cannot be read again.
+func TestCancelWithoutReplyIsUnknown(t *testing.T) {
+	s := standin.NewTransactions()
+	g, cfg := markedEntry(s)
+	require.NoError(t, g.writeJob(context.Background(), cfg, testJob(), new(uint64)))
+	g.cfg.Store = &cancelsLost{g.cfg.Store, g.cfg.Store}
+	c := testCall(nil)
+	c.Deadline = time.Now().Add(300 * time.Millisecond)
+	require.Equal(t, rosemarysill.OutcomeUnknown, rosemarysill.CodeOf(g.Cancel(context.Background(), c)))
+	require.Len(t, s.Keys(jobstore.CancelKey("")), 1)
+}
+
+// Guards against a job that runs after it was refused at the limit of jobs on record,
+// because an earlier write of it takes effect late.
+func TestLateWriteOfJobBeyondLimitFails(t *testing.T) {
+	s := standin.NewTransactions()
+	s.LateBy = 300 * time.Millisecond
+	g, cfg := markedEntry(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); g.cfg.Cache.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	other := testJob()
+	other.ID = "0000000000000002"
+	require.NoError(t, g.writeJob(ctx, cfg, other, new(uint64)))
+	require.Eventually(t, func() bool { return g.cfg.Cache.NumJobs() == 1 }, 10*time.Second, time.Millisecond)
+	g.cfg.MaxJobs = 1
+	s.SetFault("entry", standin.Late)
+	require.ErrorIs(t, g.writeJob(ctx, cfg, testJob(), new(uint64)), rosemarysill.ErrStoreUnavailable)
+	s.SetFault("entry", standin.Healthy)
+	var marked bool
+	err := g.Submit(ctx, testCall(&marked), func() (*work.Job, error) { return testJob(), nil })
+	require.Equal(t, rosemarysill.QueueFull, rosemarysill.CodeOf(err))
+	require.True(t, marked)
+	time.Sleep(2 * s.LateBy) // the late write is executed
+	require.Equal(t, []string{jobstore.JobKey(other.ID)}, s.Keys(jobstore.JobKey("")), "the refused job is on record")
+}
+
+// markedMeanwhile is a store whose first commit is refused, after another entry has refused
+// the same job.
+type markedMeanwhile struct {
+	rosemarysill.TransactionalStore
+	refuse func()
+}
+
+func (s *markedMeanwhile) Commit(ctx context.Context, c rosemarysill.Commit) (uint64, []rosemarysill.Item, error) {
+	if s.refuse != nil {
+		s.refuse()
+		s.refuse = nil
+		return 0, nil, rosemarysill.ErrStoreRefused
+	}
+	return s.TransactionalStore.Commit(ctx, c)
+}
+
+// Guards against a job that runs after it was refused, because an earlier try of it, whose
+// connection the caller has lost, is repeated at another entry and replaces the mark.
+func TestEarlierTryDoesNotReplaceMark(t *testing.T) {
+	refusal := rosemarysill.NewError(rosemarysill.NoCapacity, "test")
+	for name, tc := range map[string]struct {
+		repeated bool // by the relay of another entry
+	}{
+		"repeated at this entry": {},
+		"repeated by a relay":    {true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := standin.NewTransactions()
+			g, _ := markedEntry(s)
+			other := New(g.cfg)
+			other.cfg.Store = s.View("other")
+			refuse := func() {
+				require.ErrorIs(t, other.refuseMarked(context.Background(), testCall(nil), testJobID, refusal), refusal)
+			}
+			var marked bool
+			c := testCall(&marked)
+			if c.Repeated = tc.repeated; tc.repeated {
+				refuse()
+			} else {
+				g.cfg.Store = &markedMeanwhile{g.cfg.Store, refuse}
+			}
+			err := g.Submit(context.Background(), c, func() (*work.Job, error) { return testJob(), nil })
+			require.Equal(t, rosemarysill.Overloaded, rosemarysill.CodeOf(err))
+			require.True(t, marked)
+			require.Empty(t, s.Keys(jobstore.JobKey("")), "the refused job is on record")
+			require.Len(t, s.Keys(jobstore.MarkKey("")), 1)
+
+			// The next try of the caller is accepted.
+			require.NoError(t, other.Submit(context.Background(), testCall(nil), func() (*work.Job, error) { return testJob(), nil }))
+			require.Len(t, s.Keys(jobstore.JobKey("")), 1)
+		})
+	}
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -103,16 +103,26 @@
 		c.listener.gate.counters.open.Add(-1)
 		if c.messages != nil {
 			c.listener.gate.rpcConns.CompareAndDelete(rpcConnKey(c.LocalAddr(), c.RemoteAddr()), c)
-			c.listener.gate.release(c.listener.gate.messages, c.messages)
+			c.listener.gate.close(c.listener.gate.messages, c.messages)
 		}
 	})
 	return c.Conn.Close()
 }
 
-func (c *Conn) begin() {
+// CloseWrite ends the connection towards the client. net/http uses it after an answer to a
+// request that it has not read completely; closing alone would reset the connection, and
+// the client might lose the answer.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+func (c *Conn) begin() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.listener.table.begin(c)
+	return c.listener.table.begin(c)
 }
 
 // ConnState is for http.Server.ConnState. It ends the execution of a request that may
--- a/leader/place.go
+++ b/leader/place.go
@@ -27,10 +27,7 @@
 		t.restartSlowRun(nil, now)
 		return
 	}
-	fleet := t.fleet(guaranteed, now)
-	t.endWaits(units, fleet, now)
-	t.requireSpeeds(units, fleet, now)
-	t.addShares(units, guaranteed)
+	fleet := t.describeFleet(units, guaranteed, now)
 	plan := schedule.Decide(fleet, units, t.urgentUse.Expected())
 	t.observeWithheld(plan.Withheld, now)
 	t.preempt(plan.Stops)
@@ -46,6 +43,16 @@
 	}
 }
 
+// describeFleet returns the workers for a scheduling pass, and completes what the units
+// need of them.
+func (t *term) describeFleet(units []*schedule.Unit, guaranteed map[string]bool, now time.Time) []*schedule.Worker {
+	fleet := t.fleet(guaranteed, now)
+	t.endWaits(units, fleet, now)
+	t.requireSpeeds(units, fleet, now)
+	t.addShares(units, guaranteed)
+	return fleet
+}
+
 // urgentCores returns the size of the work of priority 0 that runs or waits. Waiting
 // units that have expired are left out: they may never fit, and would keep that capacity
 // free for as long as they wait.
@@ -195,9 +202,9 @@
 		MustStartNow: guaranteed && now.Sub(queuedSince(s.job, occurrence)) > t.cfg.ReclaimTimeout/2,
 		Deferrable:   t.isDeferrable(s, occurrence, now),
 		Timeliness:   t.timeliness(s, occurrence, now),
-		StopTime:     t.cfg.StopGrace,
-		Duration:     t.taskDuration(s.job, step),
-		FleetTime:    t.fleetTime(s.job, step),
+		StopTime:     t.cfg.StopGrace, SpreadSlowdown: t.cfg.RemoteSlowdown,
+		Duration:  t.taskDuration(s.job, step),
+		FleetTime: t.fleetTime(s.job, step),
 	}
 	if gang && len(waiting) < len(tasks) && !t.markAsCompletion(&unit, tasks) {
 		return nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -108,8 +108,18 @@
 		}
 		return job, decodeErr
 	}
-	a := r.call(ctx, Request{Operation: Submit, Call: c}, func(ctx context.Context, req Request) Answer {
-		err := r.cfg.Local.Submit(ctx, req.Call, decodeOnce)
+	a := r.call(ctx, Request{Operation: Submit, Call: c}, func(_ context.Context, req Request) Answer {
+		// The time of the attempt begins when the body has arrived, which may take all of
+		// the caller's time but what the store needs.
+		attemptCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		timeout := time.AfterFunc(req.Remaining, cancel)
+		defer timeout.Stop()
+		err := r.cfg.Local.Submit(attemptCtx, req.Call, func() (*work.Job, error) {
+			timeout.Stop()
+			defer timeout.Reset(req.Remaining)
+			return decodeOnce()
+		})
 		return Answer{Code: rosemarysill.CodeOf(err), Detail: rosemarysill.DetailOf(err), RetryAfter: rosemarysill.RetryAfterOf(err)}
 	}, func(req *Request) error {
 		j, err := decodeOnce()
@@ -179,6 +189,7 @@
 			break
 		}
 		sent := time.Now()
+		req.Call.Repeated = reachable || i > 0
 		a := attempt(ctx, req, deadline, func(ctx context.Context, req Request) Answer { return r.forward(ctx, peer, req) })
 		r.report(req, peer, a, reason, contactAge, time.Since(sent))
 		said.add(a)
--- a/schedule/decide_test.go
+++ b/schedule/decide_test.go
@@ -121,6 +121,7 @@
 			})
 			unit.Duration = time.Duration(drawInt(0, 5, "duration")) * time.Second
 			unit.Waited = time.Duration(drawInt(0, 5, "waited")) * time.Second
+			unit.SpreadSlowdown = float64(drawInt(0, 3, "spread slowdown"))
 			unit.StopTime, unit.Density = time.Second, float64(drawInt(0, 2, "density"))
 		}
 		unit.AvoidsRecentStarts = unit.Isolated && drawOneIn(2, "waits")
--- a/schedule/reference_test.go
+++ b/schedule/reference_test.go
@@ -117,6 +117,17 @@
 	if u.mayPreempt() && (p.reserveIn(u, sets) || p.preemptIn(u, sets, nil)) {
 		return
 	}
+	if spread != nil && u.mayPreempt() && !u.Guaranteed && !u.AnyRack && u.Forecast.Known() {
+		slowed := u.Forecast
+		slowed.Remaining = time.Duration(float64(slowed.Remaining) * max(1, u.SpreadSlowdown))
+		if wait, chosen := p.soonestFit(u, sets); chosen != nil && u.Forecast.Loss(max(wait, u.Waited)) < slowed.Loss(0) {
+			for _, w := range chosen {
+				w.reserve(Demand(u.step()))
+				u.TasksByWorker[w.ID]++
+			}
+			return
+		}
+	}
 	if p.startIn(u, spread) {
 		return
 	}
@@ -603,7 +614,7 @@
 		p.commit(best)
 		return true
 	}
-	if chosen == nil || u.Forecast.Loss(wait)-u.Forecast.Loss(0) > maxWaitLoss*u.Forecast.LateLoss {
+	if chosen == nil || u.AnyRack || u.Forecast.Loss(wait)-u.Forecast.Loss(0) > maxWaitLoss*u.Forecast.LateLoss {
 		return false
 	}
 	for _, w := range chosen {
--- a/schedule/unit.go
+++ b/schedule/unit.go
@@ -21,6 +21,11 @@
 	Expired                    // so late that users rate it like a job that was not done
 )
 
+// String returns the name of the value.
+func (t Timeliness) String() string {
+	return [...]string{"OnTime", "AtRisk", "Expiring", "Late", "Expired"}[t]
+}
+
 // Unit is a gang or a single task: its tasks are placed all together or not at all.
 type Unit struct {
 	Job                *work.Job
@@ -46,6 +51,7 @@
 	Density            float64           // value lost per second of delay and core-second of its step
 	Duration           time.Duration     // expected duration of a task; 0 if unknown
 	Waited             time.Duration     // since the unit could start
+	SpreadSlowdown     float64           // factor by which the unit takes longer on several racks, or away from its data; 0 counts as 1
 	StopTime           time.Duration     // within which a run that is preempted for the unit ends
 	Share              *Share            // of the client account in the service; nil if it does not count
 	beyondShare        bool              // the account uses its share without the unit; set by sortUnits
@@ -56,6 +62,10 @@
 	Tickets            map[string]string // by worker; an advised job runs only where it has one
 }
 
+// BeyondShare reports whether the client account uses its share without the unit. It is
+// known after a pass.
+func (u *Unit) BeyondShare() bool { return u.beyondShare }
+
 func (u *Unit) step() work.Step { return u.Job.Steps[u.Step] }
 
 // satisfiesRackAffinity reports whether the worker is in the rack that the unit is
@@ -218,8 +228,9 @@
 }
 
 // minHoldLoss is the share of what lateness costs a batch gang that it is expected to lose
-// before capacity is held for it.
-const minHoldLoss = 0.05
+// before capacity is held for it. With 0.05, capacity was held so early that in replays of
+// overload more single tasks became late than gangs were in time.
+const minHoldLoss = 0.3
 
 // slackRunsOut reports whether a unit that is expected to fit after the wait loses by
 // waiting without a reservation. Other work takes what becomes free meanwhile, so that the
