--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -103,7 +103,7 @@
 	if chosen == nil || u.Forecast.Loss(u.expectedWait(wait)) >= u.Forecast.Slowed(u.SpreadSlowdown).Loss(0) {
 		return false
 	}
-	p.reserve(u, chosen)
+	p.await(u, chosen)
 	return true
 }
 
