leader, schedule: share code that the explanation and the moves had copied

Cause: the explanation had its own copy of the conditions under which a worker gets tasks, so that the two could come to differ. The preemption repeated the marking of a stopping run, and moveRuns repeated the search of cheapestPreemption.

Change: isSchedulable asks closedBy, markStopping serves stop and preempt, and cheapestPreemption takes the shared places that moveRuns needs. One test comment is reworded. The behaviour stays the same, except that the stream of a preempted worker is woken before the log line instead of after it.

--- a/leader/explain.go
+++ b/leader/explain.go
@@ -25,15 +25,6 @@
 	explanationInterval = 500 * time.Millisecond
 )
 
-// Reasons for which a worker is not schedulable.
-const (
-	closedByDomain   schedule.Reason = "DomainOut"
-	closedByDraining schedule.Reason = "Draining"
-	closedBySilence  schedule.Reason = "Unresponsive" // it, or its agent
-	closedByHealth   schedule.Reason = "Avoided"      // after failures
-	closedByRefusal  schedule.Reason = "Closed"       // for some time after a refused start or for maintenance
-)
-
 // explanationLimit admits one explanation at a time.
 type explanationLimit struct {
 	mu      sync.Mutex
@@ -148,23 +139,3 @@
 	c.jobs[j.ID] = &jobState{job: j, progress: work.NewProgress(j)}
 	return c
 }
-
-// closedBy returns why a worker may not get tasks, or an empty string if that is not known
-// or it may.
-func (t *term) closedBy(w *workerState, now time.Time) schedule.Reason {
-	_, streaming := t.streams[w.Incarnation]
-	switch {
-	case t.cfg.Declarations.DomainOut(w.Domain):
-		return closedByDomain
-	case w.Draining:
-		return closedByDraining
-	case !streaming || w.Unresponsive || now.Sub(w.reportedAt) >= maxReportAge:
-		return closedBySilence
-	case w.health.isAvoided(now):
-		return closedByHealth
-	case !now.After(w.closedUntil) || !now.After(w.noCapacityUntil):
-		return closedByRefusal
-	default:
-		return ""
-	}
-}
--- a/leader/fleet.go
+++ b/leader/fleet.go
@@ -43,11 +43,35 @@
 // maxReportAge is the age of the last report beyond which a worker gets no tasks.
 const maxReportAge = time.Second
 
+// Reasons for which a worker is not schedulable.
+const (
+	closedByDomain   schedule.Reason = "DomainOut"
+	closedByDraining schedule.Reason = "Draining"
+	closedBySilence  schedule.Reason = "Unresponsive" // it, or its agent
+	closedByHealth   schedule.Reason = "Avoided"      // after failures
+	closedByRefusal  schedule.Reason = "Closed"       // for some time after a refused start or for maintenance
+)
+
 // isSchedulable reports whether a worker may get tasks.
-func (t *term) isSchedulable(w *workerState, now time.Time) bool {
+func (t *term) isSchedulable(w *workerState, now time.Time) bool { return t.closedBy(w, now) == "" }
+
+// closedBy returns why a worker may not get tasks, or an empty string if it may.
+func (t *term) closedBy(w *workerState, now time.Time) schedule.Reason {
 	_, streaming := t.streams[w.Incarnation]
-	return streaming && !w.Draining && !w.Unresponsive && now.After(w.closedUntil) && now.After(w.noCapacityUntil) && now.Sub(w.reportedAt) < maxReportAge &&
-		!t.cfg.Declarations.DomainOut(w.Domain) && !w.health.isAvoided(now)
+	switch {
+	case t.cfg.Declarations.DomainOut(w.Domain):
+		return closedByDomain
+	case w.Draining:
+		return closedByDraining
+	case !streaming || w.Unresponsive || now.Sub(w.reportedAt) >= maxReportAge:
+		return closedBySilence
+	case w.health.isAvoided(now):
+		return closedByHealth
+	case !now.After(w.closedUntil) || !now.After(w.noCapacityUntil):
+		return closedByRefusal
+	default:
+		return ""
+	}
 }
 
 // describeRun describes a run on a worker for the scheduling pass. It reports false if
--- a/leader/forecast.go
+++ b/leader/forecast.go
@@ -6,7 +6,6 @@
 	"github.com/rosemarysill/rosemarysill/delay"
 	"github.com/rosemarysill/rosemarysill/event"
 	"github.com/rosemarysill/rosemarysill/schedule"
-	"github.com/rosemarysill/rosemarysill/uptime"
 	"github.com/rosemarysill/rosemarysill/work"
 )
 
@@ -144,12 +143,8 @@
 		s.preempted[stop.Task]++
 		s.preemptions++
 		t.cfg.Meter.ObservePreemption(s.job.Priority, stop.Cost)
-		task.Stopping = true
-		if w := t.workers[task.Worker]; w != nil {
-			w.stopRequestedAt[stop.RunKey] = uptime.Now()
-		}
+		t.markStopping(stop.RunKey, task)
 		event.LeaderStopped.Log(t.cfg.Log).Str("Job", stop.Task.Job).Stringer("Run", stop.RunKey).Str("Worker", task.Worker).Str("Why", "preempted by a more urgent job").
 			Str("For", stop.For).Float64("Cost", stop.Cost).Int("Priority", s.job.Priority).Int("Preemptions", s.preempted[stop.Task]).Send()
-		t.wakeStream(task.Worker)
 	}
 }
--- a/leader/progress_test.go
+++ b/leader/progress_test.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// Guards against runs that stand still for good and are not stopped, or long after.
+// Guards against stalled runs that are never stopped, or are stopped too late.
 func TestStalledRunIsStopped(t *testing.T) {
 	until := func(last int, f func(int) int) func(int) int {
 		return func(ms int) int { return f(min(ms, last)) }
--- a/leader/term.go
+++ b/leader/term.go
@@ -181,16 +181,21 @@
 // stopEndedJob stops all runs of a job that has ended.
 func (t *term) stopEndedJob(s *jobState) { t.stopAll(s, "the job is "+string(s.progress.State)) }
 
-// stop marks a run as stopping and wakes the stream of its worker.
+// stop stops a run and logs the reason, unless it is stopping already.
 func (t *term) stop(k work.RunKey, task *work.Task, reason string) {
 	if task.Stopping {
 		return
 	}
+	t.markStopping(k, task)
+	event.LeaderStopped.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", task.Worker).Str("Why", reason).Send()
+}
+
+// markStopping marks a run as stopping and wakes the stream of its worker.
+func (t *term) markStopping(k work.RunKey, task *work.Task) {
 	task.Stopping = true
 	if w := t.workers[task.Worker]; w != nil {
 		w.stopRequestedAt[k] = uptime.Now()
 	}
-	event.LeaderStopped.Log(t.cfg.Log).Str("Job", k.Task.Job).Stringer("Run", k).Str("Worker", task.Worker).Str("Why", reason).Send()
 	t.wakeStream(task.Worker)
 }
 
--- a/schedule/hold.go
+++ b/schedule/hold.go
@@ -26,7 +26,7 @@
 	}
 	if limit := u.avoidedLoss(wait); limit > 0 && p.batchSearches < maxBatchSearches {
 		p.batchSearches++
-		if best := p.cheapestPreemption(u, sets, limit); best != nil {
+		if best := p.cheapestPreemption(u, sets, limit, nil); best != nil {
 			p.commit(u, best)
 			return
 		}
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -58,14 +58,7 @@
 	if !u.Guaranteed || (!u.MustStartNow && u.Timeliness == OnTime) {
 		return false
 	}
-	p.indexRuns()
-	var best *preemption
-	limit, shared := math.Inf(1), make(places)
-	for _, set := range slices.Concat(sets, spread) {
-		if candidate := p.planPreemption(u, set, limit, shared); candidate != nil {
-			best, limit = candidate, candidate.cost
-		}
-	}
+	best := p.cheapestPreemption(u, slices.Concat(sets, spread), math.Inf(1), make(places))
 	if best == nil {
 		return false
 	}
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -82,7 +82,7 @@
 		wait = u.expectedWait(wait)
 		limit = min(limit, u.avoidedLoss(wait))
 	}
-	if best := p.cheapestPreemption(u, sets, limit); best != nil {
+	if best := p.cheapestPreemption(u, sets, limit, nil); best != nil {
 		p.commit(u, best)
 		return true
 	}
@@ -124,12 +124,12 @@
 }
 
 // cheapestPreemption returns the preemption that costs least, or nil if none costs less
-// than the limit.
-func (p *pass) cheapestPreemption(u *Unit, sets [][]*workerState, limit float64) *preemption {
+// than the limit. With shared places, it may also move runs of the account of the unit.
+func (p *pass) cheapestPreemption(u *Unit, sets [][]*workerState, limit float64, shared places) *preemption {
 	p.indexRuns()
 	var best *preemption
 	for _, set := range sets {
-		if candidate := p.planPreemption(u, set, limit, nil); candidate != nil {
+		if candidate := p.planPreemption(u, set, limit, shared); candidate != nil {
 			best, limit = candidate, candidate.cost
 		}
 	}
