intake: a connection counts until the server has ended it

Callers saw: clients that open a new connection as soon as theirs is closed took an entry over the memory of its machine, which ends it there, and ordinary callers beside them got no answer.

Cause: a connection that was closed for another left the table at once, while its goroutine, its buffers and its body lived on; nothing counted them. With a large body outstanding net/http moreover keeps a connection for 500 ms after the answer, whether it is still open or not.

Change: Accept returns a connection in place of another when the server has closed that one. A request with a large body outstanding is answered and drained by the limits, which can end early. message.Server makes its own checks behind the gate, so that this holds for it too.

Tests: TestListenerReplaces and TestReplacedConnectionRunsNothing accepted the next connection while the server still held the replaced one, which is the fault; they now require that Accept waits for it. TestWhichConnectionGivesWay has times and closes the victim.

--- a/clientload/crowd_test.go
+++ b/clientload/crowd_test.go
@@ -1,10 +1,12 @@
 package clientload_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
@@ -22,6 +24,12 @@
 	connections = 600
 	// bodyBytes is the largest legal body on the platform's interface.
 	bodyBytes = 262_144
+	// repeats is the number of requests that are sent one after another on a connection.
+	repeats = 50
+	// dribbleInterval is the interval between the bytes of a body that arrives byte by byte,
+	// and maxDribbled bounds their number.
+	dribbleInterval = 50 * time.Millisecond
+	maxDribbled     = 200
 	// pipelined is the number of questions on one connection whose answers nobody reads.
 	pipelined = 200
 	// sendTimeout bounds the time for which a crowd sends.
@@ -65,6 +73,27 @@
 	return err == nil
 }
 
+// writeAll sends parts of a request without copying them.
+func writeAll(c net.Conn, parts ...[]byte) bool {
+	b := net.Buffers(parts)
+	_, err := b.WriteTo(c)
+	return err == nil
+}
+
+// readAnswer reads an answer. It returns false if there is none or the server ends the
+// connection after it.
+func readAnswer(c net.Conn, r *bufio.Reader) bool {
+	if c.SetReadDeadline(time.Now().Add(sendTimeout)) != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && !resp.Close
+}
+
 // request is the target of a crowd: the first lines of its requests.
 type request struct {
 	post func(i int) string // request line and headers of a submission, without the last empty line
@@ -136,7 +165,10 @@
 // crowds are the ways in which a connection uses a server over HTTP/1.1.
 var crowds = map[string]func(r request, i int, c net.Conn){
 	"body stops one byte short": func(r request, i int, c net.Conn) {
-		write(c, append(announced(r.post(i)), filler[:bodyBytes-1]...))
+		writeAll(c, announced(r.post(i)), filler[:bodyBytes-1])
+	},
+	"body over the limit": func(r request, i int, c net.Conn) {
+		writeAll(c, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", r.post(i), 8*bodyBytes), filler[:16<<10])
 	},
 	"body in pieces stops one byte short": func(r request, i int, c net.Conn) {
 		ok := write(c, announced(r.post(i)))
@@ -161,6 +193,31 @@
 		write(c, []byte(r.post(i)+"Pad: "+strings.Repeat("x", 8<<10)))
 	},
 	"idle": func(request, int, net.Conn) {},
+	"whole bodies beside bodies that stop": func(r request, i int, c net.Conn) {
+		body := r.job(i)
+		write(c, append(announced(r.post(i)), body[:len(body)-i%2]...))
+	},
+	"whole bodies one after another": func(r request, i int, c net.Conn) {
+		answers := bufio.NewReader(c)
+		for n := range repeats {
+			id := i*repeats + n
+			if !write(c, append(announced(r.post(id)), r.job(id)...)) || !readAnswer(c, answers) {
+				return
+			}
+		}
+	},
+	"question and then a body that stops": func(r request, i int, c net.Conn) {
+		if write(c, []byte(r.get(i))) && readAnswer(c, bufio.NewReader(c)) {
+			write(c, append(announced(r.post(i)), filler[:bodyBytes-1]...))
+		}
+	},
+	"a byte at a time": func(r request, i int, c net.Conn) {
+		ok := write(c, append(announced(r.post(i)), filler[:bodyBytes/2]...))
+		for n := 0; ok && n < maxDribbled; n++ {
+			time.Sleep(dribbleInterval)
+			ok = write(c, filler[:1])
+		}
+	},
 	"pipelined questions": func(r request, i int, c net.Conn) {
 		write(c, []byte(strings.Repeat(r.get(i), pipelined)))
 	},
--- a/clientload/load_test.go
+++ b/clientload/load_test.go
@@ -111,12 +111,15 @@
 	defer p.check(t)
 	open(t, n.Ready, connections, func(int, net.Conn) {})
 	requireAnswer(t, func() error { return submit(n.Callers) })
-	requireAnswer(t, func() error {
-		if s := httpStatus(n.Ready, "/ready"); s != http.StatusOK {
-			return fmt.Errorf("status %d", s)
-		}
-		return nil
-	})
+	requireAnswer(t, func() error { return isReady(n.Ready) })
+}
+
+// isReady asks whether an entry accepts requests.
+func isReady(a netip.AddrPort) error {
+	if s := httpStatus(a, "/ready"); s != http.StatusOK {
+		return fmt.Errorf("status %d", s)
+	}
+	return nil
 }
 
 // Guards against an agent that exceeds its limits because of connections to the address
--- a/clientload/process_test.go
+++ b/clientload/process_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -27,8 +28,8 @@
 	"github.com/rosemarysill/rosemarysill/standin"
 )
 
-// Limits of the machine in the settings of each process. The memory is below what
-// connections times bodyBytes needs, the descriptors are below connections.
+// Limits of the machine in the settings of a process, unless a test has others. The memory
+// is below what connections times bodyBytes needs, the descriptors are below connections.
 const (
 	memoryMB       = 96
 	maxDescriptors = 512
@@ -66,9 +67,11 @@
 
 // process is a running process of the program.
 type process struct {
-	cmd    *exec.Cmd
-	exited chan struct{}
-	ports  []uint16 // on which it listens
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	ports    []uint16 // on which it listens
+	memoryMB int64    // of its machine
+	files    int      // descriptors of its machine
 
 	mu          sync.Mutex
 	maxMemory   int64 // highest sum of resident memory and unread bytes
@@ -77,13 +80,16 @@
 }
 
 // start starts the program and kills it at the end of the test.
-func start(t *testing.T, environment string, ports []uint16, args ...string) *process {
+func start(t *testing.T, memoryMB int64, files int, environment string, ports []uint16, args ...string) *process {
 	t.Helper()
 	path, err := buildProgram()
 	require.NoError(t, err)
 	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	require.NoError(t, err)
-	p := &process{cmd: exec.Command(path, args...), exited: make(chan struct{}), ports: ports, stopSampler: make(chan struct{})}
+	p := &process{
+		cmd: exec.Command(path, args...), exited: make(chan struct{}), ports: ports, memoryMB: memoryMB, files: files,
+		stopSampler: make(chan struct{}),
+	}
 	p.cmd.Env = append(os.Environ(), environment)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	require.NoError(t, p.cmd.Start())
@@ -207,17 +213,17 @@
 	p.mu.Lock()
 	memory, files := p.maxMemory, p.maxFiles
 	p.mu.Unlock()
-	t.Logf("memory %d MiB, limit %d; descriptors %d, limit %d", memory>>20, memoryMB, files, maxDescriptors)
+	t.Logf("memory %d MiB, limit %d; descriptors %d, limit %d", memory>>20, p.memoryMB, files, p.files)
 	select {
 	case <-p.exited:
 		t.Errorf("the process has exited: %v", p.cmd.ProcessState)
 	default:
 	}
-	if memory > memoryMB<<20 {
-		t.Errorf("memory is %d MiB, over the limit of %d MiB", memory>>20, memoryMB)
+	if memory > p.memoryMB<<20 {
+		t.Errorf("memory is %d MiB, over the limit of %d MiB", memory>>20, p.memoryMB)
 	}
-	if files > maxDescriptors {
-		t.Errorf("%d descriptors are open, over the limit of %d", files, maxDescriptors)
+	if files > p.files {
+		t.Errorf("%d descriptors are open, over the limit of %d", files, p.files)
 	}
 }
 
@@ -228,13 +234,9 @@
 	return a
 }
 
-// startNode starts an entry or an agent on the platform's interface.
-func startNode(t *testing.T, n platform.Node) *process {
+// newStore returns a store that holds the configuration.
+func newStore(t *testing.T) *standin.Transactions {
 	t.Helper()
-	n.Name, n.Domain, n.IP = "node0", "d0", n.Internal.Addr()
-	n.LeaseMin, n.ShutdownGrace, n.StatusRetention, n.KeyRevocationDelay = time.Second, 2*time.Second, time.Minute, 5*time.Second
-	n.StopGrace, n.GangWait, n.ReclaimTimeout = 100*time.Millisecond, 3*time.Second, 3*time.Second
-	n.MemoryMB, n.MaxDescriptors, n.Cores = memoryMB, maxDescriptors, 0.5
 	store := standin.NewTransactions()
 	documentKey, document, err := platform.EncodeConfiguration(&queue.Configuration{
 		Version:  1,
@@ -244,6 +246,17 @@
 	})
 	require.NoError(t, err)
 	store.Put(documentKey, document)
+	return store
+}
+
+// startNode starts an entry or an agent on the platform's interface.
+func startNode(t *testing.T, store *standin.Transactions, n platform.Node) *process {
+	t.Helper()
+	n.Domain, n.IP = "d0", n.Internal.Addr()
+	n.LeaseMin, n.ShutdownGrace, n.StatusRetention = time.Second, 2*time.Second, time.Minute
+	n.KeyRevocationDelay = cmp.Or(n.KeyRevocationDelay, 5*time.Second)
+	n.StopGrace, n.GangWait, n.ReclaimTimeout = 100*time.Millisecond, 3*time.Second, 3*time.Second
+	n.MemoryMB, n.MaxDescriptors, n.Cores = cmp.Or(n.MemoryMB, memoryMB), cmp.Or(n.MaxDescriptors, maxDescriptors), 0.5
 	server := httptest.NewServer(platform.StoreHandler(store.View(n.Name)))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	n.Store = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
@@ -257,24 +270,30 @@
 			ports = append(ports, a.Port())
 		}
 	}
-	return start(t, platform.SettingsPathVariable+"="+path, ports, "node", "--metrics-port", "0")
+	return start(t, n.MemoryMB, n.MaxDescriptors, platform.SettingsPathVariable+"="+path, ports, "node", "--metrics-port", "0")
 }
 
 // startPlatformEntry starts an entry on the platform's interface and waits until it is
 // ready.
 func startPlatformEntry(t *testing.T) (*process, platform.Node) {
 	t.Helper()
-	n := platform.Node{Entry: true, Callers: freeAddress(t), Ready: freeAddress(t), Internal: freeAddress(t)}
-	p := startNode(t, n)
-	require.Eventually(t, func() bool { return httpStatus(n.Ready, "/ready") == http.StatusOK }, readyTimeout, 20*time.Millisecond)
+	return startPlatformEntryAs(t, newStore(t), platform.Node{Name: "node0"})
+}
+
+// startPlatformEntryAs starts an entry with the given store, name and limits.
+func startPlatformEntryAs(t *testing.T, store *standin.Transactions, n platform.Node) (*process, platform.Node) {
+	t.Helper()
+	n.Entry, n.Callers, n.Ready, n.Internal = true, freeAddress(t), freeAddress(t), freeAddress(t)
+	p := startNode(t, store, n)
+	require.Eventually(t, func() bool { return isReady(n.Ready) == nil }, readyTimeout, 20*time.Millisecond)
 	return p, n
 }
 
 // startPlatformAgent starts an agent on the platform's interface, without a worker.
 func startPlatformAgent(t *testing.T) (*process, platform.Node) {
 	t.Helper()
-	n := platform.Node{Agent: true, Control: freeAddress(t), Internal: freeAddress(t), Worker: freeAddress(t)}
-	p := startNode(t, n)
+	n := platform.Node{Name: "node0", Agent: true, Control: freeAddress(t), Internal: freeAddress(t), Worker: freeAddress(t)}
+	p := startNode(t, newStore(t), n)
 	require.Eventually(t, func() bool { return listens(n.Control) }, readyTimeout, 20*time.Millisecond)
 	return p, n
 }
@@ -291,7 +310,7 @@
 	settings := fmt.Sprintf("Name: entry0\nDomain: d0\nListen: {HTTP: %q, GRPC: %q}\nStore: %q\nLimits: {MemoryMB: %d, MaxDescriptors: %d, MaxBodyBytes: %d}\n",
 		callers, peers, store.Address(), memoryMB, maxDescriptors, bodyBytes)
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
-	p = start(t, "", []uint16{callers.Port(), peers.Port()}, "entry", path)
+	p = start(t, memoryMB, maxDescriptors, "", []uint16{callers.Port(), peers.Port()}, "entry", path)
 	require.Eventually(t, func() bool { return answersStatus(callers) == nil }, readyTimeout, 20*time.Millisecond)
 	return p, callers, peers
 }
--- a/intake/body.go
+++ b/intake/body.go
@@ -37,41 +37,10 @@
 	entered bool
 }
 
-// answerWriter sets the deadline for the client to read an answer when the handler begins
-// to write it. An answer larger than the buffers of net/http and of the kernel is written
-// while the handler runs.
-type answerWriter struct {
-	http.ResponseWriter
-	control *http.ResponseController
-	timeout time.Duration
-	begun   bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *answerWriter) WriteHeader(status int) {
-	w.begin()
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *answerWriter) Write(p []byte) (int, error) {
-	w.begin()
-	return w.ResponseWriter.Write(p)
-}
-
-// Unwrap is for http.ResponseController.
-func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-func (w *answerWriter) begin() {
-	if !w.begun {
-		w.begun = true
-		_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout)) // not supported by test recorders
-	}
-}
-
 func newShare(drop func()) *share {
-	now := time.Now()
-	return &share{began: now, last: now, drop: drop}
+	s := &share{drop: drop}
+	s.begin(time.Now())
+	return s
 }
 
 // enter begins the execution. It returns false if the request is refused.
@@ -109,6 +78,7 @@
 // that.
 func (q *request) finish(method string) {
 	if q.entered {
+		q.entered = false
 		q.slots.Leave()
 		switch {
 		case q.conn == nil:
@@ -159,7 +129,18 @@
 			return
 		}
 		q.writer = w
-		inner.ServeHTTP(&answerWriter{ResponseWriter: w, control: control, timeout: g.limits.AnswerTimeout}, r.WithContext(context.WithValue(r.Context(), requestKey{}, q)))
+		unread := &unreadBody{ReadCloser: r.Body}
+		r.Body = unread
+		answer := &answerWriter{ResponseWriter: w, control: control, timeout: g.limits.AnswerTimeout}
+		answer.held = q.conn != nil && outlastsAnswer(r)
+		inner.ServeHTTP(answer, r.WithContext(context.WithValue(r.Context(), requestKey{}, q)))
+		if answer.held && !unread.ended {
+			answer.flush()
+			q.finish(r.Method)
+			q.conn.drain()
+			panic(http.ErrAbortHandler) // ends the connection without the wait of net/http
+		}
+		answer.release()
 		_ = control.SetWriteDeadline(time.Now().Add(g.limits.AnswerTimeout))
 	})
 }
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -2,41 +2,16 @@
 
 import "time"
 
-const (
-	// stallTime is the time without new bytes after which a body counts as stalled.
-	stallTime = 100 * time.Millisecond
-	// minAge is the least age in the comparison of two bodies, so that one that has just
-	// begun is not compared by a rate over almost no time.
-	minAge = 10 * time.Millisecond
-)
-
 // share is the part of a budget that one body, or the messages of one connection, hold.
 type share struct {
+	arrival
 	held     int64 // bytes
-	received int64 // bytes since began
-	began    time.Time
-	last     time.Time // of the latest bytes
-	complete bool      // is not dropped for others
-	empty    bool      // nothing is held any more, so age and progress begin with the next bytes
+	complete bool  // is not dropped for others
+	empty    bool  // nothing is held any more, so age and progress begin with the next bytes
 	dropped  bool
 	drop     func() // ends the transfer; called without locks
 }
 
-// progress is the mean rate of a share in bytes per second.
-func (s *share) progress(now time.Time) float64 {
-	return float64(s.received) / max(now.Sub(s.began), minAge).Seconds()
-}
-
-// worse reports whether s gives way before o: stalled ones first, and then the one with
-// the least progress for its age.
-func (s *share) worse(o *share, now time.Time) bool {
-	stalled, other := now.Sub(s.last) >= stallTime, now.Sub(o.last) >= stallTime
-	if stalled != other {
-		return stalled
-	}
-	return s.progress(now) < o.progress(now)
-}
-
 // budget divides a number of bytes among shares. It is not safe for concurrent use.
 type budget struct {
 	free   int64
@@ -55,14 +30,14 @@
 		return nil, false
 	}
 	if s.empty {
-		s.empty, s.began, s.received = false, now, 0
+		s.empty = false
+		s.begin(now)
 	}
-	s.received += n
-	s.last = now
+	s.add(n, now)
 	for b.free < n {
 		worst := s
 		for o := range b.shares {
-			if o != s && !o.complete && o.held > 0 && o.worse(worst, now) {
+			if o != s && !o.complete && o.held > 0 && o.worse(&worst.arrival, now) {
 				worst = o
 			}
 		}
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -12,7 +12,8 @@
 
 // shareAt returns a share that has received n bytes between two times after epoch.
 func shareAt(b *budget, n int64, began, last time.Duration) *share {
-	s := &share{began: epoch.Add(began), last: epoch.Add(began)}
+	s := &share{}
+	s.begin(epoch.Add(began))
 	if n > 0 {
 		b.draw(s, n, epoch.Add(last))
 	}
@@ -97,7 +98,9 @@
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			if len(all) == 0 || rapid.IntRange(0, 3).Draw(t, "new") == 0 {
-				all = append(all, &share{began: now, last: now})
+				s := &share{}
+				s.begin(now)
+				all = append(all, s)
 			}
 			s := all[rapid.IntRange(0, len(all)-1).Draw(t, "share")]
 			switch rapid.IntRange(0, 3).Draw(t, "action") {
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -6,18 +6,24 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rosemarysill/rosemarysill/event"
 )
 
-// Listener accepts connections up to a limit. At the limit, a new connection replaces
-// the one that has had an unfinished request, or none, for longest.
+// Listener accepts connections up to a limit. At the limit, a new connection replaces one
+// that is not used: Accept closes that one and returns the new one when the server has ended
+// the other. So the limit counts all connections whose memory the server may still hold.
 type Listener struct {
 	net.Listener
 	gate *Gate
 	name string
 	rpc  bool
 
+	freed     chan struct{} // has an element after the server has ended a connection
+	closeOnce sync.Once
+	done      chan struct{} // closed by Close
+
 	mu    sync.Mutex
 	table *table
 }
@@ -25,7 +31,9 @@
 // Listen returns a listener with a limit of connections, for an HTTP server.
 func (g *Gate) Listen(l net.Listener, name string, limit int) *Listener {
 	limitUnread(l)
-	return &Listener{Listener: l, gate: g, name: name, table: newTable(limit)}
+	return &Listener{
+		Listener: l, gate: g, name: name, freed: make(chan struct{}, 1), done: make(chan struct{}), table: newTable(limit),
+	}
 }
 
 // limitUnread sets the receive buffer of a listening socket, which accepted sockets
@@ -56,12 +64,14 @@
 		c := &Conn{Conn: raw, listener: l}
 		if l.rpc {
 			c.scan = newFrameScanner()
-			c.messages = newShare(func() { _ = c.Close() })
+			c.messages = newShare(c.abort)
 		}
-		l.mu.Lock()
-		victim, ok := l.table.add(c)
-		l.mu.Unlock()
-		if !ok {
+		added, err := l.add(c)
+		if err != nil {
+			_ = raw.Close() // the error of the listener is the one to return
+			return nil, err
+		}
+		if !added {
 			_ = raw.Close() // nothing was read from it
 			l.gate.counters.rejected.Add(1)
 			event.IntakeRejected.Log(l.gate.log).Str("Server", l.name).Stringer("Client", raw.RemoteAddr()).Send()
@@ -71,23 +81,70 @@
 			l.gate.rpcConns.Store(rpcConnKey(c.LocalAddr(), c.RemoteAddr()), c)
 		}
 		l.gate.counters.open.Add(1)
+		return c, nil
+	}
+}
+
+// add adds a connection to the table. At the limit it closes another one and waits until
+// the server has ended it. It returns false if no other may be closed.
+func (l *Listener) add(c *Conn) (bool, error) {
+	for {
+		now := time.Now()
+		l.mu.Lock()
+		added := l.table.add(c, now)
+		var victim *Conn
+		var retry time.Time
+		if !added {
+			victim, retry = l.table.victim(now)
+		}
+		l.mu.Unlock()
+		if added || retry.IsZero() {
+			return added, nil
+		}
 		if victim != nil {
 			l.gate.counters.replaced.Add(1)
 			event.IntakeReplaced.Log(l.gate.log).Str("Server", l.name).Stringer("Client", victim.RemoteAddr()).Send()
-			_ = victim.Close() // the server that reads from it gets an error
+			victim.abort() // the server that reads from it gets an error
 		}
-		return c, nil
+		wait := time.NewTimer(retry.Sub(now))
+		select {
+		case <-l.freed:
+		case <-wait.C:
+		case <-l.done:
+			wait.Stop()
+			return false, net.ErrClosed
+		}
+		wait.Stop()
 	}
 }
 
+// free wakes Accept after a connection has been removed from the table.
+func (l *Listener) free() {
+	l.gate.counters.open.Add(-1)
+	select {
+	case l.freed <- struct{}{}:
+	default:
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { close(l.done) })
+	return l.Listener.Close()
+}
+
 // Conn is an accepted connection.
 type Conn struct {
 	net.Conn
 	listener  *Listener
 	closeOnce sync.Once
 
+	// The table of the listener uses these.
 	position  *list.Element // in the list of connections that may be closed; nil if it is not there
 	executing int           // number of requests that are being executed
+	closing   bool          // was closed for another
+	closed    bool          // by the server
+	arrival   arrival       // of the present request
 
 	// answering reports that a request has ended and its answer may not have been written.
 	// Only the goroutine of net/http that serves the connection uses it.
@@ -97,16 +154,29 @@
 	messages *share        // incomplete gRPC messages
 }
 
-// Close implements net.Conn.
+// abort ends the connection towards the client. It counts until the server has closed it,
+// because the server holds memory for it until then.
+func (c *Conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // otherwise the kernel keeps the bytes that the client has not read
+	}
+	_ = c.Conn.Close() // the client may have closed it
+}
+
+// Close implements net.Conn. The server calls it when it holds no memory of the connection
+// any more.
 func (c *Conn) Close() error {
 	c.closeOnce.Do(func() {
-		c.listener.mu.Lock()
-		c.listener.table.remove(c)
-		c.listener.mu.Unlock()
-		c.listener.gate.counters.open.Add(-1)
+		l := c.listener
+		l.mu.Lock()
+		gone := l.table.close(c, l.rpc)
+		l.mu.Unlock()
+		if gone {
+			l.free()
+		}
 		if c.messages != nil {
-			c.listener.gate.rpcConns.CompareAndDelete(rpcConnKey(c.LocalAddr(), c.RemoteAddr()), c)
-			c.listener.gate.close(c.listener.gate.messages, c.messages)
+			l.gate.rpcConns.CompareAndDelete(rpcConnKey(c.LocalAddr(), c.RemoteAddr()), c)
+			l.gate.close(l.gate.messages, c.messages)
 		}
 	})
 	return c.Conn.Close()
@@ -122,6 +192,13 @@
 	return nil
 }
 
+// receive records that bytes have arrived.
+func (c *Conn) receive(n int) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.listener.table.receive(c, n, time.Now())
+}
+
 func (c *Conn) begin() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
@@ -139,7 +216,11 @@
 }
 
 func (c *Conn) end() {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.listener.table.end(c)
+	l := c.listener
+	l.mu.Lock()
+	gone := l.table.end(c, time.Now())
+	l.mu.Unlock()
+	if gone {
+		l.free()
+	}
 }
--- a/intake/rpc.go
+++ b/intake/rpc.go
@@ -44,18 +44,22 @@
 // that is dropped loses its connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.scan == nil || n == 0 {
+	if n == 0 {
+		return n, err
+	}
+	c.receive(n)
+	if c.scan == nil {
 		return n, err
 	}
 	gate, before := c.listener.gate, c.scan.held
 	if !c.scan.feed(p[:n]) {
-		_ = c.Close() // the client has more streams than it may have
+		c.abort() // the client has more streams than it may have
 		return 0, net.ErrClosed
 	}
 	switch change := c.scan.held - before; {
 	case change > 0:
 		if !gate.draw(gate.messages, c.messages, change, "message") {
-			_ = c.Close() // the message was not handled
+			c.abort() // the message was not handled
 			return 0, net.ErrClosed
 		}
 	case change < 0:
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -119,7 +119,7 @@
 	client, server := net.Pipe()
 	defer func() { _ = client.Close() }()
 	c := &Conn{Conn: server, listener: l}
-	l.table.add(c)
+	require.True(t, l.table.add(c, time.Now()))
 	for method, replaceable := range map[string]bool{http.MethodGet: true, http.MethodPost: false, http.MethodDelete: false} {
 		h := g.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			require.Zero(t, l.table.waiting.Len())
@@ -141,7 +141,7 @@
 		client, server := net.Pipe()
 		defer func() { _ = client.Close() }()
 		c := &Conn{Conn: server, listener: l}
-		l.table.add(c)
+		require.True(t, l.table.add(c, time.Now()))
 		slots := g.NewSlots("test", 1)
 		ran := 0
 		h := g.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
@@ -188,22 +188,40 @@
 // Guards against a request that runs although its connection was closed for another just
 // before, which tells the client that it has not run.
 func TestReplacedConnectionRunsNothing(t *testing.T) {
-	g := NewGate(testLimits, zerolog.Nop())
-	l := g.Listen(&pipeListener{}, "test", 1)
-	first, err := l.Accept()
-	require.NoError(t, err)
-	_, err = l.Accept()
-	require.NoError(t, err)
-	slots := g.NewSlots("test", 1)
-	for name, body := range map[string]io.Reader{"without body": http.NoBody, "with body": strings.NewReader("x")} {
-		h := g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, err := Read(w, r, 90, time.Now().Add(time.Hour))
-			require.Equal(t, rosemarysill.Overloaded, rosemarysill.CodeOf(err), name)
-		}), slots, Refuse)
-		r := httptest.NewRequest(http.MethodPost, "/", body)
-		h.ServeHTTP(httptest.NewRecorder(), r.WithContext(ConnContext(r.Context(), first.(*Conn))))
-		require.Empty(t, slots.taken, name)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(testLimits, zerolog.Nop())
+		l := g.Listen(&pipeListener{}, "test", 1)
+		first, err := l.Accept()
+		require.NoError(t, err)
+		time.Sleep(stallTime)
+		second := acceptNext(l)
+		_, err = first.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.ErrClosedPipe)
+		slots := g.NewSlots("test", 1)
+		for name, body := range map[string]io.Reader{"without body": http.NoBody, "with body": strings.NewReader("x")} {
+			h := g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, err := Read(w, r, 90, time.Now().Add(time.Hour))
+				require.Equal(t, rosemarysill.Overloaded, rosemarysill.CodeOf(err), name)
+			}), slots, Refuse)
+			r := httptest.NewRequest(http.MethodPost, "/", body)
+			h.ServeHTTP(httptest.NewRecorder(), r.WithContext(ConnContext(r.Context(), first.(*Conn))))
+			require.Empty(t, slots.taken, name)
+		}
+		require.NoError(t, first.Close())
+		require.NoError(t, (<-second).Close())
+	})
+}
+
+// acceptNext accepts a connection in a goroutine, because a connection that replaces another
+// has to wait until the server has closed that one.
+func acceptNext(l net.Listener) <-chan net.Conn {
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			accepted <- c
+		}
+	}()
+	return accepted
 }
 
 // Guards against bytes of messages that are taken from the budget after their connection
@@ -298,27 +316,86 @@
 	require.EqualValues(t, 1, g.Counts().Open)
 }
 
-// Guards against a listener that leaks connections or does not close the replaced one.
+// Guards against a listener that leaks connections, does not close the replaced one, or
+// accepts a connection before the server has ended the one that it replaces, whose memory it
+// still holds.
 func TestListenerReplaces(t *testing.T) {
-	g := NewGate(testLimits, zerolog.Nop())
-	raw := &pipeListener{}
-	l := g.Listen(raw, "test", 2)
-	var accepted []net.Conn
-	for range 3 {
-		c, err := l.Accept()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(testLimits, zerolog.Nop())
+		l := g.Listen(&pipeListener{}, "test", 2)
+		var accepted []net.Conn
+		for range 2 {
+			c, err := l.Accept()
+			require.NoError(t, err)
+			accepted = append(accepted, c)
+		}
+		time.Sleep(stallTime)
+		third := acceptNext(l)
+		_, err := accepted[0].Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.ErrClosedPipe)
+		synctest.Wait()
+		require.Empty(t, third, "the server has not ended the first connection")
+		require.Equal(t, Counts{Open: 2, Replaced: 1}, g.Counts())
+		require.NoError(t, accepted[0].Close())
+		accepted = append(accepted, <-third)
+		require.Equal(t, Counts{Open: 2, Replaced: 1}, g.Counts())
+		for _, c := range accepted {
+			_ = c.Close() // the first one is closed already
+		}
+		require.Zero(t, g.Counts().Open)
+		last, err := l.Accept()
 		require.NoError(t, err)
-		accepted = append(accepted, c)
-	}
-	_, err := accepted[0].Read(make([]byte, 1))
-	require.ErrorIs(t, err, io.ErrClosedPipe)
-	require.Equal(t, Counts{Open: 2, Replaced: 1}, g.Counts())
-	for _, c := range accepted {
-		_ = c.Close() // the first one is closed already
-	}
-	require.Zero(t, g.Counts().Open)
-	_, err = l.Accept()
+		require.Equal(t, Counts{Open: 1, Replaced: 1}, g.Counts())
+		require.NoError(t, last.Close())
+	})
+}
+
+// Guards against Accept that waits for ever because the server does not end a connection, or
+// because the listener is closed meanwhile.
+func TestAcceptDoesNotWaitForOneConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewGate(testLimits, zerolog.Nop()).Listen(&pipeListener{}, "test", 2)
+		var accepted []net.Conn
+		for range 2 {
+			c, err := l.Accept()
+			require.NoError(t, err)
+			accepted = append(accepted, c)
+		}
+		time.Sleep(stallTime)
+		third := acceptNext(l)
+		for _, c := range accepted { // the server does not end the first one
+			_, err := c.Read(make([]byte, 1))
+			require.ErrorIs(t, err, io.ErrClosedPipe)
+		}
+		require.NoError(t, accepted[1].Close())
+		require.NoError(t, (<-third).Close())
+		failed := make(chan error, 1)
+		go func() {
+			for {
+				if _, err := l.Accept(); err != nil {
+					failed <- err
+					return
+				}
+			}
+		}()
+		time.Sleep(time.Hour)
+		require.NoError(t, l.Close())
+		require.ErrorIs(t, <-failed, net.ErrClosed)
+	})
+}
+
+// Guards against a gRPC connection whose memory is not counted while calls on it are executed.
+func TestClosedRPCConnectionCountsUntilItsCallsEnd(t *testing.T) {
+	g := NewGate(Limits{RPCConnections: 1}, zerolog.Nop())
+	l := g.ListenRPC(&pipeListener{}, "test")
+	accepted, err := l.Accept()
 	require.NoError(t, err)
-	require.Equal(t, Counts{Open: 1, Replaced: 1}, g.Counts())
+	c := accepted.(*Conn)
+	require.True(t, c.begin())
+	require.NoError(t, c.Close())
+	require.EqualValues(t, 1, g.Counts().Open)
+	c.end()
+	require.Zero(t, g.Counts().Open)
 }
 
 // pipeListener accepts connections to nobody.
--- a/intake/table.go
+++ b/intake/table.go
@@ -1,33 +1,95 @@
 package intake
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
-// table holds the open connections of a listener and which of them may be closed for a
-// new one. It is not safe for concurrent use.
+const (
+	// minStay is the time for which a connection on which bytes arrive steadily is not closed
+	// for another.
+	minStay = time.Second
+	// closeTime is the time within which a server usually ends a connection that was closed
+	// for another. If it takes longer, one more connection is closed.
+	closeTime = 50 * time.Millisecond
+	// replaceInterval is the least time between two connections that are closed for others. It
+	// bounds the processor time that clients take by connecting again.
+	replaceInterval = time.Millisecond
+)
+
+// table holds the connections of a listener which the server has not closed, and which of
+// them may be closed for a new one. It is not safe for concurrent use.
 type table struct {
 	limit   int
 	open    map[*Conn]struct{}
-	waiting *list.List // connections without a request that is executed, the longest first
+	waiting *list.List // connections that may be closed; those without new bytes for longest first
+	closing int        // connections that were closed for others, and that the server still holds
+	closeBy time.Time  // until when the latest one of them should have ended
+	next    time.Time  // of the next connection that is closed for another
 }
 
 func newTable(limit int) *table {
 	return &table{limit: limit, open: make(map[*Conn]struct{}), waiting: list.New()}
 }
 
-// add adds a connection. At the limit it returns the connection to close for it, and
-// false if there is none.
-func (t *table) add(c *Conn) (victim *Conn, ok bool) {
+// add adds a connection. It returns false at the limit.
+func (t *table) add(c *Conn, now time.Time) bool {
 	if len(t.open) >= t.limit {
-		front := t.waiting.Front()
-		if front == nil {
-			return nil, false
-		}
-		victim = front.Value.(*Conn)
-		t.remove(victim)
+		return false
 	}
 	t.open[c] = struct{}{}
+	t.wait(c, now)
+	return true
+}
+
+// wait puts a connection that has no unfinished request, or has just begun one, at the end of
+// the list.
+func (t *table) wait(c *Conn, now time.Time) {
+	c.arrival.begin(now)
 	c.position = t.waiting.PushBack(c)
-	return victim, true
+}
+
+// receive records that n bytes have arrived on a connection.
+func (t *table) receive(c *Conn, n int, now time.Time) {
+	if c.position != nil {
+		c.arrival.add(int64(n), now)
+		t.waiting.MoveToBack(c.position)
+	}
+}
+
+// victim returns the connection to close for a new one, which has its place when the server
+// has ended that connection. Otherwise it returns the time at which to ask again, or zero if
+// the requests of all connections are executed.
+//
+// Only those without new bytes for longest are compared.
+func (t *table) victim(now time.Time) (v *Conn, retry time.Time) {
+	if t.closing > 0 && now.Before(t.closeBy) {
+		return nil, t.closeBy
+	}
+	if now.Before(t.next) {
+		return nil, t.next
+	}
+	for e, n := t.waiting.Front(), 0; e != nil && n < maxCandidates; e, n = e.Next(), n+1 {
+		c := e.Value.(*Conn)
+		if free := earlier(c.arrival.overdueAt(), c.arrival.began.Add(minStay)); free.After(now) {
+			if retry.IsZero() || free.Before(retry) {
+				retry = free
+			}
+		} else if v == nil || c.arrival.worse(&v.arrival, now) {
+			v = c
+		}
+	}
+	switch {
+	case v != nil:
+		t.waiting.Remove(v.position)
+		v.position, v.closing = nil, true
+		t.closing++
+		t.closeBy, t.next = now.Add(closeTime), now.Add(replaceInterval)
+		return v, t.closeBy
+	case retry.IsZero() && t.closing > 0:
+		return nil, now.Add(closeTime)
+	}
+	return nil, retry
 }
 
 // begin records that a request of the connection is executed from now on. It returns
@@ -39,22 +101,52 @@
 		c.position = nil
 	}
 	_, open := t.open[c]
-	return open
+	return open && !c.closing
 }
 
-// end records that a request is not executed any more.
-func (t *table) end(c *Conn) {
+// end records that a request is not executed any more. It returns true if that was the last
+// request of a connection that the server has closed.
+func (t *table) end(c *Conn, now time.Time) (gone bool) {
 	c.executing--
-	if _, open := t.open[c]; open && c.executing == 0 {
-		c.position = t.waiting.PushBack(c)
+	_, open := t.open[c]
+	switch {
+	case !open || c.executing > 0:
+	case c.closed:
+		t.remove(c)
+		return true
+	case !c.closing:
+		t.wait(c, now)
 	}
+	return false
 }
 
-// remove removes a connection. It may have been removed before.
+// close records that the server has closed a connection. It returns false if calls on the
+// connection are still executed, which happens with gRPC only; the last one of them removes it.
+func (t *table) close(c *Conn, rpc bool) (gone bool) {
+	c.closed = true
+	if rpc && c.executing > 0 {
+		return false
+	}
+	t.remove(c)
+	return true
+}
+
+// remove removes a connection of which the server holds no memory.
 func (t *table) remove(c *Conn) {
+	if c.closing {
+		t.closing--
+		t.closeBy = time.Time{}
+	}
 	delete(t.open, c)
 	if c.position != nil {
 		t.waiting.Remove(c.position)
 		c.position = nil
 	}
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -10,39 +10,99 @@
 // Guards against a new connection that closes one whose request is executed, and against
 // connections without requests that keep others out.
 func TestWhichConnectionGivesWay(t *testing.T) {
-	table := newTable(3)
+	table, now := newTable(3), epoch
 	conns := make([]*Conn, 6)
 	for i := range conns {
 		conns[i] = &Conn{}
 	}
+	// replace adds a connection in place of the victim.
+	replace := func(victim, c *Conn) {
+		t.Helper()
+		now = now.Add(stallTime)
+		require.False(t, table.add(c, now))
+		v, _ := table.victim(now)
+		require.Same(t, victim, v)
+		require.False(t, table.add(c, now), "the server has not closed the victim")
+		require.True(t, table.close(v, false))
+		require.True(t, table.add(c, now))
+	}
 	for _, c := range conns[:3] {
-		victim, ok := table.add(c)
-		require.True(t, ok)
-		require.Nil(t, victim)
+		require.True(t, table.add(c, now))
 	}
 	table.begin(conns[0])
 	table.begin(conns[1])
-	table.end(conns[1]) // idle for less time than conns[2]
-	victim, ok := table.add(conns[3])
-	require.True(t, ok)
-	require.Same(t, conns[2], victim)
-	victim, ok = table.add(conns[4])
-	require.True(t, ok)
-	require.Same(t, conns[1], victim)
+	now = now.Add(time.Millisecond)
+	table.end(conns[1], now) // idle for less time than conns[2]
+	replace(conns[2], conns[3])
+	replace(conns[1], conns[4])
 	table.begin(conns[3])
 	table.begin(conns[4])
-	_, ok = table.add(conns[5])
-	require.False(t, ok, "the requests of all connections are executed")
-	table.end(conns[2]) // was closed while its request was executed
-	table.remove(conns[4])
-	table.end(conns[4])
-	victim, ok = table.add(conns[5])
-	require.True(t, ok)
-	require.Nil(t, victim)
+	now = now.Add(time.Hour)
+	require.False(t, table.add(conns[5], now))
+	v, retry := table.victim(now)
+	require.Nil(t, v, "the requests of all connections are executed")
+	require.Zero(t, retry)
+	table.begin(conns[2]) // was closed before its request was executed
+	table.end(conns[2], now)
+	table.close(conns[4], false)
+	table.end(conns[4], now)
+	require.True(t, table.add(conns[5], now))
 	require.Len(t, table.open, 3)
 	require.Equal(t, 1, table.waiting.Len())
 }
 
+// Guards against a crowd of new connections that closes those on which a request arrives, and
+// against requests that arrive too slowly to end and keep others out.
+func TestConnectionWithNewBytesStays(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first, second int // bytes that arrive on two connections in each interval
+		after         time.Duration
+		want          int // connection that gives way; 2 for none
+	}{
+		"nothing arrives":              {0, 0, stallTime, 0},
+		"too early":                    {0, 0, overdueFactor*firstGap - time.Millisecond, 2},
+		"bytes arrive on one":          {1000, 0, stallTime, 1},
+		"bytes arrive on both":         {1000, 1, stallTime, 2},
+		"bytes arrive slowly for long": {1000, 1, minStay, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, now := newTable(2), epoch
+			conns := []*Conn{{}, {}, nil}
+			for _, c := range conns[:2] {
+				require.True(t, table.add(c, now))
+			}
+			const interval = 10 * time.Millisecond
+			for now.Add(interval).Before(epoch.Add(tc.after)) {
+				now = now.Add(interval)
+				for i, n := range []int{tc.first, tc.second} {
+					if n > 0 {
+						table.receive(conns[i], n, now)
+					}
+				}
+			}
+			v, retry := table.victim(epoch.Add(tc.after))
+			require.True(t, conns[tc.want] == v)
+			require.True(t, retry.After(epoch.Add(tc.after)), "there is another chance later")
+		})
+	}
+}
+
+// Guards against work under the lock of a listener that grows with its connections.
+func TestVictimComparesFewConnections(t *testing.T) {
+	table, now := newTable(1000), epoch
+	conns := make([]*Conn, table.limit)
+	for i := range conns {
+		conns[i] = &Conn{}
+		require.True(t, table.add(conns[i], now))
+	}
+	now = now.Add(minStay)
+	for i, c := range conns {
+		table.receive(c, len(conns)-i, now) // the last one has the lowest rate
+	}
+	v, _ := table.victim(now)
+	require.Same(t, conns[maxCandidates-1], v)
+}
+
 // Guards against limits that need more memory or descriptors than the machine has, and
 // that do not let the leader of 1,100 agents on the smallest machine serve them and its
 // clients.
--- a/message/server.go
+++ b/message/server.go
@@ -52,7 +52,7 @@
 // Server serves HTTP requests and ends without cutting one off.
 type Server struct {
 	limits   Limits
-	handler  http.Handler
+	handler  http.Handler // under the limits of the gate
 	gate     *intake.Gate
 	log      zerolog.Logger
 	stopping atomic.Bool
@@ -67,7 +67,8 @@
 		Connections: limits.Connections, BodyBytes: limits.HeldBytes,
 		BodyPause: limits.ReadWithin, BodyTime: limits.ReadWithin, AnswerTimeout: limits.WriteWithin,
 	}, s.log)
-	s.handler = s.gate.Handler(handler, s.gate.NewSlots("callers", int(limits.Requests)), func(w http.ResponseWriter, r *http.Request) {
+	checked := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, handler) })
+	s.handler = s.gate.Handler(checked, s.gate.NewSlots("callers", int(limits.Requests)), func(w http.ResponseWriter, r *http.Request) {
 		s.refuse(w, r, rosemarysill.Overloaded, "too many requests in progress")
 	})
 	return s
@@ -121,9 +122,12 @@
 	return len(line), nil
 }
 
-// ServeHTTP refuses what exceeds the limits or arrives during the shutdown and
-// hands the rest to the handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
+
+// serve refuses what exceeds the limits or arrives during the shutdown and hands the rest to
+// the handler.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, handler http.Handler) {
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 		s.refuse(w, r, rosemarysill.ShuttingDown, "the entry is shutting down")
@@ -133,7 +137,7 @@
 		s.refuse(w, r, rosemarysill.TooLarge, "the request exceeds the limit")
 		return
 	}
-	s.handler.ServeHTTP(w, r)
+	handler.ServeHTTP(w, r)
 }
 
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, code rosemarysill.Code, detail string) {
