intake: the memory of a dropped body is not given away before it is returned

Callers saw: beside a crowd of large bodies an entry held more than its limits add up to, and its processors were busy with the lock that all bodies share.

Cause: the budget counted a body that was dropped as free at once. Its reader held the segments until it was scheduled, and meanwhile the memory was used a second time. For each read of a body all others were compared under that lock, and readers took it once more to see whether they had been dropped.

Change: a dropped share keeps its bytes until its reader returns them, and the share that needs them waits for that, in order.

Tests: TestBudgetIsKept and TestDroppedBody required that a dropped body holds nothing, which is the fault; they now require that the sum of all bytes held, dropped ones included, stays within the budget, and that what is waited for is what readers will return.

--- a/intake/body.go
+++ b/intake/body.go
@@ -37,12 +37,6 @@
 	entered bool
 }
 
-func newShare(drop func()) *share {
-	s := &share{drop: drop}
-	s.begin(time.Now())
-	return s
-}
-
 // enter begins the execution. It returns false if the request is refused.
 func (q *request) enter(ctx context.Context) bool {
 	if q.entered {
@@ -201,7 +195,7 @@
 			next = deadline
 		}
 		_ = control.SetReadDeadline(next) // not supported by test recorders
-		if q.dropped() {                  // the line above may have undone the deadline that ends the read
+		if q.body.dropped.Load() {        // the line above may have undone the deadline that ends the read
 			return nil, errDropped
 		}
 		n, err := body.Read(current[used:])
@@ -220,11 +214,7 @@
 
 // join returns the whole body, which is not dropped for others from now on.
 func (q *request) join(full []*[segmentBytes]byte, rest []byte) ([]byte, error) {
-	q.gate.mu.Lock()
-	dropped := q.body.dropped
-	q.body.complete = true
-	q.gate.mu.Unlock()
-	if dropped {
+	if !q.gate.finish(q.gate.bodies, q.body) {
 		return nil, errDropped
 	}
 	var b bytes.Buffer
@@ -236,15 +226,9 @@
 	return b.Bytes(), nil
 }
 
-func (q *request) dropped() bool {
-	q.gate.mu.Lock()
-	defer q.gate.mu.Unlock()
-	return q.body.dropped
-}
-
 // explain returns the error of a body that did not arrive, and counts it.
 func (q *request) explain(err error, limit int64) error {
-	dropped := q.dropped()
+	dropped := q.body.dropped.Load()
 	q.gate.release(q.gate.bodies, q.body)
 	switch {
 	case dropped:
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -64,11 +64,14 @@
 	}
 }
 
-// draw adds bytes to a share of a budget, and drops others for it if necessary. It
-// returns false if the share was dropped.
+// draw adds bytes to a share of a budget, and drops others for it if necessary. It waits until
+// their memory has been released, and returns false if the share was dropped.
 func (g *Gate) draw(b *budget, s *share, n int64, what string) bool {
+	if s.dropped.Load() { // and counted then
+		return false
+	}
 	g.mu.Lock()
-	if s.dropped { // and counted then
+	if s.dropped.Load() {
 		g.mu.Unlock()
 		return false
 	}
@@ -85,7 +88,17 @@
 		g.counters.dropped.Add(int64(count))
 		event.IntakeDropped.Log(g.log).Str("What", what).Int("Count", count).Send()
 	}
-	return ok
+	if ok {
+		<-s.ready
+	}
+	return ok && !s.dropped.Load()
+}
+
+// finish marks a share as complete. It returns false if it was dropped.
+func (g *Gate) finish(b *budget, s *share) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return b.finish(s)
 }
 
 // giveBack returns bytes of a share.
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -72,13 +72,16 @@
 		_, err := client.Write(make([]byte, 60))
 		require.NoError(t, err)
 		time.Sleep(stallTime)
-		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", 80))))
-		require.Equal(t, rosemarysill.Done, <-codes)
+		go h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", 80))))
+		synctest.Wait()
+		require.Empty(t, codes, "the dropped body still holds its memory")
 		require.EqualValues(t, 1, g.Counts().Dropped)
-		require.Zero(t, g.Counts().Held)
-		_, _ = client.Write([]byte("x")) // may be refused
-		require.Equal(t, rosemarysill.Overloaded, <-codes)
+		require.EqualValues(t, 60, g.Counts().Held)
+		_, _ = client.Write([]byte("x")) // may be refused; ends the read, which a recorder has no deadline for
+		require.ElementsMatch(t, []rosemarysill.Code{rosemarysill.Overloaded, rosemarysill.Done}, []rosemarysill.Code{<-codes, <-codes})
 		synctest.Wait()
+		require.EqualValues(t, 1, g.Counts().Dropped)
+		require.Zero(t, g.Counts().Held)
 		require.Equal(t, "close", dropped.Header().Get("Connection"))
 	})
 }
@@ -238,7 +241,8 @@
 	require.ErrorIs(t, err, net.ErrClosed)
 	require.Zero(t, g.Counts().Held)
 	require.Zero(t, g.Counts().Dropped)
-	require.Empty(t, g.messages.shares)
+	require.Zero(t, g.messages.active.Len())
+	require.Zero(t, g.messages.waiting.Len())
 }
 
 // closingConn is closed by another goroutine while its bytes are delivered.
