intake: a large body on a slow link arrives beside a crowd

Callers saw: a legal job of 256 KiB that takes a second to arrive was refused, or its connection reset, in each of five tries beside any crowd, also beside one of legal requests that arrive fast.

Cause: the body with the lowest rate gave way, and the connection that had waited longest; both are those of the slow caller. Bodies of requests that wait for their execution could not be dropped and took the whole budget. After 100 ms of silence, less than TCP waits after the loss of a packet, a body counted as stalled; one that goes on byte by byte never did.

Change: a body is compared with its own rate (intake/arrival.go). Those that have stopped or are behind give way first, then those that cannot arrive by their deadline, those of unknown length, and the ones that have begun last. The first 8 KiB of a body belong to its connection, so that small requests are not refused for want of the budget. A request that waits may be refused for a body that arrives; executed ones leave a quarter of the budget. A connection on which bytes arrive as before stays; an idle one, or a header that stops, gives way earlier.

--- a/clientload/load_test.go
+++ b/clientload/load_test.go
@@ -37,17 +37,21 @@
 		if err = try(); err == nil {
 			return
 		}
+		t.Logf("ordinary request: %v", err)
 		time.Sleep(retryPause)
 	}
 	require.NoError(t, err, "ordinary request beside the crowd")
 }
 
 // submit submits a small job on the platform's interface.
-func submit(a netip.AddrPort) error {
+func submit(a netip.AddrPort) error { return submitAs(a, key, "00000000ffffffff") }
+
+// submitAs submits a small job with a key and an identifier.
+func submitAs(a netip.AddrPort, key, id string) error {
 	c := platform.NewClient(a, host, key)
 	defer c.Close()
 	step := work.Step{Count: 1, Shape: work.Shape{MilliCPU: 1000, MemoryMB: 10}, Estimate: 100 * time.Millisecond}
-	answer, err := c.Submit(context.Background(), answerTimeout, "/q/", "00000000ffffffff", &work.Job{Spec: "for=50ms", Steps: []work.Step{step}})
+	answer, err := c.Submit(context.Background(), answerTimeout, "/q/", id, &work.Job{Spec: "for=50ms", Steps: []work.Step{step}})
 	if err == nil && answer.Status != http.StatusOK {
 		err = fmt.Errorf("status %d", answer.Status)
 	}
--- a/clientload/process_test.go
+++ b/clientload/process_test.go
@@ -38,6 +38,8 @@
 const (
 	host = "a.example"
 	key  = "k1"
+	// otherKey is a key of another client account.
+	otherKey = "k2"
 	// readyTimeout bounds the start of a process.
 	readyTimeout = 20 * time.Second
 	// sampleInterval is the interval between two measurements of a process.
@@ -241,7 +243,7 @@
 	documentKey, document, err := platform.EncodeConfiguration(&queue.Configuration{
 		Version:  1,
 		Queues:   []queue.Queue{{Name: "q", Host: host, Prefix: "/q/", Service: "svc", MaxAttempts: 2, MaxSlowdown: 1.5, Objective: time.Second}},
-		Accounts: map[string]queue.Account{"t": {Name: "t", Keys: []string{key}}},
+		Accounts: map[string]queue.Account{"t": {Name: "t", Keys: []string{key}}, "o": {Name: "o", Keys: []string{otherKey}}},
 		Services: map[string]queue.Service{"svc": {Name: "svc"}},
 	})
 	require.NoError(t, err)
--- a/intake/arrival.go
+++ b/intake/arrival.go
@@ -1,18 +1,28 @@
 package intake
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
-	// stallTime is the time without new bytes after which a body or a connection has stalled.
+	// stallTime is the time without new bytes after which a body has stalled, and headTime
+	// that for a connection on which no body arrives: a header usually comes in one piece, and
+	// it has arrived before a connection is accepted that had to wait.
 	stallTime = 100 * time.Millisecond
-	// firstGap is the expected time between two reads before there have been any.
-	firstGap = 40 * time.Millisecond
-	// minGap is the least expected time between two reads. The scheduling of a loaded process
-	// delays reads by some milliseconds.
-	minGap = 5 * time.Millisecond
-	// overdueFactor is the multiple of the expected time between two reads after which a body
-	// or a connection counts as overdue.
-	overdueFactor = 2
+	headTime  = 30 * time.Millisecond
+	// lossTime replaces it for a body of which provenBytes have arrived: after the loss of a
+	// packet TCP waits for 200 ms or more.
+	lossTime    = 250 * time.Millisecond
+	provenBytes = 8 << 10
+	// behindBytes is the number of bytes by which a body or a connection may be behind its own
+	// mean rate. It is more than a client sends at once on a slow link.
+	behindBytes = 32 << 10
+	// startTime is added to the time over which that rate is taken: bytes that arrived while
+	// the connection was not accepted are read at once.
+	startTime = 200 * time.Millisecond
+	// paceFactor is the factor by which the rate of a body may fall.
+	paceFactor = 2
 	// minAge is the least age in the comparison of two rates, so that a body that has just
 	// begun is not compared by a rate over almost no time.
 	minAge = 10 * time.Millisecond
@@ -24,19 +34,24 @@
 // arrival describes how the bytes of a body, or on a connection, arrive.
 type arrival struct {
 	began    time.Time
-	last     time.Time // of the latest bytes
+	last     time.Time // of the latest bytes; earlier if they were fewer than its rate lets expect
 	received int64     // bytes since began
-	reads    int64     // in which they have arrived
+	body     bool      // the bytes are those of a body
 }
 
 // begin starts a description.
-func (a *arrival) begin(now time.Time) { *a = arrival{began: now, last: now} }
+func (a *arrival) begin(now time.Time) { *a = arrival{began: now, last: now, body: a.body} }
 
-// add records n new bytes.
-func (a *arrival) add(n int64, now time.Time) {
-	a.last = now
+// add records n new bytes. It returns false if they are much fewer than its rate lets expect,
+// as when a body continues byte by byte.
+func (a *arrival) add(n int64, now time.Time) (onPace bool) {
+	last := now
+	if a.received > 0 {
+		last = earlier(now, a.last.Add(time.Duration(paceFactor*float64(n)/a.ownRate()*float64(time.Second))))
+	}
+	a.last = last
 	a.received += n
-	a.reads++
+	return last.Equal(now)
 }
 
 // rate is the mean rate in bytes per second.
@@ -44,44 +59,59 @@
 	return float64(a.received) / max(now.Sub(a.began), minAge).Seconds()
 }
 
-// gap is the expected time between two reads.
-func (a *arrival) gap() time.Duration {
-	return max((a.last.Sub(a.began)+firstGap)/time.Duration(a.reads+1), minGap)
+// ownRate is the mean rate in bytes per second up to the latest bytes.
+func (a *arrival) ownRate() float64 {
+	return float64(a.received) / (a.last.Sub(a.began) + startTime).Seconds()
 }
 
-// overdueAt returns the time from which it is overdue or has stalled if nothing arrives.
-func (a *arrival) overdueAt() time.Time {
-	return a.last.Add(min(overdueFactor*a.gap(), stallTime))
+// behind returns the number of bytes that would have arrived since the latest ones.
+func (a *arrival) behind(now time.Time) float64 {
+	return a.ownRate() * now.Sub(a.last).Seconds()
 }
 
-// pace is how well bytes arrive. Lower values give way first.
-type pace int
+// stallAfter returns the time without new bytes after which it has stalled.
+func (a *arrival) stallAfter() time.Duration {
+	switch {
+	case !a.body:
+		return headTime
+	case a.received >= provenBytes:
+		return lossTime
+	}
+	return stallTime
+}
 
-const (
-	stalled pace = iota // no new bytes for stallTime
-	overdue             // no new bytes for much longer than between the earlier ones
-	steady
-)
+// stopsAt returns the time from which it has stalled or is behind if nothing arrives.
+func (a *arrival) stopsAt() time.Time {
+	silence := a.stallAfter()
+	if r := a.ownRate(); r*silence.Seconds() > behindBytes {
+		silence = time.Duration(behindBytes / r * float64(time.Second))
+	}
+	return a.last.Add(silence)
+}
 
-func (a *arrival) pace(now time.Time) pace {
+// stopped reports whether it has stalled or is behind.
+func (a *arrival) stopped(now time.Time) bool { return !now.Before(a.stopsAt()) }
+
+// compare returns a negative number if a gives way before o, a positive one if after, and 0
+// if bytes arrive on both: those that have stalled first, the one with the lowest rate before
+// the others, and then the one that is behind by the most bytes.
+func (a *arrival) compare(o *arrival, now time.Time) int {
+	stalled, other := now.Sub(a.last) >= a.stallAfter(), now.Sub(o.last) >= o.stallAfter()
 	switch {
-	case now.Sub(a.last) >= stallTime:
-		return stalled
-	case !now.Before(a.overdueAt()):
-		return overdue
+	case stalled != other:
+		if stalled {
+			return -1
+		}
+		return 1
+	case stalled:
+		return cmp.Compare(a.rate(now), o.rate(now))
 	}
-	return steady
+	return cmp.Compare(max(o.behind(now), behindBytes), max(a.behind(now), behindBytes))
 }
 
-// worse reports whether a gives way before o: stalled ones first, then those that are overdue
-// by the largest multiple of their gaps, and then those with the lowest rate.
-func (a *arrival) worse(o *arrival, now time.Time) bool {
-	p, other := a.pace(now), o.pace(now)
-	switch {
-	case p != other:
-		return p < other
-	case p == overdue:
-		return float64(now.Sub(a.last))/float64(a.gap()) > float64(now.Sub(o.last))/float64(o.gap())
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return a.rate(now) < o.rate(now)
+	return b
 }
--- a/intake/body.go
+++ b/intake/body.go
@@ -35,6 +35,10 @@
 	body    *share
 	writer  http.ResponseWriter // of net/http, which http.MaxBytesReader has to know
 	entered bool
+
+	waiting   context.Context // is done if the body is dropped while the request waits
+	uncounted int64           // bytes of the body that the budget does not include yet
+	executed  int64           // bytes of the body that count as those of an executed request
 }
 
 // enter begins the execution. It returns false if the request is refused.
@@ -42,19 +46,44 @@
 	if q.entered {
 		return true
 	}
+	if !q.acquire(ctx) {
+		return false
+	}
 	if !q.slots.Enter(ctx) {
+		q.releaseExecuted()
 		return false
 	}
 	q.entered = true
 	// A request whose connection has just been closed for another must not run, because the
 	// closed connection tells its client that it has not.
-	if q.conn != nil && !q.conn.begin() {
+	if q.conn != nil && !q.conn.begin() || !q.gate.execute(q.body) {
 		q.leave()
 		return false
 	}
 	return true
 }
 
+// acquire waits until the bytes of the body may be those of an executed request. It returns
+// false if the request is refused.
+func (q *request) acquire(ctx context.Context) bool {
+	n := min(q.body.held, q.gate.limits.executedBytes())
+	if !q.gate.executing.TryAcquire(n) {
+		ctx, cancel := context.WithTimeout(ctx, q.gate.limits.SlotWait)
+		defer cancel()
+		if q.gate.executing.Acquire(ctx, n) != nil {
+			q.slots.refused()
+			return false
+		}
+	}
+	q.executed = n
+	return true
+}
+
+func (q *request) releaseExecuted() {
+	q.gate.executing.Release(q.executed)
+	q.executed = 0
+}
+
 // leave undoes enter before anything has been executed.
 func (q *request) leave() {
 	if !q.entered {
@@ -62,6 +91,7 @@
 	}
 	q.entered = false
 	q.slots.Leave()
+	q.releaseExecuted()
 	if q.conn != nil {
 		q.conn.end()
 	}
@@ -74,6 +104,7 @@
 	if q.entered {
 		q.entered = false
 		q.slots.Leave()
+		q.releaseExecuted()
 		switch {
 		case q.conn == nil:
 		case method == http.MethodGet:
@@ -110,13 +141,22 @@
 		control := http.NewResponseController(w)
 		q := &request{gate: g, slots: slots}
 		q.conn, _ = r.Context().Value(connKey{}).(*Conn)
+		waiting, stop := context.WithCancel(r.Context())
+		defer stop()
+		q.waiting, q.uncounted = waiting, g.limits.UncountedBytes
 		// The deadline of the connection ends a read that waits for more of the body.
-		q.body = newShare(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+		q.body = newShare(func() {
+			_ = control.SetReadDeadline(time.Unix(1, 0))
+			stop()
+		})
 		defer q.finish(r.Method)
 		// Deadlines are not supported by test recorders. After a request whose body the
 		// handler has not read, net/http reads up to 256 KiB of it.
 		if r.ContentLength != 0 {
 			_ = control.SetReadDeadline(time.Now().Add(g.limits.BodyPause))
+			if q.conn != nil {
+				q.conn.beginBody()
+			}
 		}
 		if (r.ContentLength == 0 || !takesBody(r.Method)) && !q.enter(r.Context()) {
 			refuse(w, r)
@@ -156,6 +196,10 @@
 	if r.ContentLength != 0 {
 		q.leave() // of a method that needs no body: a slot is not held while one arrives
 	}
+	if last := time.Now().Add(q.gate.limits.BodyTime); deadline.After(last) {
+		deadline = last
+	}
+	q.body.length, q.body.deadline = max(r.ContentLength, 0), deadline
 	control := http.NewResponseController(w)
 	data, err := q.read(control, http.MaxBytesReader(q.writer, r.Body, limit), deadline)
 	if err != nil {
@@ -166,30 +210,76 @@
 	// net/http watches the connection while the handler runs, and an expired deadline
 	// would cancel the request.
 	_ = control.SetReadDeadline(time.Time{})
-	if !q.enter(r.Context()) {
-		return nil, rosemarysill.NewError(rosemarysill.Overloaded, "too many requests in progress")
+	q.gate.arrived(q.body)
+	if !q.enter(q.waiting) {
+		data.free()
+		err := q.explain(errBusy, limit)
+		if q.body.dropped.Load() { // the deadline that was set then must not meet a later request
+			w.Header().Set("Connection", "close")
+		}
+		return nil, err
 	}
-	return data, nil
+	return data.join(), nil
 }
 
-var errDropped = errors.New("the memory for bodies is used up")
+var (
+	errDropped = errors.New("the memory for bodies is used up")
+	errBusy    = errors.New("too many requests in progress")
+)
+
+// segmentList holds the bytes of a body.
+type segmentList struct {
+	full []*[segmentBytes]byte
+	last *[segmentBytes]byte
+	used int // bytes in last
+}
 
-func (q *request) read(control *http.ResponseController, body io.Reader, deadline time.Time) ([]byte, error) {
-	if last := time.Now().Add(q.gate.limits.BodyTime); deadline.After(last) {
-		deadline = last
+// space returns where the next bytes are read to.
+func (l *segmentList) space() []byte {
+	if l.used == segmentBytes {
+		l.full = append(l.full, l.last)
+		l.last = nil
+	}
+	if l.last == nil {
+		l.last, l.used = segments.Get().(*[segmentBytes]byte), 0
 	}
-	var full []*[segmentBytes]byte
-	current, used := segments.Get().(*[segmentBytes]byte), 0
+	return l.last[l.used:]
+}
+
+// free returns the segments.
+func (l *segmentList) free() {
+	for _, s := range l.full {
+		segments.Put(s)
+	}
+	if l.last != nil {
+		segments.Put(l.last)
+	}
+	*l = segmentList{}
+}
+
+// join returns the bytes in one piece, and the segments.
+func (l *segmentList) join() []byte {
+	defer l.free()
+	var b bytes.Buffer
+	b.Grow(len(l.full)*segmentBytes + l.used)
+	for _, s := range l.full {
+		b.Write(s[:])
+	}
+	if l.last != nil {
+		b.Write(l.last[:l.used])
+	}
+	return b.Bytes()
+}
+
+// read reads the whole body.
+func (q *request) read(control *http.ResponseController, body io.Reader, deadline time.Time) (data *segmentList, err error) {
+	list := &segmentList{}
 	defer func() {
-		segments.Put(current)
-		for _, s := range full {
-			segments.Put(s)
+		if err != nil {
+			list.free()
 		}
 	}()
 	for {
-		if used == segmentBytes {
-			full, current, used = append(full, current), segments.Get().(*[segmentBytes]byte), 0
-		}
 		next := time.Now().Add(q.gate.limits.BodyPause)
 		if next.After(deadline) {
 			next = deadline
@@ -198,34 +288,25 @@
 		if q.body.dropped.Load() {        // the line above may have undone the deadline that ends the read
 			return nil, errDropped
 		}
-		n, err := body.Read(current[used:])
-		used += n
-		if n > 0 && !q.gate.draw(q.gate.bodies, q.body, int64(n), "body") {
+		n, err := body.Read(list.space())
+		list.used += n
+		counted := max(int64(n)-q.uncounted, 0)
+		if uncounted := int64(n) - counted; uncounted > 0 {
+			q.uncounted -= uncounted
+			q.body.add(uncounted, time.Now()) // no other goroutine uses it before the first draw
+		}
+		if counted > 0 && !q.gate.draw(q.gate.bodies, q.body, counted, "body") {
 			return nil, errDropped
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return q.join(full, current[:used])
+			return list, nil
 		case err != nil:
 			return nil, err
 		}
 	}
 }
 
-// join returns the whole body, which is not dropped for others from now on.
-func (q *request) join(full []*[segmentBytes]byte, rest []byte) ([]byte, error) {
-	if !q.gate.finish(q.gate.bodies, q.body) {
-		return nil, errDropped
-	}
-	var b bytes.Buffer
-	b.Grow(len(full)*segmentBytes + len(rest))
-	for _, s := range full {
-		b.Write(s[:])
-	}
-	b.Write(rest)
-	return b.Bytes(), nil
-}
-
 // explain returns the error of a body that did not arrive, and counts it.
 func (q *request) explain(err error, limit int64) error {
 	dropped := q.body.dropped.Load()
@@ -233,6 +314,8 @@
 	switch {
 	case dropped:
 		return rosemarysill.NewError(rosemarysill.Overloaded, "%v", errDropped)
+	case errors.Is(err, errBusy):
+		return rosemarysill.NewError(rosemarysill.Overloaded, "%v", err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.gate.counters.late.Add(1)
 		event.IntakeLate.Log(q.gate.log).Send()
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -9,9 +9,11 @@
 // share is the part of a budget that one body, or the messages of one connection, hold.
 type share struct {
 	arrival
-	held     int64 // bytes
-	complete bool  // is not dropped for others
-	empty    bool  // nothing is held any more, so age and progress begin with the next bytes
+	length   int64     // announced number of bytes, 0 if it is not known
+	deadline time.Time // by which they have to arrive
+	held     int64     // bytes
+	whole    bool      // all bytes have arrived
+	empty    bool      // nothing is held any more, so the arrival begins with the next bytes
 	dropped  atomic.Bool
 	drop     func() // ends the transfer; called without locks
 
@@ -23,10 +25,42 @@
 
 func newShare(drop func()) *share {
 	s := &share{drop: drop, ready: make(chan struct{}, 1)}
+	s.body = true
 	s.begin(time.Now())
 	return s
 }
 
+// late reports whether the body will not arrive by its deadline at its present rate.
+func (s *share) late(now time.Time) bool {
+	if s.length <= s.received {
+		return false
+	}
+	remaining := float64(s.length-s.received) / s.rate(now)
+	return remaining > s.deadline.Sub(now).Seconds()
+}
+
+// worse reports whether s gives way before o: bodies that have stopped, those that will be
+// late, and those of unknown length, the one with the lowest rate first. Of two others it is
+// the one that has begun last, because both will soon be whole and free their memory.
+func (s *share) worse(o *share, now time.Time) bool {
+	if !s.whole && !o.whole {
+		if order := s.compare(&o.arrival, now); order != 0 {
+			return order < 0
+		}
+	} else if stopped, other := !s.whole && s.stopped(now), !o.whole && o.stopped(now); stopped != other {
+		return stopped
+	}
+	switch late, other := s.late(now), o.late(now); {
+	case late != other:
+		return late
+	case (s.length == 0) != (o.length == 0):
+		return s.length == 0
+	case late || s.length == 0:
+		return s.rate(now) < o.rate(now)
+	}
+	return s.began.After(o.began)
+}
+
 // budget divides a number of bytes among shares. A share that is dropped keeps its bytes until
 // they are released, because its reader holds them until then. It is not safe for concurrent
 // use.
@@ -54,8 +88,7 @@
 		s.empty = false
 		s.begin(now)
 	}
-	s.add(n, now)
-	if s.position != nil {
+	if s.add(n, now) && s.position != nil {
 		b.active.MoveToBack(s.position)
 	}
 	for b.free+b.returning-b.wanted < n {
@@ -66,7 +99,7 @@
 		}
 		dropped = append(dropped, worst)
 	}
-	if s.position == nil && !s.complete {
+	if s.position == nil {
 		s.position = b.active.PushBack(s)
 	}
 	s.wanted = n
@@ -80,7 +113,7 @@
 func (b *budget) worst(s *share, now time.Time) *share {
 	worst := s
 	for e, n := b.active.Front(), 0; e != nil && n < maxCandidates; e, n = e.Next(), n+1 {
-		if o := e.Value.(*share); o != s && o.held > 0 && o.worse(&worst.arrival, now) {
+		if o := e.Value.(*share); o != s && o.held > 0 && o.worse(worst, now) {
 			worst = o
 		}
 	}
@@ -130,9 +163,8 @@
 	}
 }
 
-// finish marks a share as complete. It returns false if it was dropped.
-func (b *budget) finish(s *share) bool {
-	s.complete = true
+// execute excludes a share from those that may be dropped. It returns false if it was dropped.
+func (b *budget) execute(s *share) bool {
 	b.deactivate(s)
 	return !s.dropped.Load()
 }
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -60,10 +60,10 @@
 
 // Guards against a request in progress whose body is dropped, and against a dropped body
 // that holds memory again.
-func TestCompleteBodiesAreKept(t *testing.T) {
+func TestExecutedBodiesAreKept(t *testing.T) {
 	b := newBudget(100)
 	complete := shareAt(b, 90, 0, 0)
-	require.True(t, b.finish(complete))
+	require.True(t, b.execute(complete))
 	late := shareAt(b, 0, time.Hour, time.Hour)
 	dropped, ok := b.draw(late, 20, epoch.Add(time.Hour))
 	require.Empty(t, dropped)
@@ -111,7 +111,7 @@
 				}
 			case 1:
 				if s.wanted == 0 {
-					b.finish(s)
+					b.execute(s)
 				}
 			default:
 				if s.wanted == 0 {
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/rosemarysill/rosemarysill/event"
 )
@@ -15,7 +16,8 @@
 type Gate struct {
 	limits    Limits
 	log       zerolog.Logger
-	decodings chan struct{} // one element for each body that is being decoded
+	decodings chan struct{}       // one element for each body that is being decoded
+	executing *semaphore.Weighted // bytes of the bodies of requests that are executed
 
 	mu       sync.Mutex
 	bodies   *budget
@@ -45,7 +47,8 @@
 func NewGate(limits Limits, log zerolog.Logger) *Gate {
 	return &Gate{
 		limits: limits, log: log, decodings: make(chan struct{}, decodings),
-		bodies: newBudget(limits.BodyBytes), messages: newBudget(limits.MessageBytes),
+		executing: semaphore.NewWeighted(limits.executedBytes()),
+		bodies:    newBudget(limits.BodyBytes), messages: newBudget(limits.MessageBytes),
 	}
 }
 
@@ -94,11 +97,19 @@
 	return ok && !s.dropped.Load()
 }
 
-// finish marks a share as complete. It returns false if it was dropped.
-func (g *Gate) finish(b *budget, s *share) bool {
+// execute excludes the body of a request that is executed from those that may be dropped. It
+// returns false if it was dropped.
+func (g *Gate) execute(s *share) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return b.finish(s)
+	return g.bodies.execute(s)
+}
+
+// arrived marks a body as whole.
+func (g *Gate) arrived(s *share) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.whole = true
 }
 
 // giveBack returns bytes of a share.
@@ -155,9 +166,17 @@
 		case <-ctx.Done():
 		}
 	}
+	s.refused()
+	return false
+}
+
+// refused records that a request was refused because too many are in progress.
+func (s *Slots) refused() {
+	if s == nil {
+		return
+	}
 	s.gate.counters.busy.Add(1)
 	event.IntakeBusy.Log(s.gate.log).Str("Server", s.name).Int("Requests", cap(s.taken)).Send()
-	return false
 }
 
 // Leave ends the execution of a request.
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -54,6 +54,9 @@
 	minConnections = 32
 	// maxRequests bounds the requests in progress on large machines.
 	maxRequests = 512
+	// uncountedBytes of each body are part of connectionBytes, and not of the budget of
+	// bodies, so that small requests need none of it.
+	uncountedBytes = 8 << 10
 	// decodings is the number of bodies that are decoded at the same time. Decoding needs
 	// several times the size of a body.
 	decodings = 4
@@ -73,6 +76,7 @@
 	SmallConnections int   // of each server with few clients
 	Requests         int   // in progress, of clients and as many relayed ones; each may need a connection to the store
 	BodyBytes        int64 // of all bodies of requests that are held
+	UncountedBytes   int64 // of each body that BodyBytes does not include
 	MessageBytes     int64 // of all gRPC messages that are not complete, and of their streams
 
 	BodyPause     time.Duration // between two reads of a body
@@ -98,6 +102,7 @@
 		SmallConnections: smallConnections,
 		Requests:         min(max(sockets/8, minConnections), maxRequests),
 		BodyBytes:        max(memory/16, minBodyBytes),
+		UncountedBytes:   uncountedBytes,
 		MessageBytes:     max(memory/16, MessageBudget(maxRPCMessage)),
 		BodyPause:        bodyPause,
 		BodyTime:         maxBodyTime,
@@ -109,6 +114,10 @@
 	return l
 }
 
+// executedBytes is the part of BodyBytes for requests that are executed. The rest is for
+// bodies that arrive: those of executed requests cannot be dropped for them.
+func (l Limits) executedBytes() int64 { return max(l.BodyBytes-l.BodyBytes/4, 1) }
+
 // MessageBudget returns the least budget of messages that admits one message of the given
 // size beside its stream and its frames, which have 1 KiB or more on average.
 func MessageBudget(size int64) int64 { return size + size/1024*frameBytes + streamBytes }
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -142,6 +142,7 @@
 	// The table of the listener uses these.
 	position  *list.Element // in the list of connections that may be closed; nil if it is not there
 	executing int           // number of requests that are being executed
+	idle      bool          // no bytes have arrived since the latest answer
 	closing   bool          // was closed for another
 	closed    bool          // by the server
 	arrival   arrival       // of the present request
@@ -199,6 +200,13 @@
 	c.listener.table.receive(c, n, time.Now())
 }
 
+// beginBody records that the body of a request arrives.
+func (c *Conn) beginBody() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.arrival.body = true
+}
+
 func (c *Conn) begin() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
--- a/intake/table.go
+++ b/intake/table.go
@@ -7,8 +7,13 @@
 
 const (
 	// minStay is the time for which a connection on which bytes arrive steadily is not closed
-	// for another.
+	// for another. After it, one with less than minRate bytes per second is: a body of 256 KiB
+	// would not arrive within the 3 s that clients wait.
 	minStay = time.Second
+	minRate = 64 << 10
+	// minIdle is the time for which a connection is not closed for another after an answer, so
+	// that a client that has sent its next request at once gets an answer to it.
+	minIdle = 10 * time.Millisecond
 	// closeTime is the time within which a server usually ends a connection that was closed
 	// for another. If it takes longer, one more connection is closed.
 	closeTime = 50 * time.Millisecond
@@ -22,7 +27,7 @@
 type table struct {
 	limit   int
 	open    map[*Conn]struct{}
-	waiting *list.List // connections that may be closed; those without new bytes for longest first
+	waiting *list.List // connections that may be closed; those without new bytes, or behind their rate, for longest first
 	closing int        // connections that were closed for others, and that the server still holds
 	closeBy time.Time  // until when the latest one of them should have ended
 	next    time.Time  // of the next connection that is closed for another
@@ -45,6 +50,7 @@
 // wait puts a connection that has no unfinished request, or has just begun one, at the end of
 // the list.
 func (t *table) wait(c *Conn, now time.Time) {
+	c.arrival.body = false
 	c.arrival.begin(now)
 	c.position = t.waiting.PushBack(c)
 }
@@ -52,8 +58,10 @@
 // receive records that n bytes have arrived on a connection.
 func (t *table) receive(c *Conn, n int, now time.Time) {
 	if c.position != nil {
-		c.arrival.add(int64(n), now)
-		t.waiting.MoveToBack(c.position)
+		c.idle = false
+		if c.arrival.add(int64(n), now) {
+			t.waiting.MoveToBack(c.position)
+		}
 	}
 }
 
@@ -71,11 +79,11 @@
 	}
 	for e, n := t.waiting.Front(), 0; e != nil && n < maxCandidates; e, n = e.Next(), n+1 {
 		c := e.Value.(*Conn)
-		if free := earlier(c.arrival.overdueAt(), c.arrival.began.Add(minStay)); free.After(now) {
+		if free := c.replaceableAt(); free.After(now) {
 			if retry.IsZero() || free.Before(retry) {
 				retry = free
 			}
-		} else if v == nil || c.arrival.worse(&v.arrival, now) {
+		} else if v == nil || c.worse(v, now) {
 			v = c
 		}
 	}
@@ -92,6 +100,25 @@
 	return nil, retry
 }
 
+// replaceableAt returns the time from which a connection may be closed for another if no bytes
+// arrive.
+func (c *Conn) replaceableAt() time.Time {
+	if c.idle {
+		return c.arrival.last.Add(minIdle)
+	}
+	slow := max(minStay, time.Duration(float64(c.arrival.received)/minRate*float64(time.Second)))
+	return earlier(c.arrival.stopsAt(), c.arrival.began.Add(slow))
+}
+
+// worse reports whether c gives way before o. If bytes arrive on both, it is the one with the
+// lower rate.
+func (c *Conn) worse(o *Conn, now time.Time) bool {
+	if order := c.arrival.compare(&o.arrival, now); order != 0 {
+		return order < 0
+	}
+	return c.arrival.rate(now) < o.arrival.rate(now)
+}
+
 // begin records that a request of the connection is executed from now on. It returns
 // false if the connection was closed. After either result, end must be called.
 func (t *table) begin(c *Conn) bool {
@@ -116,6 +143,7 @@
 		return true
 	case !c.closing:
 		t.wait(c, now)
+		c.idle = true
 	}
 	return false
 }
@@ -143,10 +171,3 @@
 		c.position = nil
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -59,8 +59,8 @@
 		after         time.Duration
 		want          int // connection that gives way; 2 for none
 	}{
-		"nothing arrives":              {0, 0, stallTime, 0},
-		"too early":                    {0, 0, overdueFactor*firstGap - time.Millisecond, 2},
+		"nothing arrives":              {0, 0, headTime, 0},
+		"too early":                    {0, 0, headTime - time.Millisecond, 2},
 		"bytes arrive on one":          {1000, 0, stallTime, 1},
 		"bytes arrive on both":         {1000, 1, stallTime, 2},
 		"bytes arrive slowly for long": {1000, 1, minStay, 1},
