gateway: the records of jobs have a bound in bytes

Callers saw: a client that submits legal jobs of 60 bytes, each another one, takes an entry over the memory of its machine, and with it every entry, because each holds all records.

Cause: jobs on record were bounded by their number (10,000) alone. One may have 4,096 tasks or 256 KB of strings.

Change: the records may take a fifth of the memory of the smallest entry, which the records of the entries state now, and those of one client account half of that, so that others are still accepted. A job beyond is refused as QueueFull. Jobs that an entry has written and that its cache does not show yet count too, and as many at each other entry; a single one is not refused because of those.

TestRecordLimit has the arithmetic of the smallest machine.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,8 +70,11 @@
 	KeyRevocationDelay time.Duration // time within which a revoked key must stop working
 	// MaxJobs bounds the number of jobs on record; 0 means DefaultMaxJobs.
 	MaxJobs int
-	Meter   *meter.Meter
-	Log     zerolog.Logger
+	// MemoryMB is the memory of the machine; 0 means defaultMemoryMB. The records of jobs may
+	// take a part of it.
+	MemoryMB int64
+	Meter    *meter.Meter
+	Log      zerolog.Logger
 }
 
 // Gateway implements queue.Jobs on the store.
@@ -81,14 +84,15 @@
 	// answered callers of this one. Those callers may not be answered by an older one.
 	minRevision atomic.Uint64
 	marks       markLease
+	records     recordLimit
 }
 
 var _ queue.Jobs = (*Gateway)(nil)
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
-	cfg.MaxJobs = cmp.Or(cfg.MaxJobs, DefaultMaxJobs)
-	return &Gateway{cfg: cfg}
+	cfg.MaxJobs, cfg.MemoryMB = cmp.Or(cfg.MaxJobs, DefaultMaxJobs), cmp.Or(cfg.MemoryMB, defaultMemoryMB)
+	return &Gateway{cfg: cfg, records: recordLimit{unseen: make(map[string]unseenJob)}}
 }
 
 // MaxBody implements queue.Jobs.
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -44,6 +44,9 @@
 	}
 	checked := *draft
 	applyQueue(&checked, id, account, q)
+	if _, known := g.cfg.Cache.Job(id); !known && !g.admitRecords(&checked, time.Now()) {
+		return g.refuseMarked(ctx, c, id, g.recordsFull())
+	}
 	if submit, err := g.checkLoad(ctx, c, cfg, &checked); !submit {
 		return err
 	}
--- a/jobstore/cache.go
+++ b/jobstore/cache.go
@@ -24,6 +24,8 @@
 	Undecodable     bool // the latest record of the progress cannot be decoded; Progress is older or nil
 	Cancelled       bool
 	Reported        work.State // final state that callers have been told; the progress may be older
+
+	bytes int64 // memory of the records, as Bytes returns it
 }
 
 // State returns the state that is reported to callers.
@@ -50,6 +52,8 @@
 
 	mu            sync.Mutex
 	jobs          map[string]*JobRecord
+	bytes         map[string]int64 // memory of the records of jobs by client account
+	totalBytes    int64            // sum of bytes
 	leader        LeaderRecord
 	leaderVersion uint64                  // version of the leader's record, 0 if there is none
 	entries       map[string]LeaderRecord // registered entries by name
@@ -64,7 +68,7 @@
 // NewCache returns an empty cache.
 func NewCache(s rosemarysill.TransactionalStore, log zerolog.Logger) *Cache {
 	c := &Cache{
-		log: log, jobs: make(map[string]*JobRecord), changed: make(map[string]bool), entries: make(map[string]LeaderRecord), notifications: make(chan struct{}, 1),
+		log: log, jobs: make(map[string]*JobRecord), bytes: make(map[string]int64), changed: make(map[string]bool), entries: make(map[string]LeaderRecord), notifications: make(chan struct{}, 1),
 	}
 	c.Follower = NewFollower(s, Prefix, c.applyChange, func(err error) {
 		event.QueueStoreLost.Log(log).Str("Prefix", Prefix).Err(err).Send()
@@ -205,6 +209,13 @@
 	return len(c.jobs)
 }
 
+// RecordBytes returns the memory of the records of all jobs, and of those of a client account.
+func (c *Cache) RecordBytes(account string) (total, ofAccount int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.totalBytes, c.bytes[account]
+}
+
 // applyChange applies a change of a record. A record that cannot be decoded is logged
 // and skipped.
 func (c *Cache) applyChange(ch rosemarysill.Change) {
@@ -312,6 +323,9 @@
 
 func (c *Cache) applyJob(id string, ch rosemarysill.Change) error {
 	if ch.Deleted {
+		if r, ok := c.jobs[id]; ok && r.Job != nil {
+			c.addBytes(r.Job.Account, -r.bytes)
+		}
 		delete(c.jobs, id)
 		delete(c.changed, id)
 		return nil
@@ -326,10 +340,21 @@
 		// with the identifier of a removed one, to which the progress belongs.
 		r.Progress, r.ProgressVersion, r.Undecodable, r.Reported = nil, 0, false, ""
 	}
-	r.Job, r.JobVersion = j, ch.Item.Version
+	if r.Job != nil {
+		c.addBytes(r.Job.Account, -r.bytes)
+	}
+	r.Job, r.JobVersion, r.bytes = j, ch.Item.Version, Bytes(j)
+	c.addBytes(j.Account, r.bytes)
 	return nil
 }
 
+func (c *Cache) addBytes(account string, n int64) {
+	c.totalBytes += n
+	if c.bytes[account] += n; c.bytes[account] == 0 {
+		delete(c.bytes, account)
+	}
+}
+
 // applyCancel applies the mark of a cancellation, or its removal, which may come after the
 // removal of the job.
 func (c *Cache) applyCancel(id string, cancelled bool) {
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -53,6 +53,7 @@
 	Epoch    uint64
 	Cores    float64 `json:",omitempty"` // processor cores of the entry, which may be a fraction
 	LinkMbps float64 `json:",omitempty"` // bandwidth of the entry's network link
+	MemoryMB int64   `json:",omitempty"` // memory of the entry; entries of earlier versions do not state it
 }
 
 // EncodeJob encodes the record of a job.
--- a/node/entry.go
+++ b/node/entry.go
@@ -49,7 +49,7 @@
 	declarations := declaration.New(store, platform.DocumentDecoder{}, log)
 	metrics := meter.New()
 	metrics.ExportConfiguration(func() int64 { return declarations.Configuration().ID().Version })
-	gw := gateway.New(gateway.Config{Store: store, Cache: cache, Declarations: declarations, KeyRevocationDelay: n.KeyRevocationDelay, Meter: metrics, Log: log})
+	gw := gateway.New(gateway.Config{Store: store, Cache: cache, Declarations: declarations, KeyRevocationDelay: n.KeyRevocationDelay, MemoryMB: n.MemoryMB, Meter: metrics, Log: log})
 	cfg := leader.Config{
 		Name: n.Name, Address: n.Internal, Cores: n.Cores, LinkMbps: n.LinkMbps, Store: store, Cache: cache, Declarations: declarations,
 		LeaseMin: n.LeaseMin, StatusRetention: n.StatusRetention, StopGrace: n.StopGrace, GangWait: n.GangWait, ReclaimTimeout: n.ReclaimTimeout, RemoteSlowdown: n.RemoteSlowdown, EncodeWaveStatus: platform.EncodeWaveStatus, Meter: metrics, Log: log,
@@ -90,7 +90,7 @@
 	goroutines.Go(func() { declarations.Run(serveCtx) })
 	goroutines.Go(func() { candidate.Run(ctx) })
 	goroutines.Go(func() {
-		jobstore.KeepRegistered(ctx, store, jobstore.LeaderRecord{Name: n.Name, Address: n.Internal, Cores: n.Cores, LinkMbps: n.LinkMbps}, func(err error) {
+		jobstore.KeepRegistered(ctx, store, jobstore.LeaderRecord{Name: n.Name, Address: n.Internal, Cores: n.Cores, LinkMbps: n.LinkMbps, MemoryMB: n.MemoryMB}, func(err error) {
 			event.QueueStoreLost.Log(log).Str("Entry", n.Name).Err(err).Send()
 		})
 	})
