intake: an answer is not discarded with its connection

Callers might see: a reset instead of the rest of an answer on a link with a delay of more than 10 ms, and take a request that has run for one that has not.

Cause: since the connection of a replaced client is reset, so that the kernel keeps nothing for it, that also held for one that had just been answered.

Change: a connection that has been answered since its latest bytes is closed in the usual way, which sends the rest of the answer. That of a refused request counts as answered too while the rest of its body is discarded. TestAnsweredConnectionIsIdle has the states.

--- a/intake/answer.go
+++ b/intake/answer.go
@@ -112,6 +112,7 @@
 		c.answering = false
 		c.end()
 	}
+	c.refuse()
 	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(drainTime)) != nil {
 		return // the client has disconnected
 	}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -142,7 +142,7 @@
 	// The table of the listener uses these.
 	position  *list.Element // in the list of connections that may be closed; nil if it is not there
 	executing int           // number of requests that are being executed
-	idle      bool          // no bytes have arrived since the latest answer
+	idle      bool          // no bytes have arrived since the latest answer, which the client may not have read
 	closing   bool          // was closed for another
 	closed    bool          // by the server
 	arrival   arrival       // of the present request
@@ -158,8 +158,12 @@
 // abort ends the connection towards the client. It counts until the server has closed it,
 // because the server holds memory for it until then.
 func (c *Conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // otherwise the kernel keeps the bytes that the client has not read
+	c.listener.mu.Lock()
+	answered := c.idle
+	c.listener.mu.Unlock()
+	// Unless the client may not have read an answer yet, the kernel need not keep its bytes.
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && !answered {
+		_ = tcp.SetLinger(0)
 	}
 	_ = c.Conn.Close() // the client may have closed it
 }
@@ -207,6 +211,13 @@
 	c.arrival.body = true
 }
 
+// refuse records that a request was answered without being executed.
+func (c *Conn) refuse() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.listener.table.refuse(c, time.Now())
+}
+
 func (c *Conn) begin() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
--- a/intake/table.go
+++ b/intake/table.go
@@ -148,6 +148,13 @@
 	return false
 }
 
+// refuse records that a request of the connection was answered without being executed.
+func (t *table) refuse(c *Conn, now time.Time) {
+	if c.position != nil {
+		c.idle, c.arrival.last = true, now
+	}
+}
+
 // close records that the server has closed a connection. It returns false if calls on the
 // connection are still executed, which happens with gRPC only; the last one of them removes it.
 func (t *table) close(c *Conn, rpc bool) (gone bool) {
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -87,6 +87,33 @@
 	}
 }
 
+// Guards against a connection whose answer the client may not have read, and that is ended
+// like one on which a request arrives.
+func TestAnsweredConnectionIsIdle(t *testing.T) {
+	for name, tc := range map[string]struct {
+		use  func(*table, *Conn)
+		want bool
+	}{
+		"new":                 {func(*table, *Conn) {}, false},
+		"executed":            {func(tb *table, c *Conn) { tb.begin(c); tb.end(c, epoch) }, true},
+		"refused":             {func(tb *table, c *Conn) { tb.refuse(c, epoch) }, true},
+		"next request begins": {func(tb *table, c *Conn) { tb.refuse(c, epoch); tb.receive(c, 1, epoch) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, c := newTable(1), &Conn{}
+			require.True(t, table.add(c, epoch))
+			tc.use(table, c)
+			require.Equal(t, tc.want, c.idle)
+			v, _ := table.victim(epoch.Add(minIdle))
+			require.Equal(t, tc.want, v == c)
+			if v == nil {
+				v, _ = table.victim(epoch.Add(headTime))
+			}
+			require.Same(t, c, v)
+		})
+	}
+}
+
 // Guards against work under the lock of a listener that grows with its connections.
 func TestVictimComparesFewConnections(t *testing.T) {
 	table, now := newTable(1000), epoch
