--- a/gateway/recordlimit.go
+++ b/gateway/recordlimit.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	// recordShare is the part of the memory of the smallest entry that the records of jobs may
-	// take, because each entry holds all of them.
-	recordShare = 5
+	// recordDivisor is the ratio of the memory of the smallest entry to that of the records of
+	// jobs, which each entry holds.
+	recordDivisor = 5
 	// defaultMemoryMB applies if the settings do not state the memory.
 	defaultMemoryMB = 1024
-	// accountShare is the part of that which one client account may take.
-	accountShare = 2
+	// accountDivisor is the ratio of that limit to the one of a client account.
+	accountDivisor = 2
 	// unseenTime is the time after which a job that was written appears in the cache at the
 	// latest, or was not written.
 	unseenTime = 5 * time.Second
@@ -35,8 +35,8 @@
 	until   time.Time
 }
 
-// admitRecords returns whether there is memory for the records of another job, and keeps it for the
-// job if so.
+// admitRecords reports whether there is memory for the records of a job, and reserves it until
+// the cache shows the job.
 func (g *Gateway) admitRecords(j *work.Job, now time.Time) bool {
 	l := &g.records
 	l.mu.Lock()
@@ -58,7 +58,7 @@
 	if len(l.unseen) > 0 { // a single job is not refused because of what other entries may admit
 		entries = max(int64(len(g.cfg.Cache.Entries())), 1)
 	}
-	if total+entries*(unseen+n) > limit || ofAccount+entries*(unseenOfAccount+n) > limit/accountShare {
+	if total+entries*(unseen+n) > limit || ofAccount+entries*(unseenOfAccount+n) > limit/accountDivisor {
 		return false
 	}
 	l.unseen[j.ID] = unseenJob{j.Account, n, now.Add(unseenTime)}
@@ -73,7 +73,7 @@
 			memoryMB = min(memoryMB, e.MemoryMB)
 		}
 	}
-	return memoryMB << 20 / recordShare
+	return memoryMB << 20 / recordDivisor
 }
 
 // recordsFull returns the refusal of a job for whose records there is no memory.
--- a/gateway/recordlimit_test.go
+++ b/gateway/recordlimit_test.go
@@ -27,7 +27,7 @@
 		wantAll   bool // all jobs are admitted
 	}{
 		"many tasks":                           {144, 0, large, 100, true, false},
-		"1,000 ordinary jobs, smallest entry":  {144, work.MaxSpecBytes, ordinary, 700, true, true},
+		"ordinary jobs, smallest entry":        {144, work.MaxSpecBytes, ordinary, 700, true, true},
 		"ordinary jobs without a memory limit": {0, work.MaxSpecBytes, ordinary, 5000, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -46,7 +46,7 @@
 			}
 			require.NotZero(t, admitted)
 			require.Equal(t, tc.wantAll, admitted == tc.jobs)
-			require.LessOrEqual(t, bytes, g.recordBytes()/accountShare)
+			require.LessOrEqual(t, bytes, g.recordBytes()/accountDivisor)
 			require.Equal(t, tc.wantOther, g.admitRecords(job("b", 0), now))
 			require.True(t, g.admitRecords(job("a", tc.jobs), now.Add(2*unseenTime)), "jobs that were not written count no more")
 		})
--- a/intake/arrival.go
+++ b/intake/arrival.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// stallTime is the time without new bytes after which a body has stalled, and headTime
-	// that for a connection on which no body arrives: a header usually comes in one piece, and
-	// it has arrived before a connection is accepted that had to wait.
+	// stallTime is the time without new bytes after which a body has stalled.
 	stallTime = 100 * time.Millisecond
-	headTime  = 30 * time.Millisecond
-	// lossTime replaces it for a body of which provenBytes have arrived: after the loss of a
-	// packet TCP waits for 200 ms or more.
+	// headTime replaces stallTime for a connection on which no body arrives: a header usually
+	// comes in one piece, and it is there already if the connection had to wait for Accept.
+	headTime = 30 * time.Millisecond
+	// lossTime replaces stallTime for a body of which provenBytes have arrived: after the loss
+	// of a packet TCP waits for 200 ms or more.
 	lossTime    = 250 * time.Millisecond
 	provenBytes = 8 << 10
 	// behindBytes is the number of bytes by which a body or a connection may be behind its own
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -211,7 +211,7 @@
 	c.arrival.body = true
 }
 
-// refuse records that a request was answered without being executed.
+// refuse records that a request was answered before its body had arrived.
 func (c *Conn) refuse() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
--- a/intake/table.go
+++ b/intake/table.go
@@ -148,7 +148,7 @@
 	return false
 }
 
-// refuse records that a request of the connection was answered without being executed.
+// refuse records that a request was answered before its body had arrived.
 func (t *table) refuse(c *Conn, now time.Time) {
 	if c.position != nil {
 		c.idle, c.arrival.last = true, now
