--- a/review/testdata/third/main.go
+++ b/review/testdata/third/main.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"strings"
@@ -131,6 +134,7 @@
 
 var cases = map[string]scenario{
 	"refused": {bounds: smallBounds, zones: 4, play: playRefused},
+	"foreign": {bounds: smallBounds, zones: 4, play: playForeign},
 	"advice":  {bounds: grownBounds, zones: 4, play: playAdvice},
 	"lasting": {bounds: smallBounds, zones: 4, play: playLasting},
 	"pending": {bounds: smallBounds, zones: 4, play: playPending},
@@ -209,6 +213,58 @@
 	return held, fmt.Sprintf("%d of %d attempts were rejected; started: %t", rejected, attempts, ok)
 }
 
+// playForeign: one minion of eleven is of kind b. With trouble, its agent gets one status report of
+// another writer, whose service no configuration names. Then a job comes that needs kind b.
+func playForeign(w *world, trouble bool) (int, string) {
+	w.configure(1, []route{{name: "plain", prefix: "/plain/", priority: 1, attempts: 3, objectiveMS: 1000, stretch: 3}})
+	kind := func(i int) string {
+		if i == 10 {
+			return "b"
+		}
+		return "a"
+	}
+	if err := w.settle(4, racks(11, 3, 4, kind)); err != nil {
+		return unable, err.Error()
+	}
+	b := w.minions[10]
+	if !w.submit("1a00000000000001", "/plain/", job(lasts, step(1, 4000, 4000, 1, map[string]any{"long-running": true, "requirements": "b"}))) {
+		return unable, "the job that lasts was not accepted"
+	}
+	if !w.waitFor(5*time.Second, func() bool { return w.running() == 1 }) {
+		return unable, "the job that lasts does not run"
+	}
+	if trouble {
+		body, _ := json.Marshal(map[string]any{
+			"service": "another", "address": b.side.ip + ":8080", "zone": b.side.zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
+			"capacity": map[string]any{"cpu": fullCPU, "mem-mb": fullMem, "gpu": fullGPU}, "labels": []string{"a", "r1-1"}, "clock-ms": 1000, "sequence": 1, "born": time.Now().UnixMilli(),
+		})
+		req, _ := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s:%d/instances/i-ffff", b.side.ip, portControl), bytes.NewReader(body))
+		req.Header.Set("Content-Type", "application/json")
+		resp, err := w.client.Do(req)
+		if err != nil {
+			return unable, err.Error()
+		}
+		_ = resp.Body.Close()
+		w.note("trouble: status report of another writer at the agent of minion %s -> %d: %s", b.id, resp.StatusCode, body)
+	}
+	time.Sleep(time.Second)
+	const id = "0e00000000000001"
+	if !w.submit(id, "/plain/", job(`{"work_ms":2000}`, step(1, 2000, 2000, 1, map[string]any{"requirements": "b"}))) {
+		return unable, "the job was not accepted"
+	}
+	accepted := time.Now()
+	w.note("client: the traffic ends")
+	time.Sleep(w.bounds.finish + 3*time.Second)
+	at, ok := w.started(id)
+	r := w.call(1, "GET", "/plain/"+id, "key-1", nil)
+	w.note("client: GET /plain/%s -> %d %s", id, r.status, r.text)
+	gap, _ := longestGap(w.history("1a00000000000001"))
+	if ok && at.Sub(accepted) < w.bounds.finish {
+		return held, fmt.Sprintf("the job started %.1f s after its ack", at.Sub(accepted).Seconds())
+	}
+	return broken, fmt.Sprintf("LOST: %.0f s after its ack and the end of the traffic the accepted job has not started (state %q), and the task that lasts has had no run for %.1f s, though the minion of kind b is up, reports, answers and has 8 free GPUs", time.Since(accepted).Seconds(), r.state, gap.Seconds())
+}
+
 // playAdvice: a job on a queue with advice is handed in while 30 minions are full and 32 have
 // room. The policy allows every minion.
 func playAdvice(w *world, trouble bool) (int, string) {
