--- a/review/testdata/third/chaos.go
+++ b/review/testdata/third/chaos.go
@@ -75,7 +75,7 @@
 			time.Sleep(time.Duration(300+r.IntN(2500)) * time.Millisecond)
 			machines := append(append([]*machine(nil), w.entries...), w.sides...)
 			m := machines[r.IntN(len(machines))]
-			switch k := r.IntN(11); k {
+			switch k := r.IntN(12); k {
 			case 0, 1:
 				w.note("chaos: kill %s", m.name)
 				m.end(syscall.SIGKILL)
@@ -104,6 +104,15 @@
 				w.store.SetFault("all", f)
 				time.Sleep(time.Duration(500+r.IntN(3500)) * time.Millisecond)
 				w.store.SetFault("all", standin.Healthy)
+			case 11:
+				w.note("chaos: all processes are killed")
+				for _, m := range machines {
+					m.end(syscall.SIGKILL)
+				}
+				time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+				for _, m := range machines {
+					_ = m.run()
+				}
 			case 7:
 				w.note("chaos: store's history lost")
 				w.store.Compact()
--- a/review/testdata/third/minion.go
+++ b/review/testdata/third/minion.go
@@ -102,6 +102,9 @@
 }
 
 func (m *minion) advance(now time.Time) {
+	if m.down {
+		return
+	}
 	for _, r := range m.runs {
 		age := now.Sub(r.began)
 		switch {
