--- a/review/testdata/third/chaos.go
+++ b/review/testdata/third/chaos.go
@@ -89,7 +89,7 @@
 			case 4:
 				i := r.IntN(6)
 				w.note("chaos: crash of minion %s", w.minions[i].id)
-				w.minions[i].crash(time.Duration(300+r.IntN(3000)) * time.Millisecond)
+				w.minions[i].crash(time.Duration(300+r.IntN(3000))*time.Millisecond, 0)
 			case 5, 6:
 				i := r.IntN(6)
 				w.note("chaos: orders to minion %s lost or late", w.minions[i].id)
--- a/review/testdata/third/main.go
+++ b/review/testdata/third/main.go
@@ -134,6 +134,7 @@
 
 var cases = map[string]scenario{
 	"refused": {bounds: smallBounds, zones: 4, play: playRefused},
+	"clock":   {bounds: smallBounds, zones: 4, play: playClock},
 	"foreign": {bounds: smallBounds, zones: 4, play: playForeign},
 	"advice":  {bounds: grownBounds, zones: 4, play: playAdvice},
 	"lasting": {bounds: smallBounds, zones: 4, play: playLasting},
@@ -213,6 +214,79 @@
 	return held, fmt.Sprintf("%d of %d attempts were rejected; started: %t", rejected, attempts, ok)
 }
 
+// playClock: the only minion of its kind crashes twice within two seconds and starts again under
+// its identifier. With trouble, the time of day on its machine is two seconds ahead when it starts
+// for the first time, and back when it starts for the second.
+func playClock(w *world, trouble bool) (int, string) {
+	w.configure(1, []route{{name: "plain", prefix: "/plain/", priority: 1, attempts: 3, objectiveMS: 1000, stretch: 3}})
+	kind := func(i int) string {
+		if i == 10 {
+			return "b"
+		}
+		return "a"
+	}
+	if err := w.settle(4, racks(11, 3, 4, kind)); err != nil {
+		return unable, err.Error()
+	}
+	b := w.minions[10]
+	var noted []string
+	b.mu.Lock()
+	b.noted = func(_ *minion, row []any) {
+		noted = append(noted, row[1].(string))
+		w.note("minion %s: the end %v is taken note of", b.id, row)
+	}
+	b.mu.Unlock()
+	needsB := func(workMS int) map[string]any {
+		return job(fmt.Sprintf(`{"work_ms":%d}`, workMS), step(1, 2000, 2000, 1, map[string]any{"requirements": "b"}))
+	}
+	skew := time.Duration(0)
+	if trouble {
+		skew = 2 * time.Second
+		w.note("trouble: the time of day on the machine of minion %s jumps ahead by 2 s", b.id)
+	}
+	w.note("minion %s crashes and starts again", b.id)
+	b.crash(300*time.Millisecond, skew)
+	if !w.submit("0e00000000000001", "/plain/", needsB(200)) {
+		return unable, "the first job was not accepted"
+	}
+	if !w.waitFor(1400*time.Millisecond, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(noted) > 0
+	}) {
+		return unable, "the first job has not ended within the life of the minion"
+	}
+	if trouble {
+		w.note("trouble: the time of day on that machine jumps back")
+	}
+	w.note("minion %s crashes and starts again", b.id)
+	b.crash(300*time.Millisecond, 0)
+	time.Sleep(500 * time.Millisecond)
+	const id = "0e00000000000002"
+	if !w.submit(id, "/plain/", needsB(1500)) {
+		return unable, "the second job was not accepted"
+	}
+	time.Sleep(20 * time.Second)
+	r := w.call(1, "GET", "/plain/"+id, "key-1", nil)
+	w.note("client: GET /plain/%s -> %d %s", id, r.status, r.text)
+	done, twice := 0, 0
+	for _, h := range w.history(id) {
+		switch {
+		case h.how == "done":
+			done++
+		case h.how == "start" && done > 0:
+			twice++
+		}
+	}
+	if twice > 0 {
+		return broken, fmt.Sprintf("TWICE: the only task of job %s was started %d more times after a run of it had ended done, and was done %d times; the state shown is %q", id, twice, done, r.state)
+	}
+	if done == 0 {
+		return unable, "the second job was not done"
+	}
+	return held, fmt.Sprintf("the task was done once; the state shown is %q", r.state)
+}
+
 // playForeign: one minion of eleven is of kind b. With trouble, its agent gets one status report of
 // another writer, whose service no configuration names. Then a job comes that needs kind b.
 func playForeign(w *world, trouble bool) (int, string) {
--- a/review/testdata/third/minion.go
+++ b/review/testdata/third/minion.go
@@ -73,6 +73,7 @@
 	happened  []happening
 	refused   map[string]int // starts answered 503, by task
 
+	skew   time.Duration              // of the time of day on its machine when it started
 	down   bool                       // its process is gone
 	fault  func(path string) string   // "", "lost" or "late", for each order
 	noted  func(m *minion, row []any) // called for each end that is taken note of
@@ -85,6 +86,9 @@
 
 func (m *minion) clock(now time.Time) time.Duration { return now.Sub(m.born) + time.Second }
 
+// bornMS is when the present lifetime started by the time of day on its machine.
+func (m *minion) bornMS() int64 { return m.born.Add(m.skew).UnixMilli() }
+
 func (m *minion) setUnhealthy(v bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -140,7 +144,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for sequence := 1; ; sequence++ {
 		m.mu.Lock()
-		down, born := m.down, m.born
+		down, born := m.down, m.bornMS()
 		m.mu.Unlock()
 		if down {
 			time.Sleep(50 * time.Millisecond)
@@ -148,7 +152,7 @@
 		}
 		body, _ := json.Marshal(map[string]any{
 			"service": service, "address": fmt.Sprintf("%s:%d", m.side.ip, portApp), "zone": m.side.zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
-			"capacity": map[string]any{"cpu": fullCPU, "mem-mb": fullMem, "gpu": fullGPU}, "labels": []string{m.plan.kind, m.plan.rack}, "clock-ms": m.clock(time.Now()).Milliseconds(), "sequence": sequence, "born": born.UnixMilli(),
+			"capacity": map[string]any{"cpu": fullCPU, "mem-mb": fullMem, "gpu": fullGPU}, "labels": []string{m.plan.kind, m.plan.rack}, "clock-ms": m.clock(time.Now()).Milliseconds(), "sequence": sequence, "born": born,
 		})
 		req, _ := http.NewRequestWithContext(context.Background(), http.MethodPut, fmt.Sprintf("http://%s:%d/instances/%s", m.side.ip, portControl, m.id), bytes.NewReader(body))
 		req.Header.Set("Content-Type", "application/json")
@@ -215,7 +219,7 @@
 	now := time.Now()
 	m.advance(now)
 	said := func(status int, reason string) {
-		b := map[string]any{"clock-ms": m.clock(time.Now()).Milliseconds(), "born": m.born.UnixMilli()}
+		b := map[string]any{"clock-ms": m.clock(time.Now()).Milliseconds(), "born": m.bornMS()}
 		if reason != "" {
 			b["reason"] = reason
 		}
@@ -304,7 +308,7 @@
 	if ended == nil {
 		ended = [][]any{}
 	}
-	answer(out, http.StatusOK, map[string]any{"clock-ms": m.clock(now).Milliseconds(), "born": m.born.UnixMilli(), "running": running, "ended": ended[:min(len(ended), 500)]})
+	answer(out, http.StatusOK, map[string]any{"clock-ms": m.clock(now).Milliseconds(), "born": m.bornMS(), "running": running, "ended": ended[:min(len(ended), 500)]})
 }
 
 // history returns what has happened to the tasks of a job, by time of each minion.
@@ -396,8 +400,9 @@
 func (discard) Write(b []byte) (int, error) { return len(b), nil }
 func (discard) WriteHeader(int)             {}
 
-// crash ends the minion; it starts again under the same identifier after a while.
-func (m *minion) crash(d time.Duration) {
+// crash ends the minion; it starts again under the same identifier after a while, when the
+// time of day on its machine has the given error.
+func (m *minion) crash(d, skew time.Duration) {
 	m.mu.Lock()
 	now := time.Now()
 	for _, r := range m.runs {
@@ -408,6 +413,7 @@
 	time.Sleep(d)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.skew = skew
 	m.down, m.born, m.fence, m.until, m.lastEnd = false, time.Now(), 0, 0, 0
 	m.runs, m.highest, m.ended, m.endedN = make(map[string]*run), make(map[string]int), nil, nil
 }
