--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -309,7 +309,7 @@
 		rec, err := g.findJob(ctx, c, id)
 		if rosemarysill.CodeOf(err) == rosemarysill.UnknownJob && validJobID(id) {
 			// A write that would accept the job may still be executed late.
-			recorded, markErr := g.mark(ctx, c, id)
+			recorded, _, markErr := g.mark(ctx, c, id)
 			if recorded {
 				continue
 			}
--- a/gateway/mark.go
+++ b/gateway/mark.go
@@ -56,29 +56,32 @@
 
 // mark makes writes of a job that were sent before, by any entry, fail. It returns true if
 // the job is on record already. After an error, such a write may still take effect. A mark
-// that is there already is replaced, because a write that replaces that one may be late.
-func (g *Gateway) mark(ctx context.Context, c queue.Call, id string) (accepted bool, err error) {
-	var version uint64
+// that is there already is replaced, because a write that replaces that one may be late. The
+// version is that of the new mark.
+func (g *Gateway) mark(ctx context.Context, c queue.Call, id string) (accepted bool, version uint64, err error) {
 	for {
 		accepted, version, err = g.tryMark(ctx, id, version)
 		if err == nil || !errors.Is(err, rosemarysill.ErrVersion) && !g.waitRetry(ctx, c) || ctx.Err() != nil {
-			return accepted, err
+			return accepted, version, err
 		}
 	}
 }
 
-// tryMark makes one attempt to replace the mark of the given version. After ErrVersion it
-// returns the version that the mark has.
+// tryMark makes one attempt to replace the mark of the given version and returns that of the
+// new mark, or after ErrVersion that of the present one.
 func (g *Gateway) tryMark(ctx context.Context, id string, version uint64) (bool, uint64, error) {
 	lease, err := g.marks.get(ctx, g.cfg.Store)
 	if err != nil {
 		return false, version, err
 	}
 	jobKey, markKey := jobstore.JobKey(id), jobstore.MarkKey(id)
-	_, items, err := g.cfg.Store.Commit(ctx, rosemarysill.Commit{
+	made, items, err := g.cfg.Store.Commit(ctx, rosemarysill.Commit{
 		Guards: []rosemarysill.Guard{{Key: jobKey}, {Key: markKey, Version: version}},
 		Writes: []rosemarysill.Write{{Key: markKey, Value: []byte("{}"), Lease: lease}},
 	})
+	if err == nil {
+		return false, made, nil
+	}
 	if errors.Is(err, rosemarysill.ErrLeaseLapsed) {
 		g.marks.drop(lease)
 	}
@@ -94,8 +97,9 @@
 // refuseMarked returns the refusal of a job once no earlier write of it can take effect,
 // nil if the job is on record, and OutcomeUnknown if neither is confirmed.
 func (g *Gateway) refuseMarked(ctx context.Context, c queue.Call, id string, refusal error) error {
-	accepted, err := g.mark(ctx, c, id)
-	event.QueueMarked.Log(g.cfg.Log).Str("Job", id).Str("Code", rosemarysill.CodeOf(refusal).String()).Bool("Accepted", accepted).AnErr("Cause", err).Send()
+	accepted, version, err := g.mark(ctx, c, id)
+	event.QueueMarked.Log(g.cfg.Log).Str("Job", id).Str("Code", rosemarysill.CodeOf(refusal).String()).Bool("Accepted", accepted).Uint64("MarkVersion", version).
+		Uint64("KnownMark", c.MarkVersion).Bool("Repeated", c.Repeated).AnErr("Cause", err).Send()
 	switch {
 	case accepted:
 		return nil
@@ -105,6 +109,7 @@
 		if c.Marked != nil {
 			*c.Marked = true
 		}
+		setFoundMark(c, version)
 		return refusal
 	}
 }
--- a/gateway/mark_test.go
+++ b/gateway/mark_test.go
@@ -50,6 +50,21 @@
 
 func testJob() *work.Job { return &work.Job{ID: testJobID, Steps: []work.Step{{Count: 1}}} }
 
+// sendLateWrite writes the job at an entry of markedEntry, without a reply. With markedBefore
+// the write replaces the mark of an earlier refusal.
+func sendLateWrite(t *testing.T, s *standin.Transactions, g *Gateway, cfg *queue.Configuration, markedBefore bool) {
+	var markVersion uint64
+	if markedBefore {
+		refusal := rosemarysill.NewError(rosemarysill.Overloaded, "test")
+		require.ErrorIs(t, g.refuseMarked(t.Context(), testCall(nil), testJobID, refusal), refusal)
+		require.ErrorIs(t, g.writeJob(t.Context(), cfg, testJob(), &markVersion), rosemarysill.ErrVersion)
+		require.NotZero(t, markVersion)
+	}
+	s.SetFault("entry", standin.Late)
+	require.ErrorIs(t, g.writeJob(t.Context(), cfg, testJob(), &markVersion), rosemarysill.ErrStoreUnavailable)
+	s.SetFault("entry", standin.Healthy)
+}
+
 // Guards against a job that runs after it was refused, because an earlier write of it takes
 // effect late, and against a job that is never accepted after a refusal.
 func TestLateWriteOfRefusedJobFails(t *testing.T) {
@@ -65,15 +80,7 @@
 			s.LateBy = 300 * time.Millisecond
 			g, cfg := markedEntry(s)
 			ctx := context.Background()
-			var markVersion uint64
-			if tc.markedBefore {
-				require.ErrorIs(t, g.refuseMarked(ctx, testCall(nil), testJobID, refusal), refusal)
-				require.ErrorIs(t, g.writeJob(ctx, cfg, testJob(), &markVersion), rosemarysill.ErrVersion)
-				require.NotZero(t, markVersion)
-			}
-			s.SetFault("entry", standin.Late)
-			require.ErrorIs(t, g.writeJob(ctx, cfg, testJob(), &markVersion), rosemarysill.ErrStoreUnavailable)
-			s.SetFault("entry", standin.Healthy)
+			sendLateWrite(t, s, g, cfg, tc.markedBefore)
 			var marked bool
 			require.ErrorIs(t, g.refuseMarked(ctx, testCall(&marked), testJobID, refusal), refusal)
 			require.True(t, marked)
@@ -156,19 +163,26 @@
 // Guards against a job that starts seconds after its cancel was answered with "no such job",
 // because the write that accepts it is executed late.
 func TestCancelOfUnknownJobStands(t *testing.T) {
-	s := standin.NewTransactions()
-	s.LateBy = 300 * time.Millisecond
-	g, cfg := markedEntry(s)
-	ctx := context.Background()
-	s.SetFault("entry", standin.Late)
-	require.ErrorIs(t, g.writeJob(ctx, cfg, testJob(), new(uint64)), rosemarysill.ErrStoreUnavailable)
-	s.SetFault("entry", standin.Healthy)
-	require.Equal(t, rosemarysill.UnknownJob, rosemarysill.CodeOf(g.Cancel(ctx, testCall(nil))))
-	time.Sleep(2 * s.LateBy) // the late write is executed
-	require.Empty(t, s.Keys(jobstore.JobKey("")), "the job that does not exist is on record")
-	require.NoError(t, g.Submit(ctx, testCall(nil), func() (*work.Job, error) { return testJob(), nil }))
-	require.NoError(t, g.Cancel(ctx, testCall(nil)))
-	require.Len(t, s.Keys(jobstore.CancelKey("")), 1)
+	for name, tc := range map[string]struct {
+		markedBefore bool // the late write replaces the mark of an earlier refusal
+	}{
+		"first try":                    {},
+		"try after an earlier refusal": {markedBefore: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := standin.NewTransactions()
+			s.LateBy = 300 * time.Millisecond
+			g, cfg := markedEntry(s)
+			ctx := context.Background()
+			sendLateWrite(t, s, g, cfg, tc.markedBefore)
+			require.Equal(t, rosemarysill.UnknownJob, rosemarysill.CodeOf(g.Cancel(ctx, testCall(nil))))
+			time.Sleep(2 * s.LateBy) // the late write is executed
+			require.Empty(t, s.Keys(jobstore.JobKey("")), "the job that does not exist is on record")
+			require.NoError(t, g.Submit(ctx, testCall(nil), func() (*work.Job, error) { return testJob(), nil }))
+			require.NoError(t, g.Cancel(ctx, testCall(nil)))
+			require.Len(t, s.Keys(jobstore.CancelKey("")), 1)
+		})
+	}
 }
 
 // refusedReads is a store that refuses reads of single keys.
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -51,15 +51,16 @@
 		return err
 	}
 	uncertain := false
-	var markVersion uint64
+	markVersion := c.MarkVersion
 	for repeated := c.Repeated; ; repeated = true {
 		j := *draft
 		applyQueue(&j, id, account, q)
 		known := markVersion
 		err := g.writeJob(ctx, cfg, &j, &markVersion)
 		if repeated && markVersion != 0 && markVersion != known {
-			return refuseBehindMark(c)
+			return g.refuseMarked(ctx, c, id, errRefusedMeanwhile)
 		}
+		setFoundMark(c, markVersion)
 		if errors.Is(err, rosemarysill.ErrStoreUnavailable) {
 			uncertain = true
 		}
@@ -75,14 +76,17 @@
 	}
 }
 
-// refuseBehindMark refuses a job of which another try was refused while this one was in
-// progress. The caller may have given up this try and relies on that refusal. Writes of this
-// try that were sent before the mark have another version as guard and fail.
-func refuseBehindMark(c queue.Call) error {
-	if c.Marked != nil {
-		*c.Marked = true
+// errRefusedMeanwhile refuses a job of which another try was refused while this one was in
+// progress. The caller may have given up this try and relies on that refusal. The mark that
+// shows it proves nothing for this refusal: a write in progress may have it as its guard.
+var errRefusedMeanwhile = rosemarysill.NewError(rosemarysill.Overloaded, "another try of the job was refused meanwhile")
+
+// setFoundMark records the version of the mark that a repetition of the call at another
+// entry may replace.
+func setFoundMark(c queue.Call, version uint64) {
+	if c.FoundMark != nil && version != 0 {
+		*c.FoundMark = version
 	}
-	return rosemarysill.NewError(rosemarysill.Overloaded, "another try of the job was refused meanwhile")
 }
 
 // applyQueue sets the identifier and the account of a job, and the fields that its
--- a/queue/jobs.go
+++ b/queue/jobs.go
@@ -21,13 +21,19 @@
 	// A relaying entry sets it.
 	MinRevision uint64 `json:",omitempty"`
 	// Repeated reports that another entry has tried the call before. The relaying entry sets
-	// it. Such a call does not replace the mark of a refusal, which may be later than the call.
+	// it. Such a call replaces no mark of a refusal but that of MarkVersion, because the
+	// refusal may be later than the call.
 	Repeated bool `json:",omitempty"`
+	// MarkVersion is the version of the mark that the call may replace, 0 if there is none.
+	// An earlier attempt of the call, at another entry, has found or left it.
+	MarkVersion uint64 `json:",omitempty"`
 	// DecidedBy is set to the configuration that has decided the call, if it is not nil.
 	DecidedBy *ConfigID `json:"-"`
 	// Marked is set to true, if it is not nil, when a submission is refused and no earlier
 	// write of its job, by any entry, can take effect any more.
 	Marked *bool `json:"-"`
+	// FoundMark is set, if it is not nil, to the MarkVersion for a repetition of the call.
+	FoundMark *uint64 `json:"-"`
 }
 
 // LastSegment returns the part of the path behind the last slash. This is the identifier
--- a/relay/message.go
+++ b/relay/message.go
@@ -54,6 +54,8 @@
 	// Marked reports that a submission is refused and no earlier write of its job can take
 	// effect any more.
 	Marked bool `json:",omitempty"`
+	// MarkVersion is the MarkVersion for a repetition of the call, 0 if that is unchanged.
+	MarkVersion uint64 `json:",omitempty"`
 
 	lost bool // the entry has not answered
 }
@@ -110,7 +112,8 @@
 	defer cancel()
 	var decidedBy queue.ConfigID
 	var marked bool
-	r.Call.DecidedBy, r.Call.Marked = &decidedBy, &marked
+	var foundMark uint64
+	r.Call.DecidedBy, r.Call.Marked, r.Call.FoundMark = &decidedBy, &marked, &foundMark
 	// Half of the time is left for the call, or for the answer that refuses it.
 	waitCtx, stopWaiting := context.WithTimeout(ctx, r.Remaining/2)
 	defer stopWaiting()
@@ -119,7 +122,7 @@
 	}
 	defer l.slots.Leave()
 	a := execute(ctx, l.local, r)
-	a.Marked = marked
+	a.Marked, a.MarkVersion = marked, foundMark
 	a.Config, a.StoreAway = decidedBy, !l.local.StoreReachable()
 	return a
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -115,12 +115,14 @@
 		defer cancel()
 		timeout := time.AfterFunc(req.Remaining, cancel)
 		defer timeout.Stop()
+		var foundMark uint64
+		req.Call.FoundMark = &foundMark
 		err := r.cfg.Local.Submit(attemptCtx, req.Call, func() (*work.Job, error) {
 			timeout.Stop()
 			defer timeout.Reset(req.Remaining)
 			return decodeOnce()
 		})
-		return Answer{Code: rosemarysill.CodeOf(err), Detail: rosemarysill.DetailOf(err), RetryAfter: rosemarysill.RetryAfterOf(err)}
+		return Answer{Code: rosemarysill.CodeOf(err), Detail: rosemarysill.DetailOf(err), RetryAfter: rosemarysill.RetryAfterOf(err), MarkVersion: foundMark}
 	}, func(req *Request) error {
 		j, err := decodeOnce()
 		req.Job = j
@@ -172,6 +174,7 @@
 		}
 		reason = last.Code.String()
 		uncertain = last.Code.Truth() == rosemarysill.TruthUnknown
+		req.recordAttempt(last)
 	}
 	if err := prepare(&req); err != nil {
 		return Answer{Code: rosemarysill.CodeOf(err), Detail: rosemarysill.DetailOf(err)}
@@ -189,7 +192,6 @@
 			break
 		}
 		sent := time.Now()
-		req.Call.Repeated = reachable || i > 0
 		a := attempt(ctx, req, deadline, func(ctx context.Context, req Request) Answer { return r.forward(ctx, peer, req) })
 		r.report(req, peer, a, reason, contactAge, time.Since(sent))
 		said.add(a)
@@ -199,6 +201,7 @@
 			return finalAnswer(req.Operation, a, uncertain)
 		}
 		uncertain = uncertain || a.Code.Truth() == rosemarysill.TruthUnknown
+		req.recordAttempt(a)
 		last = a
 	}
 	if !reachable && !uncertain {
@@ -208,6 +211,14 @@
 	return finalAnswer(req.Operation, last, uncertain)
 }
 
+// recordAttempt prepares the call for a repetition at another entry after the answer of one.
+func (r *Request) recordAttempt(a Answer) {
+	r.Call.Repeated = true
+	if a.MarkVersion != 0 {
+		r.Call.MarkVersion = a.MarkVersion
+	}
+}
+
 // report logs and counts a forward. contactAge is the time since the last contact with the
 // store when the call arrived.
 func (r *Relay) report(req Request, peer Peer, a Answer, reason string, contactAge, took time.Duration) {
@@ -219,8 +230,8 @@
 
 // finalAnswer replaces an answer that claims that a request had no effect if an
 // earlier attempt may have taken effect, because a later refusal by another entry
-// does not rule that out. A refusal that has left a mark in the store does, because earlier
-// attempts are over by then. Status never has an effect.
+// does not rule that out. A refusal that has left a mark of its own in the store does,
+// because the writes of earlier attempts fail on it. Status never has an effect.
 func finalAnswer(op Operation, a Answer, uncertain bool) Answer {
 	if op == Status || !uncertain || a.Marked || a.Code.Truth() != rosemarysill.TruthNotRun {
 		return a
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -319,3 +319,53 @@
 		})
 	}
 }
+
+// markingEntry records what it is told of earlier attempts of a submission, and answers that
+// it has found a mark.
+type markingEntry struct {
+	stub
+	found uint64
+	told  *queue.Call
+}
+
+func (e markingEntry) Submit(_ context.Context, c queue.Call, _ func() (*work.Job, error)) error {
+	*e.told = c
+	*c.FoundMark = e.found
+	return e.answer(c)
+}
+
+// Guards against a job that is refused because of a mark that an earlier attempt of the same
+// call has found, and against a later mark that the last attempt, at this entry, replaces.
+func TestRepetitionHasTheMarkOfEarlierAttempts(t *testing.T) {
+	for name, tc := range map[string]struct {
+		local, peer markingEntry
+		toldLocal   queue.Call // Repeated and MarkVersion
+		toldPeer    queue.Call
+	}{
+		"first at this entry": {
+			local:    markingEntry{stub: stub{code: rosemarysill.OutcomeUnknown}, found: 7},
+			peer:     markingEntry{stub: stub{code: rosemarysill.Done}},
+			toldPeer: queue.Call{Repeated: true, MarkVersion: 7},
+		},
+		"first at the peer": {
+			local:     markingEntry{stub: stub{cutOff: true}},
+			peer:      markingEntry{stub: stub{code: rosemarysill.StoreUnavailable}, found: 9},
+			toldLocal: queue.Call{Repeated: true, MarkVersion: 9},
+		},
+		"no mark": {
+			local:     markingEntry{stub: stub{cutOff: true}},
+			peer:      markingEntry{stub: stub{code: rosemarysill.StoreUnavailable}},
+			toldLocal: queue.Call{Repeated: true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var toldLocal, toldPeer queue.Call
+			tc.local.told, tc.peer.told = &toldLocal, &toldPeer
+			r := newRelay(t, tc.local, tc.peer, nil, zerolog.Nop())
+			call := queue.Call{Path: "/q/1", Deadline: time.Now().Add(20 * time.Second)}
+			require.NoError(t, r.Submit(t.Context(), call, func() (*work.Job, error) { return &work.Job{}, nil }))
+			require.Equal(t, tc.toldLocal, queue.Call{Repeated: toldLocal.Repeated, MarkVersion: toldLocal.MarkVersion})
+			require.Equal(t, tc.toldPeer, queue.Call{Repeated: toldPeer.Repeated, MarkVersion: toldPeer.MarkVersion})
+		})
+	}
+}
