--- a/event/runner.go
+++ b/event/runner.go
@@ -14,6 +14,8 @@
 	RunnerWorkerLeaving Event = 1023
 	RunnerNoListener    Event = 1024
 	RunnerCapacity      Event = 1025
+	RunnerCandidate     Event = 1026
+	RunnerVerdict       Event = 1027
 	RunnerStart         Event = 1030
 	RunnerStop          Event = 1031
 	RunnerPace          Event = 1032
@@ -30,12 +32,14 @@
 	RunnerStopped:       {"RunnerStopped", zerolog.InfoLevel, "The agent of a worker that runs steps has stopped; the worker keeps its runs until their leases expire."},
 	RunnerAttached:      {"RunnerAttached", zerolog.InfoLevel, "The agent has opened a stream to the leader."},
 	RunnerDetached:      {"RunnerDetached", zerolog.WarnLevel, "The stream to the leader has ended; leases are not extended until a new stream is open."},
-	RunnerWorker:        {"RunnerWorker", zerolog.InfoLevel, "A new incarnation of the worker has announced itself."},
+	RunnerWorker:        {"RunnerWorker", zerolog.InfoLevel, "A new incarnation of the worker has begun: it has announced itself and, if it replaces another, has replied."},
 	RunnerWorkerLeft:    {"RunnerWorkerLeft", zerolog.InfoLevel, "The worker has ended, and its runs with it."},
 	RunnerWorkerState:   {"RunnerWorkerState", zerolog.InfoLevel, "The worker has started to drain or to leave, or accepts tasks again."},
 	RunnerWorkerLeaving: {"RunnerWorkerLeaving", zerolog.InfoLevel, "The worker has said that it is about to end; it gets no more tasks. RunnerWorkerLeft follows when nothing listens at its address."},
 	RunnerNoListener:    {"RunnerNoListener", zerolog.WarnLevel, "Nothing listens at the worker's address; it gets no more tasks and no leases. Its runs count as ended when its next incarnation has confirmed or their leases have lapsed."},
 	RunnerCapacity:      {"RunnerCapacity", zerolog.InfoLevel, "The capacity that the worker announces has changed."},
+	RunnerCandidate:     {"RunnerCandidate", zerolog.InfoLevel, "A status report is about another incarnation than the current one. The worker is asked; the current one stays until the worker has replied as the other."},
+	RunnerVerdict:       {"RunnerVerdict", zerolog.InfoLevel, "The reply of the worker to a call under the identifier of such an incarnation confirms or denies it, or decides nothing, so that the call is repeated."},
 	RunnerStart:         {"RunnerStart", zerolog.InfoLevel, "The worker has replied to a request to start a run."},
 	RunnerStop:          {"RunnerStop", zerolog.InfoLevel, "The worker has replied to a request to stop a run."},
 	RunnerPace:          {"RunnerPace", zerolog.InfoLevel, "The worker has replied to a request to change the pace of a run."},
--- /dev/null
+++ b/runner/candidate.go
@@ -0,0 +1,114 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rosemarysill/rosemarysill/event"
+	"github.com/rosemarysill/rosemarysill/uptime"
+	"github.com/rosemarysill/rosemarysill/work"
+)
+
+// maxCandidates bounds the number of incarnations that wait for the worker's reply. The
+// oldest one is dropped; the worker reports again.
+const maxCandidates = 8
+
+// addCandidate records a report of another incarnation than the current one.
+func (w *workerState) addCandidate(a work.Announcement) {
+	incarnation := w.incarnationOf(a)
+	i := slices.IndexFunc(w.candidates, func(c work.Announcement) bool { return w.incarnationOf(c) == incarnation })
+	switch {
+	case i < 0:
+		w.candidates = append(w.candidates, a)
+		w.candidates = w.candidates[max(0, len(w.candidates)-maxCandidates):]
+	case a.Sequence > w.candidates[i].Sequence:
+		w.candidates[i] = a
+	}
+}
+
+// dropCandidate removes a candidate and returns its latest report.
+func (w *workerState) dropCandidate(incarnation string) (a work.Announcement, ok bool) {
+	i := slices.IndexFunc(w.candidates, func(c work.Announcement) bool { return w.incarnationOf(c) == incarnation })
+	if i < 0 {
+		return a, false
+	}
+	a = w.candidates[i]
+	w.candidates = slices.Delete(w.candidates, i, i+1)
+	return a, true
+}
+
+// verdict is what a reply of the worker says about a candidate.
+type verdict string
+
+const (
+	confirmed verdict = "confirmed"
+	denied    verdict = "denied"
+	undecided verdict = "undecided"
+)
+
+// applyCandidateReply processes the reply to a call under the identifier of a candidate. It
+// begins the incarnation if the reply confirms the candidate, and drops a candidate that is
+// confirmed or denied. Only the start of the incarnation distinguishes those with the same
+// identifier.
+func (w *workerState) applyCandidateReply(a work.Announcement, reply work.RuntimeReply, fence int64, now time.Time) verdict {
+	incarnation := w.incarnationOf(a)
+	switch {
+	case reply.Refusal == work.RefusedFence:
+		w.raiseFence(fence + fenceJump)
+		return undecided
+	case reply.Refusal != work.Accepted && reply.Refusal != work.RefusedInstance:
+		return undecided
+	}
+	latest, ok := w.dropCandidate(incarnation)
+	if !ok || reply.Refusal == work.RefusedInstance || reply.StartedAtMS != 0 && reply.StartedAtMS != a.StartedAtMS ||
+		reply.StartedAtMS == 0 && a.ID == w.announcement.ID {
+		return denied
+	}
+	w.startIncarnation(latest, now)
+	return confirmed
+}
+
+// confirmCandidates asks the worker about the candidates until ctx ends.
+func (r *Runner) confirmCandidates(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.askNow:
+		}
+		for r.confirmCandidate(ctx) {
+			uptime.Sleep(ctx, renewalInterval) // the worker has not said which one it is
+		}
+	}
+}
+
+// confirmCandidate asks the worker about each candidate and reports whether there is one
+// left. Its calls extend no lease and discard no end, because another incarnation than the
+// candidate may receive them.
+func (r *Runner) confirmCandidate(ctx context.Context) (left bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.worker
+	for _, a := range slices.Clone(w.candidates) {
+		current, fence := w.incarnation(), w.fence
+		r.mu.Unlock()
+		reply, err := r.cfg.Runtime.RenewLeases(ctx, callTimeout, a.ID, fence, work.LeaseRenewal{})
+		r.mu.Lock()
+		if ctx.Err() != nil {
+			return false
+		}
+		if err != nil || w.incarnation() != current {
+			continue // a reply from before the present incarnation decides nothing
+		}
+		v := w.applyCandidateReply(a, reply, fence, uptime.Now())
+		event.RunnerVerdict.Log(r.cfg.Log).Str("Worker", current).Str("Candidate", w.incarnationOf(a)).Str("Verdict", string(v)).
+			Str("Refusal", string(reply.Refusal)).Int64("StartedAtMS", reply.StartedAtMS).Send()
+		if v == confirmed {
+			w.recordCapacity()
+			r.logIncarnation()
+			r.interruptRenewal()
+		}
+	}
+	return len(w.candidates) > 0
+}
--- a/runner/incarnation.go
+++ b/runner/incarnation.go
@@ -31,27 +31,25 @@
 }
 
 // applyAnnouncement processes a status report of the worker and reports whether it
-// began a new incarnation. Reports of earlier incarnations, and reports that arrive
-// out of order, change nothing.
+// began a new incarnation. Reports of ended incarnations, and reports that arrive out of
+// order, change nothing. A report of another incarnation than the current one may be
+// outdated, or from another sender, so it only makes that incarnation a candidate.
 func (w *workerState) applyAnnouncement(a work.Announcement, now time.Time) bool {
-	if w.registered && a.StartedAtMS < w.announcement.StartedAtMS {
-		return false
-	}
-	if w.presumedEnded != "" && w.presumedEnded == w.incarnationOf(a) && a.Sequence > w.announcement.Sequence {
-		w.endedIncarnations = slices.DeleteFunc(w.endedIncarnations, func(ended string) bool { return ended == w.presumedEnded })
-		w.presumedEnded = ""
+	incarnation := w.incarnationOf(a)
+	if w.presumedEnded == incarnation && a.Sequence > w.presumedEndedSeq {
+		w.withdrawEnd(incarnation)
 	}
-	if slices.Contains(w.endedIncarnations, w.incarnationOf(a)) {
-		return false
-	}
-	if w.registered && a.ID == w.announcement.ID && a.StartedAtMS == w.announcement.StartedAtMS {
-		if a.Sequence > w.announcement.Sequence {
-			w.announcement, w.announcedAt, w.leavingSince = a, now, time.Time{}
-		}
-		return false
+	switch {
+	case slices.Contains(w.endedIncarnations, incarnation):
+	case !w.registered:
+		w.startIncarnation(a, now)
+		return true
+	case incarnation != w.incarnation():
+		w.addCandidate(a)
+	case a.Sequence > w.announcement.Sequence:
+		w.announcement, w.announcedAt, w.leavingSince = a, now, time.Time{}
 	}
-	w.startIncarnation(a, now)
-	return true
+	return false
 }
 
 // startIncarnation begins a new incarnation. The fence rises, so late calls meant for
@@ -60,6 +58,7 @@
 	if w.registered {
 		w.recordEndedIncarnation(w.incarnation())
 	}
+	w.dropCandidate(w.incarnationOf(a))
 	w.announcement, w.announcedAt, w.registered, w.confirmed = a, now, true, false
 	w.fence++
 	w.renewedFence, w.ackedSeq, w.running, w.ended, w.moreEnded, w.refused = 0, 0, nil, nil, false, nil
@@ -80,6 +79,14 @@
 	}
 }
 
+// withdrawEnd records that an incarnation has not ended after all.
+func (w *workerState) withdrawEnd(incarnation string) {
+	w.endedIncarnations = slices.DeleteFunc(w.endedIncarnations, func(ended string) bool { return ended == incarnation })
+	if w.presumedEnded == incarnation {
+		w.presumedEnded = ""
+	}
+}
+
 // recordLeaving records that the worker has said that it is about to end, and reports
 // whether that concerns the current incarnation. Such a message names no incarnation and
 // may be late, so it is no proof of an end: the worker only gets no more tasks until its
@@ -98,7 +105,7 @@
 // same incarnation reverses this, and the leader then stops the runs that are still
 // running there.
 func (w *workerState) recordEnd() {
-	w.presumedEnded = w.incarnation()
+	w.presumedEnded, w.presumedEndedSeq = w.incarnation(), w.announcement.Sequence
 	w.recordEndedIncarnation(w.presumedEnded)
 	w.registered, w.confirmed = false, false
 	w.running, w.ended, w.refused = nil, nil, nil
--- a/runner/incarnation_test.go
+++ b/runner/incarnation_test.go
@@ -28,6 +28,7 @@
 		}, nil)
 	}
 	announce(1)
+	renew() // the reply is from the next incarnation
 	renew()
 	present := r.worker.incarnation()
 	require.Equal(t, present, r.worker.report(uptime.Now()).Worker.Incarnation)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -67,6 +67,7 @@
 	done       chan struct{}
 	reportNow  chan struct{} // a report is due before the next tick
 	renewNow   chan struct{} // a lease renewal is due before the next interval
+	askNow     chan struct{} // there is a candidate for the worker's incarnation
 	orderSlots chan struct{} // one element for each order in flight
 
 	mu            sync.Mutex
@@ -81,7 +82,7 @@
 // than those of an earlier process of the agent.
 func New(cfg Config) *Runner {
 	return &Runner{
-		cfg: cfg, done: make(chan struct{}), reportNow: make(chan struct{}, 1), renewNow: make(chan struct{}, 1),
+		cfg: cfg, done: make(chan struct{}), reportNow: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), askNow: make(chan struct{}, 1),
 		orderSlots: make(chan struct{}, maxOrdersInFlight), leaderChanged: make(chan struct{}),
 		worker: newWorkerState(cfg.Name, time.Now().UnixMilli()), inFlight: make(map[work.RunKey]bool),
 	}
@@ -103,7 +104,7 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){r.followLeader, r.maintainStream, r.renewLeases} {
+	for _, loop := range []func(context.Context){r.followLeader, r.maintainStream, r.renewLeases, r.confirmCandidates} {
 		loops.Go(func() { loop(ctx) })
 	}
 	event.RunnerStarted.Log(r.cfg.Log).Str("Agent", r.cfg.Name).Send()
@@ -123,14 +124,19 @@
 func (r *Runner) Announce(a work.Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	previous, wasLeaving := r.worker.announcement, r.worker.leaving()
+	previous, wasLeaving, candidates := r.worker.announcement, r.worker.leaving(), len(r.worker.candidates)
 	begun := r.worker.applyAnnouncement(a, uptime.Now())
 	r.worker.recordCapacity()
 	if begun {
-		event.RunnerWorker.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Service", a.Service).Str("Rack", a.Rack).Send()
+		r.logIncarnation()
 		notify(r.renewNow)
 		return
 	}
+	if len(r.worker.candidates) > candidates {
+		event.RunnerCandidate.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Candidate", r.worker.incarnationOf(a)).
+			Str("Service", a.Service).Uint64("Sequence", a.Sequence).Send()
+		notify(r.askNow)
+	}
 	current := r.worker.announcement
 	if current.State != previous.State || r.worker.leaving() != wasLeaving {
 		event.RunnerWorkerState.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("State", string(current.State)).Send()
@@ -142,6 +148,11 @@
 	}
 }
 
+func (r *Runner) logIncarnation() {
+	a := r.worker.announcement
+	event.RunnerWorker.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Service", a.Service).Str("Rack", a.Rack).Send()
+}
+
 // Leave implements work.Registrar. A lease renewal is sent at once; it shows whether the
 // worker has ended.
 func (r *Runner) Leave(id string) {
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -39,6 +39,10 @@
 	if reply.StartedAtMS > w.announcement.StartedAtMS {
 		a := w.announcement
 		a.StartedAtMS, a.Sequence, a.Capacity = reply.StartedAtMS, 0, work.Shape{} // not announced yet
+		if announced, ok := w.dropCandidate(w.incarnationOf(a)); ok {
+			a = announced
+		}
+		w.withdrawEnd(w.incarnationOf(a))
 		w.startIncarnation(a, now)
 		return true
 	}
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -27,15 +27,17 @@
 type workerState struct {
 	agent             string
 	announcement      work.Announcement
-	announcedAt       time.Time // when announcement arrived
-	registered        bool      // the worker has announced itself and has not ended
-	confirmed         bool      // it has accepted a lease renewal with the current fence in this incarnation
-	endedIncarnations []string  // oldest first
-	leavingSince      time.Time // when the worker has said that it is about to end, zero after a later status report
-	presumedEnded     string    // incarnation that has said that it was about to end, and at whose address nothing listened then
-	endedAt           time.Time // when an incarnation was last taken for ended, zero if none was
-	noListenerSince   time.Time // first call that found no listener at the worker's address, zero after a reply
-	noListener        bool      // that was so for noListenerAfter
+	announcedAt       time.Time           // when announcement arrived
+	registered        bool                // the worker has announced itself and has not ended
+	confirmed         bool                // it has accepted a lease renewal with the current fence in this incarnation
+	endedIncarnations []string            // oldest first
+	leavingSince      time.Time           // when the worker has said that it is about to end, zero after a later status report
+	presumedEnded     string              // incarnation that has said that it was about to end, and at whose address nothing listened then
+	presumedEndedSeq  uint64              // of its latest status report
+	candidates        []work.Announcement // reports of incarnations that the worker has not confirmed, oldest first
+	endedAt           time.Time           // when an incarnation was last taken for ended, zero if none was
+	noListenerSince   time.Time           // first call that found no listener at the worker's address, zero after a reply
+	noListener        bool                // that was so for noListenerAfter
 
 	fence                int64         // fence of the next call
 	renewedFence         int64         // highest fence of an accepted lease renewal
