--- a/runner/candidate.go
+++ b/runner/candidate.go
@@ -38,6 +38,13 @@
 	return a, true
 }
 
+// isOfAnother reports whether a reply is from another incarnation than the current one
+// under the same identifier. A reply that does not say when its incarnation has started
+// counts as one of the current incarnation.
+func (w *workerState) isOfAnother(reply work.RuntimeReply) bool {
+	return reply.StartedAtMS != 0 && reply.StartedAtMS != w.announcement.StartedAtMS
+}
+
 // verdict is what a reply of the worker says about a candidate.
 type verdict string
 
--- a/runner/candidate_test.go
+++ b/runner/candidate_test.go
@@ -182,6 +182,7 @@
 		"another identifier, later start":             {id: "n", startedAt: 2000},
 		"another identifier, earlier start":           {id: "n", startedAt: 500},
 		"same identifier, later start, no report":     {id: "i", startedAt: 2000, silent: true},
+		"same identifier, earlier start, no report":   {id: "i", startedAt: 500, silent: true},
 		"another identifier with the start of before": {id: "n", startedAt: 1000},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -33,10 +33,7 @@
 // so the lists say nothing about calls to which the worker has replied after the
 // renewal was sent.
 func (w *workerState) applyRenewal(reply work.RuntimeReply, fence int64, sent, now time.Time) bool {
-	if !w.applyReply(reply, fence, now) || reply.Refusal != work.Accepted {
-		return false
-	}
-	if reply.StartedAtMS > w.announcement.StartedAtMS {
+	if reply.Refusal == work.Accepted && w.isOfAnother(reply) {
 		a := w.announcement
 		a.StartedAtMS, a.Sequence, a.Capacity = reply.StartedAtMS, 0, work.Shape{} // not announced yet
 		if announced, ok := w.dropCandidate(w.incarnationOf(a)); ok {
@@ -46,6 +43,9 @@
 		w.startIncarnation(a, now)
 		return true
 	}
+	if !w.applyReply(reply, fence, now) || reply.Refusal != work.Accepted {
+		return false
+	}
 	w.incarnationUncertain = false
 	w.renewedFence = max(w.renewedFence, fence)
 	changed := !w.confirmed || w.moreEnded != reply.MoreEnded
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -112,6 +112,10 @@
 	if reply.Refusal == work.RefusedInstance {
 		return false
 	}
+	if w.isOfAnother(reply) {
+		w.incarnationUncertain = true // the next lease renewal shows which one it is
+		return false
+	}
 	if reply.Refusal == work.RefusedFence {
 		w.raiseFence(fence + fenceJump)
 		return false
