--- a/event/runner.go
+++ b/event/runner.go
@@ -16,6 +16,8 @@
 	RunnerCapacity      Event = 1025
 	RunnerCandidate     Event = 1026
 	RunnerVerdict       Event = 1027
+	RunnerReportIgnored Event = 1028
+	RunnerReportInvalid Event = 1029
 	RunnerStart         Event = 1030
 	RunnerStop          Event = 1031
 	RunnerPace          Event = 1032
@@ -40,6 +42,8 @@
 	RunnerCapacity:      {"RunnerCapacity", zerolog.InfoLevel, "The capacity that the worker announces has changed."},
 	RunnerCandidate:     {"RunnerCandidate", zerolog.InfoLevel, "A status report is about another incarnation than the current one. The worker is asked; the current one stays until the worker has replied as the other."},
 	RunnerVerdict:       {"RunnerVerdict", zerolog.InfoLevel, "The reply of the worker to a call under the identifier of such an incarnation confirms or denies it, or decides nothing, so that the call is repeated."},
+	RunnerReportIgnored: {"RunnerReportIgnored", zerolog.WarnLevel, "A status report of the current incarnation is older than the present one, or contradicts it in what does not change; it has no effect unless a series of such reports follows."},
+	RunnerReportInvalid: {"RunnerReportInvalid", zerolog.WarnLevel, "A status report cannot be read or does not describe a worker; it was rejected."},
 	RunnerStart:         {"RunnerStart", zerolog.InfoLevel, "The worker has replied to a request to start a run."},
 	RunnerStop:          {"RunnerStop", zerolog.InfoLevel, "The worker has replied to a request to stop a run."},
 	RunnerPace:          {"RunnerPace", zerolog.InfoLevel, "The worker has replied to a request to change the pace of a run."},
--- a/node/agent.go
+++ b/node/agent.go
@@ -34,7 +34,7 @@
 	metrics.ExportIntake(gate.Counts)
 	metricsServer.Go(func() { serveMetrics(ctx, netip.AddrPortFrom(n.IP, n.MetricsPort), newMetricsMux(metrics), gate, log) })
 	register := func(r work.Registrar) http.Handler {
-		return gate.Handler(platform.Register(r), gate.NewSlots("worker", gate.Limits().SmallConnections), intake.Refuse)
+		return gate.Handler(platform.Register(r, log), gate.NewSlots("worker", gate.Limits().SmallConnections), intake.Refuse)
 	}
 	return runner.New(runner.Config{Name: n.Name, Store: store, Runtime: worker, Register: register, Log: log}).
 		Run(ctx, gate.Listen(listeners[0], "worker", gate.Limits().SmallConnections))
--- a/runner/incarnation.go
+++ b/runner/incarnation.go
@@ -46,7 +46,7 @@
 		return true
 	case incarnation != w.incarnation():
 		w.addCandidate(a)
-	case a.Sequence > w.announcement.Sequence:
+	case w.shouldApply(a, now):
 		w.announcement, w.announcedAt, w.leavingSince = a, now, time.Time{}
 	}
 	return false
@@ -62,7 +62,7 @@
 	w.announcement, w.announcedAt, w.registered, w.confirmed = a, now, true, false
 	w.fence++
 	w.renewedFence, w.ackedSeq, w.running, w.ended, w.moreEnded, w.refused = 0, 0, nil, nil, false, nil
-	w.leavingSince, w.noListenerSince, w.noListener = time.Time{}, time.Time{}, false
+	w.leavingSince, w.noListenerSince, w.noListener, w.series = time.Time{}, time.Time{}, false, reportSeries{}
 	w.workerClock, w.workerClockAt, w.lastReplyAt, w.failedCalls = 0, time.Time{}, now, 0
 	// An earlier process of this agent may have granted leases up to this time.
 	w.leasedUntil = now.Add(control.Lease)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -137,6 +137,10 @@
 			Str("Service", a.Service).Uint64("Sequence", a.Sequence).Send()
 		notify(r.askNow)
 	}
+	if s := r.worker.series; s.count > 0 && s.latest.Sequence == a.Sequence {
+		event.RunnerReportIgnored.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Service", a.Service).Uint64("Sequence", a.Sequence).
+			Uint64("Present", previous.Sequence).Int("Count", s.count).Send()
+	}
 	current := r.worker.announcement
 	if current.State != previous.State || r.worker.leaving() != wasLeaving {
 		event.RunnerWorkerState.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("State", string(current.State)).Send()
--- a/runner/worker_state.go
+++ b/runner/worker_state.go
@@ -34,6 +34,7 @@
 	leavingSince      time.Time           // when the worker has said that it is about to end, zero after a later status report
 	presumedEnded     string              // incarnation that has said that it was about to end, and at whose address nothing listened then
 	presumedEndedSeq  uint64              // of its latest status report
+	series            reportSeries        // reports of the current incarnation that were not applied
 	candidates        []work.Announcement // reports of incarnations that the worker has not confirmed, oldest first
 	endedAt           time.Time           // when an incarnation was last taken for ended, zero if none was
 	noListenerSince   time.Time           // first call that found no listener at the worker's address, zero after a reply
