--- a/runner/announcement.go
+++ b/runner/announcement.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// minSeries and minSeriesTime are the number of consecutive reports, and the time from the
-	// first to the last of them, after which a series that contradicts the present report
-	// replaces it. Reports that were held up arrive together.
+	// minSeries and minSeriesTime are the least length of a series that replaces the present
+	// report. Reports that were held up arrive together, in less than minSeriesTime.
 	minSeries     = 3
 	minSeriesTime = 2 * time.Second
 )
@@ -26,7 +25,8 @@
 // sameProperties reports whether two announcements agree in what does not change within an
 // incarnation.
 func sameProperties(a, b work.Announcement) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain && slices.Equal(a.Labels, b.Labels)
+	return a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain &&
+		slices.Equal(slices.Sorted(slices.Values(a.Labels)), slices.Sorted(slices.Values(b.Labels)))
 }
 
 // follows reports whether a report of the same incarnation is a later one of the same sender.
@@ -35,8 +35,8 @@
 }
 
 // shouldApply reports whether a report of the current incarnation replaces the present one.
-// It has to follow it, unless the present one is unfounded: the next incarnation has not
-// announced itself yet, or a series of reports shows that another sender has.
+// It has to follow the present one, unless that was derived from the one of the former
+// incarnation, or a series of reports shows that it came from another sender.
 func (w *workerState) shouldApply(a work.Announcement, now time.Time) bool {
 	if w.announcement.Sequence == 0 && a.Sequence > 0 || follows(a, w.announcement) {
 		w.series = reportSeries{}
--- a/runner/candidate.go
+++ b/runner/candidate.go
@@ -14,10 +14,14 @@
 // oldest one is dropped; the worker reports again.
 const maxCandidates = 8
 
+// candidateIndex returns the index of a candidate, or -1.
+func (w *workerState) candidateIndex(incarnation string) int {
+	return slices.IndexFunc(w.candidates, func(c work.Announcement) bool { return w.incarnationOf(c) == incarnation })
+}
+
 // addCandidate records a report of another incarnation than the current one.
 func (w *workerState) addCandidate(a work.Announcement) {
-	incarnation := w.incarnationOf(a)
-	i := slices.IndexFunc(w.candidates, func(c work.Announcement) bool { return w.incarnationOf(c) == incarnation })
+	i := w.candidateIndex(w.incarnationOf(a))
 	switch {
 	case i < 0:
 		w.candidates = append(w.candidates, a)
@@ -29,7 +33,7 @@
 
 // dropCandidate removes a candidate and returns its latest report.
 func (w *workerState) dropCandidate(incarnation string) (a work.Announcement, ok bool) {
-	i := slices.IndexFunc(w.candidates, func(c work.Announcement) bool { return w.incarnationOf(c) == incarnation })
+	i := w.candidateIndex(incarnation)
 	if i < 0 {
 		return a, false
 	}
@@ -59,7 +63,6 @@
 // confirmed or denied. Only the start of the incarnation distinguishes those with the same
 // identifier.
 func (w *workerState) applyCandidateReply(a work.Announcement, reply work.RuntimeReply, fence int64, now time.Time) verdict {
-	incarnation := w.incarnationOf(a)
 	switch {
 	case reply.Refusal == work.RefusedFence:
 		w.raiseFence(fence + fenceJump)
@@ -67,9 +70,12 @@
 	case reply.Refusal != work.Accepted && reply.Refusal != work.RefusedInstance:
 		return undecided
 	}
-	latest, ok := w.dropCandidate(incarnation)
-	if !ok || reply.Refusal == work.RefusedInstance || reply.StartedAtMS != 0 && reply.StartedAtMS != a.StartedAtMS ||
-		reply.StartedAtMS == 0 && a.ID == w.announcement.ID {
+	latest, ok := w.dropCandidate(w.incarnationOf(a))
+	isReplier := reply.StartedAtMS == a.StartedAtMS
+	if reply.StartedAtMS == 0 { // not stated
+		isReplier = a.ID != w.announcement.ID
+	}
+	if !ok || reply.Refusal == work.RefusedInstance || !isReplier {
 		return denied
 	}
 	w.startIncarnation(latest, now)
@@ -112,7 +118,6 @@
 		event.RunnerVerdict.Log(r.cfg.Log).Str("Worker", current).Str("Candidate", w.incarnationOf(a)).Str("Verdict", string(v)).
 			Str("Refusal", string(reply.Refusal)).Int64("StartedAtMS", reply.StartedAtMS).Send()
 		if v == confirmed {
-			w.recordCapacity()
 			r.logIncarnation()
 			r.interruptRenewal()
 		}
--- a/runner/candidate_test.go
+++ b/runner/candidate_test.go
@@ -175,14 +175,14 @@
 	for name, tc := range map[string]struct {
 		id        string
 		startedAt int64
-		silent    bool // it does not report, so that only its replies show it
+		noReport  bool // only its replies show it
 	}{
 		"same identifier, later start":                {id: "i", startedAt: 2000},
 		"same identifier, earlier start":              {id: "i", startedAt: 500},
 		"another identifier, later start":             {id: "n", startedAt: 2000},
 		"another identifier, earlier start":           {id: "n", startedAt: 500},
-		"same identifier, later start, no report":     {id: "i", startedAt: 2000, silent: true},
-		"same identifier, earlier start, no report":   {id: "i", startedAt: 500, silent: true},
+		"same identifier, later start, no report":     {id: "i", startedAt: 2000, noReport: true},
+		"same identifier, earlier start, no report":   {id: "i", startedAt: 500, noReport: true},
 		"another identifier with the start of before": {id: "n", startedAt: 1000},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -202,14 +202,14 @@
 			}, 10*time.Second, time.Millisecond)
 			worker.restart(tc.id, tc.startedAt)
 			worker.setMute(false)
-			if !tc.silent {
+			if !tc.noReport {
 				r.Announce(announcement(tc.id, tc.startedAt, 1))
 			}
 			require.Eventually(t, func() bool {
 				report := r.reported()
 				return report.Worker != nil && report.Worker.Incarnation != first && len(report.EndedIncarnations) == 1 && report.EndedIncarnations[0] == first
 			}, 10*time.Second, time.Millisecond)
-			if !tc.silent {
+			if !tc.noReport {
 				require.Equal(t, accelerators(8), r.reported().Worker.Capacity)
 			}
 			time.Sleep(20 * time.Millisecond)
--- a/runner/incarnation.go
+++ b/runner/incarnation.go
@@ -70,6 +70,7 @@
 	clear(w.settledRuns)
 	clear(w.acceptedStarts)
 	clear(w.throttles)
+	w.recordCapacity()
 }
 
 func (w *workerState) recordEndedIncarnation(incarnation string) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -124,7 +124,9 @@
 func (r *Runner) Announce(a work.Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	previous, wasLeaving, candidates := r.worker.announcement, r.worker.leaving(), len(r.worker.candidates)
+	previous, wasLeaving := r.worker.announcement, r.worker.leaving()
+	incarnation := r.worker.incarnationOf(a)
+	wasCandidate := r.worker.candidateIndex(incarnation) >= 0
 	begun := r.worker.applyAnnouncement(a, uptime.Now())
 	r.worker.recordCapacity()
 	if begun {
@@ -132,8 +134,8 @@
 		notify(r.renewNow)
 		return
 	}
-	if len(r.worker.candidates) > candidates {
-		event.RunnerCandidate.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Candidate", r.worker.incarnationOf(a)).
+	if !wasCandidate && r.worker.candidateIndex(incarnation) >= 0 {
+		event.RunnerCandidate.Log(r.cfg.Log).Str("Worker", r.worker.incarnation()).Str("Candidate", incarnation).
 			Str("Service", a.Service).Uint64("Sequence", a.Sequence).Send()
 		notify(r.askNow)
 	}
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -39,7 +39,7 @@
 		if announced, ok := w.dropCandidate(w.incarnationOf(a)); ok {
 			a = announced
 		}
-		w.withdrawEnd(w.incarnationOf(a))
+		w.withdrawEnd(w.incarnationOf(a)) // it replies
 		w.startIncarnation(a, now)
 		return true
 	}
