--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -141,15 +141,19 @@
 	return slices.Concat(faults, workerFaults)
 }
 
+// allFaults returns the kinds of faults that there are.
+func allFaults() []fault { return slices.Concat(faults, workerFaults, reportFaults) }
+
 // series returns the kinds that each fault series draws from.
 func (o selection) series() [][]fault {
 	if len(o.only) > 0 {
-		only := slices.DeleteFunc(o.kinds(), func(f fault) bool { return !o.only[f.name] })
+		only := slices.DeleteFunc(allFaults(), func(f fault) bool { return !o.only[f.name] })
 		return slices.Repeat([][]fault{only}, seriesCount+workerSeriesCount)
 	}
 	series := slices.Repeat([][]fault{o.kinds()}, seriesCount)
 	if !o.earliest {
 		series = append(series, slices.Repeat([][]fault{workerFaults}, workerSeriesCount)...)
+		series = append(series, reportFaults)
 	}
 	return series
 }
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -92,7 +92,7 @@
 // selection returns the kinds that --without and --only select.
 func (o options) selection() (selection, error) {
 	known := map[string]bool{deadlyJobs: true}
-	for _, f := range (selection{}).kinds() {
+	for _, f := range allFaults() {
 		known[f.name] = true
 	}
 	kinds := selection{without: make(map[string]bool), only: make(map[string]bool)}
