--- a/runner/candidate.go
+++ b/runner/candidate.go
@@ -71,11 +71,11 @@
 		return undecided
 	}
 	latest, ok := w.dropCandidate(w.incarnationOf(a))
-	isReplier := reply.StartedAtMS == a.StartedAtMS
+	matches := reply.StartedAtMS == a.StartedAtMS
 	if reply.StartedAtMS == 0 { // not stated
-		isReplier = a.ID != w.announcement.ID
+		matches = a.ID != w.announcement.ID
 	}
-	if !ok || reply.Refusal == work.RefusedInstance || !isReplier {
+	if !ok || reply.Refusal == work.RefusedInstance || !matches {
 		return denied
 	}
 	w.startIncarnation(latest, now)
@@ -111,7 +111,11 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		if err != nil || w.incarnation() != current {
+		if err != nil {
+			event.RunnerCallFailed.Log(r.cfg.Log).Str("Call", "hold").Str("Worker", w.incarnationOf(a)).Err(err).Send()
+			continue
+		}
+		if w.incarnation() != current {
 			continue // a reply from before the present incarnation decides nothing
 		}
 		v := w.applyCandidateReply(a, reply, fence, uptime.Now())
