--- a/event/leader.go
+++ b/event/leader.go
@@ -71,7 +71,7 @@
 	QueueUnknown:         {"QueueUnknown", zerolog.WarnLevel, "It is not known whether a request took effect."},
 	QueueRelayed:         {"QueueRelayed", zerolog.InfoLevel, "A request was forwarded to another entry. Reason is StoreContactLost, or the code of the attempt at this entry; OwnVersion and Version are those of the configurations of this entry and of the other one."},
 	QueueAnswered:        {"QueueAnswered", zerolog.InfoLevel, "The state of a job, or the number of pending jobs of a queue, was reported to a caller."},
-	QueueMarked:          {"QueueMarked", zerolog.InfoLevel, "A job is about to be refused after a write of it without a reply, by the load or at the limit of jobs: a mark in the store makes late writes fail. Accepted says that the job is on record; with a Cause the answer is that the outcome is unknown."},
+	QueueMarked:          {"QueueMarked", zerolog.InfoLevel, "A job is about to be refused after a write of it without a reply, by the load, at the limit of jobs, or because another call for it was refused meanwhile: a mark in the store makes late writes fail. Accepted says that the job is on record; with a Cause the answer is that the outcome is unknown."},
 	QueueNotServable:     {"QueueNotServable", zerolog.InfoLevel, "A job cannot be served under the load that the leader has published, and is refused once that is confirmed (QueueMarked). The line has the inputs of the decision and their age."},
 	QueueConfigured:      {"QueueConfigured", zerolog.InfoLevel, "A configuration is in force at this entry."},
 	QueueConfigBad:       {"QueueConfigBad", zerolog.ErrorLevel, "An operators' document cannot be decoded; the previous one stays in force."},
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -55,7 +55,7 @@
 	for repeated := c.Repeated; ; repeated = true {
 		j := *draft
 		applyQueue(&j, id, account, q)
-		known := markVersion
+		known := markVersion // only the first attempt may take an unknown mark for an earlier one
 		err := g.writeJob(ctx, cfg, &j, &markVersion)
 		if repeated && markVersion != 0 && markVersion != known {
 			return g.refuseMarked(ctx, c, id, errRefusedMeanwhile)
